Dispatch: Placement by the soonest first token; late asks refused at once

Change: SoonestFirstToken keeps a model of each engine (prompts kept, prompts still to be read, memory of runs) and lets an ask wait here rather than there; asks that cannot meet their target are refused with a Retry-After. A planned stop takes only requests that can end before it. The reading speed is learned only from runs that met no other prompt: learned from all, it fell with every backlog until the dispatcher refused what engines had room for.

--- a/Source/Configuration/catalogue.cpp
+++ b/Source/Configuration/catalogue.cpp
@@ -12,20 +12,13 @@
 
 namespace {
 
-constexpr Base::NameTable<OrderPolicy, 2> orderNames = {{{OrderPolicy::Tiered, "tiered"}, {OrderPolicy::Fifo, "fifo"}}};
-constexpr Base::NameTable<PlacementPolicy, 3> placementNames = {{
-    {PlacementPolicy::Affinity, "affinity"},
-    {PlacementPolicy::LeastLoaded, "least-loaded"},
-    {PlacementPolicy::RoundRobin, "round-robin"},
-}};
-constexpr Base::NameTable<WindowPolicy, 2> windowNames = {{{WindowPolicy::Adaptive, "adaptive"}, {WindowPolicy::Fixed, "fixed"}}};
-
 constexpr std::array settings = {
     SettingSchema {"order", {.name = "value", .type = FieldType::Choice, .choices = "tiered fifo"}},
-    SettingSchema {"placement", {.name = "value", .type = FieldType::Choice, .choices = "affinity least-loaded round-robin"}},
+    SettingSchema {"placement", {.name = "value", .type = FieldType::Choice, .choices = "affinity least-loaded round-robin soonest-first-token"}},
     SettingSchema {"window", {.name = "value", .type = FieldType::Choice, .choices = "adaptive fixed"}},
     SettingSchema {"eject-slow", {.name = "value", .type = FieldType::Flag}},
     SettingSchema {"hopeless-shedding", {.name = "value", .type = FieldType::Flag}},
+    SettingSchema {"refuse-late", {.name = "value", .type = FieldType::Flag}},
     SettingSchema {"queue-limit", {.name = "value", .type = FieldType::Integer, .least = 1, .most = 1'000'000}},
     SettingSchema {"shard-size", {.name = "value", .type = FieldType::Integer, .least = 1, .most = 1024}},
     SettingSchema {"guaranteed-percent", {.name = "value", .type = FieldType::Integer, .least = 1, .most = 50}},
@@ -114,6 +107,7 @@
     policies.window = Base::valueOf(windowNames, value("window")).value_or(policies.window);
     policies.ejectSlow = value("eject-slow") != "no";
     policies.hopelessShedding = value("hopeless-shedding") != "no";
+    policies.refuseLate = value("refuse-late") == "yes";
     policies.queueLimit = count("queue-limit", policies.queueLimit);
     policies.shardSize = count("shard-size", policies.shardSize);
     policies.guaranteedPercent = count("guaranteed-percent", policies.guaranteedPercent);
--- a/Source/Configuration/catalogue.h
+++ b/Source/Configuration/catalogue.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "Base/address.h"
+#include "Base/names.h"
 #include "Base/time.h"
 #include "Configuration/objects.h"
 
@@ -87,9 +88,18 @@
 };
 
 enum class OrderPolicy { Tiered, Fifo };
-enum class PlacementPolicy { Affinity, LeastLoaded, RoundRobin };
+enum class PlacementPolicy { Affinity, LeastLoaded, RoundRobin, SoonestFirstToken };
 enum class WindowPolicy { Adaptive, Fixed };
 
+inline constexpr Base::NameTable<OrderPolicy, 2> orderNames = {{{OrderPolicy::Tiered, "tiered"}, {OrderPolicy::Fifo, "fifo"}}};
+inline constexpr Base::NameTable<PlacementPolicy, 4> placementNames = {{
+    {PlacementPolicy::Affinity, "affinity"},
+    {PlacementPolicy::LeastLoaded, "least-loaded"},
+    {PlacementPolicy::RoundRobin, "round-robin"},
+    {PlacementPolicy::SoonestFirstToken, "soonest-first-token"},
+}};
+inline constexpr Base::NameTable<WindowPolicy, 2> windowNames = {{{WindowPolicy::Adaptive, "adaptive"}, {WindowPolicy::Fixed, "fixed"}}};
+
 /// The objects of kind `setting`, with the defaults for those not there.
 struct Policies
 {
@@ -98,6 +108,7 @@
     WindowPolicy window = WindowPolicy::Adaptive;
     bool ejectSlow = true;
     bool hopelessShedding = true; ///< refuse at once what can no longer start before its deadline
+    bool refuseLate = false; ///< refuse at once what cannot meet its target by the placement's expectation
     std::uint32_t queueLimit = 4096; ///< asks of one shard
     std::uint32_t shardSize = 32; ///< endpoints of one shard
     std::uint32_t guaranteedPercent = 5; ///< of grants, for classes past their starvation bound
--- a/Source/Dispatch/placement.cpp
+++ b/Source/Dispatch/placement.cpp
@@ -4,6 +4,7 @@
 #include "Dispatch/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <ranges>
 
 namespace Yokepond::Dispatch {
@@ -27,29 +28,31 @@
 
 } // namespace
 
-std::uint32_t RoundRobin::choose(const QueuedAsk &, std::span<const Candidate> candidates)
+std::optional<std::uint32_t> RoundRobin::choose(const QueuedAsk &, std::span<const Candidate> candidates, Base::Instant) const
 {
     const auto next
         = std::ranges::find_if(candidates, [this](const Candidate &candidate) { return candidate.endpoint > m_last; });
     return next == candidates.end() ? candidates.front().endpoint : next->endpoint;
 }
 
-void RoundRobin::placed(const QueuedAsk &, std::uint32_t endpoint)
+PlacedRun RoundRobin::placed(const QueuedAsk &, std::uint32_t endpoint, Base::Instant)
 {
     m_last = endpoint;
+    return {.endpoint = endpoint};
 }
 
 void RoundRobin::forget(std::uint32_t)
 {
 }
 
-std::uint32_t LeastLoaded::choose(const QueuedAsk &, std::span<const Candidate> candidates)
+std::optional<std::uint32_t> LeastLoaded::choose(const QueuedAsk &, std::span<const Candidate> candidates, Base::Instant) const
 {
     return leastLoaded(candidates).endpoint;
 }
 
-void LeastLoaded::placed(const QueuedAsk &, std::uint32_t)
+PlacedRun LeastLoaded::placed(const QueuedAsk &, std::uint32_t endpoint, Base::Instant)
 {
+    return {.endpoint = endpoint};
 }
 
 void LeastLoaded::forget(std::uint32_t)
@@ -75,13 +78,14 @@
     return std::nullopt;
 }
 
-std::uint32_t PrefixAffinity::choose(const QueuedAsk &ask, std::span<const Candidate> candidates)
+std::optional<std::uint32_t> PrefixAffinity::choose(const QueuedAsk &ask, std::span<const Candidate> candidates,
+                                                    Base::Instant) const
 {
     const Candidate &least = leastLoaded(candidates);
     return holder(ask, candidates, loadOf(least) + loadSlack).value_or(least.endpoint);
 }
 
-void PrefixAffinity::placed(const QueuedAsk &ask, std::uint32_t endpoint)
+PlacedRun PrefixAffinity::placed(const QueuedAsk &ask, std::uint32_t endpoint, Base::Instant)
 {
     for (const std::uint64_t prefix : ask.ask.prefix) {
         const auto [entry, added] = m_holders.try_emplace(prefix);
@@ -99,6 +103,7 @@
         m_holders.erase(m_byAge.front());
         m_byAge.pop_front();
     }
+    return {.endpoint = endpoint};
 }
 
 void PrefixAffinity::forget(std::uint32_t endpoint)
@@ -108,4 +113,156 @@
     }
 }
 
+// --- SoonestFirstToken
+
+namespace {
+
+/// Part of an engine's time that prompts may take up: the tokens of all that runs there wait meanwhile.
+constexpr double readingShare = 0.75;
+/// Part of an engine's memory that runs may take up; the rest keeps prompts for those to come.
+constexpr double runningShare = 0.6;
+/// Part of its target that a run may wait at the engine: the most urgent tier, and each tier below it less.
+constexpr double backlogShareOfFirst = 0.4;
+constexpr double tierFactor = 0.7;
+/// Reading a prompt again that another engine keeps costs this much more than the time it takes here: the part it displaces
+/// will be read again too.
+constexpr double readAgainFactor = 1.5;
+/// What a full window adds to the cost of an engine: each token comes slower the more run there.
+constexpr double fullWindowMs = 300.0;
+/// Of the latest observation, when the reading speed is learned.
+constexpr double latestShare = 0.1;
+constexpr std::uint32_t leastTokensToLearn = 4000;
+constexpr double slowestTokensPerMs = 4.0;
+constexpr double fastestTokensPerMs = 400.0;
+/// Between an ask and the end of its reading, beside the reading itself: the way to the engine, and the first token.
+constexpr Base::Duration overhead = std::chrono::milliseconds(30);
+
+PromptChain chainOf(const QueuedAsk &ask)
+{
+    return {ask.ask.prefix, ask.ask.prefixTokens};
+}
+
+Base::Duration fromMs(double milliseconds)
+{
+    return std::chrono::duration_cast<Base::Duration>(std::chrono::duration<double, std::milli>(milliseconds));
+}
+
+std::uint32_t memoryOf(const QueuedAsk &ask)
+{
+    return ask.ask.promptTokens + ask.ask.expectedTokens;
+}
+
+Base::Duration longestBacklog(const QueuedAsk &ask)
+{
+    const double share = backlogShareOfFirst * std::pow(tierFactor, std::max(0, ask.terms.rank - 1));
+    return std::chrono::duration_cast<Base::Duration>(ask.terms.firstToken * share);
+}
+
+} // namespace
+
+const SoonestFirstToken::Engine *SoonestFirstToken::engineOf(std::uint32_t endpoint) const
+{
+    const auto engine = m_engines.find(endpoint);
+    return engine == m_engines.end() ? nullptr : &engine->second;
+}
+
+Base::Duration SoonestFirstToken::timeToRead(std::uint32_t tokens) const
+{
+    return fromMs(static_cast<double>(tokens) / m_tokensPerMs);
+}
+
+SoonestFirstToken::Cost SoonestFirstToken::costAt(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now) const
+{
+    const Engine *engine = engineOf(candidate.endpoint);
+    const std::uint32_t kept = engine == nullptr ? 0 : engine->cache.kept(chainOf(ask));
+    const std::uint32_t unread = ask.ask.promptTokens > kept ? ask.ask.promptTokens - kept : 0;
+    Cost cost;
+    cost.backlog = engine == nullptr || engine->readUntil <= now ? Base::Duration::zero() : engine->readUntil - now;
+    cost.own = timeToRead(unread);
+    cost.load = Base::milliseconds(cost.backlog) + Base::milliseconds(cost.own) * readAgainFactor + loadOf(candidate) * fullWindowMs;
+    return cost;
+}
+
+bool SoonestFirstToken::fits(const QueuedAsk &ask, const Candidate &candidate) const
+{
+    const Engine *engine = engineOf(candidate.endpoint);
+    if (engine == nullptr || candidate.memoryTokens == 0 || engine->runningTokens == 0) {
+        return true;
+    }
+    const auto most = static_cast<std::uint64_t>(runningShare * static_cast<double>(candidate.memoryTokens));
+    return engine->runningTokens + memoryOf(ask) <= most;
+}
+
+std::optional<std::uint32_t> SoonestFirstToken::choose(const QueuedAsk &ask, std::span<const Candidate> candidates,
+                                                       Base::Instant now) const
+{
+    std::optional<std::uint32_t> best;
+    double least = 0;
+    for (const Candidate &candidate : candidates) {
+        const Cost cost = costAt(ask, candidate, now);
+        if (cost.backlog > longestBacklog(ask) || !fits(ask, candidate)) {
+            continue;
+        }
+        if (!best || cost.load < least) {
+            best = candidate.endpoint;
+            least = cost.load;
+        }
+    }
+    return best;
+}
+
+Base::Duration SoonestFirstToken::expected(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const
+{
+    Base::Duration soonest = Base::Duration::max();
+    for (const Candidate &candidate : candidates) {
+        const Cost cost = costAt(ask, candidate, now);
+        soonest = std::min(soonest, cost.backlog + cost.own + overhead);
+    }
+    return soonest;
+}
+
+PlacedRun SoonestFirstToken::placed(const QueuedAsk &ask, std::uint32_t endpoint, Base::Instant now)
+{
+    Engine &engine = m_engines[endpoint];
+    const std::uint32_t kept = engine.cache.kept(chainOf(ask));
+    PlacedRun run;
+    run.endpoint = endpoint;
+    run.tokens = memoryOf(ask);
+    run.unread = ask.ask.promptTokens > kept ? ask.ask.promptTokens - kept : 0;
+    const bool alone = engine.readUntil <= now;
+    const Base::Instant begins = std::max(now, engine.readUntil);
+    const Base::Duration reading = timeToRead(run.unread);
+    engine.readUntil = begins + fromMs(Base::milliseconds(reading) / readingShare);
+    run.expected = begins - now + reading;
+    run.alone = alone;
+    engine.runningTokens += run.tokens;
+    engine.cache.read(chainOf(ask));
+    if (engine.memoryTokens > 0) {
+        engine.cache.shrink(engine.memoryTokens);
+    }
+    return run;
+}
+
+void SoonestFirstToken::ended(const PlacedRun &run, Base::Duration firstToken)
+{
+    const auto engine = m_engines.find(run.endpoint);
+    if (engine == m_engines.end()) {
+        return;
+    }
+    engine->second.runningTokens -= std::min<std::uint64_t>(engine->second.runningTokens, run.tokens);
+    // Behind other prompts the time tells of the model's errors rather than of the engine's speed.
+    if (run.alone && firstToken > Base::Duration::zero() && run.unread >= leastTokensToLearn) {
+        const double ratio = std::clamp(Base::milliseconds(run.expected) / Base::milliseconds(firstToken), 0.5, 2.0);
+        const double observed = m_tokensPerMs * ratio;
+        m_tokensPerMs = std::clamp(m_tokensPerMs + latestShare * (observed - m_tokensPerMs), slowestTokensPerMs, fastestTokensPerMs);
+    }
+}
+
+void SoonestFirstToken::forget(std::uint32_t endpoint)
+{
+    if (const auto engine = m_engines.find(endpoint); engine != m_engines.end()) {
+        engine->second.cache.clear();
+    }
+}
+
 } // namespace Yokepond::Dispatch
--- a/Source/Dispatch/placement.h
+++ b/Source/Dispatch/placement.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include "Dispatch/promptcache.h"
 #include "Dispatch/queuedask.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -13,6 +14,7 @@
 #include <concepts>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 #include <span>
 #include <vector>
@@ -25,24 +27,58 @@
     std::uint32_t endpoint = 0;
     std::uint32_t running = 0;
     std::uint32_t window = 0;
+    std::uint64_t memoryTokens = 0; ///< 0 if not known
+};
+
+/// What a placement keeps of a run until it ends.
+struct PlacedRun
+{
+    std::uint32_t endpoint = 0;
+    std::uint32_t tokens = 0; ///< of memory that the run may come to need
+    std::uint32_t unread = 0; ///< of its prompt, that the endpoint had to read
+    Base::Duration expected {}; ///< to the first token
+    bool alone = false; ///< the endpoint had no other prompt to read
 };
 
 template<typename T>
 concept PlacementPolicy
-    = requires(T placement, const QueuedAsk &ask, std::span<const Candidate> candidates, std::uint32_t endpoint) {
+    = requires(T placement, const T &constant, const QueuedAsk &ask, std::span<const Candidate> candidates,
+               std::uint32_t endpoint, Base::Instant now, const PlacedRun &run, Base::Duration firstToken) {
+          /// The endpoint to use now; nothing if waiting is better. @p candidates is never empty.
+          {
+              constant.choose(ask, candidates, now)
+          } -> std::same_as<std::optional<std::uint32_t>>;
+          /// How long until the first token if the best of @p candidates were used, as far as the policy can tell.
           {
-              placement.choose(ask, candidates)
-          } -> std::same_as<std::uint32_t>;
-          placement.placed(ask, endpoint);
+              constant.expected(ask, candidates, now)
+          } -> std::same_as<Base::Duration>;
+          {
+              placement.placed(ask, endpoint, now)
+          } -> std::same_as<PlacedRun>;
+          /// @p firstToken is zero if none came.
+          placement.ended(run, firstToken);
           placement.forget(endpoint);
       };
 
-/// Baseline: each in turn. @p candidates is never empty, here and below.
-class RoundRobin
+/// What policies without a model of engines have in common.
+class WithoutModel
 {
 public:
-    std::uint32_t choose(const QueuedAsk &ask, std::span<const Candidate> candidates);
-    void placed(const QueuedAsk &ask, std::uint32_t endpoint);
+    Base::Duration expected(const QueuedAsk &, std::span<const Candidate>, Base::Instant) const
+    {
+        return {};
+    }
+    void ended(const PlacedRun &, Base::Duration)
+    {
+    }
+};
+
+/// Baseline: each in turn.
+class RoundRobin : public WithoutModel
+{
+public:
+    std::optional<std::uint32_t> choose(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
+    PlacedRun placed(const QueuedAsk &ask, std::uint32_t endpoint, Base::Instant now);
     void forget(std::uint32_t endpoint);
 
 private:
@@ -50,20 +86,20 @@
 };
 
 /// Baseline: the one with the smallest share of its window in use.
-class LeastLoaded
+class LeastLoaded : public WithoutModel
 {
 public:
-    std::uint32_t choose(const QueuedAsk &ask, std::span<const Candidate> candidates);
-    void placed(const QueuedAsk &ask, std::uint32_t endpoint);
+    std::optional<std::uint32_t> choose(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
+    PlacedRun placed(const QueuedAsk &ask, std::uint32_t endpoint, Base::Instant now);
     void forget(std::uint32_t endpoint);
 };
 
 /// The one that ran the longest known beginning of the prompt, unless its load is too far above the least loaded one's.
-class PrefixAffinity
+class PrefixAffinity : public WithoutModel
 {
 public:
-    std::uint32_t choose(const QueuedAsk &ask, std::span<const Candidate> candidates);
-    void placed(const QueuedAsk &ask, std::uint32_t endpoint);
+    std::optional<std::uint32_t> choose(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
+    PlacedRun placed(const QueuedAsk &ask, std::uint32_t endpoint, Base::Instant now);
     void forget(std::uint32_t endpoint);
 
 private:
@@ -76,6 +112,44 @@
     std::deque<std::uint64_t> m_byAge;
 };
 
+/// The one where the first token is expected soonest, by a model of each engine: the prompts it keeps, the prompts it still
+/// has to read, and the memory of its runs. A run waits here rather than behind other prompts at an engine: the less urgent,
+/// the earlier.
+class SoonestFirstToken
+{
+public:
+    std::optional<std::uint32_t> choose(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
+    Base::Duration expected(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
+    PlacedRun placed(const QueuedAsk &ask, std::uint32_t endpoint, Base::Instant now);
+    void ended(const PlacedRun &run, Base::Duration firstToken);
+    void forget(std::uint32_t endpoint);
+
+private:
+    struct Engine
+    {
+        PromptCache cache;
+        Base::Instant readUntil {}; ///< when the prompts sent so far will have been read
+        std::uint64_t runningTokens = 0;
+        std::uint64_t memoryTokens = 0;
+    };
+
+    struct Cost
+    {
+        Base::Duration backlog {};
+        Base::Duration own {};
+        double load = 0;
+    };
+
+    const Engine *engineOf(std::uint32_t endpoint) const;
+    Cost costAt(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now) const;
+    bool fits(const QueuedAsk &ask, const Candidate &candidate) const;
+    Base::Duration timeToRead(std::uint32_t tokens) const;
+
+    std::map<std::uint32_t, Engine> m_engines;
+    double m_tokensPerMs = 30.0; ///< read by an engine; learned, the start is that of a large model on one accelerator
+};
+
+static_assert(PlacementPolicy<SoonestFirstToken>);
 static_assert(PlacementPolicy<RoundRobin>);
 static_assert(PlacementPolicy<LeastLoaded>);
 static_assert(PlacementPolicy<PrefixAffinity>);
--- /dev/null
+++ b/Source/Dispatch/promptcache.cpp
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+#include "Dispatch/promptcache.h"
+
+namespace Yokepond::Dispatch {
+
+std::uint32_t PromptCache::kept(const PromptChain &chain) const
+{
+    if (chain.prefix.size() != chain.tokens.size()) {
+        return 0;
+    }
+    std::uint32_t tokens = 0;
+    for (std::size_t index = 0; index < chain.prefix.size() && m_parts.contains(chain.prefix[index]); ++index) {
+        tokens = chain.tokens[index];
+    }
+    return tokens;
+}
+
+void PromptCache::read(const PromptChain &chain)
+{
+    if (chain.prefix.size() != chain.tokens.size()) {
+        return;
+    }
+    // From the end, so that a part is always used later than those that need it.
+    for (std::size_t index = chain.prefix.size(); index-- > 0;) {
+        const std::uint32_t before = index == 0 ? 0 : chain.tokens[index - 1];
+        const std::uint32_t own = chain.tokens[index] - before;
+        const auto [entry, added] = m_parts.try_emplace(chain.prefix[index]);
+        if (added) {
+            m_byUse.push_front(chain.prefix[index]);
+            m_tokens += own;
+        } else {
+            m_byUse.splice(m_byUse.begin(), m_byUse, entry->second.use);
+        }
+        entry->second = {own, m_byUse.begin()};
+    }
+}
+
+void PromptCache::shrink(std::uint64_t tokens)
+{
+    while (m_tokens > tokens && !m_byUse.empty()) {
+        const auto part = m_parts.find(m_byUse.back());
+        m_tokens -= part->second.tokens;
+        m_parts.erase(part);
+        m_byUse.pop_back();
+    }
+}
+
+void PromptCache::clear()
+{
+    m_parts.clear();
+    m_byUse.clear();
+    m_tokens = 0;
+}
+
+} // namespace Yokepond::Dispatch
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -32,6 +32,8 @@
 constexpr Duration ratePeriod = std::chrono::seconds(1);
 constexpr double rateShareOfLatest = 0.4;
 constexpr Duration leastRetryAfter = std::chrono::milliseconds(500);
+/// On top of the time by which an ask would be late: the next try must not meet just the same.
+constexpr Duration leastRetryAfterLate = std::chrono::milliseconds(100);
 constexpr Duration mostRetryAfter = std::chrono::seconds(30);
 /// A permit is given up by its home's report only if it is older: the grant may still be on its way.
 constexpr Duration reportGrace = std::chrono::seconds(3);
@@ -68,9 +70,11 @@
     case Configuration::PlacementPolicy::LeastLoaded:
         return LeastLoaded();
     case Configuration::PlacementPolicy::Affinity:
+        return PrefixAffinity();
+    case Configuration::PlacementPolicy::SoonestFirstToken:
         break;
     }
-    return PrefixAffinity();
+    return SoonestFirstToken();
 }
 
 Shard::Window Shard::makeWindow(std::uint32_t slots) const
@@ -88,7 +92,11 @@
         waiting.push_back(*ask);
     }
     m_order = makeOrder(m_catalogue->policies());
-    m_placement = makePlacement(m_catalogue->policies());
+    if (m_catalogue->policies().placement != m_placementPolicy || m_endpoints.empty()) {
+        // What it has learned is kept as long as the policy stays.
+        m_placementPolicy = m_catalogue->policies().placement;
+        m_placement = makePlacement(m_catalogue->policies());
+    }
     for (QueuedAsk &ask : waiting) {
         // A class that was deleted meanwhile leaves its asks their last terms.
         if (const RequestClass *requestClass = m_catalogue->classNumbered(ask.ask.requestClass)) {
@@ -117,6 +125,7 @@
             state.window = makeWindow(endpoint->slots);
         }
         state.drained = endpoint->drained;
+        state.memoryTokens = endpoint->memoryTokens;
     }
 }
 
@@ -176,6 +185,10 @@
         refuse(queued, RefusalReason::DeadlinePassed);
         return;
     }
+    if (const Duration late = lateness(now, queued); late > Duration::zero()) {
+        refuse(queued, RefusalReason::TooLate, late + leastRetryAfterLate);
+        return;
+    }
     enqueue(queued);
     pump(now);
     if (this->queued() <= m_catalogue->policies().queueLimit) {
@@ -200,14 +213,58 @@
     return static_cast<double>(ahead) / m_grantsPerSecond > Base::seconds(ask.deadline - now);
 }
 
+std::vector<Candidate> Shard::usable() const
+{
+    std::vector<Candidate> found;
+    for (const auto &[number, state] : m_endpoints) {
+        if (isUsable(state) && state.health.state() != HealthState::Ejected) {
+            found.push_back({number, state.running, std::max(1U, state.slots), state.memoryTokens});
+        }
+    }
+    return found;
+}
+
+/// By how much the first token must be expected to miss its target even if the ask were served next; zero if it need not.
+Duration Shard::lateness(Instant now, const QueuedAsk &ask) const
+{
+    if (!m_catalogue->policies().refuseLate) {
+        return Duration::zero();
+    }
+    const std::vector<Candidate> endpoints = usable();
+    const Duration expected
+        = std::visit([&](const auto &placement) { return placement.expected(ask, endpoints, now); }, m_placement);
+    return std::max(Duration::zero(), now + expected - ask.target());
+}
+
+/// What has become too late while it waited gives its place to what can still be on time.
+void Shard::refuseLate(Instant now)
+{
+    std::vector<std::pair<AskKey, Duration>> late;
+    for (const QueuedAsk *ask : queuedAsks()) {
+        if (const Duration by = lateness(now, *ask); by > Duration::zero()) {
+            late.emplace_back(ask->key, by);
+        }
+    }
+    for (const auto &[key, by] : late) {
+        if (const auto ask = std::visit([&](auto &order) { return order.remove(key); }, m_order)) {
+            refuse(*ask, RefusalReason::TooLate, by + leastRetryAfterLate);
+        }
+    }
+}
+
 void Shard::refuse(const QueuedAsk &ask, RefusalReason reason)
 {
     if (reason == RefusalReason::QueueFull && std::holds_alternative<TieredOrder>(m_order)) {
         const std::size_t ofTierOrAbove = std::get<TieredOrder>(m_order).aheadOf(ask.terms.rank);
         Base::require(ofTierOrAbove == queued(), Base::Invariant::HigherTierKept);
     }
+    refuse(ask, reason, retryAfter());
+}
+
+void Shard::refuse(const QueuedAsk &ask, RefusalReason reason, Duration retryAfter)
+{
     ++m_counters.refused;
-    m_replies.push_back({ask.home, Peer::Refusal {ask.key.id, reason, retryAfter(), pressure()}});
+    m_replies.push_back({ask.home, Peer::Refusal {ask.key.id, reason, std::min(retryAfter, mostRetryAfter), pressure()}});
 }
 
 std::uint32_t Shard::pressure() const
@@ -270,13 +327,14 @@
     pump(now);
 }
 
-void Shard::dropPermit(const AskKey &key)
+void Shard::dropPermit(const AskKey &key, Duration firstToken)
 {
     const auto permit = m_permits.find(key);
     if (permit == m_permits.end()) {
         return;
     }
     const auto endpoint = m_endpoints.find(permit->second.endpoint);
+    std::visit([&](auto &placement) { placement.ended(permit->second.placed, firstToken); }, m_placement);
     m_permits.erase(permit);
     if (endpoint == m_endpoints.end()) {
         return;
@@ -300,7 +358,7 @@
             std::visit([&](auto &window) { window.observe(observation, now); }, state.window);
             state.health.observe(observation);
         }
-        dropPermit(key);
+        dropPermit(key, release.firstToken);
         ejectBad(now);
     }
     pump(now);
@@ -325,7 +383,7 @@
         }
         const RequestClass *requestClass = m_catalogue->classNumbered(entry.requestClass);
         const ClassTerms terms = requestClass == nullptr ? ClassTerms {} : termsOf(*requestClass);
-        m_permits.emplace(key, Permit {home, entry.endpoint, terms, now, {}, false});
+        m_permits.emplace(key, Permit {home, entry.endpoint, terms, now, {}, false, {}});
         ++endpoint->second.running;
     }
     checkPermits();
@@ -378,6 +436,7 @@
             refuse(*ask, RefusalReason::DeadlinePassed);
         }
     }
+    refuseLate(now);
     for (EndpointState &state : m_endpoints | std::views::values) {
         state.health.tick(now);
     }
@@ -460,7 +519,7 @@
     for (const auto &[number, state] : m_endpoints) {
         const std::uint32_t free = room(state, now);
         if (free > 0) {
-            found.push_back({number, state.running, state.running + free});
+            found.push_back({number, state.running, state.running + free, state.memoryTokens});
         }
     }
     // The endpoint of a failed try is used again only if there is no other.
@@ -500,23 +559,27 @@
         if (found.empty()) {
             return;
         }
-        const std::uint32_t endpoint
-            = std::visit([&](auto &placement) { return placement.choose(*waiting, found); }, m_placement);
+        const auto endpoint
+            = std::visit([&](const auto &placement) { return placement.choose(*waiting, found, now); }, m_placement);
+        if (!endpoint) {
+            return;
+        }
         const auto ask = std::visit([&](auto &order) { return order.serve(*key); }, m_order);
-        grant(now, *ask, endpoint);
+        grant(now, *ask, *endpoint);
     }
 }
 
 void Shard::grant(Instant now, const QueuedAsk &ask, std::uint32_t endpoint)
 {
-    std::visit([&](auto &placement) { placement.placed(ask, endpoint); }, m_placement);
+    const PlacedRun placed
+        = std::visit([&](auto &placement) { return placement.placed(ask, endpoint, now); }, m_placement);
     EndpointState &state = m_endpoints.at(endpoint);
     Base::require(isUsable(state), Base::Invariant::LeavingGetsNothing);
     Base::require(!m_permits.contains(ask.key), Base::Invariant::AnsweredOnce);
     ++state.running;
     // The home's clock runs as fast as this one, so that the time waited here can be added to the time it sent the ask.
     const Instant startBy = ask.ask.sentAt + (now - ask.received) + startWithin;
-    Permit permit {ask.home, endpoint, ask.terms, now, {ask.key.id, endpoint, startBy, pressure()}, room(state, now) == 0};
+    Permit permit {ask.home, endpoint, ask.terms, now, {ask.key.id, endpoint, startBy, pressure()}, room(state, now) == 0, placed};
     m_replies.push_back({ask.home, permit.grant});
     m_permits.emplace(ask.key, std::move(permit));
     ++m_counters.granted;
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -104,7 +104,7 @@
 
 private:
     using Order = std::variant<FifoOrder, TieredOrder>;
-    using Placement = std::variant<RoundRobin, LeastLoaded, PrefixAffinity>;
+    using Placement = std::variant<RoundRobin, LeastLoaded, PrefixAffinity, SoonestFirstToken>;
     using Window = std::variant<FixedWindow, AdaptiveWindow>;
 
     struct EndpointState
@@ -113,6 +113,7 @@
         Health health;
         std::uint32_t running = 0;
         std::uint32_t slots = 0;
+        std::uint64_t memoryTokens = 0;
         bool drained = false;
         bool leaving = false;
     };
@@ -125,6 +126,7 @@
         Base::Instant grantedAt {};
         Peer::Grant grant;
         bool windowWasFull = false;
+        PlacedRun placed;
     };
 
     static Order makeOrder(const Configuration::Policies &policies);
@@ -137,11 +139,15 @@
     void enqueue(const QueuedAsk &ask);
     bool isHopeless(Base::Instant now, const QueuedAsk &ask) const;
     void refuse(const QueuedAsk &ask, Peer::RefusalReason reason);
+    void refuse(const QueuedAsk &ask, Peer::RefusalReason reason, Base::Duration retryAfter);
     void pump(Base::Instant now);
     std::vector<Candidate> candidates(Base::Instant now, std::uint32_t avoid) const;
     std::uint32_t room(const EndpointState &state, Base::Instant now) const;
     void grant(Base::Instant now, const QueuedAsk &ask, std::uint32_t endpoint);
-    void dropPermit(const AskKey &key);
+    void dropPermit(const AskKey &key, Base::Duration firstToken = {});
+    Base::Duration lateness(Base::Instant now, const QueuedAsk &ask) const;
+    void refuseLate(Base::Instant now);
+    std::vector<Candidate> usable() const;
     void ejectBad(Base::Instant now);
     Base::Duration tightestFirstToken() const;
     std::optional<Base::Duration> medianPace() const;
@@ -158,6 +164,7 @@
     ShardInfo m_info;
     std::shared_ptr<const Configuration::Catalogue> m_catalogue;
     Base::Instant m_takenOver;
+    Configuration::PlacementPolicy m_placementPolicy {};
     Order m_order;
     Placement m_placement;
     std::map<std::uint32_t, EndpointState> m_endpoints;
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -384,6 +384,9 @@
     m_stopStage = StopStage::AwaitingBalancer;
     m_stopBegan = Base::now();
     m_relay->closeAfterAnswers();
+    if (m_settings.stopLimit > Base::Duration::zero()) {
+        m_front->takeOnlyUntil(m_stopBegan + m_settings.balancerLag, m_stopBegan + m_settings.stopLimit - lastAnswersSent);
+    }
     Base::log(Base::LogLevel::Info, Base::LogEvent::StopRequested, {{"open", m_front->open()}});
     m_fleet->leave();
     settle();
--- a/Source/Node/front.cpp
+++ b/Source/Node/front.cpp
@@ -34,6 +34,8 @@
 constexpr std::size_t mostUnusedTickets = 200'000;
 constexpr std::size_t mostAbandonedClaims = 10'000;
 constexpr int httpCreated = 201;
+/// The next try meets another host.
+constexpr Base::Duration stoppingRetryAfter = std::chrono::milliseconds(1);
 /// For a request that this host cannot route now.
 constexpr Base::Duration refusedRetryAfter = std::chrono::milliseconds(300);
 
@@ -121,9 +123,25 @@
     }
     const bool limited = call.timeLeft > Base::Duration::zero();
     admitted.deadline = admitted.arrived + (limited ? std::min(call.timeLeft, requestClass.deadline) : requestClass.deadline);
+    if (!canEnd(admitted)) {
+        refuse(call.id, makeError(ErrorKind::Stopping, "this host is stopping; another takes the request"), Outcome::NotRun,
+               stoppingRetryAfter);
+        return;
+    }
     begin(call, std::move(admitted));
 }
 
+bool Front::canEnd(const Admitted &admitted) const
+{
+    return admitted.arrived < m_limitedFrom || admitted.deadline < m_endsAt;
+}
+
+void Front::takeOnlyUntil(Base::Instant from, Base::Instant end)
+{
+    m_limitedFrom = from;
+    m_endsAt = end;
+}
+
 void Front::route(const CallArrived &call, const Organisation &organisation)
 {
     if (call.method == "GET" && call.path == "/v1/models") {
--- a/Source/Node/front.h
+++ b/Source/Node/front.h
@@ -54,6 +54,9 @@
 
     void tick(Base::Instant now);
 
+    /// From @p from on, takes only requests that can end by @p end: others are refused, so that a planned stop cuts none off.
+    void takeOnlyUntil(Base::Instant from, Base::Instant end);
+
     /// Requests of callers that have not been answered.
     std::size_t open() const;
 
@@ -92,6 +95,7 @@
     };
 
     void arrivedByRoute(const Relay::CallArrived &call);
+    bool canEnd(const Admitted &admitted) const;
     void route(const Relay::CallArrived &call, const Configuration::Organisation &organisation);
     absl::StatusOr<Admitted> admit(const Relay::CallArrived &call, const Configuration::Organisation &organisation) const;
     absl::StatusOr<const Configuration::RequestClass *> chooseClass(const Relay::CallArrived &call,
@@ -129,6 +133,8 @@
     std::map<std::uint64_t, Base::Instant> m_unusedTickets; ///< by number: when it was given
     std::set<std::string> m_abandonedClaims; ///< tokens of claims that were told as not run
     std::uint64_t m_nextTicket = 1;
+    Base::Instant m_limitedFrom = Base::Instant::max();
+    Base::Instant m_endsAt = Base::Instant::max();
 };
 
 } // namespace Yokepond::Node
--- a/Source/Node/settings.cpp
+++ b/Source/Node/settings.cpp
@@ -17,6 +17,8 @@
 constexpr std::string_view operatorPrefix = "operator ";
 constexpr std::size_t digestDigits = 64;
 constexpr std::size_t leastSecretBytes = 16;
+/// A planned stop ends this long before the process would be killed.
+constexpr Base::Duration killMargin = std::chrono::milliseconds(250);
 constexpr std::int64_t hourMs = 3'600'000;
 
 Address requiredAddress(IniFile &ini, std::string_view section, std::string_view key)
@@ -120,6 +122,17 @@
         policies.mostRetries = slack * slackSpent;
         policies.retriesAreShared = true;
     }
+    const auto placement = Base::valueOf(Configuration::placementNames, ini.text("dispatch", "placement", "affinity"));
+    if (!placement) {
+        ini.reject("dispatch", "placement", "affinity, least-loaded, round-robin or soonest-first-token");
+    }
+    policies.placement = placement.value_or(policies.placement);
+    const auto window = Base::valueOf(Configuration::windowNames, ini.text("dispatch", "window", "adaptive"));
+    if (!window) {
+        ini.reject("dispatch", "window", "adaptive or fixed");
+    }
+    policies.window = window.value_or(policies.window);
+    policies.refuseLate = ini.flag("dispatch", "refuse-late", false);
     policies.wholePoolShards = ini.flag("dispatch", "whole-pool-shards", false);
     return policies;
 }
@@ -172,6 +185,10 @@
     }
     settings.balancerLag = milliseconds(ini, "stop", "balancer-lag-ms", 3000, 0);
     settings.stopLimit = milliseconds(ini, "stop", "limit-ms", 0, 0);
+    const double grace = ini.decimal("stop", "killed-after-s", 0, 0, 24 * 3600);
+    if (grace > 0) {
+        settings.stopLimit = std::chrono::duration_cast<Base::Duration>(std::chrono::duration<double>(grace)) - killMargin;
+    }
     settings.fatalInvariants = ini.flag("test", "fatal-invariants", false);
     const auto level = Base::valueOf(Base::logLevelNames, ini.text("log", "level", "info"));
     if (!level) {
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -59,15 +59,17 @@
     NotDispatcher,
     UnknownClass,
     EndpointsDown, ///< all have failed and will be probed soon
+    TooLate, ///< the target cannot be met
 };
 
-inline constexpr Base::NameTable<RefusalReason, 6> refusalReasonNames = {{
+inline constexpr Base::NameTable<RefusalReason, 7> refusalReasonNames = {{
     {RefusalReason::QueueFull, "queue-full"},
     {RefusalReason::DeadlinePassed, "deadline-passed"},
     {RefusalReason::NoEndpoint, "no-endpoint"},
     {RefusalReason::NotDispatcher, "not-dispatcher"},
     {RefusalReason::UnknownClass, "unknown-class"},
     {RefusalReason::EndpointsDown, "endpoints-down"},
+    {RefusalReason::TooLate, "too-late"},
 }};
 
 struct Refusal
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -316,6 +316,10 @@
         fail(now, *pending, makeError(ErrorKind::DeadlineExceeded, "the request cannot start before its deadline"),
              refusal.retryAfter);
         break;
+    case RefusalReason::TooLate:
+        fail(now, *pending, makeError(ErrorKind::Overloaded, "the request cannot meet its target now; retry later"),
+             refusal.retryAfter);
+        break;
         // Another shard of the pool may have endpoints that take work.
     case RefusalReason::NoEndpoint:
     case RefusalReason::EndpointsDown:
