Dispatch: A lower tier is sent only where its reading leaves the tiers above on time

Change: a run goes to an engine only if all reading there, its own included, leaves the tightest target above it; above the lowest tier at most 7 in 100 are refused as too late. Kept parts count once in an engine's memory, and what is kept weighs more against reading again.

--- a/Source/Dispatch/placement.cpp
+++ b/Source/Dispatch/placement.cpp
@@ -4,7 +4,6 @@
 #include "Dispatch/placement.h"
 
 #include <algorithm>
-#include <cmath>
 #include <ranges>
 
 namespace Yokepond::Dispatch {
@@ -121,12 +120,17 @@
 constexpr double readingShare = 0.75;
 /// Part of an engine's memory that runs may take up; the rest keeps prompts for those to come.
 constexpr double runningShare = 0.6;
-/// Part of its target that a run may wait at the engine: the most urgent tier, and each tier below it less.
-constexpr double backlogShareOfFirst = 0.4;
-constexpr double tierFactor = 0.7;
+/// Part of its target that a run may wait at the engine.
+constexpr double backlogShare = 0.4;
+/// The same where most of the prompt is kept: elsewhere it would have to be read.
+constexpr double backlogShareIfKept = 0.6;
+/// Part of the target of the tiers above that all reading at an engine may take, this run's included.
+constexpr double shareOfTightestAbove = 0.6;
+/// An engine with less than this to read counts as free: a prompt too long for the bounds above is sent there.
+constexpr Base::Duration freeBacklog = std::chrono::milliseconds(20);
 /// Reading a prompt again that another engine keeps costs this much more than the time it takes here: the part it displaces
 /// will be read again too.
-constexpr double readAgainFactor = 1.5;
+constexpr double readAgainFactor = 2.5;
 /// What a full window adds to the cost of an engine: each token comes slower the more run there.
 constexpr double fullWindowMs = 300.0;
 /// Of the latest observation, when the reading speed is learned.
@@ -152,10 +156,21 @@
     return ask.ask.promptTokens + ask.ask.expectedTokens;
 }
 
-Base::Duration longestBacklog(const QueuedAsk &ask)
+Base::Duration part(Base::Duration whole, double share)
 {
-    const double share = backlogShareOfFirst * std::pow(tierFactor, std::max(0, ask.terms.rank - 1));
-    return std::chrono::duration_cast<Base::Duration>(ask.terms.firstToken * share);
+    return std::chrono::duration_cast<Base::Duration>(whole * share);
+}
+
+/// How much an engine may still have to read for @p ask, which has @p own to read and @p kept there, to be sent to it.
+Base::Duration longestBacklog(const QueuedAsk &ask, std::uint32_t kept, Base::Duration own)
+{
+    const bool mostKept = kept * 2 > ask.ask.promptTokens;
+    Base::Duration longest = part(ask.terms.firstToken, mostKept ? backlogShareIfKept : backlogShare);
+    if (ask.terms.tightestAbove > Base::Duration::zero()) {
+        const Base::Duration reading = part(own, 1.0 / readingShare);
+        longest = std::min(longest, part(ask.terms.tightestAbove, shareOfTightestAbove) - reading);
+    }
+    return std::max(longest, freeBacklog);
 }
 
 } // namespace
@@ -179,6 +194,7 @@
     Cost cost;
     cost.backlog = engine == nullptr || engine->readUntil <= now ? Base::Duration::zero() : engine->readUntil - now;
     cost.own = timeToRead(unread);
+    cost.kept = kept;
     cost.load = Base::milliseconds(cost.backlog) + Base::milliseconds(cost.own) * readAgainFactor + loadOf(candidate) * fullWindowMs;
     return cost;
 }
@@ -190,7 +206,7 @@
         return true;
     }
     const auto most = static_cast<std::uint64_t>(runningShare * static_cast<double>(candidate.memoryTokens));
-    return engine->runningTokens + memoryOf(ask) <= most;
+    return engine->runningTokens + memoryOf(ask) - engine->cache.kept(chainOf(ask)) <= most;
 }
 
 std::optional<std::uint32_t> SoonestFirstToken::choose(const QueuedAsk &ask, std::span<const Candidate> candidates,
@@ -200,7 +216,9 @@
     double least = 0;
     for (const Candidate &candidate : candidates) {
         const Cost cost = costAt(ask, candidate, now);
-        if (cost.backlog > longestBacklog(ask) || !fits(ask, candidate)) {
+        // What is late already gains nothing by waiting here.
+        const bool waits = now < ask.target() && cost.backlog > longestBacklog(ask, cost.kept, cost.own);
+        if (waits || !fits(ask, candidate)) {
             continue;
         }
         if (!best || cost.load < least) {
@@ -227,7 +245,8 @@
     const std::uint32_t kept = engine.cache.kept(chainOf(ask));
     PlacedRun run;
     run.endpoint = endpoint;
-    run.tokens = memoryOf(ask);
+    // Parts that are kept are there once, whatever number of runs use them.
+    run.tokens = memoryOf(ask) - kept;
     run.unread = ask.ask.promptTokens > kept ? ask.ask.promptTokens - kept : 0;
     const bool alone = engine.readUntil <= now;
     const Base::Instant begins = std::max(now, engine.readUntil);
--- a/Source/Dispatch/placement.h
+++ b/Source/Dispatch/placement.h
@@ -137,6 +137,7 @@
     {
         Base::Duration backlog {};
         Base::Duration own {};
+        std::uint32_t kept = 0; ///< tokens of the prompt
         double load = 0;
     };
 
--- a/Source/Dispatch/queuedask.h
+++ b/Source/Dispatch/queuedask.h
@@ -41,6 +41,7 @@
     Base::Duration firstToken {}; ///< target
     Base::Duration tokenGap {}; ///< target
     Base::Duration starvationBound {};
+    Base::Duration tightestAbove {}; ///< first-token target of the tiers above in the pool, zero if there is none
 };
 
 /// An ask with its times on the dispatcher's clock.
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -34,6 +34,9 @@
 constexpr Duration leastRetryAfter = std::chrono::milliseconds(500);
 /// On top of the time by which an ask would be late: the next try must not meet just the same.
 constexpr Duration leastRetryAfterLate = std::chrono::milliseconds(100);
+/// Of the asks of a tier above the lowest, this share may be refused as too late, and so many at once.
+constexpr double lateRefusalShare = 0.07;
+constexpr double mostLateRefusals = 4.0;
 constexpr Duration mostRetryAfter = std::chrono::seconds(30);
 /// A permit is given up by its home's report only if it is older: the grant may still be on its way.
 constexpr Duration reportGrace = std::chrono::seconds(3);
@@ -100,9 +103,8 @@
     for (QueuedAsk &ask : waiting) {
         // A class that was deleted meanwhile leaves its asks their last terms.
         if (const RequestClass *requestClass = m_catalogue->classNumbered(ask.ask.requestClass)) {
-            const int rank = ask.ask.rank;
             ask.terms = termsOf(*requestClass);
-            ask.terms.rank = rank == 0 ? ask.terms.rank : rank;
+            setRank(ask.terms, ask.ask.rank);
         }
         enqueue(ask);
     }
@@ -144,7 +146,27 @@
 
 ClassTerms Shard::termsOf(const RequestClass &requestClass) const
 {
-    return {requestClass.number, requestClass.rank, requestClass.firstToken, requestClass.tokenGap, requestClass.starvationBound};
+    return {requestClass.number,         requestClass.rank, requestClass.firstToken, requestClass.tokenGap,
+            requestClass.starvationBound, tightestAbove(requestClass.rank)};
+}
+
+Duration Shard::tightestAbove(int rank) const
+{
+    Duration tightest = Duration::max();
+    for (const RequestClass &requestClass : m_catalogue->classes()) {
+        const bool above = requestClass.pool == m_info.pool && requestClass.rank < rank;
+        tightest = above ? std::min(tightest, requestClass.firstToken) : tightest;
+    }
+    return tightest == Duration::max() ? Duration::zero() : tightest;
+}
+
+/// An ask's own rank goes before that of its class.
+void Shard::setRank(ClassTerms &terms, int rank) const
+{
+    if (rank != 0) {
+        terms.rank = rank;
+        terms.tightestAbove = tightestAbove(rank);
+    }
 }
 
 void Shard::enqueue(const QueuedAsk &ask)
@@ -176,7 +198,7 @@
         return;
     }
     queued.terms = termsOf(*requestClass);
-    queued.terms.rank = message.rank == 0 ? queued.terms.rank : message.rank;
+    setRank(queued.terms, message.rank);
     if (const auto reason = reasonForNone()) {
         refuse(queued, *reason);
         return;
@@ -185,7 +207,9 @@
         refuse(queued, RefusalReason::DeadlinePassed);
         return;
     }
-    if (const Duration late = lateness(now, queued); late > Duration::zero()) {
+    double &refusals = m_lateRefusals[queued.terms.rank];
+    refusals = std::min(mostLateRefusals, refusals + lateRefusalShare);
+    if (const Duration late = lateness(now, queued); late > Duration::zero() && spendLateRefusal(queued.terms.rank)) {
         refuse(queued, RefusalReason::TooLate, late + leastRetryAfterLate);
         return;
     }
@@ -236,6 +260,28 @@
     return std::max(Duration::zero(), now + expected - ask.target());
 }
 
+int Shard::lowestRank() const
+{
+    int lowest = 0;
+    for (const RequestClass &requestClass : m_catalogue->classes()) {
+        lowest = requestClass.pool == m_info.pool ? std::max(lowest, requestClass.rank) : lowest;
+    }
+    return lowest;
+}
+
+/// Of the tiers above the lowest only few are refused as too late, for the room is being given to the tiers below: the rest
+/// is served late.
+bool Shard::spendLateRefusal(int rank)
+{
+    if (rank >= lowestRank()) {
+        return true;
+    }
+    double &left = m_lateRefusals[rank];
+    const bool may = left >= 1.0;
+    left -= may ? 1.0 : 0.0;
+    return may;
+}
+
 /// What has become too late while it waited gives its place to what can still be on time.
 void Shard::refuseLate(Instant now)
 {
@@ -246,6 +292,10 @@
         }
     }
     for (const auto &[key, by] : late) {
+        const QueuedAsk *waiting = std::visit([&](const auto &order) { return order.find(key); }, m_order);
+        if (!spendLateRefusal(waiting->terms.rank)) {
+            continue;
+        }
         if (const auto ask = std::visit([&](auto &order) { return order.remove(key); }, m_order)) {
             refuse(*ask, RefusalReason::TooLate, by + leastRetryAfterLate);
         }
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -136,6 +136,8 @@
     void buildPolicies();
     void configureEndpoints();
     ClassTerms termsOf(const Configuration::RequestClass &requestClass) const;
+    Base::Duration tightestAbove(int rank) const;
+    void setRank(ClassTerms &terms, int rank) const;
     void enqueue(const QueuedAsk &ask);
     bool isHopeless(Base::Instant now, const QueuedAsk &ask) const;
     void refuse(const QueuedAsk &ask, Peer::RefusalReason reason);
@@ -147,6 +149,9 @@
     void dropPermit(const AskKey &key, Base::Duration firstToken = {});
     Base::Duration lateness(Base::Instant now, const QueuedAsk &ask) const;
     void refuseLate(Base::Instant now);
+    /// Whether an ask of this tier may be refused as too late; if so, that is counted.
+    bool spendLateRefusal(int rank);
+    int lowestRank() const;
     std::vector<Candidate> usable() const;
     void ejectBad(Base::Instant now);
     Base::Duration tightestFirstToken() const;
@@ -174,6 +179,7 @@
     double m_grantsPerSecond = 0;
     std::uint64_t m_grantsInPeriod = 0;
     Base::Instant m_periodBegan {};
+    std::map<int, double> m_lateRefusals; ///< by rank: how many may be refused as too late now
     bool m_saturated = false; ///< asks waited through the whole present period
 };
 
