Dispatch: A prompt that no engine keeps goes where rendezvous hashing says

Cause: a dispatcher that takes over knows nothing of what engines keep, and read shared parts again wherever the load was least.

Change: reading costs no extra at the endpoint that the hash of the shared beginning prefers; it is the same on every host.

--- a/Source/Dispatch/placement.cpp
+++ b/Source/Dispatch/placement.cpp
@@ -3,6 +3,10 @@
 
 #include "Dispatch/placement.h"
 
+#include "Base/hash.h"
+
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <ranges>
 
@@ -156,6 +160,22 @@
     return ask.ask.promptTokens + ask.ask.expectedTokens;
 }
 
+/// The longest beginning of the prompt that other prompts share: all but the last part, which is the request's own.
+std::uint64_t sharedBeginning(const QueuedAsk &ask)
+{
+    const std::vector<std::uint64_t> &prefix = ask.ask.prefix;
+    return prefix.empty() ? 0 : prefix[prefix.size() > 1 ? prefix.size() - 2 : 0];
+}
+
+/// Where a prompt that no engine keeps is best read: the same on every host by rendezvous hashing, so that a dispatcher that
+/// takes over sends prompts where its predecessor did.
+std::uint32_t preferredEndpoint(const QueuedAsk &ask, std::span<const Candidate> candidates)
+{
+    const std::uint64_t shared = sharedBeginning(ask);
+    const auto weight = [&](const Candidate &candidate) { return Base::hash64(fmt::format("{}", candidate.endpoint), shared); };
+    return std::ranges::max_element(candidates, {}, weight)->endpoint;
+}
+
 Base::Duration part(Base::Duration whole, double share)
 {
     return std::chrono::duration_cast<Base::Duration>(whole * share);
@@ -186,7 +206,8 @@
     return fromMs(static_cast<double>(tokens) / m_tokensPerMs);
 }
 
-SoonestFirstToken::Cost SoonestFirstToken::costAt(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now) const
+SoonestFirstToken::Cost SoonestFirstToken::costAt(const QueuedAsk &ask, const Candidate &candidate, bool preferred,
+                                                  Base::Instant now) const
 {
     const Engine *engine = engineOf(candidate.endpoint);
     const std::uint32_t kept = engine == nullptr ? 0 : engine->cache.kept(chainOf(ask));
@@ -195,7 +216,8 @@
     cost.backlog = engine == nullptr || engine->readUntil <= now ? Base::Duration::zero() : engine->readUntil - now;
     cost.own = timeToRead(unread);
     cost.kept = kept;
-    cost.load = Base::milliseconds(cost.backlog) + Base::milliseconds(cost.own) * readAgainFactor + loadOf(candidate) * fullWindowMs;
+    const double readFactor = preferred ? 1.0 : readAgainFactor;
+    cost.load = Base::milliseconds(cost.backlog) + Base::milliseconds(cost.own) * readFactor + loadOf(candidate) * fullWindowMs;
     return cost;
 }
 
@@ -214,8 +236,9 @@
 {
     std::optional<std::uint32_t> best;
     double least = 0;
+    const std::uint32_t preferred = preferredEndpoint(ask, candidates);
     for (const Candidate &candidate : candidates) {
-        const Cost cost = costAt(ask, candidate, now);
+        const Cost cost = costAt(ask, candidate, candidate.endpoint == preferred, now);
         // What is late already gains nothing by waiting here.
         const bool waits = now < ask.target() && cost.backlog > longestBacklog(ask, cost.kept, cost.own);
         if (waits || !fits(ask, candidate)) {
@@ -233,7 +256,7 @@
 {
     Base::Duration soonest = Base::Duration::max();
     for (const Candidate &candidate : candidates) {
-        const Cost cost = costAt(ask, candidate, now);
+        const Cost cost = costAt(ask, candidate, false, now);
         soonest = std::min(soonest, cost.backlog + cost.own + overhead);
     }
     return soonest;
--- a/Source/Dispatch/placement.h
+++ b/Source/Dispatch/placement.h
@@ -142,7 +142,7 @@
     };
 
     const Engine *engineOf(std::uint32_t endpoint) const;
-    Cost costAt(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now) const;
+    Cost costAt(const QueuedAsk &ask, const Candidate &candidate, bool preferred, Base::Instant now) const;
     bool fits(const QueuedAsk &ask, const Candidate &candidate) const;
     Base::Duration timeToRead(std::uint32_t tokens) const;
 
