Request: A silent dispatcher is done without; what waits at a planned stop is answered

Change: a dispatcher tells an ask that it waits (Peer::Queued); one that neither answers nor queues within 150 ms is taken for silent and the home uses its own share of the endpoints; at a planned stop's end what still waits is answered as not run.

Tests: three in Tests/Request/hometest.cpp, which fail without the change. Ruled out: the queue itself, since asks of the lowest tier leave it as soon as they are late.

--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -182,6 +182,10 @@
         m_replies.push_back({home, permit->second.grant});
         return;
     }
+    if (std::visit([&](const auto &order) { return order.find(key); }, m_order) != nullptr) {
+        m_replies.push_back({home, Peer::Queued {message.id}});
+        return;
+    }
     ++m_counters.asked;
     const RequestClass *requestClass = m_catalogue->classNumbered(message.requestClass);
     const Configuration::Organisation *organisation = m_catalogue->organisationNumbered(message.organisation);
@@ -215,10 +219,18 @@
     }
     enqueue(queued);
     pump(now);
-    if (this->queued() <= m_catalogue->policies().queueLimit) {
+    shedOverLimit(queued);
+    if (std::visit([&](const auto &order) { return order.find(key); }, m_order) != nullptr) {
+        m_replies.push_back({home, Peer::Queued {message.id}});
+    }
+}
+
+void Shard::shedOverLimit(const QueuedAsk &newcomer)
+{
+    if (queued() <= m_catalogue->policies().queueLimit) {
         return;
     }
-    const AskKey victim = std::visit([&](const auto &order) { return order.victim(queued); }, m_order);
+    const AskKey victim = std::visit([&](const auto &order) { return order.victim(newcomer); }, m_order);
     if (auto shed = std::visit([&](auto &order) { return order.remove(victim); }, m_order)) {
         ++m_counters.shed;
         refuse(*shed, RefusalReason::QueueFull);
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -139,6 +139,7 @@
     Base::Duration tightestAbove(int rank) const;
     void setRank(ClassTerms &terms, int rank) const;
     void enqueue(const QueuedAsk &ask);
+    void shedOverLimit(const QueuedAsk &newcomer);
     bool isHopeless(Base::Instant now, const QueuedAsk &ask) const;
     void refuse(const QueuedAsk &ask, Peer::RefusalReason reason);
     void refuse(const QueuedAsk &ask, Peer::RefusalReason reason, Base::Duration retryAfter);
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -408,6 +408,10 @@
         return;
     }
     const bool limited = m_settings.stopLimit > Base::Duration::zero();
+    if (limited && now - m_stopBegan >= m_settings.stopLimit - lastAnswersSent) {
+        m_home.failWaiting(now, makeError(Base::ErrorKind::Stopping, "this host is stopping; another takes the request"));
+        settle();
+    }
     if (limited && now - m_stopBegan >= m_settings.stopLimit) {
         endStop(false);
     }
--- a/Source/Peer/codec.cpp
+++ b/Source/Peer/codec.cpp
@@ -167,6 +167,11 @@
         builder.setPressure(refusal.pressure);
     }
 
+    void operator()(const Queued &queued)
+    {
+        auto builder = message.initQueued();
+        encodeId(queued.id, builder);
+    }
     void operator()(const Withdrawal &withdrawal)
     {
         auto builder = message.initWithdrawal();
@@ -392,6 +397,8 @@
         return decodeRefusal(reader.getRefusal());
     case Wire::Message::WITHDRAWAL:
         return Withdrawal {decodeId(reader.getWithdrawal()), reader.getWithdrawal().getShard()};
+    case Wire::Message::QUEUED:
+        return Queued {decodeId(reader.getQueued())};
     case Wire::Message::RELEASE:
         return decodeRelease(reader.getRelease());
     case Wire::Message::RUNNING:
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -80,6 +80,12 @@
     std::uint32_t pressure = 0;
 };
 
+/// Tells that an ask waits in its dispatcher's queue: an ask that gets neither this nor an answer soon has been lost.
+struct Queued
+{
+    AttemptId id;
+};
+
 /// Takes an ask back.
 struct Withdrawal
 {
@@ -217,7 +223,7 @@
 };
 
 using Message = std::variant<Ask, Grant, Refusal, Withdrawal, Release, RunningReport, Probe, Acknowledgement, ChangesRequest,
-                             Changes, Gather, Gathered, Forward, Forwarded>;
+                             Changes, Gather, Gathered, Forward, Forwarded, Queued>;
 
 /// What a message is for; bytes on the wire are counted apart for each.
 enum class Traffic { Dispatch, Membership, Configuration, Query, Forwarding };
--- a/Source/Peer/peer.capnp
+++ b/Source/Peer/peer.capnp
@@ -48,6 +48,11 @@
   shard @2 :UInt32;
 }
 
+struct Queued {
+  request @0 :UInt64;
+  attempt @1 :UInt8;
+}
+
 struct Release {
   request @0 :UInt64;
   attempt @1 :UInt8;
@@ -153,6 +158,7 @@
     gathered @11 :Gathered;
     forward @12 :Forward;
     forwarded @13 :Forwarded;
+    queued @14 :Queued;
   }
 }
 
--- a/Source/Peer/peer.capnp.h
+++ b/Source/Peer/peer.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(9408c88ff33eb71d);
 CAPNP_DECLARE_SCHEMA(863a767f6e0507fc);
 CAPNP_DECLARE_SCHEMA(d060a6cad9309426);
+CAPNP_DECLARE_SCHEMA(abe75f955f81e674);
 CAPNP_DECLARE_SCHEMA(d8350fffa902b5d4);
 CAPNP_DECLARE_SCHEMA(c5239c39d3a8a6ce);
 CAPNP_DECLARE_SCHEMA(8f0805fd9912b65e);
@@ -111,6 +112,21 @@
   };
 };
 
+struct Queued {
+  Queued() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(abe75f955f81e674, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Release {
   Release() = delete;
 
@@ -327,6 +343,7 @@
     GATHERED,
     FORWARD,
     FORWARDED,
+    QUEUED,
   };
 
   struct _capnpPrivate {
@@ -868,6 +885,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class Queued::Reader {
+public:
+  typedef Queued Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest() const;
+
+  inline  ::uint8_t getAttempt() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Queued::Builder {
+public:
+  typedef Queued Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline  ::uint8_t getAttempt();
+  inline void setAttempt( ::uint8_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Queued::Pipeline {
+public:
+  typedef Queued Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Release::Reader {
 public:
   typedef Release Reads;
@@ -2226,6 +2324,10 @@
   inline bool hasForwarded() const;
   inline  ::Yokepond::Peer::Wire::Forwarded::Reader getForwarded() const;
 
+  inline bool isQueued() const;
+  inline bool hasQueued() const;
+  inline  ::Yokepond::Peer::Wire::Queued::Reader getQueued() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2367,6 +2469,14 @@
   inline void adoptForwarded(::capnp::Orphan< ::Yokepond::Peer::Wire::Forwarded>&& value);
   inline ::capnp::Orphan< ::Yokepond::Peer::Wire::Forwarded> disownForwarded();
 
+  inline bool isQueued();
+  inline bool hasQueued();
+  inline  ::Yokepond::Peer::Wire::Queued::Builder getQueued();
+  inline void setQueued( ::Yokepond::Peer::Wire::Queued::Reader value);
+  inline  ::Yokepond::Peer::Wire::Queued::Builder initQueued();
+  inline void adoptQueued(::capnp::Orphan< ::Yokepond::Peer::Wire::Queued>&& value);
+  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::Queued> disownQueued();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3286,6 +3396,34 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Queued::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Queued::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Queued::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Queued::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Queued::Builder::getAttempt() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Queued::Builder::setAttempt( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Release::Reader::getRequest() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5195,6 +5333,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isQueued() const {
+  return which() == Message::QUEUED;
+}
+inline bool Message::Builder::isQueued() {
+  return which() == Message::QUEUED;
+}
+inline bool Message::Reader::hasQueued() const {
+  if (which() != Message::QUEUED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasQueued() {
+  if (which() != Message::QUEUED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Yokepond::Peer::Wire::Queued::Reader Message::Reader::getQueued() const {
+  KJ_IREQUIRE((which() == Message::QUEUED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::Queued>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Yokepond::Peer::Wire::Queued::Builder Message::Builder::getQueued() {
+  KJ_IREQUIRE((which() == Message::QUEUED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::Queued>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setQueued( ::Yokepond::Peer::Wire::Queued::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::QUEUED);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::Queued>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Yokepond::Peer::Wire::Queued::Builder Message::Builder::initQueued() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::QUEUED);
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::Queued>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptQueued(
+    ::capnp::Orphan< ::Yokepond::Peer::Wire::Queued>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::QUEUED);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::Queued>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Yokepond::Peer::Wire::Queued> Message::Builder::disownQueued() {
+  KJ_IREQUIRE((which() == Message::QUEUED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::Queued>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Session::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -28,8 +28,13 @@
 constexpr std::size_t mostEndedTraces = 2048;
 constexpr Duration reportPeriod = std::chrono::seconds(5);
 constexpr Duration repeatAskAfter = std::chrono::seconds(2);
+/// A dispatcher answers an ask or says that it waits; one that does neither for so long is taken for silent. Longer than a host
+/// whose processor time is used up for the rest of a tenth of a second may take.
+constexpr Duration dispatcherPatience = std::chrono::milliseconds(150);
 /// Failed endpoints are probed again about this soon.
 constexpr Duration downBackOff = std::chrono::milliseconds(250);
+/// Another host can take the request at once.
+constexpr Duration leastRetryAfter = std::chrono::milliseconds(1);
 constexpr Duration firstBackOff = std::chrono::milliseconds(20);
 constexpr double percent = 100.0;
 /// A host that has just started may not know the others yet; it must not take their parts of a shared reserve.
@@ -203,6 +208,7 @@
     pending.shard = shard->id;
     pending.dispatcher = shard->dispatcher;
     pending.repeatAfter = repeatAskAfter;
+    pending.heard = false;
     sendAsk(now, pending);
     note(pending, now, Step::Asked,
          fmt::format("dispatcher {}, shard {:08x}, pressure {}/1000", pending.dispatcher, pending.shard,
@@ -266,8 +272,27 @@
     m_actions.emplace_back(StartRun {{pending.request.id, pending.attempt}, endpoint, startBy});
 }
 
+void Home::receive(Instant, const std::string &from, const Peer::Queued &queued)
+{
+    m_unreachable.erase(from);
+    Pending *pending = find(queued.id.request);
+    if (pending != nullptr && pending->phase == Phase::Asking && pending->attempt == queued.id.attempt) {
+        pending->heard = true;
+    }
+}
+
+/// The dispatcher is silent: this and the next asks use the home's own share of the endpoints until it is heard again.
+void Home::doWithoutDispatcher(Instant now, Pending &pending)
+{
+    if (pending.dispatcher != m_self) {
+        m_unreachable.insert(pending.dispatcher);
+    }
+    tryLocalWindow(now, pending);
+}
+
 void Home::receive(Instant now, const std::string &from, const Peer::Grant &grant)
 {
+    m_unreachable.erase(from);
     Pending *pending = find(grant.id.request);
     const bool expected = pending != nullptr && pending->phase == Phase::Asking && pending->attempt == grant.id.attempt;
     if (!expected) {
@@ -299,6 +324,7 @@
 
 void Home::receive(Instant now, const std::string &from, const Peer::Refusal &refusal)
 {
+    m_unreachable.erase(from);
     Pending *pending = find(refusal.id.request);
     if (pending == nullptr || pending->phase != Phase::Asking || pending->attempt != refusal.id.attempt) {
         return;
@@ -508,15 +534,39 @@
     for (Pending &pending : m_pending | std::views::values) {
         if (pending.phase == Phase::Asking && pending.dispatcher == member) {
             // Sent again at the next tick, in case the connection comes back.
+            pending.heard = false;
             pending.askedAt = now - pending.repeatAfter;
             tryLocalWindow(now, pending);
         }
     }
 }
 
+void Home::failWaiting(Instant now, const absl::Status &error)
+{
+    std::vector<std::uint64_t> waiting;
+    for (const auto &[id, pending] : m_pending) {
+        if (pending.phase != Phase::Running) {
+            waiting.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : waiting) {
+        Pending &pending = m_pending.at(id);
+        if (pending.phase == Phase::Asking) {
+            withdraw(pending);
+        }
+        fail(now, pending, error, leastRetryAfter);
+    }
+}
+
 void Home::tick(Instant now)
 {
     std::vector<std::uint64_t> due;
+    for (auto &[id, pending] : m_pending) {
+        const bool silent = pending.phase == Phase::Asking && !pending.heard && now - pending.askedAt >= dispatcherPatience;
+        if (silent) {
+            doWithoutDispatcher(now, pending);
+        }
+    }
     for (auto &[id, pending] : m_pending) {
         const bool bounded = pending.phase != Phase::Running || pending.terms.deadlineEndsRun;
         const bool expired = bounded && now >= pending.deadline;
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -72,6 +72,7 @@
     /// @p from is the dispatcher that sent it.
     void receive(Base::Instant now, const std::string &from, const Peer::Grant &grant);
     void receive(Base::Instant now, const std::string &from, const Peer::Refusal &refusal);
+    void receive(Base::Instant now, const std::string &from, const Peer::Queued &queued);
 
     void runEnded(Base::Instant now, const RunReport &report);
     void callerGone(Base::Instant now, std::uint64_t request);
@@ -79,6 +80,9 @@
     /// Ends a request by an operator's command; false if it is not under way.
     bool cancel(Base::Instant now, std::uint64_t request);
 
+    /// Ends each request that waits for an endpoint, as not run, with @p error.
+    void failWaiting(Base::Instant now, const absl::Status &error);
+
     /// Messages to @p member may have been lost.
     void memberLost(Base::Instant now, const std::string &member);
 
@@ -109,6 +113,7 @@
         std::uint32_t runs = 0; ///< started so far
         std::uint32_t sends = 0; ///< of these, those of which the endpoint may have seen something
         bool mayHaveRun = false; ///< some run's request may have been processed; never taken back
+        bool heard = false; ///< the dispatcher has told that the ask waits there
         Base::Instant askedAt {};
         Base::Duration repeatAfter {}; ///< an ask that is not answered is sent again
         Base::Instant retryAt {};
@@ -130,6 +135,7 @@
     bool someShardIsDown(Base::Instant now, std::uint32_t pool) const;
     std::uint32_t pressureOf(Base::Instant now, std::uint32_t shard) const;
     void hearPressure(Base::Instant now, std::uint32_t shard, std::uint32_t pressure);
+    void doWithoutDispatcher(Base::Instant now, Pending &pending);
     void tryLocalWindow(Base::Instant now, Pending &pending);
     void beginRun(Base::Instant now, Pending &pending, std::uint32_t endpoint, Base::Instant startBy);
     void release(const Pending &pending, const RunReport &report, Peer::RunResult result);
@@ -153,7 +159,7 @@
     std::shared_ptr<const Configuration::Catalogue> m_catalogue;
     std::shared_ptr<const Dispatch::ShardMap> m_shards;
     std::size_t m_hosts = 1;
-    std::set<std::string> m_unreachable; ///< suspected members, and those whose connection broke since
+    std::set<std::string> m_unreachable; ///< suspected members, and those that have not been heard of since
     std::map<std::uint64_t, Pending> m_pending;
     std::unordered_map<std::uint32_t, ShardNews> m_shardNews;
     std::map<std::uint32_t, RetryBudget> m_budgets; ///< by pool
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -198,3 +198,36 @@
     const auto *trace = home.trace(1);
     CHECK_TRUE(trace->back().step == Step::Started);
 }
+
+TEST(Home, doesWithoutADispatcherThatIsSilent)
+{
+    start(1, "routine");
+    const Peer::Ask asked = lastAsk();
+    CHECK_EQUAL(1U, asked.id.request);
+    home.tick(at(0.1));
+    CHECK_EQUAL(0U, actions<StartRun>().size());
+    home.tick(at(0.2));
+    CHECK_EQUAL(1U, actions<StartRun>().size());
+}
+
+TEST(Home, waitsForADispatcherThatHasQueuedTheAsk)
+{
+    start(1, "routine");
+    const Peer::Ask asked = lastAsk();
+    home.receive(at(0.05), "h2", Peer::Queued {asked.id});
+    home.tick(at(0.2));
+    home.tick(at(0.5));
+    CHECK_EQUAL(0U, actions<StartRun>().size());
+}
+
+TEST(Home, endsWhatWaitsAtAStopAsNotRun)
+{
+    start(1, "routine");
+    home.takeActions();
+    home.failWaiting(at(1), Base::makeError(Base::ErrorKind::Stopping, "stopping"));
+    const std::vector<Fail> failed = actions<Fail>();
+    CHECK_EQUAL(1U, failed.size());
+    CHECK(failed.front().outcome == Outcome::NotRun);
+    CHECK(failed.front().retryAfter > Base::Duration::zero());
+    CHECK_EQUAL(0U, home.active());
+}
