Base: Timers on the monotonic clock

Change: a timer heap with its own time source. Test: Tests/Base/looptest.cpp fails with ACE's own queue.

--- a/Source/Base/loop.cpp
+++ b/Source/Base/loop.cpp
@@ -8,6 +8,7 @@
 #include <ace/Event_Handler.h>
 #include <ace/Log_Msg.h>
 #include <ace/Select_Reactor.h>
+#include <ace/Timer_Heap.h>
 
 #include <sys/signalfd.h>
 #include <unistd.h>
@@ -143,8 +144,29 @@
     std::unique_ptr<Timer> m_handler;
 };
 
+namespace {
+
+/// ACE's own queue counts on the time of day, whose steps would hold timers back or set off all of them at once.
+ACE_Time_Value steadyTime()
+{
+    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
+    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(sinceStart).count();
+    constexpr std::int64_t microsPerSecond = 1'000'000;
+    return ACE_Time_Value(static_cast<time_t>(micros / microsPerSecond), static_cast<suseconds_t>(micros % microsPerSecond));
+}
+
+std::unique_ptr<ACE_Timer_Queue> makeTimers()
+{
+    auto timers = std::make_unique<ACE_Timer_Heap_Variable_Time_Source>();
+    timers->set_time_policy(&steadyTime);
+    return timers;
+}
+
+} // namespace
+
 Loop::Loop()
-    : m_reactor(new ACE_Select_Reactor, true)
+    : m_timers(makeTimers())
+    , m_reactor(new ACE_Select_Reactor(nullptr, m_timers.get()), true)
 {
     // ACE would tell of interrupted waits on standard error, in lines that are not JSON.
     ACE_LOG_MSG->priority_mask(0, ACE_Log_Msg::PROCESS);
--- a/Source/Base/loop.h
+++ b/Source/Base/loop.h
@@ -9,6 +9,7 @@
 #include "Base/time.h"
 
 #include <ace/Reactor.h>
+#include <ace/Timer_Queuefwd.h>
 
 #include <functional>
 #include <memory>
@@ -62,6 +63,7 @@
 
 private:
     class SignalHandler;
+    std::unique_ptr<ACE_Timer_Queue> m_timers; ///< on the monotonic clock
     ACE_Reactor m_reactor;
     std::unique_ptr<SignalHandler> m_signals;
 };
