Peer: Calls of a connection given up no longer end the next one; permits end with their requests

Each call in flight on a connection that was given up failed later and ended the connection that had replaced it; releases were lost, membership flapped. Found by the new request lines (permits 14, queue waiting, no run).

Change: a task's failure counts only for the connection it belongs to; a home reports its runs when a dispatcher's connection breaks; a permit expires with its request's deadline. Log lines go to standard output through a bounded writer; one line a request with its steps, one for each refused ask.

Measured: Tests/Peer/edgetest.cpp, 2 lost connections before, 1 after. Ruled out: late asks and configuration (in force within 50 ms everywhere).

--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -3,18 +3,22 @@
 
 #include "Base/log.h"
 
+#include "Base/logwriter.h"
 #include "Base/time.h"
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
+#include <unistd.h>
+
 #include <cstdio>
+#include <memory>
 
 namespace Yokepond::Base {
 
 namespace {
 
-constexpr NameTable<LogEvent, 25> eventNames = {{
+constexpr NameTable<LogEvent, 28> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -23,6 +27,9 @@
     {LogEvent::SettingsReloaded, "settings-reloaded"},
     {LogEvent::EdgeFailed, "edge-failed"},
     {LogEvent::RequestEnded, "request-ended"},
+    {LogEvent::AskRefused, "ask-refused"},
+    {LogEvent::PermitExpired, "permit-expired"},
+    {LogEvent::LinesLeftOut, "lines-left-out"},
     {LogEvent::RequestAbandoned, "request-abandoned"},
     {LogEvent::EndpointEjected, "endpoint-ejected"},
     {LogEvent::EndpointReturned, "endpoint-returned"},
@@ -54,6 +61,12 @@
     return settings;
 }
 
+std::unique_ptr<LogWriter> &logWriter()
+{
+    static std::unique_ptr<LogWriter> writer;
+    return writer;
+}
+
 std::string utcTime()
 {
     const std::int64_t micros = wallMicroseconds();
@@ -84,9 +97,25 @@
     if (!logSettings().host.empty()) {
         fields["host"] = logSettings().host;
     }
-    // One write a line keeps lines of different threads whole.
     const std::string line = fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + '\n';
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    if (logWriter() == nullptr) {
+        // One write a line keeps lines of different threads whole.
+        std::fwrite(line.data(), 1, line.size(), stderr);
+        return;
+    }
+    if (const std::uint64_t leftOut = logWriter()->append(line); leftOut > 0) {
+        log(LogLevel::Warning, LogEvent::LinesLeftOut, {{"lines", leftOut}});
+    }
+}
+
+void startLogWriter()
+{
+    logWriter() = std::make_unique<LogWriter>(STDOUT_FILENO);
+}
+
+void endLogWriter()
+{
+    logWriter().reset();
 }
 
 } // namespace Yokepond::Base
--- a/Source/Base/log.h
+++ b/Source/Base/log.h
@@ -2,7 +2,7 @@
 // SPDX-FileCopyrightText: 2026 yokepond maintainers
 
 /// @file
-/// Structured logging: one JSON object a line on standard error.
+/// Structured logging: one JSON object a line, on standard error or through a writer of its own.
 
 #pragma once
 
@@ -33,6 +33,9 @@
     SettingsReloaded,
     EdgeFailed,
     RequestEnded,
+    AskRefused,
+    PermitExpired,
+    LinesLeftOut,
     RequestAbandoned,
     EndpointEjected,
     EndpointReturned,
@@ -58,6 +61,13 @@
 /// Sets the least level that is written and the host name put on every line. Call before threads start.
 void configureLog(LogLevel least, std::string host);
 
+/// From now on lines go to standard output, through a thread of their own that holds up nobody, until endLogWriter(). Call
+/// once, before other threads start.
+void startLogWriter();
+
+/// Writes what waits; later lines go to standard error again. Call when the other threads have ended.
+void endLogWriter();
+
 /// Writes one line with @p fields (a JSON object) added to time, level, host and event. Callable from any thread.
 void log(LogLevel level, LogEvent event, nlohmann::json fields = nlohmann::json::object());
 
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -6,6 +6,8 @@
 #include "Base/invariant.h"
 #include "Base/log.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <ranges>
 
@@ -43,6 +45,14 @@
 constexpr Duration longestEjection = std::chrono::seconds(30);
 constexpr Duration longestEjectionOfLast = std::chrono::seconds(2);
 constexpr std::size_t mostEjectedDivisor = 3; ///< at most a third of the endpoints are ejected for being slow
+/// A permit outlives its request's deadline by so much: the home's word of its end may still be on the way.
+constexpr Duration expiryGrace = std::chrono::milliseconds(500);
+
+/// As the home names it in its own log.
+std::string requestName(const Home &home, const AskKey &key)
+{
+    return fmt::format("{}.{:x}.{}", home.name, home.incarnation, key.id.request);
+}
 
 } // namespace
 
@@ -326,6 +336,15 @@
 void Shard::refuse(const QueuedAsk &ask, RefusalReason reason, Duration retryAfter)
 {
     ++m_counters.refused;
+    Base::log(Base::LogLevel::Info, Base::LogEvent::AskRefused,
+              {{"request", requestName(ask.home, ask.key)},
+               {"reason", Base::nameOf(Peer::refusalReasonNames, reason)},
+               {"rank", ask.terms.rank},
+               {"waited-ms", Base::milliseconds(ask.received - ask.arrival)},
+               {"tokens", ask.ask.promptTokens},
+               {"queued", queued()},
+               {"permits", m_permits.size()},
+               {"retry-after-ms", Base::milliseconds(retryAfter)}});
     m_replies.push_back({ask.home, Peer::Refusal {ask.key.id, reason, std::min(retryAfter, mostRetryAfter), pressure()}});
 }
 
@@ -484,8 +503,24 @@
     pump(now);
 }
 
+void Shard::dropExpired(Instant now)
+{
+    std::vector<AskKey> expired;
+    for (const auto &[key, permit] : m_permits) {
+        if (now >= permit.expires) {
+            expired.push_back(key);
+        }
+    }
+    for (const AskKey &key : expired) {
+        Base::log(Base::LogLevel::Warning, Base::LogEvent::PermitExpired,
+                  {{"request", requestName(m_permits.at(key).home, key)}, {"endpoint", m_permits.at(key).endpoint}});
+        dropPermit(key);
+    }
+}
+
 void Shard::tick(Instant now)
 {
+    dropExpired(now);
     if (now - m_periodBegan >= ratePeriod) {
         const double rate = static_cast<double>(m_grantsInPeriod) / Base::seconds(now - m_periodBegan);
         m_grantsPerSecond = m_grantsPerSecond <= 0 ? rate : m_grantsPerSecond + rateShareOfLatest * (rate - m_grantsPerSecond);
@@ -642,6 +677,10 @@
     // The home's clock runs as fast as this one, so that the time waited here can be added to the time it sent the ask.
     const Instant startBy = ask.ask.sentAt + (now - ask.received) + startWithin;
     Permit permit {ask.home, endpoint, ask.terms, now, {ask.key.id, endpoint, startBy, pressure()}, room(state, now) == 0, placed};
+    const RequestClass *requestClass = m_catalogue->classNumbered(ask.ask.requestClass);
+    if (requestClass != nullptr && requestClass->deadlineEndsRun) {
+        permit.expires = ask.deadline + expiryGrace;
+    }
     m_replies.push_back({ask.home, permit.grant});
     m_permits.emplace(ask.key, std::move(permit));
     ++m_counters.granted;
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -127,6 +127,7 @@
         Peer::Grant grant;
         bool windowWasFull = false;
         PlacedRun placed;
+        Base::Instant expires = Base::Instant::max(); ///< a run cannot last longer; its release must have been lost
     };
 
     static Order makeOrder(const Configuration::Policies &policies);
@@ -154,6 +155,7 @@
     bool spendLateRefusal(int rank);
     int lowestRank() const;
     std::vector<Candidate> usable() const;
+    void dropExpired(Base::Instant now);
     void ejectBad(Base::Instant now);
     Base::Duration tightestFirstToken() const;
     std::optional<Base::Duration> medianPace() const;
--- a/Source/Node/daemonprogram.cpp
+++ b/Source/Node/daemonprogram.cpp
@@ -32,6 +32,15 @@
     }
 }
 
+int runDaemon(Settings settings)
+{
+    Daemon daemon(std::move(settings));
+    if (absl::Status status = daemon.start(); !status.ok()) {
+        return tell(status);
+    }
+    return daemon.run();
+}
+
 } // namespace
 
 int runDaemonProgram(int argc, const char *const *argv)
@@ -61,11 +70,10 @@
     }
     Base::configureLog(settings->logLevel, settings->name);
     raiseDescriptorLimit();
-    Daemon daemon(std::move(*settings));
-    if (absl::Status status = daemon.start(); !status.ok()) {
-        return tell(status);
-    }
-    return daemon.run();
+    Base::startLogWriter();
+    const int code = runDaemon(std::move(*settings));
+    Base::endLogWriter();
+    return code;
 }
 
 } // namespace Yokepond::Node
--- a/Source/Node/front.cpp
+++ b/Source/Node/front.cpp
@@ -528,6 +528,7 @@
     if (entry != m_admitted.end()) {
         Admitted &admitted = entry->second;
         admitted.answer = std::move(over.answer);
+        admitted.lastRun = over.report;
         ClassMetrics &metrics = m_metrics.ofClass(admitted.requestClass.name);
         const bool whole = over.report.stage == Request::RunStage::Whole;
         metrics.tokens += over.report.tokens;
@@ -551,6 +552,7 @@
     if (const auto left = m_admitted.find(over.report.id.request); left != m_admitted.end()) {
         const Admitted admitted = std::move(left->second);
         m_admitted.erase(left);
+        logEnd(admitted, Outcome::Unknown, makeError(ErrorKind::CallerGone, "the caller went away while it ran"));
         const Outcome outcome = over.report.stage == Request::RunStage::Stale ? Outcome::NotRun : Outcome::Unknown;
         endOperation(admitted, outcome, std::nullopt,
                      makeError(ErrorKind::CallerGone, "the caller that began the operation went away"));
@@ -566,6 +568,7 @@
         ClassMetrics &metrics = m_metrics.ofClass(admitted.requestClass.name);
         ++metrics.failed;
         metrics.refused += fail.outcome == Outcome::NotRun ? 1 : 0;
+        logEnd(admitted, fail.outcome, fail.error);
         endOperation(admitted, fail.outcome, std::nullopt, fail.error);
     }
     Relay::Answer failure {fail.request, responseTo(fail.error, fail.outcome, fail.request, fail.retryAfter)};
@@ -582,6 +585,7 @@
     const Admitted admitted = std::move(entry->second);
     m_admitted.erase(entry);
     ++m_metrics.ofClass(admitted.requestClass.name).completed;
+    logEnd(admitted, Outcome::Completed, absl::OkStatus());
     endOperation(admitted, Outcome::Completed, admitted.answer, absl::OkStatus());
 }
 
@@ -604,6 +608,7 @@
     if (m_home.active() < before) {
         // It had not started, so that it ends here.
         m_admitted.erase(id);
+        logEnd(admitted, Outcome::NotRun, makeError(ErrorKind::CallerGone, "the caller went away before it ran"));
         if (operation) {
             endOperation(admitted, Outcome::NotRun, std::nullopt,
                          makeError(ErrorKind::CallerGone, "the caller that began the operation went away before it ran"));
@@ -620,9 +625,60 @@
 
 void Front::refuse(std::uint64_t call, const absl::Status &error, Outcome outcome, Base::Duration retryAfter)
 {
+    logRefusal(call, error, outcome);
     answer(call, responseTo(error, outcome, call, retryAfter));
 }
 
+/// A request that never came to a home.
+void Front::logRefusal(std::uint64_t call, const absl::Status &error, Outcome outcome) const
+{
+    Base::log(Base::LogLevel::Info, Base::LogEvent::RequestEnded,
+              {{"request", requestName(call)},
+               {"outcome", Base::nameOf(Request::outcomeNames, outcome)},
+               {"error", Base::errorName(Base::errorKind(error))},
+               {"reason", Base::messageOf(error)},
+               {"revision", m_fleet.revision()}});
+}
+
+/// One line a request; with all its steps unless it was a success at the first try.
+void Front::logEnd(const Admitted &admitted, Outcome outcome, const absl::Status &error) const
+{
+    const Base::Instant now = Base::now();
+    const Request::RunReport &run = admitted.lastRun;
+    nlohmann::json fields = {{"request", requestName(admitted.id)},
+                             {"class", admitted.requestClass.name},
+                             {"outcome", Base::nameOf(Request::outcomeNames, outcome)},
+                             {"ms", Base::milliseconds(now - admitted.arrived)},
+                             {"status", run.status},
+                             {"first-ms", Base::milliseconds(run.firstToken)},
+                             {"events", run.tokens},
+                             {"revision", m_fleet.revision()}};
+    if (!admitted.callersName.empty()) {
+        fields["caller"] = admitted.callersName;
+    }
+    const bool plain = outcome == Outcome::Completed && run.id.attempt <= 1;
+    if (!plain) {
+        fields["steps"] = stepsOf(admitted);
+    }
+    if (!error.ok()) {
+        fields["error"] = Base::errorName(Base::errorKind(error));
+        fields["reason"] = Base::messageOf(error);
+    }
+    Base::log(Base::LogLevel::Info, Base::LogEvent::RequestEnded, std::move(fields));
+}
+
+nlohmann::json Front::stepsOf(const Admitted &admitted) const
+{
+    nlohmann::json steps = nlohmann::json::array();
+    if (const std::vector<Request::TraceEntry> *trace = m_home.trace(admitted.id)) {
+        for (const Request::TraceEntry &entry : *trace) {
+            const double after = Base::milliseconds(entry.at - admitted.arrived);
+            steps.push_back(fmt::format("{:.1f} {} {}", after, Base::nameOf(Request::stepNames, entry.step), entry.detail));
+        }
+    }
+    return steps;
+}
+
 Http::Response Front::responseTo(const absl::Status &error, Outcome outcome, std::uint64_t call, Base::Duration retryAfter) const
 {
     Http::Response response = errorResponse(error, outcome, requestName(call), retryAfter);
--- a/Source/Node/front.h
+++ b/Source/Node/front.h
@@ -85,6 +85,7 @@
         std::string organisationName; ///< told to the endpoint, may be empty
         int rank = 0;
         Base::Instant deadline {};
+        Request::RunReport lastRun; ///< of the last run that has ended
         bool engine = true;
         std::string operationKey; ///< empty: it may run more than once
         std::string bodyDigest;
@@ -114,6 +115,9 @@
     void answer(std::uint64_t call, Http::Response response);
     void refuse(std::uint64_t call, const absl::Status &error, Request::Outcome outcome = Request::Outcome::NotRun,
                 Base::Duration retryAfter = {});
+    void logEnd(const Admitted &admitted, Request::Outcome outcome, const absl::Status &error) const;
+    nlohmann::json stepsOf(const Admitted &admitted) const;
+    void logRefusal(std::uint64_t call, const absl::Status &error, Request::Outcome outcome) const;
     Http::Response responseTo(const absl::Status &error, Request::Outcome outcome, std::uint64_t call,
                               Base::Duration retryAfter) const;
     void endOperation(const Admitted &admitted, Request::Outcome outcome, const std::optional<Http::Response> &response,
--- a/Source/Peer/edge.cpp
+++ b/Source/Peer/edge.cpp
@@ -269,6 +269,18 @@
         fail(exception.getDescription().cStr());
     }
 
+    /// Runs @p task; its failure ends the present connection only if it belongs to it: calls of a connection that was given up
+    /// fail later, one by one.
+    void watch(kj::Promise<void> task)
+    {
+        const auto generation = m_generation;
+        m_tasks.add(task.catch_([this, generation](kj::Exception &&exception) {
+            if (generation == m_generation) {
+                fail(exception.getDescription().cStr());
+            }
+        }));
+    }
+
     void pump()
     {
         if (m_queue.empty()) {
@@ -296,7 +308,7 @@
                              }
                              return open(kj::mv(stream), generation);
                          });
-        m_tasks.add(timer.timeoutAfter(connectTimeout, kj::mv(whole)));
+        watch(timer.timeoutAfter(connectTimeout, kj::mv(whole)));
     }
 
     kj::Promise<void> open(kj::Own<kj::AsyncIoStream> stream, std::uint64_t generation)
@@ -339,7 +351,7 @@
             --m_inFlight;
             pump();
         });
-        m_tasks.add(m_io.provider->getTimer().timeoutAfter(callTimeout, kj::mv(sent)));
+        watch(m_io.provider->getTimer().timeoutAfter(callTimeout, kj::mv(sent)));
     }
 
     void fail(const char *why)
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -531,6 +531,13 @@
 void Home::memberLost(Instant now, const std::string &member)
 {
     m_unreachable.insert(member);
+    // Releases may be among what was lost; what is not reported twice is given up at the dispatcher.
+    for (const ShardInfo &shard : m_shards->shards()) {
+        if (shard.dispatcher == member) {
+            reportRunning(shard.id);
+            m_reported.insert(shard.id);
+        }
+    }
     for (Pending &pending : m_pending | std::views::values) {
         if (pending.phase == Phase::Asking && pending.dispatcher == member) {
             // Sent again at the next tick, in case the connection comes back.
--- /dev/null
+++ b/Tests/Peer/edgetest.cpp
@@ -0,0 +1,55 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+#include "Peer/edge.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <atomic>
+#include <thread>
+
+using namespace Yokepond;
+using namespace Yokepond::Peer;
+
+TEST_GROUP(Edge)
+{
+};
+
+/// A peer that takes calls and never returns them, as one that stands still. Calls begun one after another pass their time
+/// limit one after another; each belongs to a connection that the first has already ended.
+TEST(Edge, callsOfAConnectionGivenUpDoNotEndTheNextOne)
+{
+    std::atomic<int> received = 0;
+    auto still = Edge::start({{"127.0.0.1", 0}, "127.0.0.1:1", "still", 1}, [&](Event event) {
+        if (std::holds_alternative<Received>(event)) {
+            ++received;
+        }
+    });
+    CHECK_TRUE(still.ok());
+    std::atomic<int> lost = 0;
+    auto sender = Edge::start({{"127.0.0.1", 0}, "127.0.0.1:2", "sender", 2}, [&](Event event) {
+        if (std::holds_alternative<Lost>(event)) {
+            ++lost;
+        }
+    });
+    CHECK_TRUE(sender.ok());
+    const std::string address = "127.0.0.1:" + std::to_string((*still)->port());
+    // Calls in flight on the first connection, begun apart.
+    for (int call = 0; call < 2; ++call) {
+        (*sender)->send(address, Withdrawal {{1, 1}, 1});
+        while (received <= call) {
+            std::this_thread::yield();
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    while (lost == 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    // The second connection, with a call of its own in flight while those of the first fail.
+    (*sender)->send(address, Withdrawal {{2, 1}, 1});
+    while (received <= 2) {
+        std::this_thread::yield();
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    CHECK_EQUAL(1, lost.load());
+}
