Dispatch: An ask that cannot be placed holds up none of the others; urgent prompts are read first

Change: pump() looks past asks that cannot be placed; the model knows that an engine reads the most urgent prompts first; an ask counts the work of those before it when its lateness is told; the reading speed follows fast runs.

Ruled out: memory that is never given back (all grants came in bursts, when permits ended).

--- a/Source/Dispatch/placement.cpp
+++ b/Source/Dispatch/placement.cpp
@@ -122,8 +122,10 @@
 
 /// Part of an engine's time that prompts may take up: the tokens of all that runs there wait meanwhile.
 constexpr double readingShare = 0.75;
-/// Part of an engine's memory that runs may take up; the rest keeps prompts for those to come.
-constexpr double runningShare = 0.6;
+/// Part of an engine's memory that runs may take up; the rest keeps prompts for those to come. The most urgent tier finds
+/// room where the others do not.
+constexpr double runningShare = 0.55;
+constexpr double runningShareOfMostUrgent = 0.75;
 /// Part of its target that a run may wait at the engine.
 constexpr double backlogShare = 0.4;
 /// The same where most of the prompt is kept: elsewhere it would have to be read.
@@ -137,8 +139,10 @@
 constexpr double readAgainFactor = 2.5;
 /// What a full window adds to the cost of an engine: each token comes slower the more run there.
 constexpr double fullWindowMs = 300.0;
-/// Of the latest observation, when the reading speed is learned.
-constexpr double latestShare = 0.1;
+/// Of the latest observation, when the reading speed is learned. A run that was faster than expected shows what an engine can
+/// do; one that was slower may have met work that the model does not know of.
+constexpr double latestShareIfFaster = 0.3;
+constexpr double latestShareIfSlower = 0.02;
 constexpr std::uint32_t leastTokensToLearn = 4000;
 constexpr double slowestTokensPerMs = 4.0;
 constexpr double fastestTokensPerMs = 400.0;
@@ -206,6 +210,35 @@
     return fromMs(static_cast<double>(tokens) / m_tokensPerMs);
 }
 
+/// Time until all that is read before a new prompt of @p rank has been read.
+Base::Duration SoonestFirstToken::backlogOf(const Engine &engine, int rank, Base::Instant now)
+{
+    Base::Duration before {};
+    for (const auto &[unreadRank, time] : engine.unread) {
+        before += unreadRank <= rank ? time : Base::Duration::zero();
+    }
+    const Base::Duration passed = now - engine.asOf;
+    return before > passed ? before - passed : Base::Duration::zero();
+}
+
+/// Takes off what has been read by @p now.
+void SoonestFirstToken::readOn(Engine &engine, Base::Instant now)
+{
+    Base::Duration passed = now - engine.asOf;
+    engine.asOf = now;
+    for (Base::Duration &time : engine.unread | std::views::values) {
+        const Base::Duration read = std::min(time, passed);
+        time -= read;
+        passed -= read;
+    }
+}
+
+/// Half of a prompt, since most of one that waits is kept somewhere or soon will be.
+Base::Duration SoonestFirstToken::work(const QueuedAsk &ask) const
+{
+    return timeToRead(ask.ask.promptTokens) / 2;
+}
+
 SoonestFirstToken::Cost SoonestFirstToken::costAt(const QueuedAsk &ask, const Candidate &candidate, bool preferred,
                                                   Base::Instant now) const
 {
@@ -213,7 +246,7 @@
     const std::uint32_t kept = engine == nullptr ? 0 : engine->cache.kept(chainOf(ask));
     const std::uint32_t unread = ask.ask.promptTokens > kept ? ask.ask.promptTokens - kept : 0;
     Cost cost;
-    cost.backlog = engine == nullptr || engine->readUntil <= now ? Base::Duration::zero() : engine->readUntil - now;
+    cost.backlog = engine == nullptr ? Base::Duration::zero() : backlogOf(*engine, ask.terms.rank, now);
     cost.own = timeToRead(unread);
     cost.kept = kept;
     const double readFactor = preferred ? 1.0 : readAgainFactor;
@@ -227,7 +260,9 @@
     if (engine == nullptr || candidate.memoryTokens == 0 || engine->runningTokens == 0) {
         return true;
     }
-    const auto most = static_cast<std::uint64_t>(runningShare * static_cast<double>(candidate.memoryTokens));
+    const bool mostUrgent = ask.terms.tightestAbove == Base::Duration::zero();
+    const double share = mostUrgent ? runningShareOfMostUrgent : runningShare;
+    const auto most = static_cast<std::uint64_t>(share * static_cast<double>(candidate.memoryTokens));
     return engine->runningTokens + memoryOf(ask) - engine->cache.kept(chainOf(ask)) <= most;
 }
 
@@ -271,12 +306,13 @@
     // Parts that are kept are there once, whatever number of runs use them.
     run.tokens = memoryOf(ask) - kept;
     run.unread = ask.ask.promptTokens > kept ? ask.ask.promptTokens - kept : 0;
-    const bool alone = engine.readUntil <= now;
-    const Base::Instant begins = std::max(now, engine.readUntil);
+    readOn(engine, now);
+    const Base::Duration backlog = backlogOf(engine, ask.terms.rank, now);
     const Base::Duration reading = timeToRead(run.unread);
-    engine.readUntil = begins + fromMs(Base::milliseconds(reading) / readingShare);
-    run.expected = begins - now + reading;
-    run.alone = alone;
+    run.alone = std::ranges::all_of(engine.unread | std::views::values,
+                                    [](Base::Duration time) { return time == Base::Duration::zero(); });
+    run.expected = backlog + reading;
+    engine.unread[ask.terms.rank] += part(reading, 1.0 / readingShare);
     engine.runningTokens += run.tokens;
     engine.cache.read(chainOf(ask));
     if (engine.memoryTokens > 0) {
@@ -294,9 +330,11 @@
     engine->second.runningTokens -= std::min<std::uint64_t>(engine->second.runningTokens, run.tokens);
     // Behind other prompts the time tells of the model's errors rather than of the engine's speed.
     if (run.alone && firstToken > Base::Duration::zero() && run.unread >= leastTokensToLearn) {
-        const double ratio = std::clamp(Base::milliseconds(run.expected) / Base::milliseconds(firstToken), 0.5, 2.0);
-        const double observed = m_tokensPerMs * ratio;
-        m_tokensPerMs = std::clamp(m_tokensPerMs + latestShare * (observed - m_tokensPerMs), slowestTokensPerMs, fastestTokensPerMs);
+        const Base::Duration reading = std::max(firstToken - overhead, firstToken / 2);
+        const double ratio = std::clamp(Base::milliseconds(run.expected) / Base::milliseconds(reading), 0.5, 2.0);
+        const double change = m_tokensPerMs * ratio - m_tokensPerMs;
+        const double share = change > 0 ? latestShareIfFaster : latestShareIfSlower;
+        m_tokensPerMs = std::clamp(m_tokensPerMs + share * change, slowestTokensPerMs, fastestTokensPerMs);
     }
 }
 
--- a/Source/Dispatch/placement.h
+++ b/Source/Dispatch/placement.h
@@ -48,10 +48,14 @@
           {
               constant.choose(ask, candidates, now)
           } -> std::same_as<std::optional<std::uint32_t>>;
-          /// How long until the first token if the best of @p candidates were used, as far as the policy can tell.
+          /// How long until the first token if the best of @p candidates were used now, as far as the policy can tell.
           {
               constant.expected(ask, candidates, now)
           } -> std::same_as<Base::Duration>;
+          /// How long one endpoint is kept from other prompts by @p ask.
+          {
+              constant.work(ask)
+          } -> std::same_as<Base::Duration>;
           {
               placement.placed(ask, endpoint, now)
           } -> std::same_as<PlacedRun>;
@@ -68,6 +72,10 @@
     {
         return {};
     }
+    Base::Duration work(const QueuedAsk &) const
+    {
+        return {};
+    }
     void ended(const PlacedRun &, Base::Duration)
     {
     }
@@ -120,6 +128,7 @@
 public:
     std::optional<std::uint32_t> choose(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
     Base::Duration expected(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
+    Base::Duration work(const QueuedAsk &ask) const;
     PlacedRun placed(const QueuedAsk &ask, std::uint32_t endpoint, Base::Instant now);
     void ended(const PlacedRun &run, Base::Duration firstToken);
     void forget(std::uint32_t endpoint);
@@ -128,7 +137,8 @@
     struct Engine
     {
         PromptCache cache;
-        Base::Instant readUntil {}; ///< when the prompts sent so far will have been read
+        std::map<int, Base::Duration> unread; ///< by rank: time to read what has been sent; the most urgent is read first
+        Base::Instant asOf {}; ///< of the times above
         std::uint64_t runningTokens = 0;
         std::uint64_t memoryTokens = 0;
     };
@@ -145,6 +155,8 @@
     Cost costAt(const QueuedAsk &ask, const Candidate &candidate, bool preferred, Base::Instant now) const;
     bool fits(const QueuedAsk &ask, const Candidate &candidate) const;
     Base::Duration timeToRead(std::uint32_t tokens) const;
+    static Base::Duration backlogOf(const Engine &engine, int rank, Base::Instant now);
+    static void readOn(Engine &engine, Base::Instant now);
 
     std::map<std::uint32_t, Engine> m_engines;
     double m_tokensPerMs = 30.0; ///< read by an engine; learned, the start is that of a large model on one accelerator
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -44,6 +44,8 @@
 constexpr Duration reportGrace = std::chrono::seconds(3);
 constexpr Duration longestEjection = std::chrono::seconds(30);
 constexpr Duration longestEjectionOfLast = std::chrono::seconds(2);
+/// Asks that are looked at beyond those that can be granted, each time that there may be room.
+constexpr std::size_t mostPassedOver = 24;
 constexpr std::size_t mostEjectedDivisor = 3; ///< at most a third of the endpoints are ejected for being slow
 /// A permit outlives its request's deadline by so much: the home's word of its end may still be on the way.
 constexpr Duration expiryGrace = std::chrono::milliseconds(500);
@@ -279,7 +281,20 @@
     const std::vector<Candidate> endpoints = usable();
     const Duration expected
         = std::visit([&](const auto &placement) { return placement.expected(ask, endpoints, now); }, m_placement);
-    return std::max(Duration::zero(), now + expected - ask.target());
+    const Duration wait = waitBehind(ask) / std::max<std::int64_t>(1, static_cast<std::int64_t>(endpoints.size()));
+    return std::max(Duration::zero(), now + wait + expected - ask.target());
+}
+
+/// The work of the asks that will be served before @p ask.
+Duration Shard::waitBehind(const QueuedAsk &ask) const
+{
+    Duration work {};
+    for (const QueuedAsk *other : queuedAsks()) {
+        const bool before = other->terms.rank < ask.terms.rank
+            || (other->terms.rank == ask.terms.rank && other->arrival < ask.arrival && other->key != ask.key);
+        work += before ? std::visit([&](const auto &placement) { return placement.work(*other); }, m_placement) : Duration::zero();
+    }
+    return work;
 }
 
 int Shard::lowestRank() const
@@ -649,21 +664,32 @@
         return;
     }
     const Duration expected = expectedFirstToken();
-    while (queued() > 0) {
+    // One that no endpoint can take now, for its size or for the prompts it would wait behind, holds up none of the others.
+    std::vector<QueuedAsk> passedOver;
+    while (queued() > 0 && passedOver.size() < mostPassedOver && !candidates(now, 0).empty()) {
         const auto key = std::visit([&](auto &order) { return order.next(now, expected); }, m_order);
-        const QueuedAsk *waiting = std::visit([&](const auto &order) { return order.find(*key); }, m_order);
-        const std::vector<Candidate> found = candidates(now, waiting->ask.avoid);
-        if (found.empty()) {
-            return;
-        }
-        const auto endpoint
-            = std::visit([&](const auto &placement) { return placement.choose(*waiting, found, now); }, m_placement);
-        if (!endpoint) {
-            return;
+        const QueuedAsk waiting = *std::visit([&](const auto &order) { return order.find(*key); }, m_order);
+        if (!serve(now, waiting)) {
+            passedOver.push_back(waiting);
+            std::visit([&](auto &order) { order.remove(waiting.key); }, m_order);
         }
-        const auto ask = std::visit([&](auto &order) { return order.serve(*key); }, m_order);
-        grant(now, *ask, *endpoint);
     }
+    std::ranges::for_each(passedOver, [this](const QueuedAsk &ask) { enqueue(ask); });
+}
+
+/// Grants @p waiting if there is an endpoint for it now.
+bool Shard::serve(Instant now, const QueuedAsk &waiting)
+{
+    const std::vector<Candidate> found = candidates(now, waiting.ask.avoid);
+    const auto endpoint = found.empty()
+        ? std::nullopt
+        : std::visit([&](const auto &placement) { return placement.choose(waiting, found, now); }, m_placement);
+    if (!endpoint) {
+        return false;
+    }
+    const auto ask = std::visit([&](auto &order) { return order.serve(waiting.key); }, m_order);
+    grant(now, *ask, *endpoint);
+    return true;
 }
 
 void Shard::grant(Instant now, const QueuedAsk &ask, std::uint32_t endpoint)
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -145,11 +145,13 @@
     void refuse(const QueuedAsk &ask, Peer::RefusalReason reason);
     void refuse(const QueuedAsk &ask, Peer::RefusalReason reason, Base::Duration retryAfter);
     void pump(Base::Instant now);
+    bool serve(Base::Instant now, const QueuedAsk &waiting);
     std::vector<Candidate> candidates(Base::Instant now, std::uint32_t avoid) const;
     std::uint32_t room(const EndpointState &state, Base::Instant now) const;
     void grant(Base::Instant now, const QueuedAsk &ask, std::uint32_t endpoint);
     void dropPermit(const AskKey &key, Base::Duration firstToken = {});
     Base::Duration lateness(Base::Instant now, const QueuedAsk &ask) const;
+    Base::Duration waitBehind(const QueuedAsk &ask) const;
     void refuseLate(Base::Instant now);
     /// Whether an ask of this tier may be refused as too late; if so, that is counted.
     bool spendLateRefusal(int rank);
