--- a/Source/Configuration/catalogue.cpp
+++ b/Source/Configuration/catalogue.cpp
@@ -14,7 +14,9 @@
 
 constexpr std::array settings = {
     SettingSchema {"order", {.name = "value", .type = FieldType::Choice, .choices = "tiered fifo"}},
-    SettingSchema {"placement", {.name = "value", .type = FieldType::Choice, .choices = "affinity least-loaded round-robin soonest-first-token"}},
+    SettingSchema {
+        "placement",
+        {.name = "value", .type = FieldType::Choice, .choices = "affinity least-loaded round-robin soonest-first-token"}},
     SettingSchema {"window", {.name = "value", .type = FieldType::Choice, .choices = "adaptive fixed"}},
     SettingSchema {"eject-slow", {.name = "value", .type = FieldType::Flag}},
     SettingSchema {"hopeless-shedding", {.name = "value", .type = FieldType::Flag}},
--- a/Source/Configuration/catalogue.h
+++ b/Source/Configuration/catalogue.h
@@ -98,7 +98,8 @@
     {PlacementPolicy::RoundRobin, "round-robin"},
     {PlacementPolicy::SoonestFirstToken, "soonest-first-token"},
 }};
-inline constexpr Base::NameTable<WindowPolicy, 2> windowNames = {{{WindowPolicy::Adaptive, "adaptive"}, {WindowPolicy::Fixed, "fixed"}}};
+inline constexpr Base::NameTable<WindowPolicy, 2> windowNames
+    = {{{WindowPolicy::Adaptive, "adaptive"}, {WindowPolicy::Fixed, "fixed"}}};
 
 /// The objects of kind `setting`, with the defaults for those not there.
 struct Policies
--- a/Source/Dispatch/placement.cpp
+++ b/Source/Dispatch/placement.cpp
@@ -338,11 +338,10 @@
     }
 }
 
-void SoonestFirstToken::forget(std::uint32_t endpoint)
+/// An engine that fails some runs still keeps its prompts. One that starts anew has a new name where the platform says so, and
+/// elsewhere shows by its next runs' first-token times what it lost.
+void SoonestFirstToken::forget(std::uint32_t)
 {
-    if (const auto engine = m_engines.find(endpoint); engine != m_engines.end()) {
-        engine->second.cache.clear();
-    }
 }
 
 } // namespace Yokepond::Dispatch
--- a/Source/Dispatch/placement.h
+++ b/Source/Dispatch/placement.h
@@ -41,28 +41,27 @@
 };
 
 template<typename T>
-concept PlacementPolicy
-    = requires(T placement, const T &constant, const QueuedAsk &ask, std::span<const Candidate> candidates,
-               std::uint32_t endpoint, Base::Instant now, const PlacedRun &run, Base::Duration firstToken) {
-          /// The endpoint to use now; nothing if waiting is better. @p candidates is never empty.
-          {
-              constant.choose(ask, candidates, now)
-          } -> std::same_as<std::optional<std::uint32_t>>;
-          /// How long until the first token if the best of @p candidates were used now, as far as the policy can tell.
-          {
-              constant.expected(ask, candidates, now)
-          } -> std::same_as<Base::Duration>;
-          /// How long one endpoint is kept from other prompts by @p ask.
-          {
-              constant.work(ask)
-          } -> std::same_as<Base::Duration>;
-          {
-              placement.placed(ask, endpoint, now)
-          } -> std::same_as<PlacedRun>;
-          /// @p firstToken is zero if none came.
-          placement.ended(run, firstToken);
-          placement.forget(endpoint);
-      };
+concept PlacementPolicy = requires(T placement, const T &constant, const QueuedAsk &ask, std::span<const Candidate> candidates,
+                                   std::uint32_t endpoint, Base::Instant now, const PlacedRun &run, Base::Duration firstToken) {
+    /// The endpoint to use now; nothing if waiting is better. @p candidates is never empty.
+    {
+        constant.choose(ask, candidates, now)
+    } -> std::same_as<std::optional<std::uint32_t>>;
+    /// How long until the first token if the best of @p candidates were used now, as far as the policy can tell.
+    {
+        constant.expected(ask, candidates, now)
+    } -> std::same_as<Base::Duration>;
+    /// How long one endpoint is kept from other prompts by @p ask.
+    {
+        constant.work(ask)
+    } -> std::same_as<Base::Duration>;
+    {
+        placement.placed(ask, endpoint, now)
+    } -> std::same_as<PlacedRun>;
+    /// @p firstToken is zero if none came.
+    placement.ended(run, firstToken);
+    placement.forget(endpoint);
+};
 
 /// What policies without a model of engines have in common.
 class WithoutModel
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -158,7 +158,8 @@
 
 ClassTerms Shard::termsOf(const RequestClass &requestClass) const
 {
-    return {requestClass.number,         requestClass.rank, requestClass.firstToken, requestClass.tokenGap,
+    return {requestClass.number,          requestClass.rank,
+            requestClass.firstToken,      requestClass.tokenGap,
             requestClass.starvationBound, tightestAbove(requestClass.rank)};
 }
 
@@ -292,7 +293,8 @@
     for (const QueuedAsk *other : queuedAsks()) {
         const bool before = other->terms.rank < ask.terms.rank
             || (other->terms.rank == ask.terms.rank && other->arrival < ask.arrival && other->key != ask.key);
-        work += before ? std::visit([&](const auto &placement) { return placement.work(*other); }, m_placement) : Duration::zero();
+        work
+            += before ? std::visit([&](const auto &placement) { return placement.work(*other); }, m_placement) : Duration::zero();
     }
     return work;
 }
@@ -583,16 +585,14 @@
 
 void Shard::ejectBad(Instant now)
 {
-    if (!m_catalogue->policies().ejectSlow) {
-        return;
-    }
+    const bool ejectSlow = m_catalogue->policies().ejectSlow;
     const auto median = medianPace();
     auto ejected
         = static_cast<std::size_t>(std::ranges::count_if(m_endpoints | std::views::values, [](const EndpointState &state) {
               return state.health.state() == HealthState::Ejected;
           }));
     for (auto &[number, state] : m_endpoints) {
-        const bool mayEjectSlow = (ejected + 1) * mostEjectedDivisor <= m_endpoints.size();
+        const bool mayEjectSlow = ejectSlow && (ejected + 1) * mostEjectedDivisor <= m_endpoints.size();
         const bool bad = state.health.isFailing() || (mayEjectSlow && state.health.isSlow(median));
         if (!bad || state.health.state() == HealthState::Ejected) {
             continue;
@@ -694,15 +694,15 @@
 
 void Shard::grant(Instant now, const QueuedAsk &ask, std::uint32_t endpoint)
 {
-    const PlacedRun placed
-        = std::visit([&](auto &placement) { return placement.placed(ask, endpoint, now); }, m_placement);
+    const PlacedRun placed = std::visit([&](auto &placement) { return placement.placed(ask, endpoint, now); }, m_placement);
     EndpointState &state = m_endpoints.at(endpoint);
     Base::require(isUsable(state), Base::Invariant::LeavingGetsNothing);
     Base::require(!m_permits.contains(ask.key), Base::Invariant::AnsweredOnce);
     ++state.running;
     // The home's clock runs as fast as this one, so that the time waited here can be added to the time it sent the ask.
     const Instant startBy = ask.ask.sentAt + (now - ask.received) + startWithin;
-    Permit permit {ask.home, endpoint, ask.terms, now, {ask.key.id, endpoint, startBy, pressure()}, room(state, now) == 0, placed};
+    Permit permit {ask.home, endpoint, ask.terms, now, {ask.key.id, endpoint, startBy, pressure()}, room(state, now) == 0,
+                   placed};
     const RequestClass *requestClass = m_catalogue->classNumbered(ask.ask.requestClass);
     if (requestClass != nullptr && requestClass->deadlineEndsRun) {
         permit.expires = ask.deadline + expiryGrace;
--- a/Source/Node/settings.cpp
+++ b/Source/Node/settings.cpp
@@ -132,6 +132,7 @@
         ini.reject("dispatch", "window", "adaptive or fixed");
     }
     policies.window = window.value_or(policies.window);
+    policies.ejectSlow = ini.flag("dispatch", "eject-slow", true);
     policies.refuseLate = ini.flag("dispatch", "refuse-late", false);
     policies.wholePoolShards = ini.flag("dispatch", "whole-pool-shards", false);
     return policies;
--- a/Tests/Base/looptest.cpp
+++ b/Tests/Base/looptest.cpp
@@ -12,9 +12,7 @@
 
 using namespace Yokepond;
 
-TEST_GROUP(Loop)
-{
-};
+TEST_GROUP(Loop) {};
 
 TEST(Loop, timersDoNotCountOnTheTimeOfDay)
 {
--- a/Tests/Peer/edgetest.cpp
+++ b/Tests/Peer/edgetest.cpp
@@ -11,9 +11,7 @@
 using namespace Yokepond;
 using namespace Yokepond::Peer;
 
-TEST_GROUP(Edge)
-{
-};
+TEST_GROUP(Edge) {};
 
 /// A peer that takes calls and never returns them, as one that stands still. Calls begun one after another pass their time
 /// limit one after another; each belongs to a connection that the first has already ended.
