--- /dev/null
+++ b/Tests/Dispatch/placementtest.cpp
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+#include "Dispatch/placement.h"
+
+#include "Dispatch/fixtures.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Yokepond;
+using namespace Yokepond::Dispatch;
+using Tests::at;
+
+TEST_GROUP(SoonestFirstToken)
+{
+    SoonestFirstToken placement;
+    std::vector<Candidate> engines {{1, 0, 64, 500'000}, {2, 0, 64, 500'000}, {3, 0, 64, 500'000}};
+
+    QueuedAsk ask(std::uint64_t shared, std::uint64_t own, int rank = 1)
+    {
+        QueuedAsk made;
+        made.ask.prefix = {shared, own};
+        made.ask.prefixTokens = {13'000, 17'000};
+        made.ask.promptTokens = 17'000;
+        made.ask.expectedTokens = 100;
+        made.terms.rank = rank;
+        made.terms.firstToken = std::chrono::seconds(2);
+        made.terms.tightestAbove = rank > 1 ? std::chrono::milliseconds(1500) : std::chrono::milliseconds(0);
+        made.arrival = at(0);
+        return made;
+    }
+
+    std::uint32_t place(const QueuedAsk &placed, double now)
+    {
+        const std::uint32_t endpoint = placement.choose(placed, engines, at(now)).value();
+        placement.placed(placed, endpoint, at(now));
+        return endpoint;
+    }
+};
+
+TEST(SoonestFirstToken, promptsThatBeginAlikeGoToOneEngine)
+{
+    const std::uint32_t first = place(ask(7, 100), 0);
+    for (std::uint64_t own = 101; own < 110; ++own) {
+        CHECK_EQUAL(first, place(ask(7, own), static_cast<double>(own - 100)));
+    }
+}
+
+TEST(SoonestFirstToken, anotherDispatcherSendsThemToTheSame)
+{
+    SoonestFirstToken successor;
+    for (std::uint64_t shared = 1; shared < 20; ++shared) {
+        const auto mine = SoonestFirstToken().choose(ask(shared, 500), engines, at(0));
+        CHECK_TRUE(mine == successor.choose(ask(shared, 900), engines, at(0)));
+    }
+}
+
+TEST(SoonestFirstToken, aLowerTierWaitsRatherThanHoldUpTheTierAbove)
+{
+    for (std::uint64_t shared = 1; shared <= 3; ++shared) {
+        for (Candidate &engine : engines) {
+            placement.placed(ask(100 * shared + engine.endpoint, 1, 3), engine.endpoint, at(0));
+        }
+    }
+    CHECK_FALSE(placement.choose(ask(9, 9, 3), engines, at(0.01)).has_value());
+    CHECK_TRUE(placement.choose(ask(9, 9, 1), engines, at(0.01)).has_value());
+    CHECK_TRUE(placement.choose(ask(9, 9, 3), engines, at(20)).has_value());
+}
+
+TEST(SoonestFirstToken, runsLeaveRoomForKeptPromptsInMemory)
+{
+    engines = {{1, 0, 64, 50'000}};
+    place(ask(1, 1), 0);
+    CHECK_FALSE(placement.choose(ask(2, 2, 2), engines, at(5)).has_value());
+}
+
+TEST(SoonestFirstToken, whatIsExpectedGrowsWithTheWorkBefore)
+{
+    const Base::Duration idle = placement.expected(ask(5, 5), engines, at(0));
+    for (const Candidate &engine : engines) {
+        placement.placed(ask(50 + engine.endpoint, 1), engine.endpoint, at(0));
+    }
+    CHECK_TRUE(placement.expected(ask(5, 5), engines, at(0)) > idle);
+}
--- /dev/null
+++ b/Tests/Node/sitewatchtest.cpp
@@ -0,0 +1,142 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+#include "Node/sitewatch.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+
+using namespace Yokepond;
+using Configuration::Record;
+using Configuration::RecordKind;
+
+namespace {
+
+/// A platform whose answers the test gives.
+struct FakeFeed
+{
+    struct Call
+    {
+        bool whole = false;
+        std::uint64_t since = 0;
+        Platform::FeedHandler handler;
+    };
+
+    void read(RecordKind kind, Platform::FeedHandler handler)
+    {
+        calls[kind] = Call {true, 0, std::move(handler)};
+    }
+
+    void follow(RecordKind kind, std::uint64_t since, Base::Duration, Platform::FeedHandler handler)
+    {
+        calls[kind] = Call {false, since, std::move(handler)};
+    }
+
+    std::map<RecordKind, std::optional<Call>> calls;
+};
+
+constexpr RecordKind endpoint = RecordKind::Endpoint;
+
+Record live(const std::string &key, std::uint64_t version)
+{
+    return {endpoint, key, version, false, "value"};
+}
+
+Record gone(const std::string &key, std::uint64_t version)
+{
+    return {endpoint, key, version, true, ""};
+}
+
+} // namespace
+
+TEST_GROUP(SiteWatch)
+{
+    FakeFeed feed;
+    std::vector<Record> told;
+    std::vector<bool> answers;
+    Node::SiteWatch<FakeFeed> watch {
+        feed,
+        {},
+        1,
+        {.records = [this](std::vector<Record> records) { std::ranges::move(records, std::back_inserter(told)); },
+         .storeAnswers = [this](bool does, const absl::Status &) { answers.push_back(does); }}};
+
+    void tickAfter(Base::Duration delay)
+    {
+        watch.tick(Base::now() + delay);
+    }
+
+    void answer(absl::StatusOr<Platform::FeedPage> page)
+    {
+        auto call = std::exchange(feed.calls[endpoint], std::nullopt);
+        call->handler(std::move(page));
+    }
+
+    void fail(Base::ErrorKind kind)
+    {
+        answer(Base::makeError(kind, "test"));
+    }
+};
+
+TEST(SiteWatch, readsTheWholeThenFollowsFromItsVersion)
+{
+    tickAfter({});
+    CHECK_TRUE(feed.calls[endpoint]->whole);
+    answer(Platform::FeedPage {{live("e1", 3)}, 7});
+    CHECK_EQUAL(1U, told.size());
+    CHECK_TRUE(answers == std::vector<bool> {true});
+    tickAfter(std::chrono::seconds(1));
+    CHECK_FALSE(feed.calls[endpoint]->whole);
+    CHECK_EQUAL(7U, feed.calls[endpoint]->since);
+}
+
+TEST(SiteWatch, readsAnewWhenTheHistoryIsGoneAndTellsWhatIsMissing)
+{
+    tickAfter({});
+    answer(Platform::FeedPage {{live("e1", 3), live("e2", 4)}, 7});
+    tickAfter(std::chrono::seconds(1));
+    fail(Base::ErrorKind::HistoryGone);
+    tickAfter(std::chrono::seconds(2));
+    CHECK_TRUE(feed.calls[endpoint]->whole);
+    told.clear();
+    answer(Platform::FeedPage {{live("e1", 3)}, 20});
+    CHECK_EQUAL(2U, told.size());
+    CHECK_TRUE(told[1] == gone("e2", 20));
+    CHECK_TRUE(answers == std::vector<bool> {true});
+}
+
+TEST(SiteWatch, anEndpointDroppedDuringAnOutageIsBelievedGoneOnlyLater)
+{
+    tickAfter({});
+    answer(Platform::FeedPage {{live("e1", 3), live("e2", 4)}, 7});
+    tickAfter(std::chrono::seconds(1));
+    fail(Base::ErrorKind::StoreUnavailable);
+    CHECK_TRUE(answers == (std::vector<bool> {true, false}));
+    tickAfter(std::chrono::seconds(2));
+    told.clear();
+    answer(Platform::FeedPage {{gone("e1", 9), gone("e2", 10)}, 10});
+    CHECK_TRUE(told.empty());
+    // One of them lives and records itself again.
+    tickAfter(std::chrono::seconds(2));
+    answer(Platform::FeedPage {{live("e1", 12)}, 12});
+    CHECK_TRUE(told == std::vector<Record> {live("e1", 12)});
+    told.clear();
+    tickAfter(std::chrono::seconds(10));
+    CHECK_TRUE(told == std::vector<Record> {gone("e2", 10)});
+}
+
+TEST(SiteWatch, triesAgainLessAndLessOftenWhileThePlatformIsAway)
+{
+    tickAfter({});
+    int calls = 0;
+    for (int step = 0; step < 100; ++step) {
+        if (feed.calls[endpoint]) {
+            ++calls;
+            fail(Base::ErrorKind::StoreUnavailable);
+        }
+        tickAfter(std::chrono::milliseconds(10));
+    }
+    CHECK_TRUE(calls >= 1 && calls <= 3);
+    CHECK_TRUE(answers == std::vector<bool> {false});
+}
--- /dev/null
+++ b/Tests/Platform/requestprotocoltest.cpp
@@ -0,0 +1,140 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+#include "platform/requestprotocol.h"
+
+#include "Base/hash.h"
+#include "platform/names.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Yokepond;
+using namespace Yokepond::Platform;
+using Relay::AnswerKind;
+
+TEST_GROUP(RequestProtocol)
+{
+    RequestProtocol protocol;
+    Http::Request request {.method = "POST", .path = "/a b/", .target = "/a%20b/?q=1%2F2"};
+    Relay::Run run {.callersName = "id-1", .address = "10.0.0.1:80", .endpoint = "i-7", .organisation = "town", .priority = 3};
+
+    void setup() override
+    {
+        request.headers = {{"host", "Site.example:8080"},
+                           {std::string(Names::requestId), "id-1"},
+                           {std::string(Names::key), "secret"},
+                           {std::string(Names::organisation), "forged"},
+                           {std::string(Names::deadline), "6000"},
+                           {std::string(Names::tokens), "1460,80"},
+                           {std::string(Names::prefixParts), "5c:800,91:410,e4:250"},
+                           {"connection", "keep-alive, x-hop"},
+                           {"x-hop", "1"},
+                           {"x-own", ""}};
+        run.deadline = Base::now() + std::chrono::seconds(5);
+    }
+
+    Relay::CallArrived described()
+    {
+        RequestProtocol::State state;
+        Relay::CallArrived call;
+        protocol.describe(request, state, call);
+        return call;
+    }
+
+    std::string sent(std::string_view name, const std::string &lastEventId = "")
+    {
+        const Http::Transfer transfer = protocol.transfer({}, request, run, lastEventId);
+        return std::string(Http::headerValue(transfer.headers, name).value_or("(none)"));
+    }
+
+    AnswerKind judged(int status, Http::Headers headers)
+    {
+        return protocol.judge(run, {status, std::move(headers)});
+    }
+
+    Http::Headers answer()
+    {
+        return {{std::string(Names::requestId), "id-1"}, {std::string(Names::signature), "s"}};
+    }
+};
+
+TEST(RequestProtocol, headersBecomeTypedFields)
+{
+    const Relay::CallArrived call = described();
+    STRCMP_EQUAL("site.example", call.host.c_str());
+    STRCMP_EQUAL("/a%20b/", call.path.c_str());
+    STRCMP_EQUAL("id-1", call.callersName.c_str());
+    STRCMP_EQUAL(Base::sha256("secret").c_str(), call.keyDigest.c_str());
+    CHECK_EQUAL(1460U, call.promptTokens);
+    CHECK_EQUAL(80U, call.expectedTokens);
+    CHECK_TRUE(call.timeLeft == std::chrono::seconds(6));
+    CHECK_EQUAL(3U, call.prefix.size());
+    CHECK_TRUE(call.prefixTokens == (std::vector<std::uint32_t> {800, 1210, 1460}));
+}
+
+TEST(RequestProtocol, promptsThatBeginAlikeShareTheBeginningOfTheirChains)
+{
+    const auto first = described().prefix;
+    request.headers[6].value = "5c:800,91:410,aa:100";
+    const auto second = described().prefix;
+    CHECK_EQUAL(first[1], second[1]);
+    CHECK_TRUE(first[2] != second[2]);
+}
+
+TEST(RequestProtocol, brokenNumbersAreAbsentOnes)
+{
+    request.headers[5].value = "many,";
+    request.headers[6].value = "nonsense";
+    const Relay::CallArrived call = described();
+    CHECK_EQUAL(0U, call.promptTokens);
+    CHECK_TRUE(call.prefix.empty());
+}
+
+TEST(RequestProtocol, theEndpointGetsTheRequestUnalteredAndOurWordOnTheRest)
+{
+    const Http::Transfer transfer = protocol.transfer({}, request, run, "");
+    STRCMP_EQUAL("/a%20b/?q=1%2F2", transfer.target.c_str());
+    CHECK_TRUE(transfer.freshConnection);
+    STRCMP_EQUAL("town", sent(Names::organisation).c_str());
+    STRCMP_EQUAL("i-7", sent(Names::expectEndpoint).c_str());
+    STRCMP_EQUAL("2", sent(Names::priority).c_str());
+    STRCMP_EQUAL("(none)", sent(Names::key).c_str());
+    STRCMP_EQUAL("(none)", sent("x-hop").c_str());
+    STRCMP_EQUAL("(none)", sent("connection").c_str());
+    STRCMP_EQUAL("", sent("x-own").c_str());
+    STRCMP_EQUAL("Site.example:8080", sent("host").c_str());
+    const int left = std::stoi(sent(Names::deadline));
+    CHECK_TRUE(left > 4000 && left <= 5000);
+}
+
+TEST(RequestProtocol, aStreamGoesOnBehindItsLastEvent)
+{
+    STRCMP_EQUAL("(none)", sent(Names::lastEventId).c_str());
+    request.headers.push_back({std::string(Names::lastEventId), "4"});
+    STRCMP_EQUAL("4", sent(Names::lastEventId).c_str());
+    STRCMP_EQUAL("9", sent(Names::lastEventId, "9").c_str());
+}
+
+TEST(RequestProtocol, onlyTheEndpointsOwnWordIsARefusal)
+{
+    Http::Headers refused = answer();
+    refused.push_back({std::string(Names::notRun), "1"});
+    CHECK_TRUE(judged(503, refused) == AnswerKind::Refused);
+    CHECK_TRUE(judged(421, {}) == AnswerKind::Refused);
+    run.repeatable = false;
+    CHECK_TRUE(judged(503, answer()) == AnswerKind::Body);
+    CHECK_TRUE(judged(500, answer()) == AnswerKind::Body);
+    run.repeatable = true;
+    CHECK_TRUE(judged(500, answer()) == AnswerKind::Failed);
+}
+
+TEST(RequestProtocol, anAnswerOfAnotherRequestOrWithoutASignatureIsNone)
+{
+    CHECK_TRUE(judged(200, answer()) == AnswerKind::Body);
+    CHECK_TRUE(judged(200, {{std::string(Names::requestId), "id-1"}}) == AnswerKind::Failed);
+    CHECK_TRUE(judged(200, {{std::string(Names::requestId), "id-2"}, {std::string(Names::signature), "s"}})
+               == AnswerKind::Failed);
+    Http::Headers events = answer();
+    events.push_back({"content-type", "text/event-stream"});
+    CHECK_TRUE(judged(200, events) == AnswerKind::Events);
+}
--- /dev/null
+++ b/Tests/Platform/siteformtest.cpp
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+#include "platform/siteform.h"
+
+#include "Base/error.h"
+#include "Base/hash.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Yokepond;
+using namespace Yokepond::Configuration;
+
+namespace {
+
+constexpr const char *configuration = R"({"version":7,"unknown":{},
+  "routes":[{"name":"r1","host":"A.example","path_prefix":"/p/","type":"streaming","timeout_ms":6000,"target_latency_ms":2000,
+             "priority":2,"backends":[{"service":"llm","weight":90},{"service":"other","weight":10}],"max_attempts":2,
+             "public":false,"stream_resume":true,"target_gap_ms":1500},
+            {"name":"r2","host":"a.example","path_prefix":"/q/","type":"non_idempotent","timeout_ms":800,
+             "target_latency_ms":150,"priority":0,"service":"other","max_attempts":1,"public":true}],
+  "services":[{"name":"llm","engine":{"slots":64,"kv_capacity":391784}},{"name":"other"}],
+  "tenants":[{"name":"town","api_keys":["k1","k2"],"priority":0}]})";
+
+} // namespace
+
+TEST_GROUP(SiteForm)
+{
+    SiteRecords records;
+
+    void setup() override
+    {
+        records.merge({RecordKind::Configuration, "config", 7, false, configuration});
+        endpoint("i-1", 8, R"({"service":"llm","address":"10.0.0.9:80","zone":"a","slots":64,"state":"ready"})");
+    }
+
+    void endpoint(const std::string &name, std::uint64_t version, const std::string &value)
+    {
+        records.merge({RecordKind::Endpoint, name, version, false, value});
+    }
+};
+
+TEST(SiteForm, aRouteBecomesAClassForEachOfItsPools)
+{
+    const auto parts = Platform::decodeSite(records);
+    CHECK_TRUE(parts.ok());
+    CHECK_EQUAL(3U, parts->classes.size());
+    const RequestClass &first = parts->classes.front();
+    CHECK_EQUAL(3, first.rank);
+    CHECK_TRUE(first.repeatable && first.resumable && first.deadlineEndsRun);
+    CHECK_EQUAL(2U, first.mostRuns);
+    CHECK_TRUE(first.deadline == std::chrono::seconds(6));
+    CHECK_TRUE(first.tokenGap == std::chrono::milliseconds(1500));
+    CHECK_EQUAL(2U, parts->routes.front().shares.size());
+    STRCMP_EQUAL("a.example", parts->routes.front().host.c_str());
+    CHECK_FALSE(parts->classes.back().repeatable);
+    CHECK_TRUE(parts->routes.back().isPublic);
+}
+
+TEST(SiteForm, anOrganisationHasAllItsKeysAndItsOwnRank)
+{
+    const auto parts = Platform::decodeSite(records);
+    const Organisation &town = parts->organisations.front();
+    CHECK_TRUE(town.keyDigests == (std::vector<std::string> {Base::sha256("k1"), Base::sha256("k2")}));
+    CHECK_EQUAL(1, *town.rank);
+}
+
+TEST(SiteForm, endpointsThatLeaveAreDrainedAndMalformedOnesLeftOut)
+{
+    endpoint("i-2", 9, R"({"service":"llm","address":"10.0.0.8:80","slots":64,"state":"draining"})");
+    endpoint("i-3", 10, "not json");
+    const auto parts = Platform::decodeSite(records);
+    CHECK_EQUAL(2U, parts->endpoints.size());
+    CHECK_FALSE(parts->endpoints[0].drained);
+    CHECK_EQUAL(391784U, parts->endpoints[0].memoryTokens);
+    CHECK_TRUE(parts->endpoints[1].drained);
+    CHECK_EQUAL(10U, parts->revision);
+}
+
+TEST(SiteForm, aBrokenConfigurationIsATypedError)
+{
+    records.merge({RecordKind::Configuration, "config", 11, false, R"({"routes":[{"name":"r1"}],"services":[]})"});
+    CHECK_TRUE(Base::errorKind(Platform::decodeSite(records).status()) == Base::ErrorKind::InvalidValue);
+    CHECK_TRUE(Base::errorKind(Platform::decodeSite({}).status()) == Base::ErrorKind::NotReady);
+}
