Base: The log's thread takes no signal; settings read again when they change; process test on a platform of records

Cause: the log writer's thread did not block signals, so that a planned stop could end the process at once (exit by SIGTERM instead of 0; found by the new process test). A platform whose version counter stands at 0 when it is first read never gave its first configuration (found by the same test). SIGHUP and changed settings were not acted on.

Change: signals are blocked in the writer's thread; SiteWatch knows a whole read from a version of 0; SettingsFile notices changes with or without a signal, seeds and policies come into force, a broken file changes nothing.

--- a/Source/Base/logwriter.cpp
+++ b/Source/Base/logwriter.cpp
@@ -3,10 +3,12 @@
 
 #include "Base/logwriter.h"
 
+#include <pthread.h>
 #include <unistd.h>
 
 #include <cerrno>
 #include <chrono>
+#include <csignal>
 #include <utility>
 
 namespace Yokepond::Base {
@@ -20,8 +22,15 @@
 
 LogWriter::LogWriter(int descriptor)
     : m_descriptor(descriptor)
-    , m_thread([this] { run(); })
 {
+    // A thread inherits what is blocked. A signal must reach the loop, which blocks it and reads it from a descriptor, and not
+    // end the process by way of this thread.
+    sigset_t all;
+    sigset_t before;
+    sigfillset(&all);
+    pthread_sigmask(SIG_BLOCK, &all, &before);
+    m_thread = std::thread([this] { run(); });
+    pthread_sigmask(SIG_SETMASK, &before, nullptr);
 }
 
 LogWriter::~LogWriter()
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -324,19 +324,16 @@
 /// What has become too late while it waited gives its place to what can still be on time.
 void Shard::refuseLate(Instant now)
 {
-    std::vector<std::pair<AskKey, Duration>> late;
+    std::vector<std::pair<QueuedAsk, Duration>> late;
     for (const QueuedAsk *ask : queuedAsks()) {
         if (const Duration by = lateness(now, *ask); by > Duration::zero()) {
-            late.emplace_back(ask->key, by);
+            late.emplace_back(*ask, by);
         }
     }
-    for (const auto &[key, by] : late) {
-        const QueuedAsk *waiting = std::visit([&](const auto &order) { return order.find(key); }, m_order);
-        if (!spendLateRefusal(waiting->terms.rank)) {
-            continue;
-        }
-        if (const auto ask = std::visit([&](auto &order) { return order.remove(key); }, m_order)) {
-            refuse(*ask, RefusalReason::TooLate, by + leastRetryAfterLate);
+    for (const auto &[ask, by] : late) {
+        if (spendLateRefusal(ask.terms.rank)) {
+            std::visit([&](auto &order) { order.remove(ask.key); }, m_order);
+            refuse(ask, RefusalReason::TooLate, by + leastRetryAfterLate);
         }
     }
 }
@@ -758,6 +755,7 @@
 std::vector<EndpointView> Shard::endpoints() const
 {
     std::vector<EndpointView> views;
+    views.reserve(m_endpoints.size());
     for (const auto &[number, state] : m_endpoints) {
         views.push_back({number, state.running, std::visit([](const auto &policy) { return policy.size(); }, state.window),
                          state.health.state(), state.drained || state.leaving,
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t mostDumpedRows = 200;
 constexpr unsigned int incarnationRandomBits = 12;
 constexpr int exitCutShort = 3;
+/// The file may change without a signal.
+constexpr Base::Duration settingsCheckPeriod = std::chrono::seconds(2);
 /// Between the end of the last request and the end of the process: its answer may still be on the way to the caller.
 constexpr Base::Duration lastAnswersSent = std::chrono::milliseconds(300);
 
@@ -38,8 +40,9 @@
 
 } // namespace
 
-Daemon::Daemon(Settings settings)
+Daemon::Daemon(Settings settings, SettingsFile file)
     : m_settings(std::move(settings))
+    , m_settingsFile(std::move(file))
     , m_incarnation(newIncarnation())
     , m_client(m_loop)
     , m_dispatcher(m_settings.name)
@@ -168,7 +171,18 @@
 
 void Daemon::reloadSettings()
 {
-    Base::log(Base::LogLevel::Info, Base::LogEvent::SettingsReloaded, {{"changed", false}});
+    const auto loaded = m_settingsFile.load();
+    if (!loaded.ok()) {
+        // Those in force stay.
+        Base::log(Base::LogLevel::Error, Base::LogEvent::SettingsRejected, {{"reason", Base::messageOf(loaded.status())}});
+        return;
+    }
+    // What the listeners and the connections were made with needs a new start.
+    m_settings.seeds = loaded->seeds;
+    m_settings.policies = loaded->policies;
+    m_settings.notReadyAfter = loaded->notReadyAfter;
+    m_fleet->seedsChanged();
+    Base::log(Base::LogLevel::Info, Base::LogEvent::SettingsReloaded, {{"seeds", m_settings.seeds}});
 }
 
 int Daemon::run()
@@ -352,6 +366,12 @@
 {
     const Base::Instant now = Base::now();
     m_fleet->tick(now);
+    if (now >= m_nextSettingsCheck) {
+        m_nextSettingsCheck = now + settingsCheckPeriod;
+        if (m_settingsFile.hasChanged()) {
+            reloadSettings();
+        }
+    }
     if (m_watch != nullptr) {
         m_watch->tick(now);
         m_fleet->noteStore(m_watch->answers());
--- a/Source/Node/daemon.h
+++ b/Source/Node/daemon.h
@@ -16,6 +16,7 @@
 #include "Node/metrics.h"
 #include "Node/queries.h"
 #include "Node/settings.h"
+#include "Node/settingsfile.h"
 #include "Node/sitewatch.h"
 #include "Peer/edge.h"
 #include "Relay/relay.h"
@@ -30,7 +31,8 @@
 class Daemon
 {
 public:
-    explicit Daemon(Settings settings);
+    /// @p file is read again when it changes.
+    Daemon(Settings settings, SettingsFile file);
     ~Daemon();
     Daemon(const Daemon &) = delete;
     Daemon &operator=(const Daemon &) = delete;
@@ -69,6 +71,8 @@
     Base::Duration ownProcessorTime() const;
 
     Settings m_settings;
+    SettingsFile m_settingsFile;
+    Base::Instant m_nextSettingsCheck {};
     std::uint64_t m_incarnation;
     Base::Loop m_loop;
     Http::Client m_client;
--- a/Source/Node/daemonprogram.cpp
+++ b/Source/Node/daemonprogram.cpp
@@ -32,9 +32,9 @@
     }
 }
 
-int runDaemon(Settings settings)
+int runDaemon(Settings settings, SettingsFile file)
 {
-    Daemon daemon(std::move(settings));
+    Daemon daemon(std::move(settings), std::move(file));
     if (absl::Status status = daemon.start(); !status.ok()) {
         return tell(status);
     }
@@ -56,11 +56,8 @@
     if (const auto code = Base::parseCommandLine(info, argc, argv, described, {}, values)) {
         return *code;
     }
-    auto ini = Base::IniFile::load(values["config"].as<std::string>());
-    if (!ini.ok()) {
-        return tell(ini.status());
-    }
-    auto settings = parseSettings(std::move(*ini));
+    SettingsFile file(values["config"].as<std::string>());
+    auto settings = file.load();
     if (!settings.ok()) {
         return tell(settings.status());
     }
@@ -71,7 +68,7 @@
     Base::configureLog(settings->logLevel, settings->name);
     raiseDescriptorLimit();
     Base::startLogWriter();
-    const int code = runDaemon(std::move(*settings));
+    const int code = runDaemon(std::move(*settings), std::move(file));
     Base::endLogWriter();
     return code;
 }
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -38,7 +38,16 @@
     , m_store(m_table, m_replica, [this] { configurationGrown(); })
     , m_shards(std::make_shared<Dispatch::ShardMap>())
 {
-    std::ranges::for_each(settings.seeds, [this](const std::string &address) { m_swim.addSeed(address); });
+    seedsChanged();
+}
+
+void Fleet::seedsChanged()
+{
+    for (const std::string &address : m_settings.seeds) {
+        if (address != m_settings.advertisedPeer) {
+            m_swim.addSeed(address);
+        }
+    }
 }
 
 void Fleet::tick(Base::Instant now)
--- a/Source/Node/fleet.h
+++ b/Source/Node/fleet.h
@@ -47,6 +47,9 @@
     void tick(Base::Instant now);
     void receive(Base::Instant now, const std::string &from, const Peer::Message &message);
 
+    /// The settings name other seeds.
+    void seedsChanged();
+
     /// Announces that this host leaves.
     void leave();
 
--- a/Source/Node/sitewatch.h
+++ b/Source/Node/sitewatch.h
@@ -87,7 +87,8 @@
     {
         Configuration::RecordKind kind {};
         Base::Duration pause {};
-        std::uint64_t since = 0; ///< 0: the whole table is to be read
+        bool readWhole = true; ///< the next call reads the whole table
+        std::uint64_t since = 0;
         bool calling = false;
         unsigned int failures = 0;
         Base::Instant next {};
@@ -103,7 +104,7 @@
     void call(Table &table)
     {
         table.calling = true;
-        const bool whole = table.since == 0;
+        const bool whole = table.readWhole;
         auto handler
             = [this, &table, whole](absl::StatusOr<Platform::FeedPage> page) { answered(table, whole, std::move(page)); };
         if (whole) {
@@ -118,7 +119,7 @@
         const Base::Instant now = Base::now();
         table.calling = false;
         if (!page.ok() && Base::errorKind(page.status()) == Base::ErrorKind::HistoryGone) {
-            table.since = 0;
+            table.readWhole = true;
             table.next = now;
             return;
         }
@@ -128,7 +129,8 @@
         }
         table.failures = 0;
         table.next = now + table.pause;
-        table.since = std::max<std::uint64_t>(page->version, 1);
+        table.since = page->version;
+        table.readWhole = false;
         tellAnswers(now);
         if (whole) {
             addMissing(table, *page);
--- /dev/null
+++ b/Tests/Integration/recordsplatform.py
@@ -0,0 +1,231 @@
+# SPDX-License-Identifier: BSD-3-Clause
+# SPDX-FileCopyrightText: 2026 yokepond maintainers
+"""Stand-ins for the platform that keeps records: its store, its endpoints, and hosts that run on it."""
+
+import base64
+import json
+import os
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+from fleet import request, wait_until
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Server:
+    """An HTTP server on a thread of its own; `respond(handler)` answers."""
+
+    def __init__(self):
+        outer = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def handle_any(self):
+                self.body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                outer.respond(self)
+
+            do_GET = do_POST = handle_any
+
+            def log_message(self, *_):
+                pass
+
+        self.http = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.http.daemon_threads = True
+        self.address = f"127.0.0.1:{self.http.server_address[1]}"
+        threading.Thread(target=self.http.serve_forever, daemon=True).start()
+
+    def stop(self):
+        self.http.shutdown()
+        self.http.server_close()
+
+
+def send(handler, status, headers, body=b""):
+    handler.send_response(status)
+    for name, value in headers.items():
+        handler.send_header(name, value)
+    handler.send_header("Content-Length", str(len(body)))
+    handler.end_headers()
+    handler.wfile.write(body)
+
+
+class Store(Server):
+    """Rows with versions from one counter, and the feed of their changes. `down`: answers nothing but 503."""
+
+    def __init__(self):
+        self.lock = threading.Condition()
+        self.rows = {}
+        self.version = 0
+        self.oldest = 0
+        self.down = False
+        super().__init__()
+
+    def put(self, table, key, value):
+        with self.lock:
+            self.version += 1
+            text = base64.b64encode(json.dumps(value).encode()).decode()
+            self.rows[(table, key)] = {"table": table, "part": "", "key_file": key, "value": text, "schema_version": self.version}
+            self.lock.notify_all()
+
+    def remove(self, table, key):
+        with self.lock:
+            self.version += 1
+            self.rows[(table, key)] = {"table": table, "part": "", "key_file": key, "deleted": True, "schema_version": self.version}
+            self.lock.notify_all()
+
+    def forget_history(self):
+        with self.lock:
+            self.version += 1
+            self.oldest = self.version
+            self.rows = {key: row for key, row in self.rows.items() if not row.get("deleted")}
+            self.lock.notify_all()
+
+    def changed(self, table, since):
+        found = [row for (owner, _), row in self.rows.items() if owner == table and row["schema_version"] > since]
+        return sorted(found, key=lambda row: row["schema_version"])
+
+    def respond(self, handler):
+        url = urlsplit(handler.path)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        with self.lock:
+            if self.down:
+                send(handler, 503, {})
+                return
+            table = query["table"]
+            if url.path == "/rows-get":
+                rows = [row for row in self.changed(table, -1) if not row.get("deleted")]
+                self.answer(handler, {"rows": rows, "has_more": False})
+                return
+            since = int(query["since_revision"])
+            until = time.monotonic() + int(query["wait_ms"]) / 1000
+            while not self.changed(table, since) and not self.down and since >= self.oldest and time.monotonic() < until:
+                self.lock.wait(0.05)
+            if self.down or since < self.oldest:
+                send(handler, 503 if self.down else 410, {})
+                return
+            self.answer(handler, {"rows": self.changed(table, since)})
+
+    def answer(self, handler, body):
+        body.update({"schema_version": self.version, "now_ms": int(time.monotonic() * 1000)})
+        send(handler, 200, {"Content-Type": "application/json"}, json.dumps(body).encode())
+
+
+class Runner(Server):
+    """An endpoint. Streams five events; `cut_after`: breaks a new stream off, within the event after so many."""
+
+    def __init__(self, name):
+        self.name = name
+        self.runs = []
+        self.cut_after = None
+        self.refuse = False
+        self.unsigned = False
+        super().__init__()
+
+    def row(self, service, state="ready"):
+        return {"service": service, "address": self.address, "zone": "a", "slots": 4, "state": state, "sequence": 1}
+
+    def respond(self, handler):
+        if handler.headers["X-Expect-Instance"] != self.name:
+            send(handler, 421, {"X-Instance-Id": self.name})
+            return
+        if self.refuse:
+            send(handler, 503, {"X-Not-Executed": "1"})
+            return
+        headers = {name.lower(): value for name, value in handler.headers.items()}
+        self.runs.append((handler.command, handler.path, headers, handler.body))
+        head = {"X-Request-Id": handler.headers["X-Request-Id"], "X-Response-Signature": "signed-by-" + self.name}
+        if self.unsigned:
+            del head["X-Response-Signature"]
+        if handler.path.startswith("/stream/"):
+            self.stream(handler, head)
+        else:
+            send(handler, 200, head, b"body of " + self.name.encode())
+
+    def stream(self, handler, head):
+        handler.send_response(200)
+        for name, value in {**head, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}.items():
+            handler.send_header(name, value)
+        handler.end_headers()
+        first = int(handler.headers.get("Last-Event-Id") or 0) + 1
+        for number in range(first, 6):
+            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            if self.cut_after is not None and first == 1 and number > self.cut_after:
+                handler.wfile.write(b"%x\r\n" % len(event[:7]) + event[:7] + b"\r\n")
+                handler.close_connection = True
+                handler.connection.shutdown(socket.SHUT_RDWR)
+                return
+            handler.wfile.write(b"%x\r\n" % len(event) + event + b"\r\n")
+        handler.wfile.write(b"0\r\n\r\n")
+
+
+CONFIGURATION = {
+    "version": 1,
+    "routes": [
+        {"name": "stream", "host": "site.example", "path_prefix": "/stream/", "type": "streaming", "timeout_ms": 6000,
+         "target_latency_ms": 2000, "priority": 0, "service": "model", "max_attempts": 2, "public": False,
+         "stream_resume": True, "target_gap_ms": 1500},
+        {"name": "once", "host": "site.example", "path_prefix": "/once/", "type": "non_idempotent", "timeout_ms": 3000,
+         "target_latency_ms": 500, "priority": 1, "service": "app", "max_attempts": 1, "public": False},
+    ],
+    "services": [{"name": "model", "engine": {"slots": 4, "kv_capacity": 100000}}, {"name": "app"}],
+    "limits": {},
+    "tenants": [{"name": "town", "api_keys": ["good-key"]}],
+}
+
+
+class Hosts:
+    """Some daemons on the store at `platform`."""
+
+    def __init__(self, binaries, platform, count):
+        self.directory = tempfile.mkdtemp(prefix="yokepond-records-")
+        ports = [[free_port() for _ in range(3)] for _ in range(count)]
+        seeds = ", ".join(f"127.0.0.1:{entry[2]}" for entry in ports)
+        self.callers = [f"127.0.0.1:{entry[0]}" for entry in ports]
+        self.operators = [f"127.0.0.1:{entry[1]}" for entry in ports]
+        self.processes = []
+        for index, (caller, operator, peer) in enumerate(ports):
+            settings = os.path.join(self.directory, f"h{index}.ini")
+            with open(settings, "w", encoding="utf-8") as file:
+                file.write(f"[host]\nname = h{index}\ndata-centre = a\n[listen]\ncaller = 127.0.0.1:{caller}\n"
+                           f"operator = 127.0.0.1:{operator}\npeer = 127.0.0.1:{peer}\n[peers]\nseeds = {seeds}\n"
+                           f"[platform]\nform = records\naddress = {platform}\ntimeout-ms = 1000\n"
+                           "[dispatch]\nwhole-pool-shards = yes\nplacement = soonest-first-token\nwindow = fixed\n"
+                           "[retries]\nshare = 0.2\nslack = 50\n[stop]\nbalancer-lag-ms = 200\nkilled-after-s = 5\n"
+                           "[test]\nfatal-invariants = yes\n")
+            log = open(os.path.join(self.directory, f"h{index}.log"), "wb")
+            self.processes.append(subprocess.Popen([os.path.join(binaries, "yokepondd"), "--config", settings], stdout=log, stderr=log))
+
+    def ready(self, index):
+        try:
+            return request(self.operators[index], "GET", "/readyz", {}).status == 200
+        except OSError:
+            return False
+
+    def wait_ready(self):
+        for index in range(len(self.callers)):
+            wait_until(lambda index=index: self.ready(index), f"host {index} to be ready")
+
+    def send(self, index, method, path, name, key="good-key", **more):
+        headers = {"Host": "site.example", "X-Request-Id": name, "X-Deadline-Ms": "5000", "X-Credential": key, **more}
+        return request(self.callers[index], method, path, headers, "payload" if method == "POST" else None)
+
+    def log(self, index):
+        with open(os.path.join(self.directory, f"h{index}.log"), encoding="utf-8") as file:
+            # The last line may not have been written whole yet.
+            return [json.loads(line) for line in file if line.endswith("\n")]
+
+    def stop(self):
+        """Ends the processes; returns their exit codes."""
+        for process in self.processes:
+            process.terminate()
+        return [process.wait(timeout=20) for process in self.processes]
--- a/Tests/Node/sitewatchtest.cpp
+++ b/Tests/Node/sitewatchtest.cpp
@@ -91,6 +91,15 @@
     CHECK_EQUAL(7U, feed.calls[endpoint]->since);
 }
 
+TEST(SiteWatch, followsAPlatformThatIsStillEmpty)
+{
+    tickAfter({});
+    answer(Platform::FeedPage {{}, 0});
+    tickAfter(std::chrono::seconds(1));
+    CHECK_FALSE(feed.calls[endpoint]->whole);
+    CHECK_EQUAL(0U, feed.calls[endpoint]->since);
+}
+
 TEST(SiteWatch, readsAnewWhenTheHistoryIsGoneAndTellsWhatIsMissing)
 {
     tickAfter({});
--- a/Utilities/tidy.sh
+++ b/Utilities/tidy.sh
@@ -8,7 +8,7 @@
 top=$(cd "$(dirname "$0")/.." && pwd)
 cd "$top"
 directory=${1:-$top/build}
-with_capnp='^(Source/(Node/daemon|Node/daemonprogram|Peer/codec|Peer/edge|Peer/packedstream)|Tests/Peer/codectest)\.cpp$'
+with_capnp='^(Source/(Node/daemon|Node/daemonprogram|Peer/codec|Peer/edge|Peer/packedstream)|Tests/Peer/codectest|Tests/Peer/edgetest)\.cpp$'
 
 lint() {
   local output
