Health, Request: Errors an endpoint answers are no break-off; a failed first run is tried elsewhere at once

Retries waited 40 to 110 ms and were then refused as too late.

Change: RunResult::AnsweredError, which ejects six in a row; the first retry asks at once; later attempts and pools without prompts are not refused late.

Tests: Health and Home, both fail without the change.

--- a/Source/Dispatch/health.cpp
+++ b/Source/Dispatch/health.cpp
@@ -13,6 +13,8 @@
 constexpr double slowFactor = 2.5; ///< times the peers' pace
 constexpr std::uint32_t leastRuns = 2; ///< before the pace is judged
 constexpr std::uint32_t mostFailures = 2; ///< in a row
+/// In a row: one request in seven answered an error would come to it once in a hundred thousand times.
+constexpr std::uint32_t mostErrors = 6;
 constexpr std::uint32_t probesToPass = 2;
 constexpr Base::Duration firstEjection = std::chrono::seconds(1);
 
@@ -26,6 +28,11 @@
 
 void Health::observe(const Observation &observation)
 {
+    if (observation.answeredError) {
+        ++m_errors;
+        return;
+    }
+    m_errors = 0;
     if (observation.failed) {
         ++m_failures;
         m_probesPassed = 0;
@@ -52,6 +59,7 @@
         m_state = HealthState::Probing;
         m_probesPassed = 0;
         m_failures = 0;
+        m_errors = 0;
         // What was seen before the ejection says nothing about now.
         m_runs = 0;
     }
@@ -90,7 +98,7 @@
 
 bool Health::isFailing() const
 {
-    return m_failures >= mostFailures || (m_state == HealthState::Probing && m_failures > 0);
+    return m_failures >= mostFailures || m_errors >= mostErrors || (m_state == HealthState::Probing && m_failures > 0);
 }
 
 bool Health::isSlow(std::optional<Base::Duration> peers) const
--- a/Source/Dispatch/health.h
+++ b/Source/Dispatch/health.h
@@ -27,7 +27,8 @@
 class Health
 {
 public:
-    /// Takes in a finished run. A failed one counts as a slow one.
+    /// Takes in a finished run. Errors that the endpoint answered count for less than runs that broke off: some applications
+    /// answer them to a share of their requests for reasons of the request.
     void observe(const Observation &observation);
 
     /// Takes in a run that has waited @p waited for its first token without getting it.
@@ -62,6 +63,7 @@
     double m_firstTokenMicroseconds = 0;
     std::uint32_t m_runs = 0;
     std::uint32_t m_failures = 0;
+    std::uint32_t m_errors = 0; ///< answered in a row
     std::uint32_t m_probesPassed = 0;
     Base::Duration m_ejection {};
     Base::Instant m_until {};
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -276,7 +276,9 @@
 /// By how much the first token must be expected to miss its target even if the ask were served next; zero if it need not.
 Duration Shard::lateness(Instant now, const QueuedAsk &ask) const
 {
-    if (!m_catalogue->policies().refuseLate) {
+    // A later attempt has cost a run already, and where no prompts are read the model tells nothing.
+    const bool modelled = std::visit([&](const auto &placement) { return placement.work(ask); }, m_placement) > Duration::zero();
+    if (!m_catalogue->policies().refuseLate || !modelled || ask.key.id.attempt > 1) {
         return Duration::zero();
     }
     const std::vector<Candidate> endpoints = usable();
@@ -447,9 +449,10 @@
         EndpointState &state = m_endpoints[permit->second.endpoint];
         const ClassTerms &terms = permit->second.terms;
         const bool failed = release.result == RunResult::Failed || release.result == RunResult::Unreachable;
-        const Observation observation {release.firstToken, release.gap, tightestFirstToken(),
-                                       terms.tokenGap,     failed,      permit->second.windowWasFull};
-        if (failed || release.tokens > 0) {
+        const bool answeredError = release.result == RunResult::AnsweredError;
+        const Observation observation {release.firstToken,           release.gap,  tightestFirstToken(), terms.tokenGap, failed,
+                                       permit->second.windowWasFull, answeredError};
+        if (failed || answeredError || release.tokens > 0) {
             std::visit([&](auto &window) { window.observe(observation, now); }, state.window);
             state.health.observe(observation);
         }
--- a/Source/Dispatch/window.h
+++ b/Source/Dispatch/window.h
@@ -22,6 +22,7 @@
     Base::Duration gapTarget {};
     bool failed = false;
     bool windowWasFull = false; ///< when the run was granted or ended
+    bool answeredError = false; ///< it answered, but with an error: it lives, and other runs may do well
 };
 
 template<typename T>
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -94,15 +94,16 @@
 };
 
 /// How a run ended, as its home saw it.
-enum class RunResult : std::uint8_t { Completed, NotStarted, Failed, Unreachable, Cancelled, Refused };
+enum class RunResult : std::uint8_t { Completed, NotStarted, Failed, Unreachable, Cancelled, Refused, AnsweredError };
 
-inline constexpr Base::NameTable<RunResult, 6> runResultNames = {{
+inline constexpr Base::NameTable<RunResult, 7> runResultNames = {{
     {RunResult::Completed, "completed"},
     {RunResult::NotStarted, "not-started"},
     {RunResult::Failed, "failed"},
     {RunResult::Unreachable, "unreachable"},
     {RunResult::Cancelled, "cancelled"},
     {RunResult::Refused, "refused"},
+    {RunResult::AnsweredError, "answered-error"},
 }};
 
 /// Gives a permit back with what the home observed.
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -23,6 +23,7 @@
 using Peer::RefusalReason;
 using Peer::RunResult;
 
+constexpr int leastErrorStatus = 400; ///< of HTTP
 constexpr std::uint8_t mostAttempts = 8;
 constexpr std::size_t mostTraceEntries = 32;
 constexpr std::size_t mostEndedTraces = 2048;
@@ -50,12 +51,12 @@
     return request.prefix.empty() ? Base::hash64(fmt::format("{}", request.id)) : request.prefix.front();
 }
 
-RunResult resultOf(RunStage stage, bool callerGone)
+RunResult resultOf(const RunReport &report)
 {
-    if (callerGone) {
+    if (report.callerGone) {
         return RunResult::Cancelled;
     }
-    switch (stage) {
+    switch (report.stage) {
     case RunStage::Stale:
         return RunResult::NotStarted;
     case RunStage::NotSent:
@@ -63,7 +64,7 @@
     case RunStage::Refused:
         return RunResult::Refused;
     case RunStage::Sent:
-        return RunResult::Failed;
+        return report.status >= leastErrorStatus ? RunResult::AnsweredError : RunResult::Failed;
     case RunStage::Whole:
         return RunResult::Completed;
     }
@@ -382,7 +383,7 @@
         return;
     }
     m_localWindow.ended(pending->endpoint);
-    const RunResult result = resultOf(report.stage, report.callerGone);
+    const RunResult result = resultOf(report);
     release(*pending, report, result);
     note(*pending, now, Step::Ended,
          fmt::format("{}, status {}, {} tokens, first after {:.1f} ms, gap {:.2f} ms", Base::nameOf(Peer::runResultNames, result),
@@ -416,7 +417,12 @@
         }
         ++m_counters.retried;
         note(pending, now, Step::Retried, fmt::format("{:.1f} retries left", budgetOf(pending).left()));
-        backOff(now, pending, firstBackOff * (1U << std::min<unsigned int>(pending.runs, 4)));
+        if (pending.runs <= 1 && !free) {
+            // Another endpoint is asked for; what may be wrong with the first does not concern it.
+            ask(now, pending);
+        } else {
+            backOff(now, pending, firstBackOff * (1U << std::min<unsigned int>(pending.runs, 4)));
+        }
         return;
     }
     if (!pending.mayHaveRun) {
--- a/Tests/Dispatch/healthtest.cpp
+++ b/Tests/Dispatch/healthtest.cpp
@@ -77,3 +77,17 @@
     }
     CHECK_EQUAL(1U, window.size());
 }
+
+TEST(Health, answeredErrorsAreFailingOnlyManyInARow)
+{
+    Observation error = observation(20);
+    error.answeredError = true;
+    for (int run = 0; run < 20; ++run) {
+        health.observe(run % 5 == 4 ? observation(20) : error);
+        CHECK_FALSE(health.isFailing());
+    }
+    for (int run = 0; run < 6; ++run) {
+        health.observe(error);
+    }
+    CHECK_TRUE(health.isFailing());
+}
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -231,3 +231,15 @@
     CHECK(failed.front().retryAfter > Base::Duration::zero());
     CHECK_EQUAL(0U, home.active());
 }
+
+TEST(Home, aFailedFirstRunIsTriedElsewhereAtOnce)
+{
+    start(1, "routine");
+    const Peer::Ask first = lastAsk();
+    grant(first, 0.1, 2);
+    home.takeActions();
+    ended(first, 0.2, RunStage::Sent);
+    const Peer::Ask second = lastAsk();
+    CHECK_EQUAL(2, second.id.attempt);
+    CHECK_EQUAL(Tests::numberOf(objects, Kind::Endpoint, "e1"), second.avoid);
+}
