SiteWatch: Lapsed records are kept by their own names; linter findings mended

Cause: a record was moved from before its key was read, so that of several endpoints dropped in an outage only one was ever believed gone (found by the linter's bugprone-use-after-move). Test: allEndpointsDroppedDuringAnOutageAreBelievedGoneLater fails before. Measured: linter clean on the files it had named; unit tests and test_records pass.

--- a/Source/Node/sitewatch.h
+++ b/Source/Node/sitewatch.h
@@ -185,7 +185,8 @@
             }
             const bool afterOutage = m_lastFailure != Base::Instant {} && now - m_lastFailure < m_options.removalGrace;
             if (record.removed && record.kind == Configuration::RecordKind::Endpoint && afterOutage) {
-                m_removals[record.key] = {std::move(record), m_lastFailure + m_options.removalGrace};
+                const std::string key = record.key;
+                m_removals[key] = {std::move(record), m_lastFailure + m_options.removalGrace};
             } else {
                 told.push_back(std::move(record));
             }
--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -71,7 +71,7 @@
     void command(Command command) override
     {
         m_mailbox->post([this, command = std::move(command)]() mutable {
-            std::visit([this](auto &&entry) { carryOut(std::move(entry)); }, std::move(command));
+            std::visit([this]<typename Entry>(Entry &&entry) { carryOut(std::forward<Entry>(entry)); }, std::move(command));
         });
     }
 
@@ -138,7 +138,7 @@
         Http::Client client(loop);
         auto server = Http::Server::listen(
             loop, m_options.listen, m_options.limits,
-            [this](std::shared_ptr<Http::Exchange> exchange) { arrived(std::move(exchange)); }, m_errorBody);
+            [this](const std::shared_ptr<Http::Exchange> &exchange) { arrived(exchange); }, m_errorBody);
         if (!server.ok()) {
             started.set_value(server.status());
             return;
@@ -170,7 +170,7 @@
 
     // --- From callers
 
-    void arrived(std::shared_ptr<Http::Exchange> exchange, bool forwarded = false)
+    void arrived(const std::shared_ptr<Http::Exchange> &exchange, bool forwarded = false)
     {
         ++m_counters.calls;
         const Http::Request &request = exchange->request();
@@ -184,7 +184,7 @@
         m_protocol.describe(request, call->state, event);
         const std::uint64_t id = call->id;
         exchange->onClosed([this, id] { callerLeft(id); });
-        call->exchange = std::move(exchange);
+        call->exchange = exchange;
         m_calls.emplace(id, std::move(call));
         m_counters.open = m_calls.size();
         m_handler(std::move(event));
--- a/Tests/Dispatch/randomtest.cpp
+++ b/Tests/Dispatch/randomtest.cpp
@@ -144,8 +144,9 @@
 
     Host makeHost(const Member &member)
     {
-        return {member, std::make_unique<Dispatch::Dispatcher>(member.name),
-                std::make_unique<Yokepond::Request::Home>(member.name, m_random())};
+        auto dispatcher = std::make_unique<Dispatch::Dispatcher>(member.name);
+        auto home = std::make_unique<Yokepond::Request::Home>(member.name, m_random());
+        return {member, std::move(dispatcher), std::move(home)};
     }
 
     bool chance(double probability)
--- a/Tests/Node/sitewatchtest.cpp
+++ b/Tests/Node/sitewatchtest.cpp
@@ -135,6 +135,19 @@
     CHECK_TRUE(told == std::vector<Record> {gone("e2", 10)});
 }
 
+TEST(SiteWatch, allEndpointsDroppedDuringAnOutageAreBelievedGoneLater)
+{
+    tickAfter({});
+    answer(Platform::FeedPage {{live("e1", 3), live("e2", 4)}, 7});
+    tickAfter(std::chrono::seconds(1));
+    fail(Base::ErrorKind::StoreUnavailable);
+    tickAfter(std::chrono::seconds(2));
+    told.clear();
+    answer(Platform::FeedPage {{gone("e1", 9), gone("e2", 10)}, 10});
+    tickAfter(std::chrono::seconds(10));
+    CHECK_TRUE(told == (std::vector<Record> {gone("e1", 9), gone("e2", 10)}));
+}
+
 TEST(SiteWatch, triesAgainLessAndLessOftenWhileThePlatformIsAway)
 {
     tickAfter({});
--- a/Tests/Peer/edgetest.cpp
+++ b/Tests/Peer/edgetest.cpp
@@ -18,14 +18,14 @@
 TEST(Edge, callsOfAConnectionGivenUpDoNotEndTheNextOne)
 {
     std::atomic<int> received = 0;
-    auto still = Edge::start({{"127.0.0.1", 0}, "127.0.0.1:1", "still", 1}, [&](Event event) {
+    auto still = Edge::start({{"127.0.0.1", 0}, "127.0.0.1:1", "still", 1}, [&](const Event &event) {
         if (std::holds_alternative<Received>(event)) {
             ++received;
         }
     });
     CHECK_TRUE(still.ok());
     std::atomic<int> lost = 0;
-    auto sender = Edge::start({{"127.0.0.1", 0}, "127.0.0.1:2", "sender", 2}, [&](Event event) {
+    auto sender = Edge::start({{"127.0.0.1", 0}, "127.0.0.1:2", "sender", 2}, [&](const Event &event) {
         if (std::holds_alternative<Lost>(event)) {
             ++lost;
         }
