--- a/Tests/Fuzz/fuzzjson.cpp
+++ b/Tests/Fuzz/fuzzjson.cpp
@@ -2,13 +2,14 @@
 // SPDX-FileCopyrightText: 2026 yokepond maintainers
 
 /// @file
-/// Fuzzes what is read as JSON: prompts, snapshots, changes, operation records, host lists.
+/// Fuzzes what is read as JSON: prompts, snapshots, changes, operation records, host lists, and the records of a platform.
 
 #include "Base/error.h"
 #include "Configuration/store.h"
 #include "Platform/hostlist.h"
 #include "Relay/prompt.h"
 #include "Request/journal.h"
+#include "platform/siteform.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -29,5 +30,14 @@
     (void)Configuration::headFromText(text);
     (void)Request::recordFromText(text);
     (void)Platform::parseHostList(text);
+    (void)Configuration::recordsFromText(text);
+    Configuration::SiteRecords records;
+    records.merge({Configuration::RecordKind::Configuration, "config", 1, false, text});
+    (void)Platform::decodeSite(records);
+    records.merge({Configuration::RecordKind::Configuration, "config", 2, false, R"({"services":[],"routes":[]})"});
+    records.merge({Configuration::RecordKind::Endpoint, "e1", 3, false, text});
+    if (!Platform::decodeSite(records).ok()) {
+        std::abort();
+    }
     return 0;
 }
