Placement: Kept prompts give way with the engine's memory; malformed prefix parts are clamped

Cause: the model's memory size was never set, so that its record of kept prompts grew without bound and prompts that gave way counted as kept; parts that sum to more than the prompt made the memory of a run wrap around. Change: placed() gets the candidate, which tells the memory; what runs takes its share; kept tokens never exceed the prompt.

--- a/Source/Dispatch/placement.cpp
+++ b/Source/Dispatch/placement.cpp
@@ -38,10 +38,10 @@
     return next == candidates.end() ? candidates.front().endpoint : next->endpoint;
 }
 
-PlacedRun RoundRobin::placed(const QueuedAsk &, std::uint32_t endpoint, Base::Instant)
+PlacedRun RoundRobin::placed(const QueuedAsk &, const Candidate &candidate, Base::Instant)
 {
-    m_last = endpoint;
-    return {.endpoint = endpoint};
+    m_last = candidate.endpoint;
+    return {.endpoint = candidate.endpoint};
 }
 
 void RoundRobin::forget(std::uint32_t)
@@ -53,9 +53,9 @@
     return leastLoaded(candidates).endpoint;
 }
 
-PlacedRun LeastLoaded::placed(const QueuedAsk &, std::uint32_t endpoint, Base::Instant)
+PlacedRun LeastLoaded::placed(const QueuedAsk &, const Candidate &candidate, Base::Instant)
 {
-    return {.endpoint = endpoint};
+    return {.endpoint = candidate.endpoint};
 }
 
 void LeastLoaded::forget(std::uint32_t)
@@ -88,8 +88,9 @@
     return holder(ask, candidates, loadOf(least) + loadSlack).value_or(least.endpoint);
 }
 
-PlacedRun PrefixAffinity::placed(const QueuedAsk &ask, std::uint32_t endpoint, Base::Instant)
+PlacedRun PrefixAffinity::placed(const QueuedAsk &ask, const Candidate &candidate, Base::Instant)
 {
+    const std::uint32_t endpoint = candidate.endpoint;
     for (const std::uint64_t prefix : ask.ask.prefix) {
         const auto [entry, added] = m_holders.try_emplace(prefix);
         if (added) {
@@ -159,9 +160,9 @@
     return std::chrono::duration_cast<Base::Duration>(std::chrono::duration<double, std::milli>(milliseconds));
 }
 
-std::uint32_t memoryOf(const QueuedAsk &ask)
+std::uint64_t memoryOf(const QueuedAsk &ask)
 {
-    return ask.ask.promptTokens + ask.ask.expectedTokens;
+    return std::uint64_t {ask.ask.promptTokens} + ask.ask.expectedTokens;
 }
 
 /// The longest beginning of the prompt that other prompts share: all but the last part, which is the request's own.
@@ -205,6 +206,12 @@
     return engine == m_engines.end() ? nullptr : &engine->second;
 }
 
+/// Tokens of @p ask's prompt that @p engine keeps; no more than the prompt has, whatever its parts claim.
+std::uint32_t SoonestFirstToken::keptOf(const Engine &engine, const QueuedAsk &ask)
+{
+    return std::min(ask.ask.promptTokens, engine.cache.kept(chainOf(ask)));
+}
+
 Base::Duration SoonestFirstToken::timeToRead(std::uint32_t tokens) const
 {
     return fromMs(static_cast<double>(tokens) / m_tokensPerMs);
@@ -243,8 +250,8 @@
                                                   Base::Instant now) const
 {
     const Engine *engine = engineOf(candidate.endpoint);
-    const std::uint32_t kept = engine == nullptr ? 0 : engine->cache.kept(chainOf(ask));
-    const std::uint32_t unread = ask.ask.promptTokens > kept ? ask.ask.promptTokens - kept : 0;
+    const std::uint32_t kept = engine == nullptr ? 0 : keptOf(*engine, ask);
+    const std::uint32_t unread = ask.ask.promptTokens - kept;
     Cost cost;
     cost.backlog = engine == nullptr ? Base::Duration::zero() : backlogOf(*engine, ask.terms.rank, now);
     cost.own = timeToRead(unread);
@@ -263,7 +270,7 @@
     const bool mostUrgent = ask.terms.tightestAbove == Base::Duration::zero();
     const double share = mostUrgent ? runningShareOfMostUrgent : runningShare;
     const auto most = static_cast<std::uint64_t>(share * static_cast<double>(candidate.memoryTokens));
-    return engine->runningTokens + memoryOf(ask) - engine->cache.kept(chainOf(ask)) <= most;
+    return engine->runningTokens + memoryOf(ask) - keptOf(*engine, ask) <= most;
 }
 
 std::optional<std::uint32_t> SoonestFirstToken::choose(const QueuedAsk &ask, std::span<const Candidate> candidates,
@@ -297,15 +304,15 @@
     return soonest;
 }
 
-PlacedRun SoonestFirstToken::placed(const QueuedAsk &ask, std::uint32_t endpoint, Base::Instant now)
+PlacedRun SoonestFirstToken::placed(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now)
 {
-    Engine &engine = m_engines[endpoint];
-    const std::uint32_t kept = engine.cache.kept(chainOf(ask));
+    Engine &engine = m_engines[candidate.endpoint];
+    const std::uint32_t kept = keptOf(engine, ask);
     PlacedRun run;
-    run.endpoint = endpoint;
+    run.endpoint = candidate.endpoint;
     // Parts that are kept are there once, whatever number of runs use them.
     run.tokens = memoryOf(ask) - kept;
-    run.unread = ask.ask.promptTokens > kept ? ask.ask.promptTokens - kept : 0;
+    run.unread = ask.ask.promptTokens - kept;
     readOn(engine, now);
     const Base::Duration backlog = backlogOf(engine, ask.terms.rank, now);
     const Base::Duration reading = timeToRead(run.unread);
@@ -315,8 +322,9 @@
     engine.unread[ask.terms.rank] += part(reading, 1.0 / readingShare);
     engine.runningTokens += run.tokens;
     engine.cache.read(chainOf(ask));
-    if (engine.memoryTokens > 0) {
-        engine.cache.shrink(engine.memoryTokens);
+    if (candidate.memoryTokens > 0) {
+        // Runs and kept prompts share the memory; what runs does not give way.
+        engine.cache.shrink(candidate.memoryTokens - std::min(candidate.memoryTokens, engine.runningTokens));
     }
     return run;
 }
--- a/Source/Dispatch/placement.h
+++ b/Source/Dispatch/placement.h
@@ -34,7 +34,7 @@
 struct PlacedRun
 {
     std::uint32_t endpoint = 0;
-    std::uint32_t tokens = 0; ///< of memory that the run may come to need
+    std::uint64_t tokens = 0; ///< of memory that the run may come to need
     std::uint32_t unread = 0; ///< of its prompt, that the endpoint had to read
     Base::Duration expected {}; ///< to the first token
     bool alone = false; ///< the endpoint had no other prompt to read
@@ -42,7 +42,8 @@
 
 template<typename T>
 concept PlacementPolicy = requires(T placement, const T &constant, const QueuedAsk &ask, std::span<const Candidate> candidates,
-                                   std::uint32_t endpoint, Base::Instant now, const PlacedRun &run, Base::Duration firstToken) {
+                                   std::uint32_t endpoint, const Candidate &candidate, Base::Instant now, const PlacedRun &run,
+                                   Base::Duration firstToken) {
     /// The endpoint to use now; nothing if waiting is better. @p candidates is never empty.
     {
         constant.choose(ask, candidates, now)
@@ -56,7 +57,7 @@
         constant.work(ask)
     } -> std::same_as<Base::Duration>;
     {
-        placement.placed(ask, endpoint, now)
+        placement.placed(ask, candidate, now)
     } -> std::same_as<PlacedRun>;
     /// @p firstToken is zero if none came.
     placement.ended(run, firstToken);
@@ -85,7 +86,7 @@
 {
 public:
     std::optional<std::uint32_t> choose(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
-    PlacedRun placed(const QueuedAsk &ask, std::uint32_t endpoint, Base::Instant now);
+    PlacedRun placed(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now);
     void forget(std::uint32_t endpoint);
 
 private:
@@ -97,7 +98,7 @@
 {
 public:
     std::optional<std::uint32_t> choose(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
-    PlacedRun placed(const QueuedAsk &ask, std::uint32_t endpoint, Base::Instant now);
+    PlacedRun placed(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now);
     void forget(std::uint32_t endpoint);
 };
 
@@ -106,7 +107,7 @@
 {
 public:
     std::optional<std::uint32_t> choose(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
-    PlacedRun placed(const QueuedAsk &ask, std::uint32_t endpoint, Base::Instant now);
+    PlacedRun placed(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now);
     void forget(std::uint32_t endpoint);
 
 private:
@@ -128,7 +129,7 @@
     std::optional<std::uint32_t> choose(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
     Base::Duration expected(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
     Base::Duration work(const QueuedAsk &ask) const;
-    PlacedRun placed(const QueuedAsk &ask, std::uint32_t endpoint, Base::Instant now);
+    PlacedRun placed(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now);
     void ended(const PlacedRun &run, Base::Duration firstToken);
     void forget(std::uint32_t endpoint);
 
@@ -139,7 +140,6 @@
         std::map<int, Base::Duration> unread; ///< by rank: time to read what has been sent; the most urgent is read first
         Base::Instant asOf {}; ///< of the times above
         std::uint64_t runningTokens = 0;
-        std::uint64_t memoryTokens = 0;
     };
 
     struct Cost
@@ -151,6 +151,7 @@
     };
 
     const Engine *engineOf(std::uint32_t endpoint) const;
+    static std::uint32_t keptOf(const Engine &engine, const QueuedAsk &ask);
     Cost costAt(const QueuedAsk &ask, const Candidate &candidate, bool preferred, Base::Instant now) const;
     bool fits(const QueuedAsk &ask, const Candidate &candidate) const;
     Base::Duration timeToRead(std::uint32_t tokens) const;
--- a/Source/Dispatch/promptcache.cpp
+++ b/Source/Dispatch/promptcache.cpp
@@ -3,6 +3,8 @@
 
 #include "Dispatch/promptcache.h"
 
+#include <algorithm>
+
 namespace Yokepond::Dispatch {
 
 std::uint32_t PromptCache::kept(const PromptChain &chain) const
@@ -25,14 +27,15 @@
     // From the end, so that a part is always used later than those that need it.
     for (std::size_t index = chain.prefix.size(); index-- > 0;) {
         const std::uint32_t before = index == 0 ? 0 : chain.tokens[index - 1];
-        const std::uint32_t own = chain.tokens[index] - before;
+        // Callers tell the lengths; they may not grow from part to part.
+        const std::uint32_t own = chain.tokens[index] - std::min(before, chain.tokens[index]);
         const auto [entry, added] = m_parts.try_emplace(chain.prefix[index]);
         if (added) {
             m_byUse.push_front(chain.prefix[index]);
-            m_tokens += own;
         } else {
             m_byUse.splice(m_byUse.begin(), m_byUse, entry->second.use);
         }
+        m_tokens = m_tokens + own - entry->second.tokens;
         entry->second = {own, m_byUse.begin()};
     }
 }
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -694,8 +694,9 @@
 
 void Shard::grant(Instant now, const QueuedAsk &ask, std::uint32_t endpoint)
 {
-    const PlacedRun placed = std::visit([&](auto &placement) { return placement.placed(ask, endpoint, now); }, m_placement);
     EndpointState &state = m_endpoints.at(endpoint);
+    const Candidate chosen {endpoint, state.running, state.running + room(state, now), state.memoryTokens};
+    const PlacedRun placed = std::visit([&](auto &placement) { return placement.placed(ask, chosen, now); }, m_placement);
     Base::require(isUsable(state), Base::Invariant::LeavingGetsNothing);
     Base::require(!m_permits.contains(ask.key), Base::Invariant::AnsweredOnce);
     ++state.running;
--- a/Tests/Dispatch/placementtest.cpp
+++ b/Tests/Dispatch/placementtest.cpp
@@ -5,6 +5,8 @@
 
 #include "Dispatch/fixtures.h"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace Yokepond;
@@ -33,7 +35,7 @@
     std::uint32_t place(const QueuedAsk &placed, double now)
     {
         const std::uint32_t endpoint = placement.choose(placed, engines, at(now)).value();
-        placement.placed(placed, endpoint, at(now));
+        placement.placed(placed, *std::ranges::find(engines, endpoint, &Candidate::endpoint), at(now));
         return endpoint;
     }
 };
@@ -59,7 +61,7 @@
 {
     for (std::uint64_t shared = 1; shared <= 3; ++shared) {
         for (Candidate &engine : engines) {
-            placement.placed(ask(100 * shared + engine.endpoint, 1, 3), engine.endpoint, at(0));
+            placement.placed(ask(100 * shared + engine.endpoint, 1, 3), engine, at(0));
         }
     }
     CHECK_FALSE(placement.choose(ask(9, 9, 3), engines, at(0.01)).has_value());
@@ -78,7 +80,30 @@
 {
     const Base::Duration idle = placement.expected(ask(5, 5), engines, at(0));
     for (const Candidate &engine : engines) {
-        placement.placed(ask(50 + engine.endpoint, 1), engine.endpoint, at(0));
+        placement.placed(ask(50 + engine.endpoint, 1), engine, at(0));
     }
     CHECK_TRUE(placement.expected(ask(5, 5), engines, at(0)) > idle);
 }
+
+TEST(SoonestFirstToken, whatGaveWayInMemoryCountsAsUnread)
+{
+    engines = {{1, 0, 64, 60'000}};
+    const PlacedRun first = placement.placed(ask(1, 100), engines.front(), at(0));
+    placement.ended(first, {});
+    CHECK_EQUAL(4'000U, placement.placed(ask(1, 101), engines.front(), at(1)).unread);
+    for (std::uint64_t other = 2; other < 8; ++other) {
+        placement.ended(placement.placed(ask(other, 100 + other), engines.front(), at(2)), {});
+    }
+    CHECK_EQUAL(17'000U, placement.placed(ask(1, 110), engines.front(), at(3)).unread);
+}
+
+TEST(SoonestFirstToken, partsThatSumToMoreThanThePromptTakeNoMoreThanItsMemory)
+{
+    QueuedAsk malformed = ask(1, 1);
+    malformed.ask.prefixTokens = {90'000, 4'000'000'000U};
+    place(malformed, 0);
+    const PlacedRun again = placement.placed(malformed, engines.front(), at(1));
+    CHECK_TRUE(again.tokens <= 17'100U);
+    CHECK_TRUE(placement.choose(ask(2, 2), engines, at(5)).has_value());
+    CHECK_TRUE(placement.choose(malformed, engines, at(5)).has_value());
+}
