SiteRecords, Fleet: Hosts tell each other of revisions and ask only for what changed

Cause: at each change of an endpoint every host sent its whole copy of the records to three others: at 78 hosts some 50 KB times 234 a change. This was most of what crossed data centres, and took the links of small hosts (10 Mbit/s) for a tenth of a second. Change: a copy knows its revision by kind and tells what changed since one; a change is announced by probes to three hosts, and a host that is behind for 300 ms, or that the store does not answer, asks for what it lacks. Changes since a revision that the receiver has not reached are passed over. The expected revision in a test of the site's form is the sum of both kinds' now.

--- a/Source/Configuration/siterecords.cpp
+++ b/Source/Configuration/siterecords.cpp
@@ -6,6 +6,7 @@
 #include "Base/error.h"
 
 #include <algorithm>
+#include <optional>
 #include <ranges>
 
 namespace Yokepond::Configuration {
@@ -44,49 +45,85 @@
     return Record {*kind, text("key"), version->get<std::uint64_t>(), removed->get<bool>(), text("value")};
 }
 
+nlohmann::json revisionsToJson(const RecordRevisions &revisions)
+{
+    return {{"configuration", revisions.configuration}, {"endpoints", revisions.endpoints}};
+}
+
+absl::StatusOr<RecordRevisions> revisionsFromJson(const nlohmann::json &json)
+{
+    const auto number = [&](const char *name) -> std::optional<std::uint64_t> {
+        const auto field = json.is_object() ? json.find(name) : json.end();
+        return json.is_object() && field != json.end() && field->is_number_unsigned() ? std::optional(field->get<std::uint64_t>())
+                                                                                      : std::nullopt;
+    };
+    const auto configuration = number("configuration");
+    const auto endpoints = number("endpoints");
+    if (!configuration || !endpoints) {
+        return invalidRecord("revisions lack that of the configuration or of the endpoints");
+    }
+    return RecordRevisions {*configuration, *endpoints};
+}
+
 } // namespace
 
+bool RecordRevisions::covers(const RecordRevisions &other) const
+{
+    return configuration >= other.configuration && endpoints >= other.endpoints;
+}
+
+std::uint64_t &SiteRecords::revisionOf(RecordKind kind)
+{
+    return kind == RecordKind::Configuration ? m_revisions.configuration : m_revisions.endpoints;
+}
+
 bool SiteRecords::merge(const Record &record)
 {
-    Record &held = m_records[{record.kind, record.key}];
-    if (record.version <= held.version) {
+    Held &held = m_records[{record.kind, record.key}];
+    if (record.version <= held.record.version) {
         return false;
     }
-    const bool unknown = held.version == 0;
-    const bool changed = unknown ? !record.removed : (held.removed != record.removed || held.value != record.value);
-    held = record;
+    const bool unknown = held.record.version == 0;
+    const bool changed
+        = unknown ? !record.removed : (held.record.removed != record.removed || held.record.value != record.value);
+    held.record = record;
     if (changed) {
-        m_revision = std::max(m_revision, record.version);
+        held.changedAt = record.version;
+        revisionOf(record.kind) = std::max(revisionOf(record.kind), record.version);
     }
     return changed;
 }
 
-bool SiteRecords::merge(const SiteRecords &other)
+bool SiteRecords::merge(const RecordChanges &changes)
 {
+    if (!m_revisions.covers(changes.since)) {
+        return false;
+    }
     bool changed = false;
-    for (const Record &record : other.m_records | std::views::values) {
+    for (const Record &record : changes.records) {
         changed = merge(record) || changed;
     }
-    raiseRevision(other.m_revision);
+    m_revisions.configuration = std::max(m_revisions.configuration, changes.revisions.configuration);
+    m_revisions.endpoints = std::max(m_revisions.endpoints, changes.revisions.endpoints);
     return changed;
 }
 
-void SiteRecords::raiseRevision(std::uint64_t revision)
+const RecordRevisions &SiteRecords::revisions() const
 {
-    m_revision = std::max(m_revision, revision);
+    return m_revisions;
 }
 
 std::uint64_t SiteRecords::revision() const
 {
-    return m_revision;
+    return m_revisions.configuration + m_revisions.endpoints;
 }
 
 std::vector<const Record *> SiteRecords::present(RecordKind kind) const
 {
     std::vector<const Record *> found;
-    for (const Record &record : m_records | std::views::values) {
-        if (record.kind == kind && !record.removed && record.version > 0) {
-            found.push_back(&record);
+    for (const Held &held : m_records | std::views::values) {
+        if (held.record.kind == kind && !held.record.removed && held.record.version > 0) {
+            found.push_back(&held.record);
         }
     }
     return found;
@@ -95,35 +132,52 @@
 std::vector<Record> SiteRecords::all() const
 {
     std::vector<Record> records;
-    std::ranges::copy(m_records | std::views::values, std::back_inserter(records));
+    std::ranges::transform(m_records | std::views::values, std::back_inserter(records), &Held::record);
     return records;
 }
 
-std::string recordsToText(const SiteRecords &records)
+RecordChanges SiteRecords::changesSince(const RecordRevisions &since) const
+{
+    RecordChanges changes {since, m_revisions, {}};
+    for (const Held &held : m_records | std::views::values) {
+        const bool isConfiguration = held.record.kind == RecordKind::Configuration;
+        if (held.changedAt > (isConfiguration ? since.configuration : since.endpoints)) {
+            changes.records.push_back(held.record);
+        }
+    }
+    return changes;
+}
+
+std::string changesToText(const RecordChanges &changes)
 {
     nlohmann::json list = nlohmann::json::array();
-    std::ranges::transform(records.all(), std::back_inserter(list), recordToJson);
-    const nlohmann::json whole = {{"revision", records.revision()}, {"records", list}};
+    std::ranges::transform(changes.records, std::back_inserter(list), recordToJson);
+    const nlohmann::json whole = {
+        {"since", revisionsToJson(changes.since)}, {"revisions", revisionsToJson(changes.revisions)}, {"records", list}};
     return whole.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-absl::StatusOr<SiteRecords> recordsFromText(std::string_view text)
+absl::StatusOr<RecordChanges> changesFromText(std::string_view text)
 {
     const nlohmann::json whole = nlohmann::json::parse(text, nullptr, false);
-    const bool complete = whole.is_object() && whole.contains("records") && whole.contains("revision");
-    if (!complete || !whole["records"].is_array() || !whole["revision"].is_number_unsigned()) {
-        return invalidRecord("expected an object with a list of records and their revision");
+    const bool complete = whole.is_object() && whole.contains("records") && whole.contains("since") && whole.contains("revisions");
+    if (!complete || !whole["records"].is_array()) {
+        return invalidRecord("expected an object with a list of records, and the revisions they lie between");
     }
-    SiteRecords records;
+    const auto since = revisionsFromJson(whole["since"]);
+    const auto revisions = revisionsFromJson(whole["revisions"]);
+    if (!since.ok() || !revisions.ok()) {
+        return since.ok() ? revisions.status() : since.status();
+    }
+    RecordChanges changes {*since, *revisions, {}};
     for (const nlohmann::json &entry : whole["records"]) {
-        const auto record = recordFromJson(entry);
+        auto record = recordFromJson(entry);
         if (!record.ok()) {
             return record.status();
         }
-        records.merge(*record);
+        changes.records.push_back(std::move(*record));
     }
-    records.raiseRevision(whole["revision"].get<std::uint64_t>());
-    return records;
+    return changes;
 }
 
 } // namespace Yokepond::Configuration
--- a/Source/Configuration/siterecords.h
+++ b/Source/Configuration/siterecords.h
@@ -38,17 +38,40 @@
     bool operator==(const Record &) const = default;
 };
 
+/// How far a copy has come: of each kind, the highest version at which a record's state changed.
+struct RecordRevisions
+{
+    std::uint64_t configuration = 0;
+    std::uint64_t endpoints = 0;
+
+    bool operator==(const RecordRevisions &) const = default;
+
+    /// Whether nothing is missing here that a copy at @p other has.
+    bool covers(const RecordRevisions &other) const;
+};
+
+/// What changed between two revisions of a copy, for another host.
+struct RecordChanges
+{
+    RecordRevisions since;
+    RecordRevisions revisions;
+    std::vector<Record> records;
+};
+
 class SiteRecords
 {
 public:
     /// Takes @p record if its version is higher than that of the state held; returns whether its state differs from it.
     bool merge(const Record &record);
 
-    /// Takes over the records of another host's copy; returns whether any state held here changed.
-    bool merge(const SiteRecords &other);
+    /// Takes over what changed in another host's copy; returns whether any state held here changed. Changes since a revision
+    /// that this copy has not reached would leave a gap: they are passed over.
+    bool merge(const RecordChanges &changes);
+
+    /// Versions that heartbeats raise do not count, so that equal copies come to have equal revisions.
+    const RecordRevisions &revisions() const;
 
-    /// The highest version at which a record's state changed, here or in a copy merged into this one. Versions that
-    /// heartbeats raise do not count, so that equal copies come to have equal revisions.
+    /// One number that grows with every change of either kind, and is equal for equal copies.
     std::uint64_t revision() const;
 
     /// Records of @p kind that are there, by key.
@@ -57,18 +80,26 @@
     /// All records, the removed ones among them.
     std::vector<Record> all() const;
 
-    /// For a copy that came as text.
-    void raiseRevision(std::uint64_t revision);
+    /// Records whose state changed after @p since, the removed ones among them.
+    RecordChanges changesSince(const RecordRevisions &since) const;
 
 private:
-    std::map<std::pair<RecordKind, std::string>, Record> m_records;
-    std::uint64_t m_revision = 0;
+    struct Held
+    {
+        Record record;
+        std::uint64_t changedAt = 0; ///< the version at which its state came to be what it is
+    };
+
+    std::uint64_t &revisionOf(RecordKind kind);
+
+    std::map<std::pair<RecordKind, std::string>, Held> m_records;
+    RecordRevisions m_revisions;
 };
 
-/// @p records as text, for peers.
-std::string recordsToText(const SiteRecords &records);
+/// @p changes as text, for peers.
+std::string changesToText(const RecordChanges &changes);
 
 /// Fails with ErrorKind::InvalidValue.
-absl::StatusOr<SiteRecords> recordsFromText(std::string_view text);
+absl::StatusOr<RecordChanges> changesFromText(std::string_view text);
 
 } // namespace Yokepond::Configuration
--- a/Source/Membership/swim.cpp
+++ b/Source/Membership/swim.cpp
@@ -75,6 +75,13 @@
     m_revision = revision;
 }
 
+void Swim::tellRevision(std::size_t count)
+{
+    for (const std::string &name : randomOthers(count, m_self.name)) {
+        send(name, Probe {++m_sequence, {}, m_revision, digest(), {}});
+    }
+}
+
 void Swim::tick(Base::Instant now)
 {
     checkProbe(now);
--- a/Source/Membership/swim.h
+++ b/Source/Membership/swim.h
@@ -52,6 +52,9 @@
     /// The revision of the configuration, carried on probes.
     void setRevision(std::uint64_t revision);
 
+    /// Tells @p count others of the revision at once; the rest learn of it by the usual probes.
+    void tellRevision(std::size_t count);
+
     /// Call at least every probe timeout.
     void tick(Base::Instant now);
 
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -22,6 +22,9 @@
 constexpr Base::Duration hostListPeriod = std::chrono::seconds(1);
 constexpr Base::Duration hostListPeriodPerHost = std::chrono::milliseconds(20);
 constexpr Base::Duration pullPeriod = std::chrono::milliseconds(200);
+/// A host that follows the store itself learns of a change a little earlier or later than its peers; only after this does it
+/// ask them. Shorter than the pause between two calls of the store, which bounds how far hosts are apart.
+constexpr Base::Duration feedPatience = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -158,16 +161,29 @@
 
 void Fleet::pullIfBehind(Base::Instant now, const std::string &from, std::uint64_t revision)
 {
-    if (revision > this->revision() && now >= m_nextPull) {
-        m_nextPull = now + pullPeriod;
-        m_events.send(addressOf(from), Peer::ChangesRequest {this->revision()});
+    if (revision <= this->revision()) {
+        return;
+    }
+    if (m_newestHeardOf <= this->revision()) {
+        m_behindSince = now;
     }
+    m_newestHeardOf = std::max(m_newestHeardOf, revision);
+    const bool feedMayTell = keepsRecords() && m_storeAnswers && now - m_behindSince < feedPatience;
+    if (feedMayTell || now < m_nextPull) {
+        return;
+    }
+    m_nextPull = now + pullPeriod;
+    const Configuration::RecordRevisions &known = m_records.revisions();
+    m_events.send(addressOf(from),
+                  keepsRecords() ? Peer::ChangesRequest {known.configuration, known.endpoints}
+                                 : Peer::ChangesRequest {this->revision()});
 }
 
 void Fleet::receive(Base::Instant, const std::string &from, const Peer::ChangesRequest &request)
 {
     if (keepsRecords()) {
-        m_events.send(addressOf(from), Peer::Changes {recordsToText(m_records), {}});
+        const auto changes = m_records.changesSince({request.since, request.endpointsSince});
+        m_events.send(addressOf(from), Peer::Changes {changesToText(changes), {}});
         return;
     }
     Configuration::Update update = m_replica.updateSince(request.since);
@@ -177,7 +193,7 @@
 void Fleet::receive(Base::Instant, const std::string &, const Peer::Changes &changes)
 {
     if (keepsRecords()) {
-        const auto records = Configuration::recordsFromText(changes.snapshot);
+        const auto records = Configuration::changesFromText(changes.snapshot);
         if (!records.ok()) {
             Base::log(Base::LogLevel::Warning, Base::LogEvent::ConfigurationIgnored,
                       {{"reason", Base::messageOf(records.status())}});
@@ -320,7 +336,9 @@
         Base::log(Base::LogLevel::Warning, Base::LogEvent::ConfigurationIgnored,
                   {{"revision", m_records.revision()}, {"reason", Base::messageOf(parts.status())}});
     }
-    spread(Peer::Changes {recordsToText(m_records), {}});
+    // The others follow the store too; those that it does not serve ask for what they lack.
+    m_swim.tellRevision(spreadTo);
+    flushMembership();
 }
 
 void Fleet::noteStore(bool answers)
--- a/Source/Node/fleet.h
+++ b/Source/Node/fleet.h
@@ -119,6 +119,8 @@
     Base::Instant m_nextPoll {};
     Base::Instant m_nextHostList {};
     Base::Instant m_nextPull {};
+    std::uint64_t m_newestHeardOf = 0; ///< revision that a peer has told of
+    Base::Instant m_behindSince {}; ///< when a peer first told of a revision that is not here yet
     Base::Instant m_storeContact {};
     bool m_polling = false;
     bool m_storeAnswers = false;
--- a/Source/Peer/codec.cpp
+++ b/Source/Peer/codec.cpp
@@ -218,7 +218,9 @@
 
     void operator()(const ChangesRequest &request)
     {
-        message.initChangesRequest().setSince(request.since);
+        auto builder = message.initChangesRequest();
+        builder.setSince(request.since);
+        builder.setEndpointsSince(request.endpointsSince);
     }
 
     void operator()(const Changes &changes)
@@ -408,7 +410,7 @@
     case Wire::Message::ACKNOWLEDGEMENT:
         return decodeNews<Acknowledgement>(reader.getAcknowledgement());
     case Wire::Message::CHANGES_REQUEST:
-        return ChangesRequest {reader.getChangesRequest().getSince()};
+        return ChangesRequest {reader.getChangesRequest().getSince(), reader.getChangesRequest().getEndpointsSince()};
     case Wire::Message::CHANGES:
         return decodeChanges(reader.getChanges());
     case Wire::Message::GATHER:
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -178,6 +178,7 @@
 struct ChangesRequest
 {
     std::uint64_t since = 0;
+    std::uint64_t endpointsSince = 0; ///< where endpoints have versions apart from the configuration's
 };
 
 struct Changes
--- a/Source/Peer/peer.capnp
+++ b/Source/Peer/peer.capnp
@@ -105,6 +105,7 @@
 
 struct ChangesRequest {
   since @0 :UInt64;
+  endpointsSince @1 :UInt64;   # where endpoints have versions apart from the configuration's
 }
 
 struct Changes {
--- a/Source/Peer/peer.capnp.h
+++ b/Source/Peer/peer.capnp.h
@@ -225,7 +225,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e2a345a59c89083a, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e2a345a59c89083a, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1621,6 +1621,8 @@
 
   inline  ::uint64_t getSince() const;
 
+  inline  ::uint64_t getEndpointsSince() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1652,6 +1654,9 @@
   inline  ::uint64_t getSince();
   inline void setSince( ::uint64_t value);
 
+  inline  ::uint64_t getEndpointsSince();
+  inline void setEndpointsSince( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4086,6 +4091,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t ChangesRequest::Reader::getEndpointsSince() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ChangesRequest::Builder::getEndpointsSince() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ChangesRequest::Builder::setEndpointsSince( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Changes::Reader::hasSnapshot() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Tests/Configuration/siterecordstest.cpp
+++ b/Tests/Configuration/siterecordstest.cpp
@@ -52,23 +52,72 @@
     set("e1", 5, "value");
     SiteRecords later;
     later.merge({RecordKind::Endpoint, "e1", 8, false, "value"});
-    CHECK_FALSE(records.merge(later));
+    CHECK_FALSE(records.merge(later.changesSince(records.revisions())));
     CHECK_EQUAL(later.revision(), records.revision());
+    CHECK_TRUE(later.revisions() == records.revisions());
+}
+
+TEST(SiteRecords, changesAreThoseAfterARevision)
+{
+    set("e1", 5, "value");
+    set("e2", 6, "value");
+    const RecordRevisions before = records.revisions();
+    set("e1", 9, "other");
+    remove("e2", 10);
+    set("e3", 11, "value");
+    records.merge({RecordKind::Configuration, "config", 3, false, "whole"});
+    const RecordChanges changes = records.changesSince(before);
+    CHECK_EQUAL(4U, changes.records.size());
+    CHECK_TRUE(records.changesSince(records.revisions()).records.empty());
+    CHECK_TRUE(changes.revisions.covers(before));
+    CHECK_FALSE(before.covers(changes.revisions));
+}
+
+TEST(SiteRecords, aHeartbeatIsNoChangeToTell)
+{
+    set("e1", 5, "value");
+    const RecordRevisions before = records.revisions();
+    set("e1", 8, "value");
+    CHECK_TRUE(records.changesSince(before).records.empty());
+}
+
+TEST(SiteRecords, aChangeOfEitherKindRaisesTheRevision)
+{
+    set("e1", 120, "value");
+    const std::uint64_t before = records.revision();
+    records.merge({RecordKind::Configuration, "config", 100, false, "whole"});
+    CHECK_TRUE(records.revision() > before);
+}
+
+TEST(SiteRecords, changesThatWouldLeaveAGapArePassedOver)
+{
+    SiteRecords other;
+    other.merge({RecordKind::Endpoint, "e1", 5, false, "value"});
+    const RecordRevisions reached = other.revisions();
+    other.merge({RecordKind::Endpoint, "e2", 6, false, "value"});
+    CHECK_FALSE(records.merge(other.changesSince(reached)));
+    CHECK_EQUAL(0U, records.revision());
+    CHECK_TRUE(records.merge(other.changesSince({})));
+    CHECK_EQUAL(2U, records.present(RecordKind::Endpoint).size());
 }
 
 TEST(SiteRecords, textCarriesAllOfThem)
 {
     set("e1", 5, "value");
-    remove("e2", 6);
-    const auto read = recordsFromText(recordsToText(records));
+    remove("e1", 6);
+    set("e2", 7, "value");
+    const auto read = changesFromText(changesToText(records.changesSince({})));
     CHECK_TRUE(read.ok());
-    CHECK_TRUE(read->all() == records.all());
-    CHECK_EQUAL(records.revision(), read->revision());
+    CHECK_TRUE(read->records == records.all());
+    CHECK_TRUE(read->revisions == records.revisions());
 }
 
 TEST(SiteRecords, malformedTextIsAnError)
 {
-    for (const char *text : {"", "[]", "{}", R"({"revision":1,"records":[{}]})", R"({"revision":"1","records":[]})"}) {
-        CHECK_FALSE(recordsFromText(text).ok());
+    for (const char *text :
+         {"", "[]", "{}", R"({"since":{},"revisions":{},"records":[]})",
+          R"({"since":{"configuration":0,"endpoints":0},"revisions":{"configuration":1,"endpoints":1},"records":[{}]})",
+          R"({"since":{"configuration":0,"endpoints":"0"},"revisions":{"configuration":1,"endpoints":1},"records":[]})"}) {
+        CHECK_FALSE(changesFromText(text).ok());
     }
 }
--- a/Tests/Fuzz/fuzzjson.cpp
+++ b/Tests/Fuzz/fuzzjson.cpp
@@ -30,7 +30,7 @@
     (void)Configuration::headFromText(text);
     (void)Request::recordFromText(text);
     (void)Platform::parseHostList(text);
-    (void)Configuration::recordsFromText(text);
+    (void)Configuration::changesFromText(text);
     Configuration::SiteRecords records;
     records.merge({Configuration::RecordKind::Configuration, "config", 1, false, text});
     (void)Platform::decodeSite(records);
--- a/Tests/Platform/siteformtest.cpp
+++ b/Tests/Platform/siteformtest.cpp
@@ -74,7 +74,8 @@
     CHECK_FALSE(parts->endpoints[0].drained);
     CHECK_EQUAL(391784U, parts->endpoints[0].memoryTokens);
     CHECK_TRUE(parts->endpoints[1].drained);
-    CHECK_EQUAL(10U, parts->revision);
+    CHECK_EQUAL(records.revision(), parts->revision);
+    CHECK_EQUAL(17U, parts->revision);
 }
 
 TEST(SiteForm, aBrokenConfigurationIsATypedError)
