ShardMap: Hosts with the most processor dispatch

Cause: on the grown sites a shard's dispatcher was as often a host with 0.12 of a core and 10 Mbit/s as one with 0.5 and 200. Change: a host tells what processor it may use ([host] cores); among the hosts of a shard's data centre the largest go first.

--- a/Source/Dispatch/shardmap.cpp
+++ b/Source/Dispatch/shardmap.cpp
@@ -45,7 +45,8 @@
     const auto preference = [&](const Member &member) {
         const bool stays = member.state != MemberState::Leaving;
         const bool near = member.dataCentre == shard.dataCentre;
-        return std::tuple(stays, near, Base::hash64(member.name, shard.id));
+        // Its work grows with the fleet: a small host among larger ones would run out of processor time first.
+        return std::tuple(stays, near, member.milliCores, Base::hash64(member.name, shard.id));
     };
     const auto best = std::ranges::max_element(members, {}, preference);
     return best == members.end() ? std::string() : best->name;
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -86,7 +86,8 @@
                              m_settings.advertisedPeer,
                              m_settings.dataCentre,
                              m_settings.operatorListen.text(),
-                             m_settings.callerListen.text()};
+                             m_settings.callerListen.text(),
+                             m_settings.milliCores};
     m_fleet = std::make_unique<Fleet>(m_settings, m_client, m_incarnation, self,
                                       FleetEvents {.send =
                                                        [this](const std::string &address, Peer::Message message) {
--- a/Source/Node/queries.cpp
+++ b/Source/Node/queries.cpp
@@ -246,11 +246,12 @@
 
 Answer Queries::hosts() const
 {
-    Answer answer {{"name", "state", "data-centre", "incarnation", "peer", "caller", "operator"}, {}, {}};
+    Answer answer {{"name", "state", "data-centre", "cores", "incarnation", "peer", "caller", "operator"}, {}, {}};
     for (const auto &[name, member] : m_fleet.members()) {
         answer.rows.push_back({{"name", name},
                                {"state", Base::nameOf(Peer::memberStateNames, member.state)},
                                {"data-centre", member.dataCentre},
+                               {"cores", member.milliCores / 1000.0},
                                {"incarnation", fmt::format("{:x}", member.incarnation)},
                                {"peer", member.address},
                                {"caller", member.callerAddress},
--- a/Source/Node/settings.cpp
+++ b/Source/Node/settings.cpp
@@ -156,6 +156,8 @@
     Settings settings;
     settings.name = requiredName(ini, "host", "name");
     settings.dataCentre = requiredName(ini, "host", "data-centre");
+    constexpr double perCore = 1000.0;
+    settings.milliCores = static_cast<std::uint32_t>(ini.decimal("host", "cores", 0.0, 0.0, 1024.0) * perCore);
     settings.callerListen = requiredAddress(ini, "listen", "caller");
     settings.operatorListen = requiredAddress(ini, "listen", "operator");
     settings.peerListen = requiredAddress(ini, "listen", "peer");
--- a/Source/Node/settings.h
+++ b/Source/Node/settings.h
@@ -51,6 +51,7 @@
 {
     std::string name;
     std::string dataCentre;
+    std::uint32_t milliCores = 0; ///< of processor that this host may use; 0 if not known
     Base::Address callerListen;
     Base::Address operatorListen;
     Base::Address peerListen;
--- a/Source/Peer/codec.cpp
+++ b/Source/Peer/codec.cpp
@@ -73,6 +73,7 @@
     builder.setDataCentre(member.dataCentre);
     builder.setOperatorAddress(member.operatorAddress);
     builder.setCallerAddress(member.callerAddress);
+    builder.setMilliCores(member.milliCores);
 }
 
 template<typename Builder>
@@ -94,7 +95,7 @@
         }
         members.push_back({toString(entry.getName()), entry.getIncarnation(), entry.getVersion(), *state,
                            toString(entry.getAddress()), toString(entry.getDataCentre()), toString(entry.getOperatorAddress()),
-                           toString(entry.getCallerAddress())});
+                           toString(entry.getCallerAddress()), entry.getMilliCores()});
     }
     return members;
 }
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -152,6 +152,7 @@
     std::string dataCentre;
     std::string operatorAddress;
     std::string callerAddress;
+    std::uint32_t milliCores = 0; ///< of processor that the host may use; 0 if not known
 
     bool operator==(const Member &) const = default;
 };
--- a/Source/Peer/peer.capnp
+++ b/Source/Peer/peer.capnp
@@ -85,6 +85,7 @@
   dataCentre @5 :Text;
   operatorAddress @6 :Text;
   callerAddress @7 :Text;
+  milliCores @8 :UInt32;       # processor it may use; 0 if not known
 }
 
 struct Probe {
--- a/Source/Peer/peer.capnp.h
+++ b/Source/Peer/peer.capnp.h
@@ -180,7 +180,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c44c66deb78ea452, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(c44c66deb78ea452, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1292,6 +1292,8 @@
   inline bool hasCallerAddress() const;
   inline  ::capnp::Text::Reader getCallerAddress() const;
 
+  inline  ::uint32_t getMilliCores() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1364,6 +1366,9 @@
   inline void adoptCallerAddress(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownCallerAddress();
 
+  inline  ::uint32_t getMilliCores();
+  inline void setMilliCores( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3857,6 +3862,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Member::Reader::getMilliCores() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getMilliCores() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setMilliCores( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t Probe::Reader::getSequence() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Tests/Dispatch/shardmaptest.cpp
+++ b/Tests/Dispatch/shardmaptest.cpp
@@ -27,7 +27,7 @@
         }
         catalogue = Configuration::Catalogue::build(Tests::objectsOf(statements));
         for (int index = 0; index < 9; ++index) {
-            members.push_back({fmt::format("h{}", index), 1, 1, MemberState::Alive, "", fmt::format("d{}", index % 3), "", ""});
+            members.push_back({fmt::format("h{}", index), 1, 1, MemberState::Alive, "", fmt::format("d{}", index % 3), "", "", 0});
         }
     }
 };
@@ -51,6 +51,16 @@
     }
 }
 
+TEST(ShardMap, dispatchersAreThoseWithTheMostProcessorOfTheirDataCentre)
+{
+    for (Member &member : members) {
+        member.milliCores = member.name < "h3" ? 500 : 120;
+    }
+    for (const ShardInfo &shard : ShardMap(*catalogue, members).shards()) {
+        CHECK_TRUE(shard.dispatcher < "h3");
+    }
+}
+
 TEST(ShardMap, aHostThatGoesMovesOnlyItsOwnShards)
 {
     const ShardMap before(*catalogue, members);
