Placement: What ended runs left unread is not waited for; the learned reading speed is logged

A scratch log of the shards each second showed 247 asks waiting at a shard with 39 runs, and engines with no run at all that were believed to have 2.7 s of prompts to read: the model took reading off by time alone, also that of runs that had ended. Ruled out: the learned speed (logged now: 45 to 57 tokens a ms there), memory of runs, ejections (one). Change: an engine has no more to read than the prompts of the runs under way there. The shard was also the smallest of three (19 of 87 engines for a third of the asks): next.

--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 28> eventNames = {{
+constexpr NameTable<LogEvent, 29> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -33,6 +33,7 @@
     {LogEvent::RequestAbandoned, "request-abandoned"},
     {LogEvent::EndpointEjected, "endpoint-ejected"},
     {LogEvent::EndpointReturned, "endpoint-returned"},
+    {LogEvent::ReadingSpeedLearned, "reading-speed-learned"},
     {LogEvent::MemberChanged, "member-changed"},
     {LogEvent::PeerConnected, "peer-connected"},
     {LogEvent::PeerLost, "peer-lost"},
--- a/Source/Base/log.h
+++ b/Source/Base/log.h
@@ -39,6 +39,7 @@
     RequestAbandoned,
     EndpointEjected,
     EndpointReturned,
+    ReadingSpeedLearned,
     MemberChanged,
     PeerConnected,
     PeerLost,
--- a/Source/Dispatch/placement.cpp
+++ b/Source/Dispatch/placement.cpp
@@ -4,10 +4,12 @@
 #include "Dispatch/placement.h"
 
 #include "Base/hash.h"
+#include "Base/log.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <ranges>
 
 namespace Yokepond::Dispatch {
@@ -145,6 +147,8 @@
 constexpr double latestShareIfFaster = 0.3;
 constexpr double latestShareIfSlower = 0.02;
 constexpr std::uint32_t leastTokensToLearn = 4000;
+/// Of the belief that was logged last.
+constexpr double leastLoggedChange = 0.2;
 constexpr double slowestTokensPerMs = 4.0;
 constexpr double fastestTokensPerMs = 400.0;
 /// Between an ask and the end of its reading, beside the reading itself: the way to the engine, and the first token.
@@ -319,7 +323,10 @@
     run.alone = std::ranges::all_of(engine.unread | std::views::values,
                                     [](Base::Duration time) { return time == Base::Duration::zero(); });
     run.expected = backlog + reading;
-    engine.unread[ask.terms.rank] += part(reading, 1.0 / readingShare);
+    run.rank = ask.terms.rank;
+    run.reading = part(reading, 1.0 / readingShare);
+    engine.unread[run.rank] += run.reading;
+    engine.underWay[run.rank] += run.reading;
     engine.runningTokens += run.tokens;
     engine.cache.read(chainOf(ask));
     if (candidate.memoryTokens > 0) {
@@ -335,14 +342,33 @@
     if (engine == m_engines.end()) {
         return;
     }
-    engine->second.runningTokens -= std::min<std::uint64_t>(engine->second.runningTokens, run.tokens);
+    engine->second.runningTokens -= std::min(engine->second.runningTokens, run.tokens);
+    // What an ended run left unread will not be read: there is no more to read than the prompts of those under way.
+    Base::Duration &underWay = engine->second.underWay[run.rank];
+    underWay = std::max(Base::Duration::zero(), underWay - run.reading);
+    Base::Duration &unread = engine->second.unread[run.rank];
+    unread = std::min(unread, underWay);
     // Behind other prompts the time tells of the model's errors rather than of the engine's speed.
     if (run.alone && firstToken > Base::Duration::zero() && run.unread >= leastTokensToLearn) {
-        const Base::Duration reading = std::max(firstToken - overhead, firstToken / 2);
-        const double ratio = std::clamp(Base::milliseconds(run.expected) / Base::milliseconds(reading), 0.5, 2.0);
-        const double change = m_tokensPerMs * ratio - m_tokensPerMs;
-        const double share = change > 0 ? latestShareIfFaster : latestShareIfSlower;
-        m_tokensPerMs = std::clamp(m_tokensPerMs + share * change, slowestTokensPerMs, fastestTokensPerMs);
+        learnSpeed(run, firstToken);
+    }
+}
+
+void SoonestFirstToken::learnSpeed(const PlacedRun &run, Base::Duration firstToken)
+{
+    const Base::Duration reading = std::max(firstToken - overhead, firstToken / 2);
+    const double ratio = std::clamp(Base::milliseconds(run.expected) / Base::milliseconds(reading), 0.5, 2.0);
+    const double change = m_tokensPerMs * ratio - m_tokensPerMs;
+    const double share = change > 0 ? latestShareIfFaster : latestShareIfSlower;
+    m_tokensPerMs = std::clamp(m_tokensPerMs + share * change, slowestTokensPerMs, fastestTokensPerMs);
+    if (std::abs(m_tokensPerMs - m_loggedTokensPerMs) > leastLoggedChange * m_loggedTokensPerMs) {
+        m_loggedTokensPerMs = m_tokensPerMs;
+        Base::log(Base::LogLevel::Info, Base::LogEvent::ReadingSpeedLearned,
+                  {{"tokens-per-ms", m_tokensPerMs},
+                   {"endpoint", run.endpoint},
+                   {"unread", run.unread},
+                   {"expected-ms", Base::milliseconds(run.expected)},
+                   {"first-token-ms", Base::milliseconds(firstToken)}});
     }
 }
 
--- a/Source/Dispatch/placement.h
+++ b/Source/Dispatch/placement.h
@@ -36,6 +36,8 @@
     std::uint32_t endpoint = 0;
     std::uint64_t tokens = 0; ///< of memory that the run may come to need
     std::uint32_t unread = 0; ///< of its prompt, that the endpoint had to read
+    int rank = 0; ///< with which the endpoint reads it
+    Base::Duration reading {}; ///< time that the endpoint needs for it, beside the tokens of others
     Base::Duration expected {}; ///< to the first token
     bool alone = false; ///< the endpoint had no other prompt to read
 };
@@ -138,6 +140,7 @@
     {
         PromptCache cache;
         std::map<int, Base::Duration> unread; ///< by rank: time to read what has been sent; the most urgent is read first
+        std::map<int, Base::Duration> underWay; ///< by rank: the reading times of all runs that have not ended
         Base::Instant asOf {}; ///< of the times above
         std::uint64_t runningTokens = 0;
     };
@@ -159,7 +162,10 @@
     static void readOn(Engine &engine, Base::Instant now);
 
     std::map<std::uint32_t, Engine> m_engines;
+    void learnSpeed(const PlacedRun &run, Base::Duration firstToken);
+
     double m_tokensPerMs = 30.0; ///< read by an engine; learned, the start is that of a large model on one accelerator
+    double m_loggedTokensPerMs = m_tokensPerMs;
 };
 
 static_assert(PlacementPolicy<SoonestFirstToken>);
--- a/Tests/Dispatch/placementtest.cpp
+++ b/Tests/Dispatch/placementtest.cpp
@@ -107,3 +107,18 @@
     CHECK_TRUE(placement.choose(ask(2, 2), engines, at(5)).has_value());
     CHECK_TRUE(placement.choose(malformed, engines, at(5)).has_value());
 }
+
+TEST(SoonestFirstToken, whatAnEndedRunLeftUnreadIsNotWaitedFor)
+{
+    const Base::Duration idle = placement.expected(ask(5, 500), engines, at(0));
+    std::vector<PlacedRun> runs;
+    for (const Candidate &engine : engines) {
+        runs.push_back(placement.placed(ask(50 + engine.endpoint, 501), engine, at(0)));
+        runs.push_back(placement.placed(ask(60 + engine.endpoint, 502, 2), engine, at(0)));
+    }
+    CHECK_TRUE(placement.expected(ask(5, 500, 2), engines, at(0.01)) > idle);
+    for (const PlacedRun &run : runs) {
+        placement.ended(run, {});
+    }
+    CHECK_TRUE(placement.expected(ask(5, 500, 2), engines, at(0.01)) == idle);
+}
