ShardMap, Placement: Shards of one size; a prompt goes where its reading slows fewer runs

Change: rendezvous hashing with bounded loads for shards; each run at an engine adds a tenth of a prompt's reading time to the cost of reading it there. Two tests, one failed first.

--- a/Source/Dispatch/placement.cpp
+++ b/Source/Dispatch/placement.cpp
@@ -142,6 +142,8 @@
 constexpr double readAgainFactor = 2.5;
 /// What a full window adds to the cost of an engine: each token comes slower the more run there.
 constexpr double fullWindowMs = 300.0;
+/// Each run at an engine waits for its tokens while another's prompt is read.
+constexpr double slowsOthers = 0.1;
 /// Of the latest observation, when the reading speed is learned. A run that was faster than expected shows what an engine can
 /// do; one that was slower may have met work that the model does not know of.
 constexpr double latestShareIfFaster = 0.3;
@@ -261,7 +263,8 @@
     cost.own = timeToRead(unread);
     cost.kept = kept;
     const double readFactor = preferred ? 1.0 : readAgainFactor;
-    cost.load = Base::milliseconds(cost.backlog) + Base::milliseconds(cost.own) * readFactor + loadOf(candidate) * fullWindowMs;
+    cost.load = Base::milliseconds(cost.backlog) + Base::milliseconds(cost.own) * readFactor + loadOf(candidate) * fullWindowMs
+        + Base::milliseconds(cost.own) * candidate.running * slowsOthers;
     return cost;
 }
 
--- a/Source/Dispatch/shardmap.cpp
+++ b/Source/Dispatch/shardmap.cpp
@@ -32,12 +32,22 @@
     return static_cast<std::uint32_t>(Base::hash64(fmt::format("{}/{}/{}", group.pool, group.dataCentre, index)));
 }
 
-/// Rendezvous hashing (Thaler and Ravishankar, 1998): the candidate with the highest hash wins, so that one that comes or
-/// goes moves only its own.
-std::size_t shardOfEndpoint(const Endpoint &endpoint, std::size_t shards)
+/// The shards of one group; each gets the same share of the asks, so that their sizes must not differ. Rendezvous hashing
+/// (Thaler and Ravishankar, 1998) with bounded loads (Mirrokni, Thorup and Zadimoghaddam, 2018): the shard with the highest
+/// hash wins unless it is full, so that an endpoint that comes or goes moves few others.
+std::vector<std::vector<const Endpoint *>> divide(std::vector<const Endpoint *> endpoints, std::size_t shards)
 {
-    const auto indexes = std::views::iota(std::size_t {0}, shards);
-    return *std::ranges::max_element(indexes, {}, [&](std::size_t index) { return Base::hash64(endpoint.name, index + 1); });
+    const std::size_t most = (endpoints.size() + shards - 1) / shards;
+    std::vector<std::vector<const Endpoint *>> divided(shards);
+    // The order decides who finds a shard full; it must be the same on all hosts.
+    std::ranges::sort(endpoints, {}, [](const Endpoint *endpoint) { return Base::hash64(endpoint->name); });
+    for (const Endpoint *endpoint : endpoints) {
+        auto open = std::views::iota(std::size_t {0}, shards)
+            | std::views::filter([&](std::size_t index) { return divided[index].size() < most; });
+        const auto weight = [&](std::size_t index) { return Base::hash64(endpoint->name, index + 1); };
+        divided[*std::ranges::max_element(open, {}, weight)].push_back(endpoint);
+    }
+    return divided;
 }
 
 std::string chooseDispatcher(const ShardInfo &shard, const std::vector<Member> &members)
@@ -69,8 +79,10 @@
             shards[index] = {shardId(key, index), key.pool, key.dataCentre, static_cast<std::uint32_t>(index), {}, {}};
             shards[index].dispatcher = chooseDispatcher(shards[index], members);
         }
-        for (const Endpoint *endpoint : endpoints) {
-            shards[shardOfEndpoint(*endpoint, count)].endpoints.push_back(endpoint->number);
+        const auto divided = divide(endpoints, count);
+        for (std::size_t index = 0; index < count; ++index) {
+            std::ranges::transform(divided[index], std::back_inserter(shards[index].endpoints), &Endpoint::number);
+            std::ranges::sort(shards[index].endpoints);
         }
         std::ranges::move(shards, std::back_inserter(m_shards));
     }
--- a/Tests/Dispatch/shardmaptest.cpp
+++ b/Tests/Dispatch/shardmaptest.cpp
@@ -42,6 +42,37 @@
     CHECK_EQUAL(60U, endpoints);
 }
 
+TEST(ShardMap, shardsOfOneDataCentreDifferByOneEndpointAtMost)
+{
+    const ShardMap map(*catalogue, members);
+    for (const ShardInfo &shard : map.shards()) {
+        CHECK_TRUE(shard.endpoints.size() == 6 || shard.endpoints.size() == 7);
+    }
+}
+
+TEST(ShardMap, anEndpointThatGoesMovesFewOthers)
+{
+    const ShardMap before(*catalogue, members);
+    std::string statements = "create pool main\ncreate setting shard-size value 8\n";
+    for (int index = 0; index < 57; ++index) {
+        statements += fmt::format("create endpoint e{} pool main address 127.0.0.1:{} data-centre d{}\n", index, 1000 + index,
+                                  index % 3);
+    }
+    const auto smaller = Configuration::Catalogue::build(Tests::objectsOf(statements));
+    const ShardMap after(*smaller, members);
+    const auto shardOf = [](const ShardMap &map, std::uint32_t endpoint) {
+        const auto shard = std::ranges::find_if(map.shards(), [&](const ShardInfo &candidate) {
+            return std::ranges::find(candidate.endpoints, endpoint) != candidate.endpoints.end();
+        });
+        return shard == map.shards().end() ? 0U : shard->id;
+    };
+    const auto moved = std::ranges::count_if(smaller->endpoints(), [&](const Configuration::Endpoint &endpoint) {
+        const auto same = std::ranges::find(catalogue->endpoints(), endpoint.name, &Configuration::Endpoint::name);
+        return shardOf(before, same->number) != shardOf(after, endpoint.number);
+    });
+    CHECK_TRUE(moved <= 57 / 4);
+}
+
 TEST(ShardMap, dispatchersAreOfTheShardsDataCentre)
 {
     const ShardMap map(*catalogue, members);
