Home: Asks served locally are withdrawn; hosts that are not dispatchers are soon done without

Ruled out: the endpoints (three, healthy, 30 ms a call), ejections, the retry budget. Change: a home withdraws the ask that its own window serves, and uses that window after two refusals in a row by hosts whose view differs. Measured: two tests failed first.

--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -37,6 +37,9 @@
 /// Another host can take the request at once.
 constexpr Duration leastRetryAfter = std::chrono::milliseconds(1);
 constexpr Duration firstBackOff = std::chrono::milliseconds(20);
+/// After so many refusals in a row by hosts that do not see themselves as the dispatcher, a home does without: after a restart
+/// of the whole fleet views differ for seconds.
+constexpr unsigned int mostMisdirected = 2;
 constexpr double percent = 100.0;
 /// A host that has just started may not know the others yet; it must not take their parts of a shared reserve.
 constexpr std::size_t leastHostsSharing = 6;
@@ -255,7 +258,9 @@
         return;
     }
     ++m_counters.localRuns;
-    // An answer of the dispatcher to the attempt asked for must not start a second run.
+    // An answer of the dispatcher to the attempt asked for must not start a second run. If it still has the ask, others get its
+    // place.
+    withdraw(pending);
     ++pending.attempt;
     note(pending, now, Step::LocalWindow, fmt::format("dispatcher {} cannot be reached", pending.dispatcher));
     beginRun(now, pending, *endpoint, now + std::chrono::seconds(1));
@@ -267,6 +272,7 @@
     pending.phase = Phase::Running;
     pending.endpoint = endpoint;
     ++pending.runs;
+    pending.misdirected = 0;
     m_localWindow.started(endpoint);
     const Configuration::Endpoint *object = m_catalogue->endpointNumbered(endpoint);
     note(pending, now, Step::Started, fmt::format("endpoint {}", object == nullptr ? "?" : object->name));
@@ -357,7 +363,13 @@
     case RefusalReason::NotDispatcher:
     case RefusalReason::UnknownClass:
         // Views of the membership or the configuration differ for a moment.
-        backOff(now, *pending, firstBackOff);
+        ++pending->misdirected;
+        if (pending->misdirected >= mostMisdirected) {
+            tryLocalWindow(now, *pending);
+        }
+        if (pending->phase == Phase::Asking) {
+            backOff(now, *pending, firstBackOff);
+        }
         break;
     }
 }
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -114,6 +114,7 @@
         std::uint32_t sends = 0; ///< of these, those of which the endpoint may have seen something
         bool mayHaveRun = false; ///< some run's request may have been processed; never taken back
         bool heard = false; ///< the dispatcher has told that the ask waits there
+        unsigned int misdirected = 0; ///< refusals in a row by hosts whose view differs from this one's
         Base::Instant askedAt {};
         Base::Duration repeatAfter {}; ///< an ask that is not answered is sent again
         Base::Instant retryAt {};
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -145,6 +145,34 @@
     CHECK_TRUE(after.age == std::chrono::seconds(1));
 }
 
+TEST(Home, anAskThatTheLocalWindowServesIsWithdrawn)
+{
+    start(1, "alert");
+    const Peer::Ask ask = lastAsk();
+    home.tick(at(0.5));
+    CHECK_EQUAL(1U, home.counters().localRuns);
+    std::vector<Peer::AttemptId> withdrawn;
+    for (const SendToMember &sent : actions<SendToMember>()) {
+        if (const auto *message = std::get_if<Peer::Withdrawal>(&sent.message)) {
+            withdrawn.push_back(message->id);
+        }
+    }
+    CHECK_EQUAL(1U, withdrawn.size());
+    CHECK_TRUE(withdrawn.front() == ask.id);
+}
+
+TEST(Home, hostsThatDoNotSeeThemselvesAsTheDispatcherAreSoonDoneWithout)
+{
+    start(1, "alert");
+    for (int refusal = 0; refusal < 2; ++refusal) {
+        const Peer::Ask ask = lastAsk();
+        home.receive(at(refusal), "h2", Peer::Refusal {ask.id, Peer::RefusalReason::NotDispatcher, {}, 0});
+        home.tick(at(refusal + 0.5));
+    }
+    CHECK_EQUAL(1U, home.counters().localRuns);
+    CHECK_EQUAL(1U, actions<StartRun>().size());
+}
+
 TEST(Home, suspectedDispatcherIsBridgedByALocalWindow)
 {
     const std::string dispatcher = Dispatch::ShardMap(*catalogue, members).shards().front().dispatcher;
