Fleet, SiteWatch: Eight hosts follow the store, the others ask them

Weighed: fewer, longer calls (history and outages bound the wait); a leader (its loss costs a failover); all hosts asking peers by what they last heard (no host would be sure to follow). Change: rendezvous hashing picks [platform] followers (8) among the members; the others hear of revisions by probes and ask for what changed. A host that knows no configuration, or has heard of no other host for 1.2 s, follows the store itself. Fleets of up to eight hosts behave as before.

--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -374,8 +374,11 @@
         }
     }
     if (m_watch != nullptr) {
-        m_watch->tick(now);
-        m_fleet->noteStore(m_watch->answers());
+        const bool follows = m_fleet->followsStore(now);
+        m_watch->tick(now, follows);
+        if (follows) {
+            m_fleet->noteStore(m_watch->answers());
+        }
     }
     m_dispatcher.tick(now);
     m_home.tick(now);
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -7,6 +7,7 @@
 #include "Base/invariant.h"
 #include "Base/log.h"
 #include "Base/text.h"
+#include "Membership/duty.h"
 
 #include <fmt/format.h>
 
@@ -26,6 +27,10 @@
 /// ask them. Shorter than the pause between two calls of the store, which bounds how far hosts are apart.
 constexpr Base::Duration feedPatience = std::chrono::milliseconds(300);
 
+constexpr std::string_view followDuty = "follow-store";
+/// A host hears of another at least once a period of the membership; after three, what it hears of changes may be out of date.
+constexpr Base::Duration peersSilentAfter = std::chrono::milliseconds(1200);
+
 } // namespace
 
 Fleet::Fleet(const Settings &settings, Http::Client &client, std::uint64_t incarnation, Peer::Member self, FleetEvents events,
@@ -168,7 +173,7 @@
         m_behindSince = now;
     }
     m_newestHeardOf = std::max(m_newestHeardOf, revision);
-    const bool feedMayTell = keepsRecords() && m_storeAnswers && now - m_behindSince < feedPatience;
+    const bool feedMayTell = keepsRecords() && m_isFollower && m_storeAnswers && now - m_behindSince < feedPatience;
     if (feedMayTell || now < m_nextPull) {
         return;
     }
@@ -253,6 +258,7 @@
 {
     m_seenGeneration = m_swim.generation();
     m_shards = std::make_shared<Dispatch::ShardMap>(*catalogue(), present());
+    m_isFollower = Membership::isPicked(m_settings.name, followDuty, present(), m_settings.storeFollowers);
     for (const auto &[name, before] : m_lastMembers) {
         const auto now = members().find(name);
         const bool gone = now == members().end() || now->second.state == Peer::MemberState::Dead;
@@ -350,6 +356,12 @@
     }
 }
 
+bool Fleet::followsStore(Base::Instant now) const
+{
+    const bool alone = now - m_swim.lastContact() > peersSilentAfter;
+    return m_isFollower || alone || m_siteCatalogue->routes().empty();
+}
+
 std::uint64_t Fleet::revision() const
 {
     return keepsRecords() ? m_records.revision() : m_replica.revision();
--- a/Source/Node/fleet.h
+++ b/Source/Node/fleet.h
@@ -82,6 +82,10 @@
 
     bool storeAnswers() const;
 
+    /// Whether this host is to follow the platform's records itself. In a large fleet a few do, and the others ask them for
+    /// what changed; a host that knows no configuration or hears of no other host does so too.
+    bool followsStore(Base::Instant now) const;
+
 private:
     void receive(Base::Instant now, const std::string &from, const Peer::Probe &probe);
     void receive(Base::Instant now, const std::string &from, const Peer::Acknowledgement &acknowledgement);
@@ -125,6 +129,7 @@
     bool m_polling = false;
     bool m_storeAnswers = false;
     bool m_storeEverAnswered = false;
+    bool m_isFollower = true; ///< picked by the present membership
 };
 
 } // namespace Yokepond::Node
--- a/Source/Node/settings.h
+++ b/Source/Node/settings.h
@@ -61,6 +61,7 @@
     Base::Address platform;
     Base::Duration platformTimeout {};
     Base::Duration configurationPoll {};
+    std::size_t storeFollowers = 8; ///< hosts that follow the platform's records; the others ask them
     Base::Duration notReadyAfter {}; ///< cut off from the table and all peers
     Http::ServerLimits callerLimits;
     Membership::SwimOptions membership;
--- a/Source/Node/sitewatch.h
+++ b/Source/Node/sitewatch.h
@@ -59,11 +59,12 @@
         m_tables[1].pause = options.endpointPause;
     }
 
-    void tick(Base::Instant now)
+    /// @p active: whether new calls are to be made. One that is under way is waited for in any case.
+    void tick(Base::Instant now, bool active = true)
     {
         tellRemovals(now);
         for (Table &table : m_tables) {
-            if (!table.calling && now >= table.next) {
+            if (active && !table.calling && now >= table.next) {
                 call(table);
             }
         }
--- a/Tests/Node/sitewatchtest.cpp
+++ b/Tests/Node/sitewatchtest.cpp
@@ -162,3 +162,16 @@
     CHECK_TRUE(calls >= 1 && calls <= 3);
     CHECK_TRUE(answers == std::vector<bool> {false});
 }
+
+TEST(SiteWatch, anInactiveOneTakesWhatIsUnderWayAndMakesNoCalls)
+{
+    tickAfter({});
+    answer(Platform::FeedPage {{live("e1", 3)}, 7});
+    watch.tick(Base::now() + std::chrono::seconds(1), false);
+    CHECK_FALSE(feed.calls[endpoint].has_value());
+    watch.tick(Base::now() + std::chrono::seconds(1), true);
+    CHECK_EQUAL(7U, feed.calls[endpoint]->since);
+    watch.tick(Base::now() + std::chrono::seconds(2), false);
+    answer(Platform::FeedPage {{live("e2", 8)}, 8});
+    CHECK_EQUAL(2U, told.size());
+}
