SiteWatch: Held calls last 2.5 s, so that one that hangs is given up in time

The calls were made while the store was in trouble and were swallowed; it was well again since. The fault was there with all hosts following, too: all of them hung alike. Change: a held call is asked for 2.5 s instead of 10 s.

--- a/Source/Node/sitewatch.h
+++ b/Source/Node/sitewatch.h
@@ -24,8 +24,10 @@
 /// Pauses and waits of a watch; the defaults are for a platform that bounds changes of endpoints to two seconds.
 struct SiteWatchOptions
 {
-    /// A held call is asked for this long: shorter than the platform's history, so that a call that found nothing can go on.
-    Base::Duration wait = std::chrono::seconds(10);
+    /// A held call is asked for this long. The platform may swallow calls of all hosts while it is in trouble; they hang until
+    /// given up, [platform] timeout-ms later than this. From 3 s after such trouble a leaving endpoint must be known within
+    /// 2 s, so that a call may hang for 4 s.
+    Base::Duration wait = std::chrono::milliseconds(2500);
     /// Between an answer about endpoints and the next call: heartbeats may end each held call at once, and calls cost.
     Base::Duration endpointPause = std::chrono::milliseconds(400);
     Base::Duration configurationPause = std::chrono::milliseconds(20);
--- a/Tests/Node/sitewatchtest.cpp
+++ b/Tests/Node/sitewatchtest.cpp
@@ -28,12 +28,14 @@
         calls[kind] = Call {true, 0, std::move(handler)};
     }
 
-    void follow(RecordKind kind, std::uint64_t since, Base::Duration, Platform::FeedHandler handler)
+    void follow(RecordKind kind, std::uint64_t since, Base::Duration wait, Platform::FeedHandler handler)
     {
+        waited = wait;
         calls[kind] = Call {false, since, std::move(handler)};
     }
 
     std::map<RecordKind, std::optional<Call>> calls;
+    Base::Duration waited {};
 };
 
 constexpr RecordKind endpoint = RecordKind::Endpoint;
@@ -175,3 +177,15 @@
     answer(Platform::FeedPage {{live("e2", 8)}, 8});
     CHECK_EQUAL(2U, told.size());
 }
+
+TEST(SiteWatch, aCallThatHangsIsGivenUpBeforeALeavingEndpointMustBeKnown)
+{
+    tickAfter({});
+    answer(Platform::FeedPage {{live("e1", 3)}, 7});
+    tickAfter(std::chrono::seconds(1));
+    const Base::Duration givenUpLater = std::chrono::milliseconds(1500);
+    const Base::Duration hostsCountAsInTouch = std::chrono::seconds(3);
+    const Base::Duration leavingKnownWithin = std::chrono::seconds(2);
+    const Base::Duration nextCall = std::chrono::seconds(1);
+    CHECK_TRUE(feed.waited + givenUpLater + nextCall <= hostsCountAsInTouch + leavingKnownWithin);
+}
