LocalWindow: Homes without their dispatcher spread their runs

Its log: when a dispatcher left, 71 homes used their own windows, and each chose the first idle endpoint of the same list: one engine got 71 runs at once, and requests waited there until their deadline. Ruled out: the engine itself (healthy before and after), the dispatcher's model. Change: among equals an endpoint is chosen by rendezvous hashing of the prompt's shared beginning, as the dispatcher does for prompts that no engine keeps; plain calls by a random number. The hashing stands in one place for both.

--- a/Source/Dispatch/placement.cpp
+++ b/Source/Dispatch/placement.cpp
@@ -3,10 +3,8 @@
 
 #include "Dispatch/placement.h"
 
-#include "Base/hash.h"
 #include "Base/log.h"
-
-#include <fmt/format.h>
+#include "Dispatch/preference.h"
 
 #include <algorithm>
 #include <cmath>
@@ -171,19 +169,12 @@
     return std::uint64_t {ask.ask.promptTokens} + ask.ask.expectedTokens;
 }
 
-/// The longest beginning of the prompt that other prompts share: all but the last part, which is the request's own.
-std::uint64_t sharedBeginning(const QueuedAsk &ask)
-{
-    const std::vector<std::uint64_t> &prefix = ask.ask.prefix;
-    return prefix.empty() ? 0 : prefix[prefix.size() > 1 ? prefix.size() - 2 : 0];
-}
-
 /// Where a prompt that no engine keeps is best read: the same on every host by rendezvous hashing, so that a dispatcher that
 /// takes over sends prompts where its predecessor did.
 std::uint32_t preferredEndpoint(const QueuedAsk &ask, std::span<const Candidate> candidates)
 {
-    const std::uint64_t shared = sharedBeginning(ask);
-    const auto weight = [&](const Candidate &candidate) { return Base::hash64(fmt::format("{}", candidate.endpoint), shared); };
+    const std::uint64_t shared = sharedBeginning(ask.ask.prefix);
+    const auto weight = [&](const Candidate &candidate) { return preferenceWeight(candidate.endpoint, shared); };
     return std::ranges::max_element(candidates, {}, weight)->endpoint;
 }
 
--- /dev/null
+++ b/Source/Dispatch/preference.cpp
@@ -0,0 +1,25 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+#include "Dispatch/preference.h"
+
+#include "Base/hash.h"
+
+#include <fmt/format.h>
+
+namespace Yokepond::Dispatch {
+
+std::uint64_t sharedBeginning(std::span<const std::uint64_t> prefix)
+{
+    if (prefix.empty()) {
+        return 0;
+    }
+    return prefix.size() > 1 ? prefix[prefix.size() - 2] : prefix.front();
+}
+
+std::uint64_t preferenceWeight(std::uint32_t endpoint, std::uint64_t shared)
+{
+    return Base::hash64(fmt::format("{}", endpoint), shared);
+}
+
+} // namespace Yokepond::Dispatch
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -5,6 +5,7 @@
 
 #include "Base/hash.h"
 #include "Base/invariant.h"
+#include "Dispatch/preference.h"
 
 #include <fmt/format.h>
 
@@ -253,7 +254,9 @@
     if (shard == nullptr) {
         return;
     }
-    const auto endpoint = m_localWindow.choose(*shard, *m_catalogue, m_hosts);
+    const std::vector<std::uint64_t> &prefix = pending.request.prefix;
+    const std::uint64_t shared = prefix.empty() ? m_random() : Dispatch::sharedBeginning(prefix);
+    const auto endpoint = m_localWindow.choose(*shard, *m_catalogue, m_hosts, shared);
     if (!endpoint) {
         return;
     }
--- a/Source/Request/localwindow.cpp
+++ b/Source/Request/localwindow.cpp
@@ -3,7 +3,11 @@
 
 #include "Request/localwindow.h"
 
+#include "Dispatch/preference.h"
+
 #include <algorithm>
+#include <ranges>
+#include <utility>
 
 namespace Yokepond::Request {
 
@@ -20,26 +24,26 @@
     }
 }
 
+std::uint32_t LocalWindow::running(std::uint32_t endpoint) const
+{
+    const auto entry = m_running.find(endpoint);
+    return entry == m_running.end() ? 0 : entry->second;
+}
+
 std::optional<std::uint32_t> LocalWindow::choose(const Dispatch::ShardInfo &shard, const Configuration::Catalogue &catalogue,
-                                                 std::size_t hosts) const
+                                                 std::size_t hosts, std::uint64_t shared) const
 {
-    std::optional<std::uint32_t> best;
-    std::uint32_t fewest = 0;
-    for (const std::uint32_t number : shard.endpoints) {
+    const auto divisor = static_cast<std::uint32_t>(std::max<std::size_t>(1, hosts));
+    const auto hasRoom = [&](std::uint32_t number) {
         const Configuration::Endpoint *endpoint = catalogue.endpointNumbered(number);
-        if (endpoint == nullptr || endpoint->drained) {
-            continue;
-        }
-        const auto entry = m_running.find(number);
-        const std::uint32_t running = entry == m_running.end() ? 0 : entry->second;
-        const auto share
-            = std::max<std::uint32_t>(1, endpoint->slots / static_cast<std::uint32_t>(std::max<std::size_t>(1, hosts)));
-        if (running < share && (!best || running < fewest)) {
-            best = number;
-            fewest = running;
-        }
-    }
-    return best;
+        return endpoint != nullptr && !endpoint->drained && running(number) < std::max(1U, endpoint->slots / divisor);
+    };
+    auto open = shard.endpoints | std::views::filter(hasRoom);
+    const auto rank = [&](std::uint32_t number) {
+        return std::pair(running(number), ~Dispatch::preferenceWeight(number, shared));
+    };
+    const auto best = std::ranges::min_element(open, {}, rank);
+    return best == open.end() ? std::nullopt : std::optional(*best);
 }
 
 } // namespace Yokepond::Request
--- a/Source/Request/localwindow.h
+++ b/Source/Request/localwindow.h
@@ -23,11 +23,14 @@
     void ended(std::uint32_t endpoint);
 
     /// The endpoint of @p shard with the fewest of this home's runs that is below its slots divided by @p hosts (at least
-    /// one); nothing if there is none.
+    /// one); nothing if there is none. Among equals, the one that is preferred for what begins with @p shared: homes that all
+    /// do without their dispatcher at one time must not all choose the same.
     std::optional<std::uint32_t> choose(const Dispatch::ShardInfo &shard, const Configuration::Catalogue &catalogue,
-                                        std::size_t hosts) const;
+                                        std::size_t hosts, std::uint64_t shared) const;
 
 private:
+    std::uint32_t running(std::uint32_t endpoint) const;
+
     std::map<std::uint32_t, std::uint32_t> m_running;
 };
 
