--- /dev/null
+++ b/Source/Dispatch/poolterms.cpp
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+#include "Dispatch/poolterms.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Yokepond::Dispatch {
+
+using Base::Duration;
+using Configuration::RequestClass;
+
+PoolTerms::PoolTerms(std::shared_ptr<const Configuration::Catalogue> catalogue, std::uint32_t pool)
+    : m_catalogue(std::move(catalogue))
+    , m_pool(pool)
+{
+}
+
+std::vector<const RequestClass *> PoolTerms::classes() const
+{
+    std::vector<const RequestClass *> found;
+    for (const RequestClass &requestClass : m_catalogue->classes()) {
+        if (requestClass.pool == m_pool) {
+            found.push_back(&requestClass);
+        }
+    }
+    return found;
+}
+
+Duration PoolTerms::tightestAbove(int rank) const
+{
+    Duration tightest = Duration::max();
+    for (const RequestClass *requestClass : classes()) {
+        tightest = requestClass->rank < rank ? std::min(tightest, requestClass->firstToken) : tightest;
+    }
+    return tightest == Duration::max() ? Duration::zero() : tightest;
+}
+
+ClassTerms PoolTerms::of(const RequestClass &requestClass) const
+{
+    return of(requestClass, requestClass.rank);
+}
+
+ClassTerms PoolTerms::of(const RequestClass &requestClass, int rank) const
+{
+    const int effective = rank == 0 ? requestClass.rank : rank;
+    return {requestClass.number,     effective, requestClass.firstToken, requestClass.tokenGap, requestClass.starvationBound,
+            tightestAbove(effective)};
+}
+
+int PoolTerms::lowestRank() const
+{
+    int lowest = 0;
+    for (const RequestClass *requestClass : classes()) {
+        lowest = std::max(lowest, requestClass->rank);
+    }
+    return lowest;
+}
+
+Duration PoolTerms::tightestFirstToken() const
+{
+    Duration tightest = Duration::max();
+    for (const RequestClass *requestClass : classes()) {
+        tightest = std::min(tightest, requestClass->firstToken);
+    }
+    return tightest;
+}
+
+} // namespace Yokepond::Dispatch
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -36,9 +36,6 @@
 constexpr Duration leastRetryAfter = std::chrono::milliseconds(500);
 /// On top of the time by which an ask would be late: the next try must not meet just the same.
 constexpr Duration leastRetryAfterLate = std::chrono::milliseconds(100);
-/// Of the asks of a tier above the lowest, this share may be refused as too late, and so many at once.
-constexpr double lateRefusalShare = 0.07;
-constexpr double mostLateRefusals = 4.0;
 constexpr Duration mostRetryAfter = std::chrono::seconds(30);
 /// A permit is given up by its home's report only if it is older: the grant may still be on its way.
 constexpr Duration reportGrace = std::chrono::seconds(3);
@@ -115,8 +112,7 @@
     for (QueuedAsk &ask : waiting) {
         // A class that was deleted meanwhile leaves its asks their last terms.
         if (const RequestClass *requestClass = m_catalogue->classNumbered(ask.ask.requestClass)) {
-            ask.terms = termsOf(*requestClass);
-            setRank(ask.terms, ask.ask.rank);
+            ask.terms = poolTerms().of(*requestClass, ask.ask.rank);
         }
         enqueue(ask);
     }
@@ -156,30 +152,9 @@
     pump(now);
 }
 
-ClassTerms Shard::termsOf(const RequestClass &requestClass) const
+PoolTerms Shard::poolTerms() const
 {
-    return {requestClass.number,          requestClass.rank,
-            requestClass.firstToken,      requestClass.tokenGap,
-            requestClass.starvationBound, tightestAbove(requestClass.rank)};
-}
-
-Duration Shard::tightestAbove(int rank) const
-{
-    Duration tightest = Duration::max();
-    for (const RequestClass &requestClass : m_catalogue->classes()) {
-        const bool above = requestClass.pool == m_info.pool && requestClass.rank < rank;
-        tightest = above ? std::min(tightest, requestClass.firstToken) : tightest;
-    }
-    return tightest == Duration::max() ? Duration::zero() : tightest;
-}
-
-/// An ask's own rank goes before that of its class.
-void Shard::setRank(ClassTerms &terms, int rank) const
-{
-    if (rank != 0) {
-        terms.rank = rank;
-        terms.tightestAbove = tightestAbove(rank);
-    }
+    return {m_catalogue, m_info.pool};
 }
 
 void Shard::enqueue(const QueuedAsk &ask)
@@ -214,8 +189,7 @@
         refuse(queued, RefusalReason::UnknownClass);
         return;
     }
-    queued.terms = termsOf(*requestClass);
-    setRank(queued.terms, message.rank);
+    queued.terms = poolTerms().of(*requestClass, message.rank);
     if (const auto reason = reasonForNone()) {
         refuse(queued, *reason);
         return;
@@ -224,9 +198,9 @@
         refuse(queued, RefusalReason::DeadlinePassed);
         return;
     }
-    double &refusals = m_lateRefusals[queued.terms.rank];
-    refusals = std::min(mostLateRefusals, refusals + lateRefusalShare);
-    if (const Duration late = lateness(now, queued); late > Duration::zero() && spendLateRefusal(queued.terms.rank)) {
+    m_lateRefusals.earn(queued.terms.rank);
+    if (const Duration late = lateness(now, queued);
+        late > Duration::zero() && m_lateRefusals.spend(queued.terms.rank, poolTerms().lowestRank())) {
         refuse(queued, RefusalReason::TooLate, late + leastRetryAfterLate);
         return;
     }
@@ -301,28 +275,6 @@
     return work;
 }
 
-int Shard::lowestRank() const
-{
-    int lowest = 0;
-    for (const RequestClass &requestClass : m_catalogue->classes()) {
-        lowest = requestClass.pool == m_info.pool ? std::max(lowest, requestClass.rank) : lowest;
-    }
-    return lowest;
-}
-
-/// Of the tiers above the lowest only few are refused as too late, for the room is being given to the tiers below: the rest
-/// is served late.
-bool Shard::spendLateRefusal(int rank)
-{
-    if (rank >= lowestRank()) {
-        return true;
-    }
-    double &left = m_lateRefusals[rank];
-    const bool may = left >= 1.0;
-    left -= may ? 1.0 : 0.0;
-    return may;
-}
-
 /// What has become too late while it waited gives its place to what can still be on time.
 void Shard::refuseLate(Instant now)
 {
@@ -332,8 +284,9 @@
             late.emplace_back(*ask, by);
         }
     }
+    const int lowestRank = poolTerms().lowestRank();
     for (const auto &[ask, by] : late) {
-        if (spendLateRefusal(ask.terms.rank)) {
+        if (m_lateRefusals.spend(ask.terms.rank, lowestRank)) {
             std::visit([&](auto &order) { order.remove(ask.key); }, m_order);
             refuse(ask, RefusalReason::TooLate, by + leastRetryAfterLate);
         }
@@ -450,8 +403,9 @@
         const ClassTerms &terms = permit->second.terms;
         const bool failed = release.result == RunResult::Failed || release.result == RunResult::Unreachable;
         const bool answeredError = release.result == RunResult::AnsweredError;
-        const Observation observation {release.firstToken,           release.gap,  tightestFirstToken(), terms.tokenGap, failed,
-                                       permit->second.windowWasFull, answeredError};
+        const Observation observation {release.firstToken, release.gap, poolTerms().tightestFirstToken(),
+                                       terms.tokenGap,     failed,      permit->second.windowWasFull,
+                                       answeredError};
         if (failed || answeredError || release.tokens > 0) {
             std::visit([&](auto &window) { window.observe(observation, now); }, state.window);
             state.health.observe(observation);
@@ -480,7 +434,7 @@
             continue;
         }
         const RequestClass *requestClass = m_catalogue->classNumbered(entry.requestClass);
-        const ClassTerms terms = requestClass == nullptr ? ClassTerms {} : termsOf(*requestClass);
+        const ClassTerms terms = requestClass == nullptr ? ClassTerms {} : poolTerms().of(*requestClass);
         m_permits.emplace(key, Permit {home, entry.endpoint, terms, now, {}, false, {}});
         ++endpoint->second.running;
     }
@@ -558,15 +512,6 @@
     pump(now);
 }
 
-Duration Shard::tightestFirstToken() const
-{
-    Duration tightest = Duration::max();
-    for (const RequestClass &requestClass : m_catalogue->classes()) {
-        tightest = requestClass.pool == m_info.pool ? std::min(tightest, requestClass.firstToken) : tightest;
-    }
-    return tightest;
-}
-
 std::optional<Duration> Shard::medianPace() const
 {
     std::vector<Duration> paces;
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -8,8 +8,10 @@
 
 #include "Configuration/catalogue.h"
 #include "Dispatch/health.h"
+#include "Dispatch/laterefusals.h"
 #include "Dispatch/order.h"
 #include "Dispatch/placement.h"
+#include "Dispatch/poolterms.h"
 #include "Dispatch/queuedask.h"
 #include "Dispatch/shardmap.h"
 #include "Dispatch/window.h"
@@ -136,9 +138,7 @@
 
     void buildPolicies();
     void configureEndpoints();
-    ClassTerms termsOf(const Configuration::RequestClass &requestClass) const;
-    Base::Duration tightestAbove(int rank) const;
-    void setRank(ClassTerms &terms, int rank) const;
+    PoolTerms poolTerms() const;
     void enqueue(const QueuedAsk &ask);
     void shedOverLimit(const QueuedAsk &newcomer);
     bool isHopeless(Base::Instant now, const QueuedAsk &ask) const;
@@ -153,13 +153,9 @@
     Base::Duration lateness(Base::Instant now, const QueuedAsk &ask) const;
     Base::Duration waitBehind(const QueuedAsk &ask) const;
     void refuseLate(Base::Instant now);
-    /// Whether an ask of this tier may be refused as too late; if so, that is counted.
-    bool spendLateRefusal(int rank);
-    int lowestRank() const;
     std::vector<Candidate> usable() const;
     void dropExpired(Base::Instant now);
     void ejectBad(Base::Instant now);
-    Base::Duration tightestFirstToken() const;
     std::optional<Base::Duration> medianPace() const;
     Base::Duration expectedFirstToken() const;
     Base::Duration retryAfter() const;
@@ -184,7 +180,7 @@
     double m_grantsPerSecond = 0;
     std::uint64_t m_grantsInPeriod = 0;
     Base::Instant m_periodBegan {};
-    std::map<int, double> m_lateRefusals; ///< by rank: how many may be refused as too late now
+    LateRefusals m_lateRefusals;
     bool m_saturated = false; ///< asks waited through the whole present period
 };
 
