--- a/Source/Membership/duty.cpp
+++ b/Source/Membership/duty.cpp
@@ -19,8 +19,7 @@
     if (own == members.end()) {
         return false;
     }
-    const auto ahead
-        = std::ranges::count_if(members, [&](const Peer::Member &other) { return weight(other) > weight(*own); });
+    const auto ahead = std::ranges::count_if(members, [&](const Peer::Member &other) { return weight(other) > weight(*own); });
     return static_cast<std::size_t>(ahead) < count;
 }
 
--- a/Source/Request/localwindow.cpp
+++ b/Source/Request/localwindow.cpp
@@ -39,9 +39,8 @@
         return endpoint != nullptr && !endpoint->drained && running(number) < std::max(1U, endpoint->slots / divisor);
     };
     auto open = shard.endpoints | std::views::filter(hasRoom);
-    const auto rank = [&](std::uint32_t number) {
-        return std::pair(running(number), ~Dispatch::preferenceWeight(number, shared));
-    };
+    const auto rank
+        = [&](std::uint32_t number) { return std::pair(running(number), ~Dispatch::preferenceWeight(number, shared)); };
     const auto best = std::ranges::min_element(open, {}, rank);
     return best == open.end() ? std::nullopt : std::optional(*best);
 }
--- a/Tests/Dispatch/shardmaptest.cpp
+++ b/Tests/Dispatch/shardmaptest.cpp
@@ -27,7 +27,8 @@
         }
         catalogue = Configuration::Catalogue::build(Tests::objectsOf(statements));
         for (int index = 0; index < 9; ++index) {
-            members.push_back({fmt::format("h{}", index), 1, 1, MemberState::Alive, "", fmt::format("d{}", index % 3), "", "", 0});
+            members.push_back(
+                {fmt::format("h{}", index), 1, 1, MemberState::Alive, "", fmt::format("d{}", index % 3), "", "", 0});
         }
     }
 };
