--- a/Tests/Integration/recordsplatform.py
+++ b/Tests/Integration/recordsplatform.py
@@ -60,7 +60,8 @@
 
 
 class Store(Server):
-    """Rows with versions from one counter, and the feed of their changes. `down`: answers nothing but 503."""
+    """Rows with versions from one counter, and the feed of their changes. `down`: answers nothing but 503. `swallow`: calls that are
+    there or come meanwhile are never answered, also not when it is over."""
 
     def __init__(self):
         self.lock = threading.Condition()
@@ -68,6 +69,8 @@
         self.version = 0
         self.oldest = 0
         self.down = False
+        self.swallow = False
+        self.ended = threading.Event()
         super().__init__()
 
     def put(self, table, key, value):
@@ -97,6 +100,9 @@
     def respond(self, handler):
         url = urlsplit(handler.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if self.swallow:
+            self.never_answer(handler)
+            return
         with self.lock:
             if self.down:
                 send(handler, 503, {})
@@ -108,13 +114,22 @@
                 return
             since = int(query["since_revision"])
             until = time.monotonic() + int(query["wait_ms"]) / 1000
-            while not self.changed(table, since) and not self.down and since >= self.oldest and time.monotonic() < until:
+            while not self.changed(table, since) and not self.down and not self.swallow and since >= self.oldest and time.monotonic() < until:
                 self.lock.wait(0.05)
+            swallowed = self.swallow
+        if swallowed:
+            self.never_answer(handler)
+            return
+        with self.lock:
             if self.down or since < self.oldest:
                 send(handler, 503 if self.down else 410, {})
                 return
             self.answer(handler, {"rows": self.changed(table, since)})
 
+    def never_answer(self, handler):
+        self.ended.wait()
+        handler.close_connection = True
+
     def answer(self, handler, body):
         body.update({"schema_version": self.version, "now_ms": int(time.monotonic() * 1000)})
         send(handler, 200, {"Content-Type": "application/json"}, json.dumps(body).encode())
--- a/Tests/Integration/test_records.py
+++ b/Tests/Integration/test_records.py
@@ -37,11 +37,13 @@
         check_streams(hosts, models)
         check_leaving(hosts, store, models)
         check_outage(hosts, store, app)
+        check_swallowed_calls(hosts, store)
         check_revoked_key(hosts, store)
         codes = hosts.stop()
         assert codes == [0, 0, 0], (codes, [hosts.log(index)[-2:] for index in range(3)])
         check_log(hosts)
     finally:
+        store.ended.set()
         for process in hosts.processes:
             process.kill()
 
@@ -111,6 +113,12 @@
     assert len(models[0].runs) == runs
 
 
+def last_word_of_store(hosts, index):
+    """Whether the store answers the host, as it last logged."""
+    words = [entry["event"] for entry in hosts.log(index) if entry["event"] in ("store-lost", "store-back")]
+    return words[-1] if words else None
+
+
 def check_outage(hosts, store, app):
     store.down = True
     wait_until(lambda: all(hosts.log(index)[-1:] and any(entry["event"] == "store-lost" for entry in hosts.log(index))
@@ -120,12 +128,24 @@
     store.forget_history()
     store.down = False
     # The lapsed record is not believed at once, and comes back.
-    wait_until(lambda: all(any(entry["event"] == "store-back" for entry in hosts.log(index)[-20:]) for index in range(3)), "the store back")
+    wait_until(lambda: all(last_word_of_store(hosts, index) == "store-back" for index in range(3)), "the store back")
     assert hosts.send(1, "POST", "/once/x", "lapsed").status == 200
     store.put("servers", app.name, app.row("app"))
     eventually(hosts, 2, "POST", "/once/x", "returned", 200)
 
 
+def check_swallowed_calls(hosts, store):
+    """Calls that hang are given up: what changes after the store's trouble is known, though it never answers them."""
+    store.swallow = True
+    wait_until(lambda: all(last_word_of_store(hosts, index) == "store-lost" for index in range(3)), "all hosts to give up their calls")
+    store.swallow = False
+    changed = copy.deepcopy(CONFIGURATION)
+    changed["tenants"][0]["api_keys"].append("late-key")
+    store.put("op", "config", changed)
+    for index in range(3):
+        eventually(hosts, index, "POST", "/once/x", f"late-{index}", 200, key="late-key")
+
+
 def check_revoked_key(hosts, store):
     changed = copy.deepcopy(CONFIGURATION)
     changed["tenants"][0]["api_keys"] = ["new-key"]
