--- a/Tests/Dispatch/shardmaptest.cpp
+++ b/Tests/Dispatch/shardmaptest.cpp
@@ -88,7 +88,8 @@
     for (Member &member : members) {
         member.milliCores = member.name < "h3" ? 500 : 120;
     }
-    for (const ShardInfo &shard : ShardMap(*catalogue, members).shards()) {
+    const ShardMap map(*catalogue, members);
+    for (const ShardInfo &shard : map.shards()) {
         CHECK_TRUE(shard.dispatcher < "h3");
     }
 }
