Base, Dispatch, Configuration: One token bucket; what was computed twice is computed once

LateRefusals held a token bucket beside RetryBudget's; placement looked up an engine's kept prompts twice for each candidate; the queue's pump built the list of candidates to ask whether there is one; a fleet's rebuild copied the present members twice; the revision of a kind was chosen in two places; PromptCache::clear() was called by nobody. Change: Base::TokenBucket serves both; the rest as said. In tests, two sequences that stood three times each are fixtures; no check was changed. No change of behaviour is meant.

--- a/Source/Configuration/siterecords.cpp
+++ b/Source/Configuration/siterecords.cpp
@@ -72,16 +72,21 @@
     return configuration >= other.configuration && endpoints >= other.endpoints;
 }
 
-std::uint64_t &SiteRecords::revisionOf(RecordRevisions &revisions, RecordKind kind)
+std::uint64_t &RecordRevisions::of(RecordKind kind)
 {
-    return kind == RecordKind::Configuration ? revisions.configuration : revisions.endpoints;
+    return kind == RecordKind::Configuration ? configuration : endpoints;
+}
+
+std::uint64_t RecordRevisions::of(RecordKind kind) const
+{
+    return kind == RecordKind::Configuration ? configuration : endpoints;
 }
 
 bool SiteRecords::merge(const Record &record)
 {
     const bool changed = take(record);
     if (changed) {
-        std::uint64_t &revision = revisionOf(m_revisions, record.kind);
+        std::uint64_t &revision = m_revisions.of(record.kind);
         revision = std::max(revision, record.version);
     }
     return changed;
@@ -133,7 +138,7 @@
 {
     RecordRevisions complete = m_revisions;
     for (const auto &[key, version] : m_expected) {
-        std::uint64_t &revision = revisionOf(complete, key.first);
+        std::uint64_t &revision = complete.of(key.first);
         revision = std::min(revision, version - 1);
     }
     return complete;
@@ -167,8 +172,7 @@
 {
     RecordChanges changes {since, revisions(), {}};
     for (const Held &held : m_records | std::views::values) {
-        const bool isConfiguration = held.record.kind == RecordKind::Configuration;
-        if (held.changedAt > (isConfiguration ? since.configuration : since.endpoints)) {
+        if (held.changedAt > since.of(held.record.kind)) {
             changes.records.push_back(held.record);
         }
     }
--- a/Source/Configuration/siterecords.h
+++ b/Source/Configuration/siterecords.h
@@ -44,6 +44,9 @@
     std::uint64_t configuration = 0;
     std::uint64_t endpoints = 0;
 
+    std::uint64_t &of(RecordKind kind);
+    std::uint64_t of(RecordKind kind) const;
+
     bool operator==(const RecordRevisions &) const = default;
 
     /// Whether nothing is missing here that a copy at @p other has.
@@ -98,7 +101,6 @@
     using Key = std::pair<RecordKind, std::string>;
 
     bool take(const Record &record);
-    static std::uint64_t &revisionOf(RecordRevisions &revisions, RecordKind kind);
 
     std::map<Key, Held> m_records;
     std::map<Key, std::uint64_t> m_expected; ///< versions of records that are not believed yet
--- a/Source/Dispatch/laterefusals.cpp
+++ b/Source/Dispatch/laterefusals.cpp
@@ -3,8 +3,6 @@
 
 #include "Dispatch/laterefusals.h"
 
-#include <algorithm>
-
 namespace Yokepond::Dispatch {
 
 namespace {
@@ -15,21 +13,19 @@
 
 } // namespace
 
+Base::TokenBucket &LateRefusals::bucketOf(int rank)
+{
+    return m_buckets.try_emplace(rank, 0.0, mostSaved).first->second;
+}
+
 void LateRefusals::earn(int rank)
 {
-    double &left = m_left[rank];
-    left = std::min(mostSaved, left + share);
+    bucketOf(rank).earn(share);
 }
 
 bool LateRefusals::spend(int rank, int lowestRank)
 {
-    if (rank >= lowestRank) {
-        return true;
-    }
-    double &left = m_left[rank];
-    const bool may = left >= 1.0;
-    left -= may ? 1.0 : 0.0;
-    return may;
+    return rank >= lowestRank || bucketOf(rank).spend();
 }
 
 } // namespace Yokepond::Dispatch
--- a/Source/Dispatch/laterefusals.h
+++ b/Source/Dispatch/laterefusals.h
@@ -6,6 +6,8 @@
 
 #pragma once
 
+#include "Base/tokenbucket.h"
+
 #include <map>
 
 namespace Yokepond::Dispatch {
@@ -22,7 +24,9 @@
     bool spend(int rank, int lowestRank);
 
 private:
-    std::map<int, double> m_left; ///< by rank
+    Base::TokenBucket &bucketOf(int rank);
+
+    std::map<int, Base::TokenBucket> m_buckets; ///< by rank
 };
 
 } // namespace Yokepond::Dispatch
--- a/Source/Dispatch/placement.cpp
+++ b/Source/Dispatch/placement.cpp
@@ -44,10 +44,6 @@
     return {.endpoint = candidate.endpoint};
 }
 
-void RoundRobin::forget(std::uint32_t)
-{
-}
-
 std::optional<std::uint32_t> LeastLoaded::choose(const QueuedAsk &, std::span<const Candidate> candidates, Base::Instant) const
 {
     return leastLoaded(candidates).endpoint;
@@ -58,10 +54,6 @@
     return {.endpoint = candidate.endpoint};
 }
 
-void LeastLoaded::forget(std::uint32_t)
-{
-}
-
 std::optional<std::uint32_t> PrefixAffinity::holder(const QueuedAsk &ask, std::span<const Candidate> candidates,
                                                     double mostLoad) const
 {
@@ -259,7 +251,8 @@
     return cost;
 }
 
-bool SoonestFirstToken::fits(const QueuedAsk &ask, const Candidate &candidate) const
+/// @p kept: tokens of the prompt that the engine keeps.
+bool SoonestFirstToken::fits(const QueuedAsk &ask, const Candidate &candidate, std::uint32_t kept) const
 {
     const Engine *engine = engineOf(candidate.endpoint);
     if (engine == nullptr || candidate.memoryTokens == 0 || engine->runningTokens == 0) {
@@ -268,7 +261,7 @@
     const bool mostUrgent = ask.terms.tightestAbove == Base::Duration::zero();
     const double share = mostUrgent ? runningShareOfMostUrgent : runningShare;
     const auto most = static_cast<std::uint64_t>(share * static_cast<double>(candidate.memoryTokens));
-    return engine->runningTokens + memoryOf(ask) - keptOf(*engine, ask) <= most;
+    return engine->runningTokens + memoryOf(ask) - kept <= most;
 }
 
 std::optional<std::uint32_t> SoonestFirstToken::choose(const QueuedAsk &ask, std::span<const Candidate> candidates,
@@ -281,7 +274,7 @@
         const Cost cost = costAt(ask, candidate, candidate.endpoint == preferred, now);
         // What is late already gains nothing by waiting here.
         const bool waits = now < ask.target() && cost.backlog > longestBacklog(ask, cost.kept, cost.own);
-        if (waits || !fits(ask, candidate)) {
+        if (waits || !fits(ask, candidate, cost.kept)) {
             continue;
         }
         if (!best || cost.load < least) {
--- a/Source/Dispatch/placement.h
+++ b/Source/Dispatch/placement.h
@@ -81,6 +81,9 @@
     void ended(const PlacedRun &, Base::Duration)
     {
     }
+    void forget(std::uint32_t)
+    {
+    }
 };
 
 /// Baseline: each in turn.
@@ -89,7 +92,6 @@
 public:
     std::optional<std::uint32_t> choose(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
     PlacedRun placed(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now);
-    void forget(std::uint32_t endpoint);
 
 private:
     std::uint32_t m_last = 0;
@@ -101,7 +103,6 @@
 public:
     std::optional<std::uint32_t> choose(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
     PlacedRun placed(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now);
-    void forget(std::uint32_t endpoint);
 };
 
 /// The one that ran the longest known beginning of the prompt, unless its load is too far above the least loaded one's.
@@ -156,14 +157,14 @@
     const Engine *engineOf(std::uint32_t endpoint) const;
     static std::uint32_t keptOf(const Engine &engine, const QueuedAsk &ask);
     Cost costAt(const QueuedAsk &ask, const Candidate &candidate, bool preferred, Base::Instant now) const;
-    bool fits(const QueuedAsk &ask, const Candidate &candidate) const;
+    bool fits(const QueuedAsk &ask, const Candidate &candidate, std::uint32_t kept) const;
     Base::Duration timeToRead(std::uint32_t tokens) const;
     static Base::Duration backlogOf(const Engine &engine, int rank, Base::Instant now);
     static void readOn(Engine &engine, Base::Instant now);
 
-    std::map<std::uint32_t, Engine> m_engines;
     void learnSpeed(const PlacedRun &run, Base::Duration firstToken);
 
+    std::map<std::uint32_t, Engine> m_engines;
     double m_tokensPerMs = 30.0; ///< read by an engine; learned, the start is that of a large model on one accelerator
     double m_loggedTokensPerMs = m_tokensPerMs;
 };
--- a/Source/Dispatch/promptcache.cpp
+++ b/Source/Dispatch/promptcache.cpp
@@ -50,11 +50,4 @@
     }
 }
 
-void PromptCache::clear()
-{
-    m_parts.clear();
-    m_byUse.clear();
-    m_tokens = 0;
-}
-
 } // namespace Yokepond::Dispatch
--- a/Source/Dispatch/promptcache.h
+++ b/Source/Dispatch/promptcache.h
@@ -34,8 +34,6 @@
     /// Forgets the parts used least recently until at most @p tokens are kept.
     void shrink(std::uint64_t tokens);
 
-    void clear();
-
 private:
     struct Part
     {
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -570,6 +570,12 @@
     return window > state.running ? window - state.running : 0;
 }
 
+bool Shard::hasRoom(Instant now) const
+{
+    return std::ranges::any_of(m_endpoints | std::views::values,
+                               [&](const EndpointState &state) { return room(state, now) > 0; });
+}
+
 std::vector<Candidate> Shard::candidates(Instant now, std::uint32_t avoid) const
 {
     std::vector<Candidate> found;
@@ -611,7 +617,7 @@
     const Duration expected = expectedFirstToken();
     // One that no endpoint can take now, for its size or for the prompts it would wait behind, holds up none of the others.
     std::vector<QueuedAsk> passedOver;
-    while (queued() > 0 && passedOver.size() < mostPassedOver && !candidates(now, 0).empty()) {
+    while (queued() > 0 && passedOver.size() < mostPassedOver && hasRoom(now)) {
         const auto key = std::visit([&](auto &order) { return order.next(now, expected); }, m_order);
         const QueuedAsk waiting = *std::visit([&](const auto &order) { return order.find(*key); }, m_order);
         if (!serve(now, waiting)) {
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -148,6 +148,7 @@
     bool serve(Base::Instant now, const QueuedAsk &waiting);
     std::vector<Candidate> candidates(Base::Instant now, std::uint32_t avoid) const;
     std::uint32_t room(const EndpointState &state, Base::Instant now) const;
+    bool hasRoom(Base::Instant now) const;
     void grant(Base::Instant now, const QueuedAsk &ask, std::uint32_t endpoint);
     void dropPermit(const AskKey &key, Base::Duration firstToken = {});
     Base::Duration lateness(Base::Instant now, const QueuedAsk &ask) const;
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -264,8 +264,9 @@
 void Fleet::rebuild()
 {
     m_seenGeneration = m_swim.generation();
-    m_shards = std::make_shared<Dispatch::ShardMap>(*catalogue(), present());
-    m_isFollower = Membership::isPicked(m_settings.name, followDuty, present(), m_settings.storeFollowers);
+    const std::vector<Peer::Member> presentMembers = present();
+    m_shards = std::make_shared<Dispatch::ShardMap>(*catalogue(), presentMembers);
+    m_isFollower = Membership::isPicked(m_settings.name, followDuty, presentMembers, m_settings.storeFollowers);
     for (const auto &[name, before] : m_lastMembers) {
         const auto now = members().find(name);
         const bool gone = now == members().end() || now->second.state == Peer::MemberState::Dead;
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -450,7 +450,7 @@
          Duration::zero());
 }
 
-RetryBudget &Home::budgetOf(const Pending &pending)
+Base::TokenBucket &Home::budgetOf(const Pending &pending)
 {
     const Configuration::Policies &policies = m_catalogue->policies();
     const double hosts = policies.retriesAreShared ? static_cast<double>(std::max(m_hosts, leastHostsSharing)) : 1.0;
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -6,10 +6,10 @@
 
 #pragma once
 
+#include "Base/tokenbucket.h"
 #include "Configuration/catalogue.h"
 #include "Dispatch/shardmap.h"
 #include "Request/localwindow.h"
-#include "Request/retrybudget.h"
 #include "Request/types.h"
 
 #include <cstdint>
@@ -143,7 +143,8 @@
     void retryOrFail(Base::Instant now, Pending &pending, const RunReport &report);
     static bool mayRetry(const Pending &pending, const RunReport &report);
     void expire(Base::Instant now, Pending &pending);
-    RetryBudget &budgetOf(const Pending &pending);
+    /// Retries of the pool: filled by first tries, so that retries cannot multiply an overload.
+    Base::TokenBucket &budgetOf(const Pending &pending);
     void stopRun(Pending &pending);
     void backOff(Base::Instant now, Pending &pending, Base::Duration least);
     void withdraw(Pending &pending);
@@ -163,7 +164,7 @@
     std::set<std::string> m_unreachable; ///< suspected members, and those that have not been heard of since
     std::map<std::uint64_t, Pending> m_pending;
     std::unordered_map<std::uint32_t, ShardNews> m_shardNews;
-    std::map<std::uint32_t, RetryBudget> m_budgets; ///< by pool
+    std::map<std::uint32_t, Base::TokenBucket> m_budgets; ///< retries, by pool
     std::set<std::uint32_t> m_reported; ///< shards that had permits in the last report
     LocalWindow m_localWindow;
     Base::Instant m_nextReport {};
--- a/Tests/Node/sitewatchtest.cpp
+++ b/Tests/Node/sitewatchtest.cpp
@@ -81,6 +81,15 @@
     {
         answer(Base::makeError(kind, "test"));
     }
+
+    /// Two endpoints are known when the call that follows them fails.
+    void failAfterTwoAreKnown(Base::ErrorKind kind)
+    {
+        tickAfter({});
+        answer(Platform::FeedPage {{live("e1", 3), live("e2", 4)}, 7});
+        tickAfter(std::chrono::seconds(1));
+        fail(kind);
+    }
 };
 
 TEST(SiteWatch, readsTheWholeThenFollowsFromItsVersion)
@@ -106,10 +115,7 @@
 
 TEST(SiteWatch, readsAnewWhenTheHistoryIsGoneAndTellsWhatIsMissing)
 {
-    tickAfter({});
-    answer(Platform::FeedPage {{live("e1", 3), live("e2", 4)}, 7});
-    tickAfter(std::chrono::seconds(1));
-    fail(Base::ErrorKind::HistoryGone);
+    failAfterTwoAreKnown(Base::ErrorKind::HistoryGone);
     tickAfter(std::chrono::seconds(2));
     CHECK_TRUE(feed.calls[endpoint]->whole);
     told.clear();
@@ -121,10 +127,7 @@
 
 TEST(SiteWatch, anEndpointDroppedDuringAnOutageIsBelievedGoneOnlyLater)
 {
-    tickAfter({});
-    answer(Platform::FeedPage {{live("e1", 3), live("e2", 4)}, 7});
-    tickAfter(std::chrono::seconds(1));
-    fail(Base::ErrorKind::StoreUnavailable);
+    failAfterTwoAreKnown(Base::ErrorKind::StoreUnavailable);
     CHECK_TRUE(answers == (std::vector<bool> {true, false}));
     tickAfter(std::chrono::seconds(2));
     told.clear();
@@ -141,10 +144,7 @@
 
 TEST(SiteWatch, allEndpointsDroppedDuringAnOutageAreBelievedGoneLater)
 {
-    tickAfter({});
-    answer(Platform::FeedPage {{live("e1", 3), live("e2", 4)}, 7});
-    tickAfter(std::chrono::seconds(1));
-    fail(Base::ErrorKind::StoreUnavailable);
+    failAfterTwoAreKnown(Base::ErrorKind::StoreUnavailable);
     tickAfter(std::chrono::seconds(2));
     told.clear();
     answer(Platform::FeedPage {{gone("e1", 9), gone("e2", 10)}, 10});
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -73,6 +73,17 @@
     {
         home.runEnded(at(now), {.id = ask.id, .stage = stage});
     }
+
+    /// Request 1 has been granted its first run, which has ended; what came of it is in the actions. Returns its ask.
+    Peer::Ask firstRunEnds(std::string_view name, RunStage stage)
+    {
+        start(1, name);
+        Peer::Ask ask = lastAsk();
+        grant(ask, 0.1, 2);
+        home.takeActions();
+        ended(ask, 0.2, stage);
+        return ask;
+    }
 };
 
 TEST(Home, grantStartsTheRunOnce)
@@ -96,11 +107,7 @@
 
 TEST(Home, unrepeatableThatMayHaveRunIsUnknownAndNotTriedAgain)
 {
-    start(1, "once");
-    const Peer::Ask ask = lastAsk();
-    grant(ask, 0.1, 2);
-    home.takeActions();
-    ended(ask, 0.2, RunStage::Sent);
+    firstRunEnds("once", RunStage::Sent);
     const auto failed = actions<Fail>();
     CHECK_TRUE(failed.front().outcome == Outcome::Unknown);
     CHECK_TRUE(Base::errorKind(failed.front().error) == Base::ErrorKind::OutcomeUnknown);
@@ -109,11 +116,7 @@
 
 TEST(Home, unrepeatableThatSurelyDidNotRunIsTriedAgain)
 {
-    start(1, "once");
-    const Peer::Ask ask = lastAsk();
-    grant(ask, 0.1, 2);
-    home.takeActions();
-    ended(ask, 0.2, RunStage::NotSent);
+    firstRunEnds("once", RunStage::NotSent);
     home.tick(at(1));
     CHECK_EQUAL(2, lastAsk().id.attempt);
 }
@@ -262,11 +265,7 @@
 
 TEST(Home, aFailedFirstRunIsTriedElsewhereAtOnce)
 {
-    start(1, "routine");
-    const Peer::Ask first = lastAsk();
-    grant(first, 0.1, 2);
-    home.takeActions();
-    ended(first, 0.2, RunStage::Sent);
+    firstRunEnds("routine", RunStage::Sent);
     const Peer::Ask second = lastAsk();
     CHECK_EQUAL(2, second.id.attempt);
     CHECK_EQUAL(Tests::numberOf(objects, Kind::Endpoint, "e1"), second.avoid);
