--- a/Tests/Platform/requestprotocoltest.cpp
+++ b/Tests/Platform/requestprotocoltest.cpp
@@ -107,6 +107,34 @@
     CHECK_TRUE(left > 4000 && left <= 5000);
 }
 
+/// Endpoints obey these whoever wrote them; a lease or a handle that a caller made up is refused as not run, or pins memory.
+TEST(RequestProtocol, aCallerCannotGiveOrdersThatAreTheRouters)
+{
+    const std::vector<std::string> orders
+        = {"x-retention-policy", "x-pin-ms",          "x-kv-backup", "kv-from", "kv-fetch",          "kv-later",
+           "x-expect-version",   "x-expect-instance", "x-tenant-id", "expect",  "x-request-priority"};
+    for (const std::string &order : orders) {
+        request.headers.push_back({order, "forged"});
+    }
+    for (const std::string &order : orders) {
+        CHECK_TRUE(sent(order) != "forged");
+    }
+    STRCMP_EQUAL("(none)", sent("x-retention-policy").c_str());
+    STRCMP_EQUAL("(none)", sent("kv-from").c_str());
+    STRCMP_EQUAL("(none)", sent("x-expect-version").c_str());
+}
+
+TEST(RequestProtocol, whatACallerSaysOfItsPromptReachesTheEndpoint)
+{
+    request.headers.push_back({std::string(Names::lengthHint), "70"});
+    request.headers.push_back({std::string(Names::model), "m"});
+    STRCMP_EQUAL("70", sent(Names::lengthHint).c_str());
+    STRCMP_EQUAL("m", sent(Names::model).c_str());
+    STRCMP_EQUAL("1460,80", sent(Names::tokens).c_str());
+    STRCMP_EQUAL("5c:800,91:410,e4:250", sent(Names::prefixParts).c_str());
+    STRCMP_EQUAL("id-1", sent(Names::requestId).c_str());
+}
+
 TEST(RequestProtocol, aStreamGoesOnBehindItsLastEvent)
 {
     STRCMP_EQUAL("(none)", sent(Names::lastEventId).c_str());
