Dispatch: Engines take the kept beginning of a prompt from each other instead of reading it again

Hypothesis: each shared part has one home and all who share it queue there, or read it again elsewhere; a move over the engines' links takes a seventh to a fiftieth of the time of reading and is priced at a tenth to a quarter of it. Change: the pool's figures (bytes a token, link, whether engines move prompts) become a speed of moving; the dispatcher notes when each part will have been read and where; a grant names the keeper, and the endpoint is told to take the part from it. Taken where that saves twice its own time; engines that fail or leave are not asked, until a run placed since then has done well. The model of engines has its own files; prompts kept by endpoints that are gone are forgotten (they stayed for the life of a dispatcher).

--- a/Source/Configuration/catalogue.h
+++ b/Source/Configuration/catalogue.h
@@ -68,6 +68,7 @@
     bool checksOrders = false;
     bool drained = false;
     std::uint64_t memoryTokens = 0; ///< room for prompts and answers under way, 0 if not known
+    double movedTokensPerMs = 0; ///< of a kept prompt that it takes from another engine; 0: it cannot
 };
 
 /// One of the classes a route's requests may be of, by the pool that is to serve them.
--- a/Source/Dispatch/placement.h
+++ b/Source/Dispatch/placement.h
@@ -6,15 +6,14 @@
 
 #pragma once
 
-#include "Dispatch/promptcache.h"
 #include "Dispatch/queuedask.h"
 
 #include <absl/container/flat_hash_map.h>
 
+#include <algorithm>
 #include <concepts>
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <optional>
 #include <span>
 #include <vector>
@@ -28,8 +27,15 @@
     std::uint32_t running = 0;
     std::uint32_t window = 0;
     std::uint64_t memoryTokens = 0; ///< 0 if not known
+    double movedTokensPerMs = 0; ///< of a kept prompt, from another endpoint; 0: none can be moved
 };
 
+/// Part of its window that is in use.
+inline double loadOf(const Candidate &candidate)
+{
+    return static_cast<double>(candidate.running) / std::max(1U, candidate.window);
+}
+
 /// What a placement keeps of a run until it ends.
 struct PlacedRun
 {
@@ -40,6 +46,8 @@
     Base::Duration reading {}; ///< time that the endpoint needs for it, beside the tokens of others
     Base::Duration expected {}; ///< to the first token
     bool alone = false; ///< the endpoint had no other prompt to read
+    std::uint32_t keeper = 0; ///< endpoint from which it takes what is kept of the prompt, 0 for none
+    std::uint32_t trust = 0; ///< the endpoint's when the run was placed
 };
 
 template<typename T>
@@ -63,6 +71,9 @@
     } -> std::same_as<PlacedRun>;
     /// @p firstToken is zero if none came.
     placement.ended(run, firstToken);
+    /// The endpoint fails or leaves: others can no longer rely on what it keeps.
+    placement.distrust(endpoint);
+    /// The endpoint is gone for good.
     placement.forget(endpoint);
 };
 
@@ -81,6 +92,9 @@
     void ended(const PlacedRun &, Base::Duration)
     {
     }
+    void distrust(std::uint32_t)
+    {
+    }
     void forget(std::uint32_t)
     {
     }
@@ -111,6 +125,7 @@
 public:
     std::optional<std::uint32_t> choose(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
     PlacedRun placed(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now);
+    void distrust(std::uint32_t endpoint);
     void forget(std::uint32_t endpoint);
 
 private:
@@ -123,53 +138,6 @@
     std::deque<std::uint64_t> m_byAge;
 };
 
-/// The one where the first token is expected soonest, by a model of each engine: the prompts it keeps, the prompts it still
-/// has to read, and the memory of its runs. A run waits here rather than behind other prompts at an engine: the less urgent,
-/// the earlier.
-class SoonestFirstToken
-{
-public:
-    std::optional<std::uint32_t> choose(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
-    Base::Duration expected(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
-    Base::Duration work(const QueuedAsk &ask) const;
-    PlacedRun placed(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now);
-    void ended(const PlacedRun &run, Base::Duration firstToken);
-    void forget(std::uint32_t endpoint);
-
-private:
-    struct Engine
-    {
-        PromptCache cache;
-        std::map<int, Base::Duration> unread; ///< by rank: time to read what has been sent; the most urgent is read first
-        std::map<int, Base::Duration> underWay; ///< by rank: the reading times of all runs that have not ended
-        Base::Instant asOf {}; ///< of the times above
-        std::uint64_t runningTokens = 0;
-    };
-
-    struct Cost
-    {
-        Base::Duration backlog {};
-        Base::Duration own {};
-        std::uint32_t kept = 0; ///< tokens of the prompt
-        double load = 0;
-    };
-
-    const Engine *engineOf(std::uint32_t endpoint) const;
-    static std::uint32_t keptOf(const Engine &engine, const QueuedAsk &ask);
-    Cost costAt(const QueuedAsk &ask, const Candidate &candidate, bool preferred, Base::Instant now) const;
-    bool fits(const QueuedAsk &ask, const Candidate &candidate, std::uint32_t kept) const;
-    Base::Duration timeToRead(std::uint32_t tokens) const;
-    static Base::Duration backlogOf(const Engine &engine, int rank, Base::Instant now);
-    static void readOn(Engine &engine, Base::Instant now);
-
-    void learnSpeed(const PlacedRun &run, Base::Duration firstToken);
-
-    std::map<std::uint32_t, Engine> m_engines;
-    double m_tokensPerMs = 30.0; ///< read by an engine; learned, the start is that of a large model on one accelerator
-    double m_loggedTokensPerMs = m_tokensPerMs;
-};
-
-static_assert(PlacementPolicy<SoonestFirstToken>);
 static_assert(PlacementPolicy<RoundRobin>);
 static_assert(PlacementPolicy<LeastLoaded>);
 static_assert(PlacementPolicy<PrefixAffinity>);
--- a/Source/Dispatch/promptcache.cpp
+++ b/Source/Dispatch/promptcache.cpp
@@ -8,18 +8,27 @@
 namespace Yokepond::Dispatch {
 
 std::uint32_t PromptCache::kept(const PromptChain &chain) const
+{
+    return keptBy(chain, Base::Instant::max());
+}
+
+std::uint32_t PromptCache::keptBy(const PromptChain &chain, Base::Instant now) const
 {
     if (chain.prefix.size() != chain.tokens.size()) {
         return 0;
     }
     std::uint32_t tokens = 0;
-    for (std::size_t index = 0; index < chain.prefix.size() && m_parts.contains(chain.prefix[index]); ++index) {
+    for (std::size_t index = 0; index < chain.prefix.size(); ++index) {
+        const auto part = m_parts.find(chain.prefix[index]);
+        if (part == m_parts.end() || part->second.readAt > now) {
+            break;
+        }
         tokens = chain.tokens[index];
     }
     return tokens;
 }
 
-void PromptCache::read(const PromptChain &chain)
+void PromptCache::read(const PromptChain &chain, Base::Instant readAt)
 {
     if (chain.prefix.size() != chain.tokens.size()) {
         return;
@@ -36,7 +45,7 @@
             m_byUse.splice(m_byUse.begin(), m_byUse, entry->second.use);
         }
         m_tokens = m_tokens + own - entry->second.tokens;
-        entry->second = {own, m_byUse.begin()};
+        entry->second = {own, m_byUse.begin(), added ? readAt : entry->second.readAt};
     }
 }
 
--- a/Source/Dispatch/promptcache.h
+++ b/Source/Dispatch/promptcache.h
@@ -6,6 +6,8 @@
 
 #pragma once
 
+#include "Base/time.h"
+
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
@@ -25,11 +27,14 @@
 class PromptCache
 {
 public:
-    /// Tokens of @p chain's beginning that are kept.
+    /// Tokens of @p chain's beginning that are kept, or will be when what was sent before has been read.
     std::uint32_t kept(const PromptChain &chain) const;
 
-    /// Notes that the whole of @p chain has been read.
-    void read(const PromptChain &chain);
+    /// Tokens of @p chain's beginning that have been read by @p now.
+    std::uint32_t keptBy(const PromptChain &chain, Base::Instant now) const;
+
+    /// Notes that the whole of @p chain will have been read at @p readAt.
+    void read(const PromptChain &chain, Base::Instant readAt);
 
     /// Forgets the parts used least recently until at most @p tokens are kept.
     void shrink(std::uint64_t tokens);
@@ -39,6 +44,7 @@
     {
         std::uint32_t tokens = 0;
         std::list<std::uint64_t>::iterator use;
+        Base::Instant readAt {}; ///< for the first time
     };
 
     absl::flat_hash_map<std::uint64_t, Part> m_parts;
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -121,7 +121,11 @@
 void Shard::configureEndpoints()
 {
     std::erase_if(m_endpoints, [&](const auto &entry) {
-        return entry.second.running == 0 && std::ranges::find(m_info.endpoints, entry.first) == m_info.endpoints.end();
+        const bool gone = entry.second.running == 0 && std::ranges::find(m_info.endpoints, entry.first) == m_info.endpoints.end();
+        if (gone) {
+            std::visit([&](auto &placement) { placement.forget(entry.first); }, m_placement);
+        }
+        return gone;
     });
     for (auto &[number, state] : m_endpoints) {
         // One that left the shard with runs under way gets nothing new.
@@ -136,6 +140,18 @@
         }
         state.drained = endpoint->drained;
         state.memoryTokens = endpoint->memoryTokens;
+        state.movedTokensPerMs = endpoint->movedTokensPerMs;
+    }
+    distrustUnusable();
+}
+
+/// Endpoints that leave answer to none but their own runs.
+void Shard::distrustUnusable()
+{
+    for (const auto &[number, state] : m_endpoints) {
+        if (!isUsable(state)) {
+            std::visit([&](auto &placement) { placement.distrust(number); }, m_placement);
+        }
     }
 }
 
@@ -241,7 +257,7 @@
     std::vector<Candidate> found;
     for (const auto &[number, state] : m_endpoints) {
         if (isUsable(state) && state.health.state() != HealthState::Ejected) {
-            found.push_back({number, state.running, std::max(1U, state.slots), state.memoryTokens});
+            found.push_back({number, state.running, std::max(1U, state.slots), state.memoryTokens, state.movedTokensPerMs});
         }
     }
     return found;
@@ -470,6 +486,7 @@
     for (auto &[number, state] : m_endpoints) {
         state.leaving = std::ranges::find(endpoints, number) != endpoints.end();
     }
+    distrustUnusable();
     refuseAllIfNone();
     pump(now);
 }
@@ -545,7 +562,7 @@
         // With no other endpoint left there is nothing to spare by probing seldom.
         const bool last = ejected + 1 >= m_endpoints.size();
         state.health.eject(now, last ? longestEjectionOfLast : longestEjection);
-        std::visit([&](auto &placement) { placement.forget(number); }, m_placement);
+        std::visit([&](auto &placement) { placement.distrust(number); }, m_placement);
         ++ejected;
         ++m_counters.ejections;
         Base::log(Base::LogLevel::Warning, Base::LogEvent::EndpointEjected,
@@ -582,7 +599,7 @@
     for (const auto &[number, state] : m_endpoints) {
         const std::uint32_t free = room(state, now);
         if (free > 0) {
-            found.push_back({number, state.running, state.running + free, state.memoryTokens});
+            found.push_back({number, state.running, state.running + free, state.memoryTokens, state.movedTokensPerMs});
         }
     }
     // The endpoint of a failed try is used again only if there is no other.
@@ -646,15 +663,17 @@
 void Shard::grant(Instant now, const QueuedAsk &ask, std::uint32_t endpoint)
 {
     EndpointState &state = m_endpoints.at(endpoint);
-    const Candidate chosen {endpoint, state.running, state.running + room(state, now), state.memoryTokens};
+    const Candidate chosen {endpoint, state.running, state.running + room(state, now), state.memoryTokens,
+                            state.movedTokensPerMs};
     const PlacedRun placed = std::visit([&](auto &placement) { return placement.placed(ask, chosen, now); }, m_placement);
     Base::require(isUsable(state), Base::Invariant::LeavingGetsNothing);
     Base::require(!m_permits.contains(ask.key), Base::Invariant::AnsweredOnce);
     ++state.running;
     // The home's clock runs as fast as this one, so that the time waited here can be added to the time it sent the ask.
     const Instant startBy = ask.ask.sentAt + (now - ask.received) + startWithin;
-    Permit permit {ask.home, endpoint, ask.terms, now, {ask.key.id, endpoint, startBy, pressure()}, room(state, now) == 0,
-                   placed};
+    Permit permit {
+        ask.home, endpoint, ask.terms, now, {ask.key.id, endpoint, startBy, pressure(), placed.keeper}, room(state, now) == 0,
+        placed};
     const RequestClass *requestClass = m_catalogue->classNumbered(ask.ask.requestClass);
     if (requestClass != nullptr && requestClass->deadlineEndsRun) {
         permit.expires = ask.deadline + expiryGrace;
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -14,6 +14,7 @@
 #include "Dispatch/poolterms.h"
 #include "Dispatch/queuedask.h"
 #include "Dispatch/shardmap.h"
+#include "Dispatch/soonestfirsttoken.h"
 #include "Dispatch/window.h"
 
 #include <cstdint>
@@ -116,6 +117,7 @@
         std::uint32_t running = 0;
         std::uint32_t slots = 0;
         std::uint64_t memoryTokens = 0;
+        double movedTokensPerMs = 0;
         bool drained = false;
         bool leaving = false;
     };
@@ -138,6 +140,7 @@
 
     void buildPolicies();
     void configureEndpoints();
+    void distrustUnusable();
     PoolTerms poolTerms() const;
     void enqueue(const QueuedAsk &ask);
     void shedOverLimit(const QueuedAsk &newcomer);
--- /dev/null
+++ b/Source/Dispatch/soonestfirsttoken.h
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+/// @file
+/// Placement by a model of each engine.
+
+#pragma once
+
+#include "Dispatch/placement.h"
+#include "Dispatch/promptcache.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+
+namespace Yokepond::Dispatch {
+
+/// The one where the first token is expected soonest, by a model of each engine: the prompts it keeps, the prompts it still
+/// has to read, and the memory of its runs. A run waits here rather than behind other prompts at an engine: the less urgent,
+/// the earlier.
+class SoonestFirstToken
+{
+public:
+    std::optional<std::uint32_t> choose(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
+    Base::Duration expected(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
+    Base::Duration work(const QueuedAsk &ask) const;
+    PlacedRun placed(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now);
+    void ended(const PlacedRun &run, Base::Duration firstToken);
+    void distrust(std::uint32_t endpoint);
+    void forget(std::uint32_t endpoint);
+
+private:
+    struct Engine
+    {
+        PromptCache cache;
+        bool lends = true; ///< others may take prompts that it keeps
+        std::uint32_t trust = 0; ///< grows each time that it is lost; runs placed since then can win it back
+        Base::Instant lendsUntil {}; ///< end of the moves that others were told to make
+        std::map<int, Base::Duration> unread; ///< by rank: time to read what has been sent; the most urgent is read first
+        std::map<int, Base::Duration> underWay; ///< by rank: the reading times of all runs that have not ended
+        Base::Instant asOf {}; ///< of the times above
+        std::uint64_t runningTokens = 0;
+    };
+
+    /// Who keeps the longest beginning of a prompt that others can take now.
+    struct Keeper
+    {
+        std::uint32_t endpoint = 0; ///< 0: none
+        std::uint32_t tokens = 0;
+        Base::Duration linkBusy {};
+    };
+
+    /// What an engine would have to do before the first token.
+    struct Reading
+    {
+        std::uint32_t kept = 0; ///< tokens of the prompt, once those taken from the keeper have come
+        std::uint32_t keeper = 0; ///< endpoint to take them from, 0 for none
+        std::uint32_t taken = 0; ///< tokens
+        Base::Duration moving {};
+        Base::Duration reading {};
+    };
+
+    struct Cost
+    {
+        Base::Duration backlog {};
+        Base::Duration own {};
+        std::uint32_t kept = 0; ///< tokens of the prompt
+        double load = 0;
+    };
+
+    const Engine *engineOf(std::uint32_t endpoint) const;
+    static std::uint32_t keptOf(const Engine &engine, const QueuedAsk &ask);
+    Keeper keeperOf(const QueuedAsk &ask, Base::Instant now) const;
+    Reading readingAt(const QueuedAsk &ask, const Candidate &candidate, const Keeper &keeper) const;
+    Cost costAt(const QueuedAsk &ask, const Candidate &candidate, const Keeper &keeper, bool preferred, Base::Instant now) const;
+    bool fits(const QueuedAsk &ask, const Candidate &candidate, std::uint32_t kept) const;
+    Base::Duration timeToRead(std::uint32_t tokens) const;
+    static Base::Duration backlogOf(const Engine &engine, int rank, Base::Instant now);
+    static void readOn(Engine &engine, Base::Instant now);
+
+    void learnSpeed(const PlacedRun &run, Base::Duration firstToken);
+
+    std::map<std::uint32_t, Engine> m_engines;
+    double m_tokensPerMs = 30.0; ///< read by an engine; learned, the start is that of a large model on one accelerator
+    double m_loggedTokensPerMs = m_tokensPerMs;
+};
+
+static_assert(PlacementPolicy<SoonestFirstToken>);
+
+} // namespace Yokepond::Dispatch
--- a/Source/Node/front.cpp
+++ b/Source/Node/front.cpp
@@ -505,6 +505,10 @@
     command.organisation = admitted.organisationName;
     command.deadline = admitted.deadline;
     command.address = endpoint->address.text();
+    // One that is leaving or gone would keep the run waiting for it.
+    if (const auto *keeper = catalogue->endpointNumbered(run.keeper); keeper != nullptr && !keeper->drained) {
+        command.keeper = keeper->address.text();
+    }
     command.path = admitted.path;
     command.engine = admitted.engine;
     command.priority = admitted.rank == 0 ? admitted.requestClass.rank : admitted.rank;
--- a/Source/Peer/codec.cpp
+++ b/Source/Peer/codec.cpp
@@ -157,6 +157,7 @@
         builder.setEndpoint(grant.endpoint);
         builder.setStartByUs(toMicroseconds(grant.startBy));
         builder.setPressure(grant.pressure);
+        builder.setKeeper(grant.keeper);
     }
 
     void operator()(const Refusal &refusal)
@@ -394,7 +395,8 @@
         return decodeAsk(reader.getAsk());
     case Wire::Message::GRANT: {
         const auto grant = reader.getGrant();
-        return Grant {decodeId(grant), grant.getEndpoint(), fromMicroseconds(grant.getStartByUs()), grant.getPressure()};
+        return Grant {decodeId(grant), grant.getEndpoint(), fromMicroseconds(grant.getStartByUs()), grant.getPressure(),
+                      grant.getKeeper()};
     }
     case Wire::Message::REFUSAL:
         return decodeRefusal(reader.getRefusal());
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -50,6 +50,7 @@
     std::uint32_t endpoint = 0; ///< number in the configuration
     Base::Instant startBy {}; ///< on the home's clock; a run must not start later
     std::uint32_t pressure = 0; ///< of the shard: asks queued and running per thousand of its endpoints' windows
+    std::uint32_t keeper = 0; ///< endpoint from which the run's own takes what is kept of the prompt, 0 for none
 };
 
 enum class RefusalReason : std::uint8_t {
--- a/Source/Peer/peer.capnp
+++ b/Source/Peer/peer.capnp
@@ -32,6 +32,7 @@
   endpoint @2 :UInt32;
   startByUs @3 :UInt64;        # on the home's monotonic clock
   pressure @4 :UInt32;         # of the shard: asks queued and running per thousand of its endpoints' windows
+  keeper @5 :UInt32;           # endpoint from which the run's own takes what is kept of the prompt, 0 for none
 }
 
 struct Refusal {
--- a/Source/Peer/peer.capnp.h
+++ b/Source/Peer/peer.capnp.h
@@ -634,6 +634,8 @@
 
   inline  ::uint32_t getPressure() const;
 
+  inline  ::uint32_t getKeeper() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -677,6 +679,9 @@
   inline  ::uint32_t getPressure();
   inline void setPressure( ::uint32_t value);
 
+  inline  ::uint32_t getKeeper();
+  inline void setKeeper( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3294,6 +3299,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Grant::Reader::getKeeper() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Grant::Builder::getKeeper() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Grant::Builder::setKeeper( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Refusal::Reader::getRequest() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Relay/call.h
+++ b/Source/Relay/call.h
@@ -77,6 +77,7 @@
     std::string callersName; ///< of the request, where its protocol has one
     std::string address; ///< of the endpoint, ip:port
     std::string endpoint; ///< its name
+    std::string keeper; ///< address of an endpoint that keeps a part of the prompt for this one to take over; may be empty
     std::string organisation; ///< the caller's, may be empty
     std::string path;
     bool engine = true; ///< an engine, whose answers are OpenAI-style; else a plain service
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -269,7 +269,7 @@
     beginRun(now, pending, *endpoint, now + std::chrono::seconds(1));
 }
 
-void Home::beginRun(Instant now, Pending &pending, std::uint32_t endpoint, Instant startBy)
+void Home::beginRun(Instant now, Pending &pending, std::uint32_t endpoint, Instant startBy, std::uint32_t keeper)
 {
     Base::require(pending.terms.repeatable || !pending.mayHaveRun, Base::Invariant::RunOnce);
     pending.phase = Phase::Running;
@@ -279,7 +279,7 @@
     m_localWindow.started(endpoint);
     const Configuration::Endpoint *object = m_catalogue->endpointNumbered(endpoint);
     note(pending, now, Step::Started, fmt::format("endpoint {}", object == nullptr ? "?" : object->name));
-    m_actions.emplace_back(StartRun {{pending.request.id, pending.attempt}, endpoint, startBy});
+    m_actions.emplace_back(StartRun {{pending.request.id, pending.attempt}, endpoint, startBy, keeper});
 }
 
 void Home::receive(Instant, const std::string &from, const Peer::Queued &queued)
@@ -329,7 +329,7 @@
         return;
     }
     note(*pending, now, Step::Granted, fmt::format("by {}, pressure {}/1000", from, grant.pressure));
-    beginRun(now, *pending, grant.endpoint, grant.startBy);
+    beginRun(now, *pending, grant.endpoint, grant.startBy, grant.keeper);
 }
 
 void Home::receive(Instant now, const std::string &from, const Peer::Refusal &refusal)
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -138,7 +138,7 @@
     void hearPressure(Base::Instant now, std::uint32_t shard, std::uint32_t pressure);
     void doWithoutDispatcher(Base::Instant now, Pending &pending);
     void tryLocalWindow(Base::Instant now, Pending &pending);
-    void beginRun(Base::Instant now, Pending &pending, std::uint32_t endpoint, Base::Instant startBy);
+    void beginRun(Base::Instant now, Pending &pending, std::uint32_t endpoint, Base::Instant startBy, std::uint32_t keeper = 0);
     void release(const Pending &pending, const RunReport &report, Peer::RunResult result);
     void retryOrFail(Base::Instant now, Pending &pending, const RunReport &report);
     static bool mayRetry(const Pending &pending, const RunReport &report);
--- a/Tests/Dispatch/placementtest.cpp
+++ b/Tests/Dispatch/placementtest.cpp
@@ -1,11 +1,12 @@
 // SPDX-License-Identifier: BSD-3-Clause
 // SPDX-FileCopyrightText: 2026 yokepond maintainers
 
-#include "Dispatch/placement.h"
+#include "Dispatch/soonestfirsttoken.h"
 
 #include "Dispatch/fixtures.h"
 
 #include <algorithm>
+#include <set>
 
 #include <CppUTest/TestHarness.h>
 
@@ -122,3 +123,64 @@
     }
     CHECK_TRUE(placement.expected(ask(5, 500, 2), engines, at(0.01)) == idle);
 }
+
+/// Engines that can take kept prompts from each other.
+TEST_GROUP_BASE(MovingPrompts,
+                TEST_GROUP_CppUTestGroupSoonestFirstToken) {void setup() override {for (Candidate & engine
+                                                                                        : engines) {engine.movedTokensPerMs = 300;
+}
+placement.ended(placement.placed(ask(1, 100), engines[0], at(0)), {});
+}
+}
+;
+
+TEST(MovingPrompts, anEngineTakesASharedPartFromTheOneThatKeepsIt)
+{
+    const PlacedRun run = placement.placed(ask(1, 101), engines[1], at(5));
+    CHECK_EQUAL(1U, run.keeper);
+    CHECK_EQUAL(4'000U, run.unread);
+    // What it has taken it keeps as well, and lends.
+    CHECK_EQUAL(0U, placement.placed(ask(1, 102), engines[1], at(10)).keeper);
+    placement.forget(1);
+    CHECK_EQUAL(2U, placement.placed(ask(1, 103), engines[2], at(15)).keeper);
+}
+
+TEST(MovingPrompts, nothingIsTakenBeforeItHasBeenRead)
+{
+    CHECK_EQUAL(0U, placement.placed(ask(1, 101), engines[1], at(0.01)).keeper);
+}
+
+TEST(MovingPrompts, nothingIsTakenFromAnEngineThatFailsOrLeaves)
+{
+    placement.distrust(1);
+    CHECK_EQUAL(0U, placement.placed(ask(1, 101), engines[1], at(5)).keeper);
+}
+
+TEST(MovingPrompts, aRunThatDidWellSinceWinsTrustBackAndAnEarlierOneDoesNot)
+{
+    const PlacedRun before = placement.placed(ask(1, 100), engines[0], at(1));
+    placement.distrust(1);
+    placement.ended(before, std::chrono::milliseconds(100));
+    CHECK_EQUAL(0U, placement.placed(ask(1, 101), engines[1], at(5)).keeper);
+    placement.ended(placement.placed(ask(1, 102), engines[0], at(6)), std::chrono::milliseconds(100));
+    CHECK_EQUAL(1U, placement.placed(ask(1, 103), engines[2], at(10)).keeper);
+}
+
+TEST(MovingPrompts, whatIsReadSoonerThanMovedIsRead)
+{
+    for (Candidate &engine : engines) {
+        engine.movedTokensPerMs = 10;
+    }
+    CHECK_EQUAL(0U, placement.placed(ask(1, 101), engines[1], at(5)).keeper);
+    engines[1].movedTokensPerMs = 0;
+    CHECK_EQUAL(0U, placement.placed(ask(1, 101), engines[1], at(5)).keeper);
+}
+
+TEST(MovingPrompts, thoseThatShareAPartNeedNotQueueWhereItIsKept)
+{
+    std::set<std::uint32_t> used;
+    for (std::uint64_t own = 200; own < 206; ++own) {
+        used.insert(place(ask(1, own), 5));
+    }
+    CHECK_EQUAL(3U, used.size());
+}
--- a/Tests/Platform/requestprotocoltest.cpp
+++ b/Tests/Platform/requestprotocoltest.cpp
@@ -124,6 +124,13 @@
     STRCMP_EQUAL("(none)", sent("x-expect-version").c_str());
 }
 
+TEST(RequestProtocol, anEndpointIsToldWhoKeepsThePrompt)
+{
+    STRCMP_EQUAL("(none)", sent("kv-fetch").c_str());
+    run.keeper = "10.0.0.2:80";
+    STRCMP_EQUAL("10.0.0.2:80", sent("kv-fetch").c_str());
+}
+
 TEST(RequestProtocol, whatACallerSaysOfItsPromptReachesTheEndpoint)
 {
     request.headers.push_back({std::string(Names::lengthHint), "70"});
--- a/Tests/Platform/siteformtest.cpp
+++ b/Tests/Platform/siteformtest.cpp
@@ -19,7 +19,7 @@
              "public":false,"stream_resume":true,"target_gap_ms":1500},
             {"name":"r2","host":"a.example","path_prefix":"/q/","type":"non_idempotent","timeout_ms":800,
              "target_latency_ms":150,"priority":0,"service":"other","max_attempts":1,"public":true}],
-  "services":[{"name":"llm","engine":{"slots":64,"kv_capacity":391784}},{"name":"other"}],
+  "services":[{"name":"llm","engine":{"slots":64,"kv_capacity":391784,"kv_bytes":16000,"link_mbps":320000.0,"moves":true}},{"name":"other"}],
   "tenants":[{"name":"town","api_keys":["k1","k2"],"priority":0}]})";
 
 } // namespace
@@ -73,11 +73,19 @@
     CHECK_EQUAL(2U, parts->endpoints.size());
     CHECK_FALSE(parts->endpoints[0].drained);
     CHECK_EQUAL(391784U, parts->endpoints[0].memoryTokens);
+    DOUBLES_EQUAL(2500.0, parts->endpoints[0].movedTokensPerMs, 0.001);
     CHECK_TRUE(parts->endpoints[1].drained);
     CHECK_EQUAL(records.revision(), parts->revision);
     CHECK_EQUAL(17U, parts->revision);
 }
 
+TEST(SiteForm, enginesThatMoveNothingHaveNoSpeedOfMoving)
+{
+    const std::string still = R"({"routes":[],"services":[{"name":"llm","engine":{"kv_bytes":16000,"link_mbps":320000.0}}]})";
+    records.merge({RecordKind::Configuration, "config", 9, false, still});
+    DOUBLES_EQUAL(0.0, Platform::decodeSite(records)->endpoints[0].movedTokensPerMs, 0.001);
+}
+
 TEST(SiteForm, aBrokenConfigurationIsATypedError)
 {
     records.merge({RecordKind::Configuration, "config", 11, false, R"({"routes":[{"name":"r1"}],"services":[]})"});
