Dispatch: The reading speed of each engine is learned apart

Hypothesis: a third of a pool may be slower for good; one speed for the pool makes its backlog and the pauses it causes look too short. Change: each engine has its own speed, from the runs that it read alone, beginning with the pool's; it counts for its backlog, its pauses and the expected first token. What reading costs in choosing a place stays at the pool's speed. The new test fails before.

--- a/Source/Dispatch/soonestfirsttoken.cpp
+++ b/Source/Dispatch/soonestfirsttoken.cpp
@@ -44,6 +44,8 @@
 /// do; one that was slower may have met work that the model does not know of.
 constexpr double latestShareIfFaster = 0.3;
 constexpr double latestShareIfSlower = 0.02;
+/// The pool's speed, for engines that have shown none yet, follows that of the engine that ended a run.
+constexpr double poolShareOfOneEngine = 0.1;
 /// Of the time after which a prompt is expected to have been read: until it is over, others are not sent to take it.
 constexpr double readMargin = 1.5;
 /// Before the first byte of a move: the way to the engine that keeps the prompt and back, and its link's set-up.
@@ -120,6 +122,12 @@
     return fromMs(static_cast<double>(tokens) / m_tokensPerMs);
 }
 
+Base::Duration SoonestFirstToken::timeToRead(const Engine *engine, std::uint32_t tokens) const
+{
+    const bool known = engine != nullptr && engine->tokensPerMs > 0;
+    return known ? fromMs(tokens / engine->tokensPerMs) : timeToRead(tokens);
+}
+
 /// Time until all that is read before a new prompt of @p rank has been read.
 Base::Duration SoonestFirstToken::backlogOf(const Engine &engine, int rank, Base::Instant now)
 {
@@ -194,7 +202,7 @@
             reading.moving = moving;
         }
     }
-    reading.reading = timeToRead(ask.ask.promptTokens - reading.kept);
+    reading.reading = timeToRead(engine, ask.ask.promptTokens - reading.kept);
     return reading;
 }
 
@@ -208,10 +216,12 @@
     cost.own = reading.moving + reading.reading;
     cost.kept = reading.kept;
     cost.lateRuns = engine == nullptr ? 0 : lateRuns(ask, *engine, part(reading.reading, 1.0 / readingShare), now);
+    // What reading costs the pool is the same everywhere: a slow engine shows by its backlog, its pauses and late first tokens.
+    const double own = Base::milliseconds(reading.moving + timeToRead(ask.ask.promptTokens - reading.kept));
     const double readFactor = preferred || reading.keeper != 0 ? 1.0 : readAgainFactor;
-    cost.load = Base::milliseconds(cost.backlog) + Base::milliseconds(cost.own) * readFactor + loadOf(candidate) * fullWindowMs
-        + Base::milliseconds(cost.own) * candidate.running * slowsOthers
-        + Base::milliseconds(timeToRead(reading.taken)) * moveCostOfReading + cost.lateRuns * lateRunMs;
+    cost.load = Base::milliseconds(cost.backlog) + own * readFactor + loadOf(candidate) * fullWindowMs
+        + own * candidate.running * slowsOthers + Base::milliseconds(timeToRead(reading.taken)) * moveCostOfReading
+        + cost.lateRuns * lateRunMs;
     return cost;
 }
 
@@ -317,17 +327,22 @@
     unread = std::min(unread, underWay);
     // Behind other prompts the time tells of the model's errors rather than of the engine's speed.
     if (run.alone && seen.first > Base::Duration::zero() && run.unread >= leastTokensToLearn) {
-        learnSpeed(run, seen.first);
+        learnSpeed(engine->second, run, seen.first);
     }
 }
 
-void SoonestFirstToken::learnSpeed(const PlacedRun &run, Base::Duration firstToken)
+void SoonestFirstToken::learnSpeed(Engine &engine, const PlacedRun &run, Base::Duration firstToken)
 {
     const Base::Duration reading = std::max(firstToken - overhead, firstToken / 2);
     const double ratio = std::clamp(Base::milliseconds(run.expected) / Base::milliseconds(reading), 0.5, 2.0);
-    const double change = m_tokensPerMs * ratio - m_tokensPerMs;
-    const double share = change > 0 ? latestShareIfFaster : latestShareIfSlower;
-    m_tokensPerMs = std::clamp(m_tokensPerMs + share * change, slowestTokensPerMs, fastestTokensPerMs);
+    // What was expected was expected at the speed believed when the run was placed, which is about the present one.
+    const auto learned = [&](double believed) {
+        const double change = believed * ratio - believed;
+        const double share = change > 0 ? latestShareIfFaster : latestShareIfSlower;
+        return std::clamp(believed + share * change, slowestTokensPerMs, fastestTokensPerMs);
+    };
+    engine.tokensPerMs = learned(engine.tokensPerMs > 0 ? engine.tokensPerMs : m_tokensPerMs);
+    m_tokensPerMs += poolShareOfOneEngine * (engine.tokensPerMs - m_tokensPerMs);
     if (std::abs(m_tokensPerMs - m_loggedTokensPerMs) > leastLoggedChange * m_loggedTokensPerMs) {
         m_loggedTokensPerMs = m_tokensPerMs;
         Base::log(Base::LogLevel::Info, Base::LogEvent::ReadingSpeedLearned,
--- a/Source/Dispatch/soonestfirsttoken.h
+++ b/Source/Dispatch/soonestfirsttoken.h
@@ -49,6 +49,7 @@
         Base::Instant asOf {}; ///< of the times above
         std::uint64_t runningTokens = 0;
         ReadingPauses pauses;
+        double tokensPerMs = 0; ///< read; learned, 0 before the first run that tells
     };
 
     /// Who keeps the longest beginning of a prompt that others can take now.
@@ -84,18 +85,22 @@
     Reading readingAt(const QueuedAsk &ask, const Candidate &candidate, const Keeper &keeper) const;
     Cost costAt(const QueuedAsk &ask, const Candidate &candidate, const Keeper &keeper, bool preferred, Base::Instant now) const;
     bool fits(const QueuedAsk &ask, const Candidate &candidate, std::uint32_t kept) const;
+    /// By an engine of which nothing is known apart from the others.
     Base::Duration timeToRead(std::uint32_t tokens) const;
+    Base::Duration timeToRead(const Engine *engine, std::uint32_t tokens) const;
     static Base::Duration backlogOf(const Engine &engine, int rank, Base::Instant now);
     /// Time until all that was sent has been read.
     static Base::Duration backlogOf(const Engine &engine, Base::Instant now);
     double lateRuns(const QueuedAsk &ask, const Engine &engine, Base::Duration reading, Base::Instant now) const;
     static void readOn(Engine &engine, Base::Instant now);
 
-    void learnSpeed(const PlacedRun &run, Base::Duration firstToken);
+    void learnSpeed(Engine &engine, const PlacedRun &run, Base::Duration firstToken);
 
     std::map<std::uint32_t, Engine> m_engines;
     std::shared_ptr<LongestPause> m_longestPause = std::make_shared<LongestPause>();
-    double m_tokensPerMs = 30.0; ///< read by an engine; learned, the start is that of a large model on one accelerator
+    /// Read by an engine that has not shown its own speed; learned from all, the start is that of a large model on one
+    /// accelerator.
+    double m_tokensPerMs = 30.0;
     double m_loggedTokensPerMs = m_tokensPerMs;
 };
 
--- a/Tests/Dispatch/placementtest.cpp
+++ b/Tests/Dispatch/placementtest.cpp
@@ -242,3 +242,21 @@
     }
     CHECK_EQUAL(3U, used.size());
 }
+
+TEST(SoonestFirstToken, aSlowEngineIsExpectedToReadForLonger)
+{
+    const std::span<const Candidate> all(engines);
+    const auto expectedAt = [&](std::size_t index, std::uint64_t own) {
+        return Base::milliseconds(placement.expected(ask(own, own), all.subspan(index, 1), at(500)));
+    };
+    for (std::uint64_t run = 0; run < 40; ++run) {
+        for (const Candidate &engine : engines) {
+            const double first = engine.endpoint == 3 ? 2.0 : 0.5;
+            const double now = static_cast<double>(run) * 3;
+            const PlacedRun placed = placement.placed(ask(1000 + 10 * run + engine.endpoint, 1), engine, at(now));
+            placement.ended(placed, {at(first) - at(0), {}});
+        }
+    }
+    DOUBLES_EQUAL(expectedAt(0, 5000), expectedAt(1, 5000), 1.0);
+    CHECK_TRUE(expectedAt(2, 5000) > 1.5 * expectedAt(0, 5000));
+}
