Home: Requests that share a long beginning meet in one shard

Change: the shard follows the longest beginning that the prompt shares with others, as the preferred engine does. Ruled out: pools with one shard are not touched.

--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -50,9 +50,11 @@
 constexpr Duration shardNewsKept = std::chrono::seconds(2);
 constexpr Duration shardAvoided = std::chrono::seconds(1);
 
+/// Requests that share a long beginning meet in one shard. By the first part of their prompts alone, which thousands of different
+/// beginnings may have in common, each of a pool's shards came to read every one of them.
 std::uint64_t shardAffinity(const NewRequest &request)
 {
-    return request.prefix.empty() ? Base::hash64(fmt::format("{}", request.id)) : request.prefix.front();
+    return request.prefix.empty() ? Base::hash64(fmt::format("{}", request.id)) : Dispatch::sharedBeginning(request.prefix);
 }
 
 RunResult resultOf(const RunReport &report)
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -6,6 +6,9 @@
 #include "Base/error.h"
 #include "Dispatch/fixtures.h"
 
+#include <set>
+#include <string>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace Yokepond;
@@ -270,3 +273,28 @@
     CHECK_EQUAL(2, second.id.attempt);
     CHECK_EQUAL(Tests::numberOf(objects, Kind::Endpoint, "e1"), second.avoid);
 }
+
+TEST(Home, requestsThatShareALongBeginningMeetInOneShardWhateverOthersShareItsFirstPart)
+{
+    std::string statements(Tests::threeTiers);
+    for (int number = 10; number < 90; ++number) {
+        statements += "create endpoint e" + std::to_string(number) + " pool main address 127.0.0.1:" + std::to_string(number)
+            + " slots 2\n";
+    }
+    objects = Tests::objectsOf(statements);
+    catalogue = Configuration::Catalogue::build(objects);
+    view(0);
+    std::set<std::uint32_t> all;
+    std::uint64_t id = 0;
+    for (std::uint64_t subject = 100; subject < 140; ++subject) {
+        std::set<std::uint32_t> ofSubject;
+        for (std::uint64_t own = 0; own < 3; ++own) {
+            ++id;
+            home.start(at(0), {id, Tests::numberOf(objects, Kind::Class, "alert"), 1, 10, {7, subject, 1000 + id}, {2, 6, 10}});
+            ofSubject.insert(lastAsk().shard);
+        }
+        CHECK_EQUAL(1U, ofSubject.size());
+        all.merge(ofSubject);
+    }
+    CHECK_TRUE(all.size() > 1);
+}
