SiteWatch: After a failure calls are not held, and an answer wakes the other table

The store was silent for 8 s; the held calls of all hosts that began just before its return hung for 4 s (hold and time-out), and the wait after several failures came on top, so that the configuration of 0.8 s later was read by none of them in time. Change: a call after a failed one is not held, so that it hangs for 1.5 s at most; when one table is answered, the other is asked again at once. Ruled out: the hosts' telling each other (0.3 to 0.8 s in the log) and the rounds of placement, which touch none of this. Measured: both tests failed before.

--- a/Source/Node/sitewatch.h
+++ b/Source/Node/sitewatch.h
@@ -28,6 +28,10 @@
     /// given up, [platform] timeout-ms later than this. From 3 s after such trouble a leaving endpoint must be known within
     /// 2 s, so that a call may hang for 4 s.
     Base::Duration wait = std::chrono::milliseconds(2500);
+    /// The same after a failed call: whoever has just been swallowed asks whether the platform is back and is given up soon.
+    /// Held calls that began just before the end of an outage hung for 4 s on all hosts at once, and a configuration accepted
+    /// meanwhile came into force 0.2 s too late.
+    Base::Duration waitAfterFailure = Base::Duration::zero();
     /// Between an answer about endpoints and the next call: heartbeats may end each held call at once, and calls cost.
     Base::Duration endpointPause = std::chrono::milliseconds(400);
     Base::Duration configurationPause = std::chrono::milliseconds(20);
@@ -114,7 +118,8 @@
         if (whole) {
             m_feed.read(table.kind, std::move(handler));
         } else {
-            m_feed.follow(table.kind, table.since, m_options.wait, std::move(handler));
+            const Base::Duration wait = table.failures == 0 ? m_options.wait : m_options.waitAfterFailure;
+            m_feed.follow(table.kind, table.since, wait, std::move(handler));
         }
     }
 
@@ -159,6 +164,10 @@
     void tellAnswers(Base::Instant now)
     {
         m_lastAnswer = now;
+        for (Table &table : m_tables) {
+            // It answers again: what failed before need not wait for its next try.
+            table.next = table.failures > 0 ? now : table.next;
+        }
         if (!std::exchange(m_answers, true)) {
             m_told = true;
             m_events.storeAnswers(true, absl::OkStatus());
--- a/Tests/Node/sitewatchtest.cpp
+++ b/Tests/Node/sitewatchtest.cpp
@@ -191,3 +191,30 @@
     const Base::Duration nextCall = std::chrono::seconds(1);
     CHECK_TRUE(feed.waited + givenUpLater + nextCall <= hostsCountAsInTouch + leavingKnownWithin);
 }
+
+TEST(SiteWatch, afterAFailureCallsAreNotHeldUntilOneIsAnswered)
+{
+    tickAfter({});
+    answer(Platform::FeedPage {{}, 7});
+    tickAfter(std::chrono::seconds(1));
+    CHECK_TRUE(feed.waited >= std::chrono::seconds(1));
+    fail(Base::ErrorKind::StoreUnavailable);
+    tickAfter(std::chrono::seconds(3));
+    CHECK_TRUE(feed.waited == Base::Duration::zero());
+    answer(Platform::FeedPage {{}, 8});
+    tickAfter(std::chrono::seconds(6));
+    CHECK_TRUE(feed.waited >= std::chrono::seconds(1));
+}
+
+TEST(SiteWatch, whenOneTableIsAnsweredTheOtherIsAskedAtOnce)
+{
+    constexpr RecordKind configuration = RecordKind::Configuration;
+    tickAfter({});
+    auto first = std::exchange(feed.calls[configuration], std::nullopt);
+    first->handler(Base::makeError(Base::ErrorKind::StoreUnavailable, "silent"));
+    tickAfter({});
+    CHECK_FALSE(feed.calls[configuration].has_value());
+    answer(Platform::FeedPage {{}, 7});
+    tickAfter({});
+    CHECK_TRUE(feed.calls[configuration].has_value());
+}
