Preference: Weights of endpoints are mixed from numbers, not from text

Cause: each candidate of each ask formatted its number as text to be hashed, on the dispatcher's hot path. Change: Base::mixed, as shards do; the bench of decisions takes a placement policy and prompts with lengths.

--- a/Source/Dispatch/preference.cpp
+++ b/Source/Dispatch/preference.cpp
@@ -5,8 +5,6 @@
 
 #include "Base/hash.h"
 
-#include <fmt/format.h>
-
 namespace Yokepond::Dispatch {
 
 std::uint64_t sharedBeginning(std::span<const std::uint64_t> prefix)
@@ -19,7 +17,7 @@
 
 std::uint64_t preferenceWeight(std::uint32_t endpoint, std::uint64_t shared)
 {
-    return Base::hash64(fmt::format("{}", endpoint), shared);
+    return Base::mixed(shared, endpoint);
 }
 
 } // namespace Yokepond::Dispatch
--- a/Utilities/benchdispatch.cpp
+++ b/Utilities/benchdispatch.cpp
@@ -20,9 +20,10 @@
 constexpr std::uint32_t organisations = 940;
 constexpr int endpoints = 32;
 
-Configuration::Objects makeObjects()
+Configuration::Objects makeObjects(std::string_view placement)
 {
-    std::string text = "create setting queue-limit value 1000000\ncreate pool main\n";
+    std::string text = fmt::format("create setting queue-limit value 1000000\ncreate setting placement value {}\n", placement);
+    text += "create pool main\n";
     for (int tier = 1; tier <= 5; ++tier) {
         text += fmt::format("create tier t{0} rank {0}\ncreate class c{0} tier t{0} pool main deadline 1h starvation-bound 1h\n",
                             tier);
@@ -44,13 +45,14 @@
     ask.remaining = std::chrono::hours(1);
     ask.promptTokens = 100;
     ask.prefix = {random() % 100, random() % 1000, random() % 10'000};
+    ask.prefixTokens = {40, 70, 100};
     return ask;
 }
 
 /// Mean time of one decision in microseconds with @p queued asks waiting.
-double measure(std::size_t queued)
+double measure(std::string_view placement, std::size_t queued)
 {
-    const Configuration::Objects objects = makeObjects();
+    const Configuration::Objects objects = makeObjects(placement);
     const auto catalogue = Configuration::Catalogue::build(objects);
     Dispatch::ShardInfo info {1, 0, "", 0, {}, "h"};
     for (const Configuration::Endpoint &endpoint : catalogue->endpoints()) {
@@ -96,12 +98,14 @@
 
 } // namespace
 
-int main()
+/// The placement policy is the first argument, `affinity` without one.
+int main(int argc, char **argv)
 {
+    const std::string_view placement = argc > 1 ? argv[1] : "affinity";
     constexpr std::array<std::size_t, 4> lengths = {0, 100, 1000, 10'000};
-    const double empty = measure(lengths.front());
+    const double empty = measure(placement, lengths.front());
     for (const std::size_t length : lengths) {
-        const double time = measure(length);
+        const double time = measure(placement, length);
         fmt::print("{:>6} asks queued: {:.2f} us for an ask and a release, {:.2f} times the empty queue's\n", length, time,
                    time / empty);
     }
