SoonestFirstToken: What is taken from another engine needs room in memory

Cause: read again, the room for a run left out the part of its prompt that comes from another engine, though the run's memory counted it once it was placed; an engine near its bound could be given more than it holds, and would preempt. Change: one formula for both.

--- a/Source/Dispatch/soonestfirsttoken.cpp
+++ b/Source/Dispatch/soonestfirsttoken.cpp
@@ -215,6 +215,7 @@
     cost.backlog = engine == nullptr ? Base::Duration::zero() : backlogOf(*engine, ask.terms.rank, now);
     cost.own = reading.moving + reading.reading;
     cost.kept = reading.kept;
+    cost.memory = memoryFor(ask, reading);
     cost.lateRuns = engine == nullptr ? 0 : lateRuns(ask, *engine, part(reading.reading, 1.0 / readingShare), now);
     // What reading costs the pool is the same everywhere: a slow engine shows by its backlog, its pauses and late first tokens.
     const double own = Base::milliseconds(reading.moving + timeToRead(ask.ask.promptTokens - reading.kept));
@@ -225,8 +226,14 @@
     return cost;
 }
 
-/// @p kept: tokens of the prompt that the engine keeps.
-bool SoonestFirstToken::fits(const QueuedAsk &ask, const Candidate &candidate, std::uint32_t kept) const
+/// Parts that are kept are there once, whatever number of runs use them; those taken from another engine are new there.
+std::uint64_t SoonestFirstToken::memoryFor(const QueuedAsk &ask, const Reading &reading)
+{
+    return memoryOf(ask) - reading.kept + reading.taken;
+}
+
+/// @p memory: tokens that the run would take up.
+bool SoonestFirstToken::fits(const QueuedAsk &ask, const Candidate &candidate, std::uint64_t memory) const
 {
     const Engine *engine = engineOf(candidate.endpoint);
     if (engine == nullptr || candidate.memoryTokens == 0 || engine->runningTokens == 0) {
@@ -235,7 +242,7 @@
     const bool mostUrgent = ask.terms.tightestAbove == Base::Duration::zero();
     const double share = mostUrgent ? runningShareOfMostUrgent : runningShare;
     const auto most = static_cast<std::uint64_t>(share * static_cast<double>(candidate.memoryTokens));
-    return engine->runningTokens + memoryOf(ask) - kept <= most;
+    return engine->runningTokens + memory <= most;
 }
 
 std::optional<std::uint32_t> SoonestFirstToken::choose(const QueuedAsk &ask, std::span<const Candidate> candidates,
@@ -249,7 +256,7 @@
         const Cost cost = costAt(ask, candidate, keeper, candidate.endpoint == preferred, now);
         // What is late already gains nothing by waiting here.
         const bool waits = now < ask.target() && cost.backlog > longestBacklog(ask, cost.kept, cost.own);
-        if (waits || !fits(ask, candidate, cost.kept)) {
+        if (waits || !fits(ask, candidate, cost.memory)) {
             continue;
         }
         if (!best || cost.load < least) {
@@ -282,8 +289,7 @@
     run.endpoint = candidate.endpoint;
     run.keeper = plan.keeper;
     run.trust = engine.trust;
-    // Parts that are kept are there once, whatever number of runs use them.
-    run.tokens = memoryOf(ask) - plan.kept + plan.taken;
+    run.tokens = memoryFor(ask, plan);
     run.unread = ask.ask.promptTokens - plan.kept;
     readOn(engine, now);
     const Base::Duration backlog = backlogOf(engine, ask.terms.rank, now);
--- a/Source/Dispatch/soonestfirsttoken.h
+++ b/Source/Dispatch/soonestfirsttoken.h
@@ -75,6 +75,7 @@
         Base::Duration backlog {};
         Base::Duration own {};
         std::uint32_t kept = 0; ///< tokens of the prompt
+        std::uint64_t memory = 0; ///< tokens that the run would take up
         double lateRuns = 0; ///< expected for the pauses that the reading makes
         double load = 0;
     };
@@ -84,7 +85,8 @@
     Keeper keeperOf(const QueuedAsk &ask, Base::Instant now) const;
     Reading readingAt(const QueuedAsk &ask, const Candidate &candidate, const Keeper &keeper) const;
     Cost costAt(const QueuedAsk &ask, const Candidate &candidate, const Keeper &keeper, bool preferred, Base::Instant now) const;
-    bool fits(const QueuedAsk &ask, const Candidate &candidate, std::uint32_t kept) const;
+    static std::uint64_t memoryFor(const QueuedAsk &ask, const Reading &reading);
+    bool fits(const QueuedAsk &ask, const Candidate &candidate, std::uint64_t memory) const;
     /// By an engine of which nothing is known apart from the others.
     Base::Duration timeToRead(std::uint32_t tokens) const;
     Base::Duration timeToRead(const Engine *engine, std::uint32_t tokens) const;
--- a/Tests/Dispatch/placementtest.cpp
+++ b/Tests/Dispatch/placementtest.cpp
@@ -166,6 +166,18 @@
     CHECK_EQUAL(1U, placement.placed(ask(1, 103), engines[2], at(10)).keeper);
 }
 
+TEST(MovingPrompts, whatIsTakenNeedsRoomInMemory)
+{
+    engines = {{1, 0, 64, 500'000, 300}, {2, 0, 64, 40'000, 300}};
+    placement.placed(ask(2, 200), engines[1], at(5));
+    // 17,100 of at most 30,000 tokens are taken up there; the first part alone has 13,000.
+    QueuedAsk more = ask(1, 101);
+    more.ask.expectedTokens = 50;
+    CHECK_EQUAL(1U, placement.choose(more, engines, at(10)).value());
+    engines.erase(engines.begin());
+    CHECK_FALSE(placement.choose(more, engines, at(10)).has_value());
+}
+
 TEST(MovingPrompts, whatIsReadSoonerThanMovedIsRead)
 {
     for (Candidate &engine : engines) {
