Dispatch, Home: The learned longest pause and the keeper of a prompt are told in the logs

Cause: two new beliefs and decisions left no line: how long a stream can pause while its engine reads, and from whom a run takes a part of its prompt. Change: `longest-pause-learned` when the belief moves by a fifth, with the run that moved it; the step `started` names the keeper.

--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 29> eventNames = {{
+constexpr NameTable<LogEvent, 30> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -34,6 +34,7 @@
     {LogEvent::EndpointEjected, "endpoint-ejected"},
     {LogEvent::EndpointReturned, "endpoint-returned"},
     {LogEvent::ReadingSpeedLearned, "reading-speed-learned"},
+    {LogEvent::LongestPauseLearned, "longest-pause-learned"},
     {LogEvent::MemberChanged, "member-changed"},
     {LogEvent::PeerConnected, "peer-connected"},
     {LogEvent::PeerLost, "peer-lost"},
--- a/Source/Base/log.h
+++ b/Source/Base/log.h
@@ -40,6 +40,7 @@
     EndpointEjected,
     EndpointReturned,
     ReadingSpeedLearned,
+    LongestPauseLearned,
     MemberChanged,
     PeerConnected,
     PeerLost,
--- a/Source/Dispatch/soonestfirsttoken.cpp
+++ b/Source/Dispatch/soonestfirsttoken.cpp
@@ -323,6 +323,7 @@
     }
     engine->second.runningTokens -= std::min(engine->second.runningTokens, run.tokens);
     engine->second.pauses.ended(run.allowedPause, run.placedAt + seen.first, seen.pauses);
+    logLongestPause(run, seen);
     if (seen.first > Base::Duration::zero() && run.trust == engine->second.trust) {
         engine->second.lends = true;
     }
@@ -337,6 +338,20 @@
     }
 }
 
+void SoonestFirstToken::logLongestPause(const PlacedRun &run, const SeenTokens &seen)
+{
+    const double believed = Base::milliseconds(m_longestPause->value());
+    const double logged = Base::milliseconds(m_loggedLongestPause);
+    if (std::abs(believed - logged) > leastLoggedChange * logged) {
+        m_loggedLongestPause = m_longestPause->value();
+        Base::log(Base::LogLevel::Info, Base::LogEvent::LongestPauseLearned,
+                  {{"longest-ms", believed},
+                   {"endpoint", run.endpoint},
+                   {"seen-ms", Base::milliseconds(seen.pauses.longest)},
+                   {"allowed-ms", Base::milliseconds(run.allowedPause)}});
+    }
+}
+
 void SoonestFirstToken::learnSpeed(Engine &engine, const PlacedRun &run, Base::Duration firstToken)
 {
     const Base::Duration reading = std::max(firstToken - overhead, firstToken / 2);
--- a/Source/Dispatch/soonestfirsttoken.h
+++ b/Source/Dispatch/soonestfirsttoken.h
@@ -96,6 +96,7 @@
     double lateRuns(const QueuedAsk &ask, const Engine &engine, Base::Duration reading, Base::Instant now) const;
     static void readOn(Engine &engine, Base::Instant now);
 
+    void logLongestPause(const PlacedRun &run, const SeenTokens &seen);
     void learnSpeed(Engine &engine, const PlacedRun &run, Base::Duration firstToken);
 
     std::map<std::uint32_t, Engine> m_engines;
@@ -103,6 +104,7 @@
     /// Read by an engine that has not shown its own speed; learned from all, the start is that of a large model on one
     /// accelerator.
     double m_tokensPerMs = 30.0;
+    Base::Duration m_loggedLongestPause {};
     double m_loggedTokensPerMs = m_tokensPerMs;
 };
 
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -279,8 +279,12 @@
     ++pending.runs;
     pending.misdirected = 0;
     m_localWindow.started(endpoint);
-    const Configuration::Endpoint *object = m_catalogue->endpointNumbered(endpoint);
-    note(pending, now, Step::Started, fmt::format("endpoint {}", object == nullptr ? "?" : object->name));
+    const auto nameOf = [this](std::uint32_t number) {
+        const Configuration::Endpoint *object = m_catalogue->endpointNumbered(number);
+        return object == nullptr ? std::string("?") : object->name;
+    };
+    const std::string taken = keeper == 0 ? "" : fmt::format(", its prompt kept by {}", nameOf(keeper));
+    note(pending, now, Step::Started, fmt::format("endpoint {}{}", nameOf(endpoint), taken));
     m_actions.emplace_back(StartRun {{pending.request.id, pending.attempt}, endpoint, startBy, keeper});
 }
 
