Tests: A store that turns one host away, a slow store, and all fields of grants and releases

Cause: the stand-in of the store played neither of two troubles that the users list; the new fields of grants and releases had no test of their way over the wire and into a run. Change: tests and the stand-in only.

--- a/Tests/Integration/recordsplatform.py
+++ b/Tests/Integration/recordsplatform.py
@@ -61,7 +61,7 @@
 
 class Store(Server):
     """Rows with versions from one counter, and the feed of their changes. `down`: answers nothing but 503. `swallow`: calls that are
-    there or come meanwhile are never answered, also not when it is over."""
+    there or come meanwhile are never answered, also not when it is over. `slow`: seconds by which each answer comes later."""
 
     def __init__(self):
         self.lock = threading.Condition()
@@ -70,6 +70,7 @@
         self.oldest = 0
         self.down = False
         self.swallow = False
+        self.slow = 0.0
         self.ended = threading.Event()
         super().__init__()
 
@@ -98,6 +99,7 @@
         return sorted(found, key=lambda row: row["schema_version"])
 
     def respond(self, handler):
+        time.sleep(self.slow)
         url = urlsplit(handler.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         if self.swallow:
@@ -135,6 +137,21 @@
         send(handler, 200, {"Content-Type": "application/json"}, json.dumps(body).encode())
 
 
+class Door(Server):
+    """An address of its own for the store. `closed`: those who come by it are turned away, while the store serves the others."""
+
+    def __init__(self, store):
+        self.store = store
+        self.closed = False
+        super().__init__()
+
+    def respond(self, handler):
+        if self.closed:
+            send(handler, 503, {})
+        else:
+            self.store.respond(handler)
+
+
 class Runner(Server):
     """An endpoint. Streams five events; `cut_after`: breaks a new stream off, within the event after so many."""
 
@@ -199,9 +216,10 @@
 
 
 class Hosts:
-    """Some daemons on the store at `platform`."""
+    """A daemon on the store for each of its addresses in `platforms`."""
 
-    def __init__(self, binaries, platform, count):
+    def __init__(self, binaries, platforms):
+        count = len(platforms)
         self.directory = tempfile.mkdtemp(prefix="yokepond-records-")
         ports = [[free_port() for _ in range(3)] for _ in range(count)]
         seeds = ", ".join(f"127.0.0.1:{entry[2]}" for entry in ports)
@@ -213,7 +231,7 @@
             with open(settings, "w", encoding="utf-8") as file:
                 file.write(f"[host]\nname = h{index}\ndata-centre = a\n[listen]\ncaller = 127.0.0.1:{caller}\n"
                            f"operator = 127.0.0.1:{operator}\npeer = 127.0.0.1:{peer}\n[peers]\nseeds = {seeds}\n"
-                           f"[platform]\nform = records\naddress = {platform}\ntimeout-ms = 1000\n"
+                           f"[platform]\nform = records\naddress = {platforms[index]}\ntimeout-ms = 1000\n"
                            "[dispatch]\nwhole-pool-shards = yes\nplacement = soonest-first-token\nwindow = fixed\n"
                            "[retries]\nshare = 0.2\nslack = 50\n[stop]\nbalancer-lag-ms = 200\nkilled-after-s = 5\n"
                            "[test]\nfatal-invariants = yes\n")
--- a/Tests/Integration/test_records.py
+++ b/Tests/Integration/test_records.py
@@ -5,7 +5,7 @@
 import copy
 
 from fleet import parse_bin, run_tests, wait_until
-from recordsplatform import CONFIGURATION, Hosts, Runner, Store
+from recordsplatform import CONFIGURATION, Door, Hosts, Runner, Store
 
 
 def eventually(hosts, index, method, path, name, status, **more):
@@ -24,7 +24,8 @@
     store = Store()
     models = [Runner("i-m1"), Runner("i-m2")]
     app = Runner("i-a1")
-    hosts = Hosts(parse_bin().bin, store.address, 3)
+    door = Door(store)
+    hosts = Hosts(parse_bin().bin, [door.address, store.address, store.address])
     try:
         check_without_configuration(hosts)
         store.put("op", "config", CONFIGURATION)
@@ -38,6 +39,8 @@
         check_leaving(hosts, store, models)
         check_outage(hosts, store, app)
         check_swallowed_calls(hosts, store)
+        check_turned_away(hosts, store, door)
+        check_slow_store(hosts, store)
         check_revoked_key(hosts, store)
         codes = hosts.stop()
         assert codes == [0, 0, 0], (codes, [hosts.log(index)[-2:] for index in range(3)])
@@ -141,11 +144,35 @@
     store.swallow = True
     wait_until(lambda: all(last_word_of_store(hosts, index) == "store-lost" for index in range(3)), "all hosts to give up their calls")
     store.swallow = False
+    check_new_key_is_known(hosts, store, "late-key")
+
+
+def check_new_key_is_known(hosts, store, key):
     changed = copy.deepcopy(CONFIGURATION)
-    changed["tenants"][0]["api_keys"].append("late-key")
+    changed["tenants"][0]["api_keys"].append(key)
     store.put("op", "config", changed)
     for index in range(3):
-        eventually(hosts, index, "POST", "/once/x", f"late-{index}", 200, key="late-key")
+        eventually(hosts, index, "POST", "/once/x", f"{key}-{index}", 200, key=key)
+
+
+def check_turned_away(hosts, store, door):
+    """A host that the store turns away while it serves the others learns from them, and stays ready."""
+    wait_until(lambda: last_word_of_store(hosts, 0) == "store-back", "the store back")
+    door.closed = True
+    wait_until(lambda: last_word_of_store(hosts, 0) == "store-lost", "host 0 to be turned away")
+    check_new_key_is_known(hosts, store, "key-of-others")
+    assert hosts.ready(0)
+    assert last_word_of_store(hosts, 0) == "store-lost" and last_word_of_store(hosts, 1) == "store-back"
+    door.closed = False
+    wait_until(lambda: last_word_of_store(hosts, 0) == "store-back", "the store back")
+
+
+def check_slow_store(hosts, store):
+    """A store that takes almost as long as is waited for it delays what is new, and nothing else."""
+    store.slow = 0.7
+    check_new_key_is_known(hosts, store, "slow-key")
+    assert all(hosts.ready(index) for index in range(3))
+    store.slow = 0.0
 
 
 def check_revoked_key(hosts, store):
--- a/Tests/Peer/codectest.cpp
+++ b/Tests/Peer/codectest.cpp
@@ -46,6 +46,23 @@
                && got.organisation == ask.organisation);
 }
 
+TEST(Codec, grantKeepsAllFields)
+{
+    const Grant grant {{77, 3}, 8, Yokepond::Base::Instant(Yokepond::Base::Duration(123456789)), 250, 9};
+    const Grant got = roundTrip(grant);
+    CHECK_TRUE(got.id == grant.id && got.endpoint == grant.endpoint && got.startBy == grant.startBy);
+    CHECK_TRUE(got.pressure == grant.pressure && got.keeper == grant.keeper);
+}
+
+TEST(Codec, releaseKeepsAllFields)
+{
+    const Release release {{77, 3}, 5, 8, RunResult::Failed, milliseconds(45), milliseconds(12), 97, milliseconds(203)};
+    const Release got = roundTrip(release);
+    CHECK_TRUE(got.id == release.id && got.shard == release.shard && got.endpoint == release.endpoint);
+    CHECK_TRUE(got.result == release.result && got.firstToken == release.firstToken && got.gap == release.gap);
+    CHECK_TRUE(got.tokens == release.tokens && got.longestGap == release.longestGap);
+}
+
 TEST(Codec, membersKeepAllFields)
 {
     const Member member {"h1", 9, 4, MemberState::Leaving, "127.0.0.1:1", "d1", "127.0.0.1:2", "127.0.0.1:3"};
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -99,6 +99,16 @@
     CHECK_EQUAL(0U, actions<StartRun>().size());
 }
 
+TEST(Home, theRunIsToldWhoKeepsItsPrompt)
+{
+    start(1, "alert");
+    const Peer::Ask ask = lastAsk();
+    const std::uint32_t endpoint = Tests::numberOf(objects, Kind::Endpoint, "e1");
+    const std::uint32_t keeper = Tests::numberOf(objects, Kind::Endpoint, "e2");
+    home.receive(at(0.1), "h2", Peer::Grant {ask.id, endpoint, at(2), 0, keeper});
+    CHECK_EQUAL(keeper, actions<StartRun>().front().keeper);
+}
+
 TEST(Home, staleGrantIsNotUsed)
 {
     start(1, "once");
