--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -148,9 +148,10 @@
 /// Endpoints that leave answer to none but their own runs.
 void Shard::distrustUnusable()
 {
-    for (const auto &[number, state] : m_endpoints) {
-        if (!isUsable(state)) {
-            std::visit([&](auto &placement) { placement.distrust(number); }, m_placement);
+    for (const auto &entry : m_endpoints) {
+        const std::uint32_t endpoint = entry.first;
+        if (!isUsable(entry.second)) {
+            std::visit([endpoint](auto &placement) { placement.distrust(endpoint); }, m_placement);
         }
     }
 }
