Fleet: A host asks whoever tells of another revision, also of a lower one

Change: where the revision is a sum, a host asks whoever tells of another one, at most each 200 ms, and followers do not wait for their own call. The decision stands by itself in Node/pulls.

--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -22,10 +22,6 @@
 constexpr Base::Duration pollPeriodPerHost = std::chrono::milliseconds(10); ///< keeps the fleet's reads on the store constant
 constexpr Base::Duration hostListPeriod = std::chrono::seconds(1);
 constexpr Base::Duration hostListPeriodPerHost = std::chrono::milliseconds(20);
-constexpr Base::Duration pullPeriod = std::chrono::milliseconds(200);
-/// A host that follows the store itself learns of a change a little earlier or later than its peers; only after this does it
-/// ask them. Shorter than the pause between two calls of the store, which bounds how far hosts are apart.
-constexpr Base::Duration feedPatience = std::chrono::milliseconds(300);
 
 /// Of the time that reading all records took: a long list that changes often must not take up a small host. What changed is in
 /// force within the longest pause and a tick, well below the two seconds that a platform allows.
@@ -49,6 +45,7 @@
     , m_table(client, settings.platform, settings.platformTimeout)
     , m_store(m_table, m_replica, [this] { configurationGrown(); })
     , m_shards(std::make_shared<Dispatch::ShardMap>())
+    , m_pulls(keepsRecords() ? RevisionOrder::SumOfKinds : RevisionOrder::Counter)
 {
     seedsChanged();
 }
@@ -173,18 +170,9 @@
 
 void Fleet::pullIfBehind(Base::Instant now, const std::string &from, std::uint64_t revision)
 {
-    if (revision <= this->revision()) {
+    if (!m_pulls.due(now, revision, this->revision())) {
         return;
     }
-    if (m_newestHeardOf <= this->revision()) {
-        m_behindSince = now;
-    }
-    m_newestHeardOf = std::max(m_newestHeardOf, revision);
-    const bool feedMayTell = keepsRecords() && m_isFollower && m_storeAnswers && now - m_behindSince < feedPatience;
-    if (feedMayTell || now < m_nextPull) {
-        return;
-    }
-    m_nextPull = now + pullPeriod;
     const Configuration::RecordRevisions known = m_records.revisions();
     m_events.send(addressOf(from),
                   keepsRecords() ? Peer::ChangesRequest {known.configuration, known.endpoints}
--- a/Source/Node/fleet.h
+++ b/Source/Node/fleet.h
@@ -13,6 +13,7 @@
 #include "Dispatch/shardmap.h"
 #include "Http/client.h"
 #include "Membership/swim.h"
+#include "Node/pulls.h"
 #include "Node/settings.h"
 #include "Platform/etcdtable.h"
 #include "Platform/hostlist.h"
@@ -122,13 +123,11 @@
     Platform::EtcdTable m_table;
     Configuration::Store<Platform::EtcdTable> m_store;
     std::shared_ptr<const Dispatch::ShardMap> m_shards;
+    Pulls m_pulls;
     std::map<std::string, Peer::Member> m_lastMembers;
     std::uint64_t m_seenGeneration = 0;
     Base::Instant m_nextPoll {};
     Base::Instant m_nextHostList {};
-    Base::Instant m_nextPull {};
-    std::uint64_t m_newestHeardOf = 0; ///< revision that a peer has told of
-    Base::Instant m_behindSince {}; ///< when a peer first told of a revision that is not here yet
     Base::Instant m_storeContact {};
     bool m_polling = false;
     bool m_storeAnswers = false;
