--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 30> eventNames = {{
+constexpr NameTable<LogEvent, 32> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -40,6 +40,8 @@
     {LogEvent::PeerLost, "peer-lost"},
     {LogEvent::ConfigurationApplied, "configuration-applied"},
     {LogEvent::ConfigurationIgnored, "configuration-ignored"},
+    {LogEvent::ChangesSent, "changes-sent"},
+    {LogEvent::ChangesReceived, "changes-received"},
     {LogEvent::StoreLost, "store-lost"},
     {LogEvent::StoreBack, "store-back"},
     {LogEvent::ReadinessChanged, "readiness-changed"},
--- a/Source/Base/log.h
+++ b/Source/Base/log.h
@@ -46,6 +46,8 @@
     PeerLost,
     ConfigurationApplied,
     ConfigurationIgnored,
+    ChangesSent,
+    ChangesReceived,
     StoreLost,
     StoreBack,
     ReadinessChanged,
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -161,13 +161,15 @@
         SiteWatchEvents {.records = [this](const std::vector<Configuration::Record> &records) { m_fleet->takeRecords(records); },
                          .heldBack = [this](const Configuration::Record &record) { m_fleet->expectRecord(record); },
                          .storeAnswers =
-                             [this](bool answers, const absl::Status &error) {
-                                 Base::log(answers ? Base::LogLevel::Info : Base::LogLevel::Warning,
-                                           answers ? Base::LogEvent::StoreBack : Base::LogEvent::StoreLost,
+                             [this](const StoreNews &news) {
+                                 Base::log(news.answers ? Base::LogLevel::Info : Base::LogLevel::Warning,
+                                           news.answers ? Base::LogEvent::StoreBack : Base::LogEvent::StoreLost,
                                            {{"platform", m_settings.platform.text()},
                                             {"revision", m_fleet->revision()},
-                                            {"reason", Base::messageOf(error)}});
-                                 m_fleet->noteStore(answers);
+                                            {"kind", Base::nameOf(Configuration::recordKindNames, news.kind)},
+                                            {"out-ms", Base::milliseconds(news.outFor)},
+                                            {"reason", Base::messageOf(news.error)}});
+                                 m_fleet->noteStore(news.answers);
                              }});
 }
 
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -174,6 +174,7 @@
         return;
     }
     const Configuration::RecordRevisions known = m_records.revisions();
+    m_lastPull = now;
     m_events.send(addressOf(from),
                   keepsRecords() ? Peer::ChangesRequest {known.configuration, known.endpoints}
                                  : Peer::ChangesRequest {this->revision()});
@@ -183,14 +184,23 @@
 {
     if (keepsRecords()) {
         const auto changes = m_records.changesSince({request.since, request.endpointsSince});
-        m_events.send(addressOf(from), Peer::Changes {changesToText(changes), {}});
+        std::string text = changesToText(changes);
+        Base::log(Base::LogLevel::Info, Base::LogEvent::ChangesSent,
+                  {{"to", from},
+                   {"configuration-since", request.since},
+                   {"endpoints-since", request.endpointsSince},
+                   {"configuration-version", changes.revisions.configuration},
+                   {"endpoints-version", changes.revisions.endpoints},
+                   {"records", changes.records.size()},
+                   {"bytes", text.size()}});
+        m_events.send(addressOf(from), Peer::Changes {std::move(text), {}});
         return;
     }
     Configuration::Update update = m_replica.updateSince(request.since);
     m_events.send(addressOf(from), Peer::Changes {std::move(update.snapshot), std::move(update.log)});
 }
 
-void Fleet::receive(Base::Instant, const std::string &, const Peer::Changes &changes)
+void Fleet::receive(Base::Instant now, const std::string &from, const Peer::Changes &changes)
 {
     if (keepsRecords()) {
         const auto records = Configuration::changesFromText(changes.snapshot);
@@ -200,6 +210,14 @@
             return;
         }
         const bool changed = m_records.merge(*records);
+        Base::log(Base::LogLevel::Info, Base::LogEvent::ChangesReceived,
+                  {{"from", from},
+                   {"configuration-version", records->revisions.configuration},
+                   {"endpoints-version", records->revisions.endpoints},
+                   {"records", records->records.size()},
+                   {"bytes", changes.snapshot.size()},
+                   {"ms-since-asked", Base::milliseconds(now - m_lastPull)},
+                   {"changed", changed}});
         m_swim.setRevision(m_records.revision());
         if (changed) {
             recordsChanged();
--- a/Source/Node/sitewatch.h
+++ b/Source/Node/sitewatch.h
@@ -42,11 +42,20 @@
     Base::Duration removalGrace = std::chrono::milliseconds(2800);
 };
 
+/// That the platform began or ceased to answer, by one call.
+struct StoreNews
+{
+    bool answers = false;
+    Configuration::RecordKind kind {}; ///< of the records that the call was for
+    Base::Duration outFor {}; ///< from the call to its answer or its failure
+    absl::Status error; ///< why it failed
+};
+
 struct SiteWatchEvents
 {
     std::function<void(std::vector<Configuration::Record> records)> records; ///< to be merged
     std::function<void(const Configuration::Record &record)> heldBack; ///< known of, not believed yet
-    std::function<void(bool answers, const absl::Status &error)> storeAnswers; ///< when it changes
+    std::function<void(const StoreNews &news)> storeAnswers; ///< when it changes
 };
 
 /// Tells what it reads by records(); what is held there already is passed over by its version.
@@ -98,6 +107,7 @@
         bool readWhole = true; ///< the next call reads the whole table
         std::uint64_t since = 0;
         bool calling = false;
+        Base::Instant calledAt {};
         unsigned int failures = 0;
         Base::Instant next {};
         std::map<std::string, std::uint64_t> known; ///< versions of the records that are there
@@ -112,6 +122,7 @@
     void call(Table &table)
     {
         table.calling = true;
+        table.calledAt = Base::now();
         const bool whole = table.readWhole;
         auto handler
             = [this, &table, whole](absl::StatusOr<Platform::FeedPage> page) { answered(table, whole, std::move(page)); };
@@ -140,7 +151,7 @@
         table.next = now + table.pause;
         table.since = page->version;
         table.readWhole = false;
-        tellAnswers(now);
+        tellAnswers(table, now);
         if (whole) {
             addMissing(table, *page);
         }
@@ -157,11 +168,11 @@
         m_lastFailure = now;
         if (std::exchange(m_answers, false) || !m_told) {
             m_told = true;
-            m_events.storeAnswers(false, error);
+            m_events.storeAnswers({false, table.kind, now - table.calledAt, error});
         }
     }
 
-    void tellAnswers(Base::Instant now)
+    void tellAnswers(const Table &answered, Base::Instant now)
     {
         m_lastAnswer = now;
         for (Table &table : m_tables) {
@@ -170,7 +181,7 @@
         }
         if (!std::exchange(m_answers, true)) {
             m_told = true;
-            m_events.storeAnswers(true, absl::OkStatus());
+            m_events.storeAnswers({true, answered.kind, now - answered.calledAt, absl::OkStatus()});
         }
     }
 
--- a/Tests/Node/sitewatchtest.cpp
+++ b/Tests/Node/sitewatchtest.cpp
@@ -64,7 +64,7 @@
         1,
         {.records = [this](std::vector<Record> records) { std::ranges::move(records, std::back_inserter(told)); },
          .heldBack = [this](const Record &record) { heldBack.push_back(record); },
-         .storeAnswers = [this](bool does, const absl::Status &) { answers.push_back(does); }}};
+         .storeAnswers = [this](const Node::StoreNews &news) { answers.push_back(news.answers); }}};
 
     void tickAfter(Base::Duration delay)
     {
