--- /dev/null
+++ b/Tests/Node/linkedfleet.h
@@ -0,0 +1,194 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+/// @file
+/// Hosts of a fleet in one process, joined by links of limited bandwidth: a message waits until what was sent before it has
+/// left the sender's link and come through the receiver's. Time is simulated.
+
+#pragma once
+
+#include "Node/fleet.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Yokepond::Tests {
+
+class LinkedFleet
+{
+public:
+    /// @p bytesPerSecond: of each host's link, each way.
+    LinkedFleet(std::size_t hosts, double bytesPerSecond)
+        : m_bytesPerSecond(bytesPerSecond)
+    {
+        m_settings.reserve(hosts);
+        for (std::size_t index = 0; index < hosts; ++index) {
+            Node::Settings settings;
+            settings.name = fmt::format("h{}", index);
+            settings.advertisedPeer = addressOf(index);
+            settings.platformForm = Node::PlatformForm::Records;
+            settings.seeds = {addressOf(0), addressOf(1)};
+            m_settings.push_back(std::move(settings));
+        }
+        for (std::size_t index = 0; index < hosts; ++index) {
+            m_hosts.push_back(std::make_unique<Host>());
+            start(index);
+        }
+    }
+
+    /// Lets simulated time pass.
+    void run(Base::Duration duration)
+    {
+        const Base::Instant end = m_now + duration;
+        while (m_now < end) {
+            m_now += tickPeriod;
+            deliver();
+            for (const std::unique_ptr<Host> &host : m_hosts) {
+                host->fleet->tick(m_now);
+            }
+        }
+    }
+
+    /// The platform tells host @p index of @p record.
+    void tell(std::size_t index, const Configuration::Record &record)
+    {
+        m_hosts[index]->fleet->takeRecords({record});
+    }
+
+    /// The links of host @p index carry nothing from now on, and lose what they hold.
+    void cut(std::size_t index)
+    {
+        m_cut.insert(index);
+    }
+
+    std::size_t size() const
+    {
+        return m_hosts.size();
+    }
+
+    /// Up to where what host @p index acts on lacks nothing.
+    Configuration::RecordRevisions inForce(std::size_t index) const
+    {
+        return m_hosts[index]->inForce;
+    }
+
+    std::size_t hostsWith(Configuration::RecordKind kind, std::uint64_t version) const
+    {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(m_hosts, [&](const auto &host) { return host->inForce.of(kind) >= version; }));
+    }
+
+    /// Bytes of changes that all hosts have received so far.
+    std::size_t changesReceived() const
+    {
+        return m_changesReceived;
+    }
+
+private:
+    static constexpr Base::Duration tickPeriod = std::chrono::milliseconds(50);
+    static constexpr Base::Duration delay = std::chrono::microseconds(500);
+    static constexpr std::size_t smallMessage = 150; ///< bytes, about those of a probe
+
+    struct Host
+    {
+        std::unique_ptr<Node::Fleet> fleet;
+        Configuration::RecordRevisions inForce;
+        Base::Instant outFree {};
+        Base::Instant inFree {};
+    };
+
+    struct Sent
+    {
+        Base::Instant arrives {};
+        std::uint64_t order = 0;
+        std::size_t from = 0;
+        std::size_t to = 0;
+        Peer::Message message;
+
+        bool operator<(const Sent &other) const
+        {
+            return std::pair(arrives, order) > std::pair(other.arrives, other.order);
+        }
+    };
+
+    static std::string addressOf(std::size_t index)
+    {
+        return fmt::format("10.0.0.1:{}", 1000 + index);
+    }
+
+    static std::size_t bytesOf(const Peer::Message &message)
+    {
+        const auto *changes = std::get_if<Peer::Changes>(&message);
+        return smallMessage + (changes == nullptr ? 0 : changes->snapshot.size());
+    }
+
+    void start(std::size_t index)
+    {
+        const Node::Settings &settings = m_settings[index];
+        const std::uint64_t incarnation = 100 + index;
+        const Peer::Member self {
+            settings.name, incarnation, 1, Peer::MemberState::Alive, settings.advertisedPeer, "dc", "", "", 0};
+        Host &host = *m_hosts[index];
+        host.fleet = std::make_unique<Node::Fleet>(
+            settings, m_client, incarnation, self,
+            Node::FleetEvents {.send = [this, index](const std::string &address,
+                                                     Peer::Message message) { send(index, address, std::move(message)); },
+                               .changed = [] {},
+                               .memberGone = [](const std::string &, std::uint64_t) {},
+                               .endpointsLeaving = [](std::vector<std::uint32_t>) {}},
+            [&host](const Configuration::SiteRecords &records) -> absl::StatusOr<Configuration::CatalogueParts> {
+                host.inForce = records.revisions();
+                return Configuration::CatalogueParts {};
+            });
+    }
+
+    void send(std::size_t from, const std::string &address, Peer::Message message)
+    {
+        const auto port = address.rfind(':');
+        if (port == std::string::npos) {
+            return;
+        }
+        const std::size_t to = std::stoul(address.substr(port + 1)) - 1000;
+        const Base::Duration takes(static_cast<std::int64_t>(static_cast<double>(bytesOf(message)) / m_bytesPerSecond * 1e6));
+        Host &sender = *m_hosts[from];
+        Host &receiver = *m_hosts[to];
+        sender.outFree = std::max(sender.outFree, m_now) + takes;
+        receiver.inFree = std::max(receiver.inFree + takes, sender.outFree + delay);
+        m_sent.push({receiver.inFree, ++m_order, from, to, std::move(message)});
+    }
+
+    void deliver()
+    {
+        while (!m_sent.empty() && m_sent.top().arrives <= m_now) {
+            const Sent next = m_sent.top();
+            m_sent.pop();
+            if (m_cut.contains(next.from) || m_cut.contains(next.to)) {
+                continue;
+            }
+            if (std::holds_alternative<Peer::Changes>(next.message)) {
+                m_changesReceived += bytesOf(next.message);
+            }
+            m_hosts[next.to]->fleet->receive(m_now, m_settings[next.from].name, next.message);
+        }
+    }
+
+    Base::Loop m_loop;
+    Http::Client m_client {m_loop};
+    std::vector<Node::Settings> m_settings;
+    std::vector<std::unique_ptr<Host>> m_hosts;
+    std::priority_queue<Sent> m_sent;
+    std::set<std::size_t> m_cut;
+    double m_bytesPerSecond;
+    Base::Instant m_now = Base::now();
+    std::uint64_t m_order = 0;
+    std::size_t m_changesReceived = 0;
+};
+
+} // namespace Yokepond::Tests
--- a/Tests/Node/sitewatchtest.cpp
+++ b/Tests/Node/sitewatchtest.cpp
@@ -192,6 +192,24 @@
     CHECK_TRUE(feed.waited + givenUpLater + nextCall <= hostsCountAsInTouch + leavingKnownWithin);
 }
 
+// Seen: after an outage of the store that swallowed calls, two of seven hosts refused requests as an older configuration says,
+// 2.6 and 3.1 s after five versions had been acknowledged within 0.1 s; failures ended 4 s after the store had come back.
+// How: a call that is swallowed as an outage ends says nothing, and was given up only after 4 s: 2.5 s held, 1.5 s more. Calls
+// were held so long again from the first answer on.
+// Cause: the platform counts on a host again 3 s after a disruption, for all that it has acknowledged until then; a call may
+// hang for less than that. The bound that was kept before looked only at what changes after those 3 s.
+// Proof: the times of the record; a play of the same kind of day was clean, so that this is not seen, but worked out.
+TEST(SiteWatch, aCallThatHangsSinceADisruptionIsGivenUpBeforeThePlatformCountsOnTheHost)
+{
+    tickAfter({});
+    answer(Platform::FeedPage {{live("e1", 3)}, 7});
+    tickAfter(std::chrono::seconds(1));
+    const Base::Duration givenUpLater = std::chrono::milliseconds(1500);
+    const Base::Duration nextCallAnswered = std::chrono::milliseconds(250);
+    const Base::Duration countedOnAfter = std::chrono::seconds(3);
+    CHECK_TRUE(feed.waited + givenUpLater + nextCallAnswered <= countedOnAfter);
+}
+
 TEST(SiteWatch, afterAFailureCallsAreNotHeldUntilOneIsAnswered)
 {
     tickAfter({});
