ChangesCodec: Of a configuration only what differs goes from host to host

Cause: hosts sent each other the whole configuration for each version. At 2,849 routes that is some 900 KB, 0.7 s of a link of 10 Mbit/s, and words of endpoints, probes, grants and connections to engines waited behind the copies. Change: the text is compressed with Zstandard, against the configuration that the asking host holds, of which the last few are kept. The two kinds of record go in messages of their own; what was packed is kept for the next that asks. A host that no longer holds the base asks for the whole.

--- a/Source/Configuration/siterecords.cpp
+++ b/Source/Configuration/siterecords.cpp
@@ -13,6 +13,10 @@
 
 namespace {
 
+/// Configurations kept for hosts that still have them: enough for changes in quick succession, and at least the last one.
+constexpr std::size_t mostEarlier = 8;
+constexpr std::size_t mostEarlierBytes = std::size_t {1} << 20U; ///< of 128 MB that a host may use
+
 nlohmann::json recordToJson(const Record &record)
 {
     return {{"kind", Base::nameOf(recordKindNames, record.kind)},
@@ -111,11 +115,15 @@
         return false;
     }
     const bool unknown = held.record.version == 0;
+    Held before = record.kind == RecordKind::Configuration ? held : Held {};
     const bool changed = unknown ? !record.removed : (held.record.removed != record.removed || held.record.value != record.value);
     held.record = record;
     if (changed) {
         held.changedAt = record.version;
     }
+    if (changed && !unknown && record.kind == RecordKind::Configuration) {
+        keepEarlier(std::move(before));
+    }
     return changed;
 }
 
@@ -179,14 +187,42 @@
     return changes;
 }
 
-RecordChanges SiteRecords::endpointChangesSince(const RecordRevisions &since) const
+RecordChanges SiteRecords::changesSince(const RecordRevisions &since, RecordKind kind) const
 {
-    RecordChanges changes = changesSince(since);
-    std::erase_if(changes.records, [](const Record &record) { return record.kind != RecordKind::Endpoint; });
-    changes.revisions.configuration = since.configuration;
+    RecordChanges changes;
+    changes.since.of(kind) = since.of(kind);
+    changes.revisions.of(kind) = revisions().of(kind);
+    for (const Held &held : m_records | std::views::values) {
+        if (held.record.kind == kind && held.changedAt > since.of(kind)) {
+            changes.records.push_back(held.record);
+        }
+    }
     return changes;
 }
 
+const Record *SiteRecords::configurationAt(std::uint64_t changedAt) const
+{
+    for (const Held &held : m_records | std::views::values) {
+        if (held.record.kind == RecordKind::Configuration && held.changedAt == changedAt) {
+            return &held.record;
+        }
+    }
+    const auto earlier = std::ranges::find(m_earlier, changedAt, &Held::changedAt);
+    return earlier == m_earlier.end() ? nullptr : &earlier->record;
+}
+
+void SiteRecords::keepEarlier(Held held)
+{
+    m_earlier.push_front(std::move(held));
+    std::size_t bytes = 0;
+    std::size_t kept = 0;
+    for (const Held &earlier : m_earlier) {
+        bytes += earlier.record.value.size();
+        kept += kept == 0 || bytes <= mostEarlierBytes ? 1 : 0;
+    }
+    m_earlier.resize(std::min(kept, mostEarlier));
+}
+
 std::string changesToText(const RecordChanges &changes)
 {
     nlohmann::json list = nlohmann::json::array();
--- a/Source/Configuration/siterecords.h
+++ b/Source/Configuration/siterecords.h
@@ -13,6 +13,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -91,8 +92,11 @@
     /// Records whose state changed after @p since, the removed ones among them.
     RecordChanges changesSince(const RecordRevisions &since) const;
 
-    /// The same of endpoints only; that of the configuration is left where @p since has it.
-    RecordChanges endpointChangesSince(const RecordRevisions &since) const;
+    /// The same of one kind only; of the other they say nothing.
+    RecordChanges changesSince(const RecordRevisions &since, RecordKind kind) const;
+
+    /// The configuration as it came to be at version @p changedAt, if that is the present one or not long ago; else null.
+    const Record *configurationAt(std::uint64_t changedAt) const;
 
 private:
     struct Held
@@ -104,8 +108,10 @@
     using Key = std::pair<RecordKind, std::string>;
 
     bool take(const Record &record);
+    void keepEarlier(Held held);
 
     std::map<Key, Held> m_records;
+    std::deque<Held> m_earlier; ///< configurations that were replaced, the latest first
     std::map<Key, std::uint64_t> m_expected; ///< versions of records that are not believed yet
     RecordRevisions m_revisions; ///< those expected left aside
 };
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -177,56 +177,58 @@
     }
     const Configuration::RecordRevisions known = m_records.revisions();
     m_events.send(address,
-                  keepsRecords() ? Peer::ChangesRequest {known.configuration, known.endpoints, pull == Pull::Endpoints}
+                  keepsRecords() ? Peer::ChangesRequest {m_baseMissing ? 0 : known.configuration, known.endpoints,
+                                                         pull == Pull::Endpoints}
                                  : Peer::ChangesRequest {this->revision()});
 }
 
 void Fleet::receive(Base::Instant, const std::string &from, const Peer::ChangesRequest &request)
 {
     if (keepsRecords()) {
-        const Configuration::RecordRevisions since {request.since, request.endpointsSince};
-        const auto changes = request.endpointsOnly ? m_records.endpointChangesSince(since) : m_records.changesSince(since);
-        std::string text = changesToText(changes);
-        Base::log(Base::LogLevel::Info, Base::LogEvent::ChangesSent,
-                  {{"to", from},
-                   {"configuration-since", request.since},
-                   {"endpoints-since", request.endpointsSince},
-                   {"configuration-version", changes.revisions.configuration},
-                   {"endpoints-version", changes.revisions.endpoints},
-                   {"records", changes.records.size()},
-                   {"bytes", text.size()}});
-        m_events.send(addressOf(from), Peer::Changes {std::move(text), {}});
+        answerWithRecords(from, request);
         return;
     }
     Configuration::Update update = m_replica.updateSince(request.since);
-    m_events.send(addressOf(from), Peer::Changes {std::move(update.snapshot), std::move(update.log)});
+    m_events.send(addressOf(from), Peer::Changes {std::move(update.snapshot), std::move(update.log), {}, 0});
+}
+
+void Fleet::answerWithRecords(const std::string &from, const Peer::ChangesRequest &request)
+{
+    const Configuration::RecordRevisions since {request.since, request.endpointsSince};
+    if (m_records.revisions().endpoints > since.endpoints) {
+        sendRecords(from, since, Configuration::RecordKind::Endpoint);
+    }
+    if (!request.endpointsOnly) {
+        // Also if there is nothing new: it ends the wait of whoever asked.
+        sendRecords(from, since, Configuration::RecordKind::Configuration);
+    }
+}
+
+void Fleet::sendRecords(const std::string &to, const Configuration::RecordRevisions &since, Configuration::RecordKind kind)
+{
+    auto packed = m_codec.pack(m_records, since, kind);
+    if (!packed.ok()) {
+        Base::log(Base::LogLevel::Error, Base::LogEvent::ConfigurationIgnored,
+                  {{"to", to}, {"reason", Base::messageOf(packed.status())}});
+        return;
+    }
+    Base::log(Base::LogLevel::Info, Base::LogEvent::ChangesSent,
+              {{"to", to},
+               {"kind", Base::nameOf(Configuration::recordKindNames, kind)},
+               {"since", since.of(kind)},
+               {"version", m_records.revisions().of(kind)},
+               {"base", packed->base},
+               {"bytes", packed->bytes.size()}});
+    m_events.send(addressOf(to), Peer::Changes {{}, {}, std::move(packed->bytes), packed->base});
 }
 
 void Fleet::receive(Base::Instant now, const std::string &from, const Peer::Changes &changes)
 {
-    m_pulls.answered(from);
     if (keepsRecords()) {
-        const auto records = Configuration::changesFromText(changes.snapshot);
-        if (!records.ok()) {
-            Base::log(Base::LogLevel::Warning, Base::LogEvent::ConfigurationIgnored,
-                      {{"reason", Base::messageOf(records.status())}});
-            return;
-        }
-        const bool changed = m_records.merge(*records);
-        Base::log(Base::LogLevel::Info, Base::LogEvent::ChangesReceived,
-                  {{"from", from},
-                   {"configuration-version", records->revisions.configuration},
-                   {"endpoints-version", records->revisions.endpoints},
-                   {"records", records->records.size()},
-                   {"bytes", changes.snapshot.size()},
-                   {"ms-since-asked", Base::milliseconds(m_pulls.sinceAsked(now))},
-                   {"changed", changed}});
-        m_swim.setRevision(m_records.revision());
-        if (changed) {
-            recordsChanged();
-        }
+        takeChanges(now, from, changes);
         return;
     }
+    m_pulls.answered(from);
     const std::uint64_t before = m_replica.revision();
     const bool grown = m_replica.update({changes.snapshot, changes.log});
     Base::require(m_replica.revision() >= before, Base::Invariant::RevisionGrows);
@@ -235,6 +237,36 @@
     }
 }
 
+void Fleet::takeChanges(Base::Instant now, const std::string &from, const Peer::Changes &changes)
+{
+    const auto records = Configuration::ChangesCodec::unpack(m_records, {changes.packed, changes.base});
+    // Whoever cannot use what differs from one configuration asks for the whole next time.
+    m_baseMissing = !records.ok();
+    if (!records.ok()) {
+        m_pulls.answered(from);
+        Base::log(Base::LogLevel::Warning, Base::LogEvent::ConfigurationIgnored,
+                  {{"from", from}, {"reason", Base::messageOf(records.status())}});
+        return;
+    }
+    const bool ofConfiguration = records->revisions.configuration > 0;
+    if (ofConfiguration) {
+        m_pulls.answered(from);
+    }
+    const bool changed = m_records.merge(*records);
+    Base::log(Base::LogLevel::Info, Base::LogEvent::ChangesReceived,
+              {{"from", from},
+               {"configuration-version", records->revisions.configuration},
+               {"endpoints-version", records->revisions.endpoints},
+               {"records", records->records.size()},
+               {"bytes", changes.packed.size()},
+               {"ms-since-asked", Base::milliseconds(m_pulls.sinceAsked(now))},
+               {"changed", changed}});
+    m_swim.setRevision(m_records.revision());
+    if (changed) {
+        recordsChanged();
+    }
+}
+
 void Fleet::configurationGrown()
 {
     m_swim.setRevision(m_replica.revision());
--- a/Source/Node/fleet.h
+++ b/Source/Node/fleet.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "Base/loop.h"
+#include "Configuration/changescodec.h"
 #include "Configuration/replica.h"
 #include "Configuration/siterecords.h"
 #include "Configuration/store.h"
@@ -99,6 +100,9 @@
     void pollStore(Base::Instant now);
     void pollHostList(Base::Instant now);
     void takeHostList(const std::vector<Platform::ListedHost> &hosts);
+    void answerWithRecords(const std::string &from, const Peer::ChangesRequest &request);
+    void sendRecords(const std::string &to, const Configuration::RecordRevisions &since, Configuration::RecordKind kind);
+    void takeChanges(Base::Instant now, const std::string &from, const Peer::Changes &changes);
     void pullIfBehind(Base::Instant now, const std::string &from, std::uint64_t revision);
     void configurationGrown();
     void spreadConfiguration();
@@ -118,6 +122,8 @@
     Membership::Swim m_swim;
     Configuration::Replica m_replica;
     Configuration::SiteRecords m_records;
+    Configuration::ChangesCodec m_codec;
+    bool m_baseMissing = false; ///< the last changes were against a configuration that is not held here
     std::shared_ptr<const Configuration::Catalogue> m_siteCatalogue;
     DecodeSite m_decode;
     Platform::EtcdTable m_table;
--- a/Source/Peer/codec.cpp
+++ b/Source/Peer/codec.cpp
@@ -235,6 +235,8 @@
         for (unsigned int index = 0; index < list.size(); ++index) {
             list.set(index, changes.log[index]);
         }
+        builder.setPacked(toData(changes.packed));
+        builder.setBase(changes.base);
     }
 
     void operator()(const Gather &gather)
@@ -361,6 +363,8 @@
     for (const auto entry : reader.getLog()) {
         changes.log.push_back(toString(entry));
     }
+    changes.packed = fromData(reader.getPacked());
+    changes.base = reader.getBase();
     return changes;
 }
 
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -189,6 +189,8 @@
 {
     std::string snapshot; ///< JSON; empty unless the log does not reach back far enough
     std::vector<std::string> log; ///< JSON change records in order
+    std::string packed; ///< a platform's records, compressed; see Configuration/changescodec.h
+    std::uint64_t base = 0; ///< version of the configuration against which they are compressed; 0: against none
 };
 
 /// A query that another host answers from its own state.
--- a/Source/Peer/peer.capnp
+++ b/Source/Peer/peer.capnp
@@ -115,6 +115,8 @@
 struct Changes {
   snapshot @0 :Text;           # JSON, empty unless the log does not reach back far enough
   log @1 :List(Text);          # JSON change records in order
+  packed @2 :Data;             # a platform's records, compressed
+  base @3 :UInt64;             # version of the configuration against which they are, 0: against none
 }
 
 struct Gather {
--- a/Source/Peer/peer.capnp.h
+++ b/Source/Peer/peer.capnp.h
@@ -240,7 +240,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f42954e99795bb97, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f42954e99795bb97, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1726,6 +1726,11 @@
   inline bool hasLog() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLog() const;
 
+  inline bool hasPacked() const;
+  inline  ::capnp::Data::Reader getPacked() const;
+
+  inline  ::uint64_t getBase() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1769,6 +1774,16 @@
   inline void adoptLog(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLog();
 
+  inline bool hasPacked();
+  inline  ::capnp::Data::Builder getPacked();
+  inline void setPacked( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPacked(unsigned int size);
+  inline void adoptPacked(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPacked();
+
+  inline  ::uint64_t getBase();
+  inline void setBase( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4253,6 +4268,54 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Changes::Reader::hasPacked() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Changes::Builder::hasPacked() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Changes::Reader::getPacked() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Changes::Builder::getPacked() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Changes::Builder::setPacked( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Changes::Builder::initPacked(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Changes::Builder::adoptPacked(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Changes::Builder::disownPacked() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Changes::Reader::getBase() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Changes::Builder::getBase() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Changes::Builder::setBase( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Gather::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Tests/Fuzz/fuzzjson.cpp
+++ b/Tests/Fuzz/fuzzjson.cpp
@@ -5,6 +5,7 @@
 /// Fuzzes what is read as JSON: prompts, snapshots, changes, operation records, host lists, and the records of a platform.
 
 #include "Base/error.h"
+#include "Configuration/changescodec.h"
 #include "Configuration/store.h"
 #include "Platform/hostlist.h"
 #include "Relay/prompt.h"
@@ -32,6 +33,7 @@
     (void)Platform::parseHostList(text);
     (void)Configuration::changesFromText(text);
     Configuration::SiteRecords records;
+    (void)Configuration::ChangesCodec::unpack(records, {text, 0});
     records.merge({Configuration::RecordKind::Configuration, "config", 1, false, text});
     (void)Platform::decodeSite(records);
     records.merge({Configuration::RecordKind::Configuration, "config", 2, false, R"({"services":[],"routes":[]})"});
--- a/Tests/Node/linkedfleet.h
+++ b/Tests/Node/linkedfleet.h
@@ -126,7 +126,7 @@
     static std::size_t bytesOf(const Peer::Message &message)
     {
         const auto *changes = std::get_if<Peer::Changes>(&message);
-        return smallMessage + (changes == nullptr ? 0 : changes->snapshot.size());
+        return smallMessage + (changes == nullptr ? 0 : changes->snapshot.size() + changes->packed.size());
     }
 
     void start(std::size_t index)
