--- a/Tests/Node/fleettest.cpp
+++ b/Tests/Node/fleettest.cpp
@@ -60,7 +60,7 @@
     void tellFollowers(const Record &record)
     {
         for (std::size_t index = 0; index < storeFollowers; ++index) {
-            fleet.tell(index, record);
+            fleet.tell(index, {record});
         }
     }
 
@@ -91,3 +91,26 @@
         / static_cast<double>(fleet.size());
     CHECK_TRUE(copies < 1.5);
 }
+
+/// One host has a newer configuration, the other newer endpoints, and the versions of both add up to the same.
+TEST(Fleet, hostsThatLackDifferentThingsLearnThemFromEachOther)
+{
+    LinkedFleet pair {2, narrowLink};
+    pair.run(std::chrono::seconds(4));
+    pair.tell(0, {configuration(11, "newer"), endpoint(20, "value")});
+    pair.tell(1, {configuration(10, "older"), endpoint(21, "value")});
+    pair.run(std::chrono::seconds(4));
+    CHECK_EQUAL(2U, pair.hostsWith(RecordKind::Configuration, 11));
+    CHECK_EQUAL(2U, pair.hostsWith(RecordKind::Endpoint, 21));
+}
+
+/// Of 30 hosts that are asked, one is gone: whoever asked it asks another.
+TEST(Fleet, aHostThatIsGoneDelaysWhatItWasAskedForOnlyShortly)
+{
+    fleet.tell(0, {configuration(30, routes(200, 3))});
+    fleet.run(milliseconds(50));
+    fleet.cut(0);
+    fleet.tell(1, {configuration(30, routes(200, 3))});
+    fleet.run(std::chrono::seconds(2));
+    CHECK_EQUAL(fleet.size(), fleet.hostsWith(RecordKind::Configuration, 30));
+}
--- a/Tests/Node/linkedfleet.h
+++ b/Tests/Node/linkedfleet.h
@@ -56,10 +56,10 @@
         }
     }
 
-    /// The platform tells host @p index of @p record.
-    void tell(std::size_t index, const Configuration::Record &record)
+    /// The platform tells host @p index of @p records at once.
+    void tell(std::size_t index, const std::vector<Configuration::Record> &records)
     {
-        m_hosts[index]->fleet->takeRecords({record});
+        m_hosts[index]->fleet->takeRecords(records);
     }
 
     /// The links of host @p index carry nothing from now on, and lose what they hold.
