Duty: Hosts with the most processor follow the store

Change: as with dispatchers, hosts with the most processor go first; at a site those have the widest links too.

--- a/Source/Membership/duty.cpp
+++ b/Source/Membership/duty.cpp
@@ -13,7 +13,8 @@
 bool isPicked(std::string_view self, std::string_view duty, const std::vector<Peer::Member> &members, std::size_t count)
 {
     const auto weight = [seed = Base::hash64(duty)](const Peer::Member &member) {
-        return std::tuple(member.state != Peer::MemberState::Leaving, Base::hash64(member.name, seed));
+        // The store's answers are large at times; hosts with much processor are those with wide links too.
+        return std::tuple(member.state != Peer::MemberState::Leaving, member.milliCores, Base::hash64(member.name, seed));
     };
     const auto own = std::ranges::find(members, self, &Peer::Member::name);
     if (own == members.end()) {
--- a/Tests/Membership/dutytest.cpp
+++ b/Tests/Membership/dutytest.cpp
@@ -62,6 +62,18 @@
     CHECK_TRUE(picked(40).contains(first));
 }
 
+/// What the store tells of a large configuration took the links of small hosts for most of a second.
+TEST(Duty, hostsWithTheMostProcessorArePickedFirst)
+{
+    for (std::size_t index = 0; index < members.size(); ++index) {
+        members[index].milliCores = index % 4 == 0 ? 500 : 120;
+    }
+    for (const std::string &name : picked(8)) {
+        CHECK_EQUAL(500U, std::ranges::find(members, name, &Member::name)->milliCores);
+    }
+    CHECK_EQUAL(12U, picked(12).size());
+}
+
 TEST(Duty, oneThatIsNoMemberIsNotPicked)
 {
     CHECK_FALSE(Membership::isPicked("other", "store", members, 8));
