Fleet: Hosts tell a digest of what they hold, not a sum

Cause: the sum of two versions may be equal though both differ; then neither of two hosts asks the other. Change: a digest of both versions, of 32 bits, on probes and acknowledgements. Measured: Fleet.hostsThatLackDifferentThingsLearnThemFromEachOther fails before (one of two hosts has the newer configuration after 4 s) and passes.

--- a/Source/Configuration/siterecords.cpp
+++ b/Source/Configuration/siterecords.cpp
@@ -4,6 +4,7 @@
 #include "Configuration/siterecords.h"
 
 #include "Base/error.h"
+#include "Base/hash.h"
 
 #include <algorithm>
 #include <optional>
@@ -158,6 +159,12 @@
     return complete.configuration + complete.endpoints;
 }
 
+std::uint64_t SiteRecords::digest() const
+{
+    const RecordRevisions complete = revisions();
+    return static_cast<std::uint32_t>(Base::mixed(complete.configuration, complete.endpoints));
+}
+
 std::vector<const Record *> SiteRecords::present(RecordKind kind) const
 {
     std::vector<const Record *> found;
--- a/Source/Configuration/siterecords.h
+++ b/Source/Configuration/siterecords.h
@@ -83,6 +83,11 @@
     /// One number that grows with every change of either kind, and is equal for equal copies.
     std::uint64_t revision() const;
 
+    /// For other hosts to tell whether their copy differs. Unlike the revision it differs also where one copy has the newer
+    /// configuration and the other the newer endpoints, and their versions add up to the same. Of 32 bits, since every probe
+    /// carries it.
+    std::uint64_t digest() const;
+
     /// Records of @p kind that are there, by key.
     std::vector<const Record *> present(RecordKind kind) const;
 
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -45,7 +45,7 @@
     , m_table(client, settings.platform, settings.platformTimeout)
     , m_store(m_table, m_replica, [this] { configurationGrown(); })
     , m_shards(std::make_shared<Dispatch::ShardMap>())
-    , m_pulls(keepsRecords() ? RevisionOrder::SumOfKinds : RevisionOrder::Counter)
+    , m_pulls(keepsRecords() ? RevisionOrder::Digest : RevisionOrder::Counter)
 {
     seedsChanged();
 }
@@ -171,7 +171,7 @@
 void Fleet::pullIfBehind(Base::Instant now, const std::string &from, std::uint64_t revision)
 {
     const std::string address = addressOf(from);
-    const Pull pull = address.empty() ? Pull::None : m_pulls.due(now, from, revision, this->revision());
+    const Pull pull = address.empty() ? Pull::None : m_pulls.due(now, from, revision, keepsRecords() ? m_records.digest() : this->revision());
     if (pull == Pull::None) {
         return;
     }
@@ -261,7 +261,7 @@
                {"bytes", changes.packed.size()},
                {"ms-since-asked", Base::milliseconds(m_pulls.sinceAsked(now))},
                {"changed", changed}});
-    m_swim.setRevision(m_records.revision());
+    m_swim.setRevision(m_records.digest());
     if (changed) {
         recordsChanged();
     }
@@ -377,12 +377,12 @@
 void Fleet::expectRecord(const Configuration::Record &record)
 {
     m_records.expect(record);
-    m_swim.setRevision(m_records.revision());
+    m_swim.setRevision(m_records.digest());
 }
 
 void Fleet::recordsChanged()
 {
-    m_swim.setRevision(m_records.revision());
+    m_swim.setRevision(m_records.digest());
     // Changes that come together are decoded together, at the next tick.
     m_recordsUnread = true;
     // The others follow the store too, or ask for what they lack.
--- a/Source/Node/pulls.h
+++ b/Source/Node/pulls.h
@@ -16,7 +16,7 @@
 /// What a host's revision tells of what it lacks.
 enum class RevisionOrder {
     Counter, ///< whoever has the higher one lacks nothing that the other has
-    SumOfKinds, ///< of several kinds of record: the lower one may have what the higher one lacks
+    Digest, ///< of several kinds of record: another one may have what this one lacks, or the other way round
 };
 
 enum class Pull {
--- a/Tests/Node/pullstest.cpp
+++ b/Tests/Node/pullstest.cpp
@@ -17,7 +17,7 @@
 
 TEST(Pulls, aHigherRevisionIsAskedForAndAnEqualOneNot)
 {
-    for (const RevisionOrder order : {RevisionOrder::Counter, RevisionOrder::SumOfKinds}) {
+    for (const RevisionOrder order : {RevisionOrder::Counter, RevisionOrder::Digest}) {
         Pulls pulls(order);
         CHECK_TRUE(pulls.due(at(0), "h1", 7, 7) == Pull::None);
         CHECK_TRUE(pulls.due(at(0), "h1", 8, 7) == Pull::All);
@@ -25,15 +25,15 @@
 }
 
 /// One host has a newer configuration, the other newer endpoints.
-TEST(Pulls, aLowerSumMayHoldWhatIsMissingHere)
+TEST(Pulls, aLowerDigestMayHoldWhatIsMissingHere)
 {
-    CHECK_TRUE(Pulls(RevisionOrder::SumOfKinds).due(at(0), "h1", 154 + 151, 153 + 155) == Pull::All);
+    CHECK_TRUE(Pulls(RevisionOrder::Digest).due(at(0), "h1", 154 + 151, 153 + 155) == Pull::All);
     CHECK_TRUE(Pulls(RevisionOrder::Counter).due(at(0), "h1", 305, 308) == Pull::None);
 }
 
 TEST(Pulls, asksAreSpacedHoweverManyTell)
 {
-    Pulls pulls(RevisionOrder::SumOfKinds);
+    Pulls pulls(RevisionOrder::Digest);
     CHECK_TRUE(pulls.due(at(0), "h1", 9, 7) == Pull::All);
     CHECK_TRUE(pulls.due(at(0.1), "h2", 9, 7) == Pull::None);
     CHECK_TRUE(pulls.due(at(0.3), "h1", 9, 7) != Pull::None);
@@ -41,7 +41,7 @@
 
 TEST(Pulls, whileAllIsOnItsWayOthersAreAskedForWhatIsSmall)
 {
-    Pulls pulls(RevisionOrder::SumOfKinds);
+    Pulls pulls(RevisionOrder::Digest);
     CHECK_TRUE(pulls.due(at(0), "h1", 9, 7) == Pull::All);
     CHECK_TRUE(pulls.due(at(0.3), "h2", 9, 7) == Pull::Endpoints);
     pulls.answered("h2");
@@ -56,7 +56,7 @@
 
 TEST(Pulls, whoDoesNotAnswerIsReplacedAndEachWaitIsLonger)
 {
-    Pulls pulls(RevisionOrder::SumOfKinds);
+    Pulls pulls(RevisionOrder::Digest);
     std::vector<double> asked;
     for (double time = 0; time < 6; time += 0.1) {
         if (pulls.due(at(time), "h1", 9, 7) == Pull::All) {
