SiteWatch: A call that hangs since a disruption is given up before the platform counts on the host

Cause: a call to the store could hang for 4 s, but 3 s after a disruption (4 s at larger sites) all that the store has acknowledged must be in force. The time was reckoned from what changes after the 3 s, not from what changes within them. Change: calls are held 1.2 s where the platform says 3 s, 2.2 s where it says 4 s (setting settled-after-ms), and 2.5 s at most, as before. Price: about twice the calls that follow the configuration where the platform says 3 s.

--- a/Source/Node/settings.cpp
+++ b/Source/Node/settings.cpp
@@ -174,6 +174,7 @@
     settings.policies = parsePolicies(ini);
     settings.platform = requiredAddress(ini, "platform", "address");
     settings.platformTimeout = milliseconds(ini, "platform", "timeout-ms", 2000);
+    settings.platformSettledAfter = milliseconds(ini, "platform", "settled-after-ms", 3000);
     settings.configurationPoll = milliseconds(ini, "platform", "poll-ms", 500, 10);
     settings.storeFollowers = static_cast<std::size_t>(ini.number("platform", "followers", 8, 1, 10'000));
     settings.notReadyAfter = milliseconds(ini, "platform", "not-ready-after-ms", 30'000);
--- a/Source/Node/settings.h
+++ b/Source/Node/settings.h
@@ -60,6 +60,7 @@
     PlatformForm platformForm = PlatformForm::Table;
     Base::Address platform;
     Base::Duration platformTimeout {};
+    Base::Duration platformSettledAfter {}; ///< after a disruption the platform counts on the hosts again
     Base::Duration configurationPoll {};
     std::size_t storeFollowers = 8; ///< hosts that follow the platform's records; the others ask them
     Base::Duration notReadyAfter {}; ///< cut off from the table and all peers
--- a/Source/Node/sitewatch.h
+++ b/Source/Node/sitewatch.h
@@ -21,13 +21,22 @@
 
 namespace Yokepond::Node {
 
+/// How long a call may be held by a platform that swallows calls while it is in trouble, of all hosts at once. Such a call hangs
+/// until it is given up, @p timeout later, and the next must be answered before the platform counts on the hosts again,
+/// @p settledAfter the trouble: all that it acknowledged meanwhile must be in force then.
+constexpr Base::Duration longestHold(Base::Duration settledAfter, Base::Duration timeout)
+{
+    constexpr Base::Duration nextAnswered = std::chrono::milliseconds(300); ///< the first retry, a tick and the answer
+    constexpr Base::Duration least = std::chrono::milliseconds(100); ///< calls cost
+    constexpr Base::Duration most = std::chrono::milliseconds(2500); ///< beyond this little is spared
+    return std::clamp(settledAfter - timeout - nextAnswered, least, most);
+}
+
 /// Pauses and waits of a watch; the defaults are for a platform that bounds changes of endpoints to two seconds.
 struct SiteWatchOptions
 {
-    /// A held call is asked for this long. The platform may swallow calls of all hosts while it is in trouble; they hang until
-    /// given up, [platform] timeout-ms later than this. From 3 s after such trouble a leaving endpoint must be known within
-    /// 2 s, so that a call may hang for 4 s.
-    Base::Duration wait = std::chrono::milliseconds(2500);
+    /// A held call is asked for this long.
+    Base::Duration wait = longestHold(std::chrono::milliseconds(3000), std::chrono::milliseconds(1500));
     /// The same after a failed call: whoever has just been swallowed asks whether the platform is back and is given up soon.
     /// Held calls that began just before the end of an outage hung for 4 s on all hosts at once, and a configuration accepted
     /// meanwhile came into force 0.2 s too late.
--- a/Tests/Node/sitewatchtest.cpp
+++ b/Tests/Node/sitewatchtest.cpp
@@ -236,3 +236,13 @@
     tickAfter({});
     CHECK_TRUE(feed.calls[configuration].has_value());
 }
+
+TEST(SiteWatch, aCallIsHeldAsLongAsThePlatformLeavesTimeForAnother)
+{
+    using std::chrono::milliseconds;
+    const milliseconds timeout(1500);
+    CHECK_TRUE(Node::longestHold(milliseconds(3000), timeout) == milliseconds(1200));
+    CHECK_TRUE(Node::longestHold(milliseconds(4000), timeout) == milliseconds(2200));
+    CHECK_TRUE(Node::longestHold(milliseconds(20000), timeout) <= milliseconds(2500));
+    CHECK_TRUE(Node::longestHold(milliseconds(1000), timeout) > Base::Duration::zero());
+}
