Soak: Real hosts on stand-ins of the platform, faults in series and overlapping, judged from what callers and endpoints saw

Not here yet: connections silenced by the fault proxy, clocks that step, the retry budget over all hosts, a tier shed for a lower one.

SiteWatch: a test of a swallowed call that fails as the code is; the mend follows.

--- a/Tests/Integration/fleet.py
+++ b/Tests/Integration/fleet.py
@@ -217,6 +217,7 @@
     parser.add_argument("--bin", default=str(TOP / "build" / "bin"))
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=0)
+    parser.add_argument("--bound", type=float, default=15)
     return parser.parse_args()
 
 
--- a/Tests/Integration/recordsplatform.py
+++ b/Tests/Integration/recordsplatform.py
@@ -7,6 +7,7 @@
 import os
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -22,6 +23,16 @@
         return probe.getsockname()[1]
 
 
+class QuietServer(ThreadingHTTPServer):
+    """A host that goes away midway is what tests are about, and no error of the stand-in."""
+
+    daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        if not isinstance(sys.exc_info()[1], OSError):
+            super().handle_error(request, client_address)
+
+
 class Server:
     """An HTTP server on a thread of its own; `respond(handler)` answers."""
 
@@ -40,8 +51,7 @@
             def log_message(self, *_):
                 pass
 
-        self.http = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-        self.http.daemon_threads = True
+        self.http = QuietServer(("127.0.0.1", 0), Handler)
         self.address = f"127.0.0.1:{self.http.server_address[1]}"
         threading.Thread(target=self.http.serve_forever, daemon=True).start()
 
@@ -159,6 +169,7 @@
     def __init__(self, name):
         self.name = name
         self.runs = []
+        self.arrivals = []  # names of requests, and when they came
         self.cut_after = None
         self.refuse = False
         self.unsigned = False
@@ -176,6 +187,7 @@
             return
         headers = {name.lower(): value for name, value in handler.headers.items()}
         self.runs.append((handler.command, handler.path, headers, handler.body))
+        self.arrivals.append((headers["x-request-id"], time.monotonic()))
         head = {"X-Request-Id": handler.headers["X-Request-Id"], "X-Response-Signature": "signed-by-" + self.name}
         if self.unsigned:
             del head["X-Response-Signature"]
@@ -226,7 +238,8 @@
         seeds = ", ".join(f"127.0.0.1:{entry[2]}" for entry in ports)
         self.callers = [f"127.0.0.1:{entry[0]}" for entry in ports]
         self.operators = [f"127.0.0.1:{entry[1]}" for entry in ports]
-        self.processes = []
+        self.binaries = binaries
+        self.processes = [None] * count
         for index, (caller, operator, peer) in enumerate(ports):
             settings = os.path.join(self.directory, f"h{index}.ini")
             with open(settings, "w", encoding="utf-8") as file:
@@ -236,8 +249,13 @@
                            "[dispatch]\nwhole-pool-shards = yes\nplacement = soonest-first-token\nwindow = fixed\n"
                            "[retries]\nshare = 0.2\nslack = 50\n[stop]\nbalancer-lag-ms = 200\nkilled-after-s = 5\n"
                            "[test]\nfatal-invariants = yes\n")
-            log = open(os.path.join(self.directory, f"h{index}.log"), "wb")
-            self.processes.append(subprocess.Popen([os.path.join(binaries, "yokepondd"), "--config", settings], stdout=log, stderr=log))
+            self.start(index)
+
+    def start(self, index):
+        """Starts a host, or starts it again; its log goes on."""
+        settings = os.path.join(self.directory, f"h{index}.ini")
+        with open(os.path.join(self.directory, f"h{index}.log"), "ab") as log:
+            self.processes[index] = subprocess.Popen([os.path.join(self.binaries, "yokepondd"), "--config", settings], stdout=log, stderr=log)
 
     def ready(self, index):
         try:
--- a/Tests/Node/sitewatchtest.cpp
+++ b/Tests/Node/sitewatchtest.cpp
@@ -246,3 +246,32 @@
     CHECK_TRUE(Node::longestHold(milliseconds(20000), timeout) <= milliseconds(2500));
     CHECK_TRUE(Node::longestHold(milliseconds(1000), timeout) > Base::Duration::zero());
 }
+
+/// The platform is back, as the other call has shown: a call that it swallowed before says nothing against it. One that is
+/// refused again waits as usual.
+TEST(SiteWatch, aSwallowedCallIsRepeatedAtOnceIfThePlatformHasAnsweredSince)
+{
+    constexpr RecordKind configuration = RecordKind::Configuration;
+    const auto failConfiguration = [&] {
+        if (auto call = std::exchange(feed.calls[configuration], std::nullopt)) {
+            call->handler(Base::makeError(Base::ErrorKind::StoreUnavailable, "test"));
+        }
+    };
+    // Failures make the wait for the next try long.
+    for (int round = 0; round < 8; ++round) {
+        tickAfter(std::chrono::seconds(2));
+        failConfiguration();
+    }
+    tickAfter(std::chrono::seconds(2));
+    CHECK_TRUE(feed.calls[configuration].has_value());
+    answer(Platform::FeedPage {{}, 7});
+    failConfiguration();
+    tickAfter(std::chrono::milliseconds(50));
+    CHECK_TRUE(feed.calls[configuration].has_value());
+
+    tickAfter(std::chrono::milliseconds(900));
+    answer(Platform::FeedPage {{}, 7});
+    failConfiguration();
+    tickAfter(std::chrono::milliseconds(50));
+    CHECK_FALSE(feed.calls[configuration].has_value());
+}
