SiteWatch: A call that was swallowed is repeated at once if the platform has answered the other since

Cause: its failure counted like any other, and the next try waited up to a second though the platform was back. Change: one immediate repeat, until the next answer.

--- a/Source/Configuration/changescodec.cpp
+++ b/Source/Configuration/changescodec.cpp
@@ -20,8 +20,9 @@
 /// @p configuration as its value stands in the text of changes, so that equal parts are found there; empty if there is none.
 std::string knownText(const Record *configuration)
 {
-    return configuration == nullptr ? std::string()
-                                    : nlohmann::json(configuration->value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return configuration == nullptr
+        ? std::string()
+        : nlohmann::json(configuration->value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 absl::StatusOr<PackedChanges> packAgainst(const RecordChanges &changes, const Record *configuration, std::uint64_t base)
@@ -55,7 +56,8 @@
         return kept->second;
     }
     const Record *held = records.configurationAt(since.configuration);
-    auto packed = packAgainst(records.changesSince(since, RecordKind::Configuration), held, held == nullptr ? 0 : since.configuration);
+    auto packed
+        = packAgainst(records.changesSince(since, RecordKind::Configuration), held, held == nullptr ? 0 : since.configuration);
     if (packed.ok()) {
         m_configurations[since.configuration] = *packed;
     }
--- a/Source/Configuration/siterecords.cpp
+++ b/Source/Configuration/siterecords.cpp
@@ -185,12 +185,11 @@
 
 RecordChanges SiteRecords::changesSince(const RecordRevisions &since) const
 {
-    RecordChanges changes {since, revisions(), {}};
-    for (const Held &held : m_records | std::views::values) {
-        if (held.changedAt > since.of(held.record.kind)) {
-            changes.records.push_back(held.record);
-        }
-    }
+    RecordChanges changes = changesSince(since, RecordKind::Configuration);
+    RecordChanges ofEndpoints = changesSince(since, RecordKind::Endpoint);
+    changes.since.endpoints = ofEndpoints.since.endpoints;
+    changes.revisions.endpoints = ofEndpoints.revisions.endpoints;
+    std::ranges::move(ofEndpoints.records, std::back_inserter(changes.records));
     return changes;
 }
 
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -157,7 +157,8 @@
 {
     m_rows = std::make_unique<Platform::RowsClient>(m_client, m_settings.platform, m_settings.platformTimeout);
     m_watch = std::make_unique<SiteWatch<Platform::RowsClient>>(
-        *m_rows, SiteWatchOptions {.wait = longestHold(m_settings.platformSettledAfter, m_settings.platformTimeout)}, m_incarnation,
+        *m_rows, SiteWatchOptions {.wait = longestHold(m_settings.platformSettledAfter, m_settings.platformTimeout)},
+        m_incarnation,
         SiteWatchEvents {.records = [this](const std::vector<Configuration::Record> &records) { m_fleet->takeRecords(records); },
                          .heldBack = [this](const Configuration::Record &record) { m_fleet->expectRecord(record); },
                          .storeAnswers =
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -171,15 +171,16 @@
 void Fleet::pullIfBehind(Base::Instant now, const std::string &from, std::uint64_t revision)
 {
     const std::string address = addressOf(from);
-    const Pull pull = address.empty() ? Pull::None : m_pulls.due(now, from, revision, keepsRecords() ? m_records.digest() : this->revision());
+    const Pull pull
+        = address.empty() ? Pull::None : m_pulls.due(now, from, revision, keepsRecords() ? m_records.digest() : this->revision());
     if (pull == Pull::None) {
         return;
     }
     const Configuration::RecordRevisions known = m_records.revisions();
     m_events.send(address,
-                  keepsRecords() ? Peer::ChangesRequest {m_baseMissing ? 0 : known.configuration, known.endpoints,
-                                                         pull == Pull::Endpoints}
-                                 : Peer::ChangesRequest {this->revision()});
+                  keepsRecords()
+                      ? Peer::ChangesRequest {m_baseMissing ? 0 : known.configuration, known.endpoints, pull == Pull::Endpoints}
+                      : Peer::ChangesRequest {this->revision()});
 }
 
 void Fleet::receive(Base::Instant, const std::string &from, const Peer::ChangesRequest &request)
--- a/Source/Node/sitewatch.h
+++ b/Source/Node/sitewatch.h
@@ -118,6 +118,7 @@
         bool calling = false;
         Base::Instant calledAt {};
         unsigned int failures = 0;
+        bool repeatedAtOnce = false; ///< since the last answer
         Base::Instant next {};
         std::map<std::string, std::uint64_t> known; ///< versions of the records that are there
     };
@@ -157,6 +158,7 @@
             return;
         }
         table.failures = 0;
+        table.repeatedAtOnce = false;
         table.next = now + table.pause;
         table.since = page->version;
         table.readWhole = false;
@@ -174,6 +176,12 @@
         ++table.failures;
         const auto jitter = static_cast<std::int64_t>(m_random() % static_cast<std::uint64_t>(delay.count() / 2 + 1));
         table.next = now + delay / 2 + Base::Duration(jitter);
+        // The platform swallowed this call and has come back since, as the other call shows: up to a second is spared. Once only,
+        // since it may refuse the calls of one kind alone.
+        if (m_lastAnswer >= table.calledAt && !table.repeatedAtOnce) {
+            table.repeatedAtOnce = true;
+            table.next = now;
+        }
         m_lastFailure = now;
         if (std::exchange(m_answers, false) || !m_told) {
             m_told = true;
