--- /dev/null
+++ b/Source/Dispatch/endpointstates.cpp
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+#include "Dispatch/endpointstates.h"
+
+#include <algorithm>
+#include <numeric>
+#include <ranges>
+
+namespace Yokepond::Dispatch {
+
+namespace {
+
+using Base::Duration;
+
+constexpr std::size_t leastToCompare = 3;
+
+Duration medianOf(std::vector<Duration> values)
+{
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::ranges::nth_element(values, middle);
+    return *middle;
+}
+
+/// What @p value tells of each healthy endpoint, where it tells something.
+template<typename Value>
+std::vector<Duration> ofHealthy(const EndpointStates &endpoints, Value value)
+{
+    std::vector<Duration> found;
+    for (const EndpointState &state : endpoints | std::views::values) {
+        const std::optional<Duration> entry = value(state.health);
+        if (entry && state.health.state() == HealthState::Healthy) {
+            found.push_back(*entry);
+        }
+    }
+    return found;
+}
+
+} // namespace
+
+bool EndpointState::isUsable() const
+{
+    return !drained && !leaving;
+}
+
+bool EndpointState::takesWork() const
+{
+    return isUsable() && health.state() != HealthState::Ejected;
+}
+
+std::uint32_t EndpointState::windowSize() const
+{
+    return std::visit([](const auto &policy) { return policy.size(); }, window);
+}
+
+std::size_t windowsOf(const EndpointStates &endpoints)
+{
+    return std::transform_reduce(endpoints.begin(), endpoints.end(), std::size_t {0}, std::plus {}, [](const auto &entry) {
+        return entry.second.isUsable() ? std::size_t {entry.second.windowSize()} : 0;
+    });
+}
+
+std::size_t runningOn(const EndpointStates &endpoints)
+{
+    return std::transform_reduce(endpoints.begin(), endpoints.end(), std::size_t {0}, std::plus {},
+                                 [](const auto &entry) { return std::size_t {entry.second.running}; });
+}
+
+std::size_t ejectedOf(const EndpointStates &endpoints)
+{
+    const auto isEjected = [](const EndpointState &state) { return state.health.state() == HealthState::Ejected; };
+    return static_cast<std::size_t>(std::ranges::count_if(endpoints | std::views::values, isEjected));
+}
+
+std::optional<Duration> medianPace(const EndpointStates &endpoints)
+{
+    const std::vector<Duration> paces = ofHealthy(endpoints, [](const Health &health) { return health.pace(); });
+    return paces.size() < leastToCompare ? std::nullopt : std::optional(medianOf(paces));
+}
+
+std::optional<Duration> medianFirstToken(const EndpointStates &endpoints)
+{
+    const std::vector<Duration> times = ofHealthy(endpoints, [](const Health &health) { return health.firstToken(); });
+    return times.empty() ? std::nullopt : std::optional(medianOf(times));
+}
+
+std::vector<Candidate> usableOf(const EndpointStates &endpoints)
+{
+    std::vector<Candidate> found;
+    for (const auto &[number, state] : endpoints) {
+        if (state.takesWork()) {
+            found.push_back({number, state.running, std::max(1U, state.slots), state.memoryTokens, state.movedTokensPerMs});
+        }
+    }
+    return found;
+}
+
+std::vector<EndpointView> viewsOf(const EndpointStates &endpoints)
+{
+    std::vector<EndpointView> views;
+    views.reserve(endpoints.size());
+    for (const auto &[number, state] : endpoints) {
+        views.push_back({number, state.running, state.windowSize(), state.health.state(), !state.isUsable(),
+                         Base::milliseconds(state.health.firstToken().value_or(Duration::zero())),
+                         Base::milliseconds(state.health.pace().value_or(Duration::zero()))});
+    }
+    return views;
+}
+
+} // namespace Yokepond::Dispatch
--- /dev/null
+++ b/Source/Dispatch/endpointstates.h
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+/// @file
+/// What a dispatcher knows of the endpoints of one shard.
+
+#pragma once
+
+#include "Base/time.h"
+#include "Dispatch/health.h"
+#include "Dispatch/placement.h"
+#include "Dispatch/window.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace Yokepond::Dispatch {
+
+using Window = std::variant<FixedWindow, AdaptiveWindow>;
+
+/// What an operator sees of an endpoint.
+struct EndpointView
+{
+    std::uint32_t endpoint = 0;
+    std::uint32_t running = 0;
+    std::uint32_t window = 0;
+    HealthState health = HealthState::Healthy;
+    bool drained = false;
+    double firstTokenMs = 0;
+    double paceMs = 0;
+};
+
+struct EndpointState
+{
+    Window window = FixedWindow(1);
+    Health health;
+    std::uint32_t running = 0;
+    std::uint32_t slots = 0;
+    std::uint64_t memoryTokens = 0;
+    double movedTokensPerMs = 0;
+    bool drained = false;
+    bool leaving = false;
+
+    /// Whether it may get work, whatever its health.
+    bool isUsable() const;
+
+    /// Whether it may get work now, room aside.
+    bool takesWork() const;
+
+    /// Runs that it may have at once.
+    std::uint32_t windowSize() const;
+};
+
+/// By number.
+using EndpointStates = std::map<std::uint32_t, EndpointState>;
+
+/// Windows of all that may get work.
+std::size_t windowsOf(const EndpointStates &endpoints);
+
+std::size_t runningOn(const EndpointStates &endpoints);
+
+std::size_t ejectedOf(const EndpointStates &endpoints);
+
+/// Of those that are healthy; none if fewer than three have one to compare.
+std::optional<Base::Duration> medianPace(const EndpointStates &endpoints);
+
+/// Of those that are healthy; none if no run has told it yet.
+std::optional<Base::Duration> medianFirstToken(const EndpointStates &endpoints);
+
+/// All that take work, with all their slots free to choose.
+std::vector<Candidate> usableOf(const EndpointStates &endpoints);
+
+std::vector<EndpointView> viewsOf(const EndpointStates &endpoints);
+
+} // namespace Yokepond::Dispatch
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -89,7 +89,7 @@
     return SoonestFirstToken();
 }
 
-Shard::Window Shard::makeWindow(std::uint32_t slots) const
+Window Shard::makeWindow(std::uint32_t slots) const
 {
     if (m_catalogue->policies().window == Configuration::WindowPolicy::Fixed) {
         return FixedWindow(slots);
@@ -150,7 +150,7 @@
 {
     for (const auto &entry : m_endpoints) {
         const std::uint32_t endpoint = entry.first;
-        if (!isUsable(entry.second)) {
+        if (!entry.second.isUsable()) {
             std::visit([endpoint](auto &placement) { placement.distrust(endpoint); }, m_placement);
         }
     }
@@ -253,17 +253,6 @@
     return static_cast<double>(ahead) / m_grantsPerSecond > Base::seconds(ask.deadline - now);
 }
 
-std::vector<Candidate> Shard::usable() const
-{
-    std::vector<Candidate> found;
-    for (const auto &[number, state] : m_endpoints) {
-        if (isUsable(state) && state.health.state() != HealthState::Ejected) {
-            found.push_back({number, state.running, std::max(1U, state.slots), state.memoryTokens, state.movedTokensPerMs});
-        }
-    }
-    return found;
-}
-
 /// By how much the first token must be expected to miss its target even if the ask were served next; zero if it need not.
 Duration Shard::lateness(Instant now, const QueuedAsk &ask) const
 {
@@ -272,7 +261,7 @@
     if (!m_catalogue->policies().refuseLate || !modelled || ask.key.id.attempt > 1) {
         return Duration::zero();
     }
-    const std::vector<Candidate> endpoints = usable();
+    const std::vector<Candidate> endpoints = usableOf(m_endpoints);
     const Duration expected
         = std::visit([&](const auto &placement) { return placement.expected(ask, endpoints, now); }, m_placement);
     const Duration wait = waitBehind(ask) / std::max<std::int64_t>(1, static_cast<std::int64_t>(endpoints.size()));
@@ -337,26 +326,17 @@
 std::uint32_t Shard::pressure() const
 {
     constexpr std::size_t thousand = 1000;
-    std::size_t windows = 0;
-    for (const EndpointState &state : m_endpoints | std::views::values) {
-        windows += isUsable(state) ? std::visit([](const auto &window) { return window.size(); }, state.window) : 0;
-    }
-    return static_cast<std::uint32_t>(thousand * (queued() + m_permits.size()) / std::max<std::size_t>(1, windows));
-}
-
-bool Shard::isUsable(const EndpointState &state)
-{
-    return !state.drained && !state.leaving;
+    const std::size_t windows = std::max<std::size_t>(1, windowsOf(m_endpoints));
+    return static_cast<std::uint32_t>(thousand * (queued() + m_permits.size()) / windows);
 }
 
 std::optional<RefusalReason> Shard::reasonForNone() const
 {
     const auto states = m_endpoints | std::views::values;
-    if (std::ranges::none_of(states, isUsable)) {
+    if (std::ranges::none_of(states, &EndpointState::isUsable)) {
         return RefusalReason::NoEndpoint;
     }
-    const bool allDown = std::ranges::none_of(
-        states, [](const EndpointState &state) { return isUsable(state) && state.health.state() != HealthState::Ejected; });
+    const bool allDown = std::ranges::none_of(states, &EndpointState::takesWork);
     return allDown ? std::optional(RefusalReason::EndpointsDown) : std::nullopt;
 }
 
@@ -530,30 +510,11 @@
     pump(now);
 }
 
-std::optional<Duration> Shard::medianPace() const
-{
-    std::vector<Duration> paces;
-    for (const EndpointState &state : m_endpoints | std::views::values) {
-        if (const auto pace = state.health.pace(); pace && state.health.state() == HealthState::Healthy) {
-            paces.push_back(*pace);
-        }
-    }
-    if (paces.size() < 3) {
-        return std::nullopt;
-    }
-    const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
-    std::ranges::nth_element(paces, middle);
-    return *middle;
-}
-
 void Shard::ejectBad(Instant now)
 {
     const bool ejectSlow = m_catalogue->policies().ejectSlow;
-    const auto median = medianPace();
-    auto ejected
-        = static_cast<std::size_t>(std::ranges::count_if(m_endpoints | std::views::values, [](const EndpointState &state) {
-              return state.health.state() == HealthState::Ejected;
-          }));
+    const auto median = medianPace(m_endpoints);
+    std::size_t ejected = ejectedOf(m_endpoints);
     for (auto &[number, state] : m_endpoints) {
         const bool mayEjectSlow = ejectSlow && (ejected + 1) * mostEjectedDivisor <= m_endpoints.size();
         const bool bad = state.health.isFailing() || (mayEjectSlow && state.health.isSlow(median));
@@ -576,10 +537,10 @@
 
 std::uint32_t Shard::room(const EndpointState &state, Instant now) const
 {
-    if (!isUsable(state) || state.health.state() == HealthState::Ejected) {
+    if (!state.takesWork()) {
         return 0;
     }
-    std::uint32_t window = std::visit([](const auto &policy) { return policy.size(); }, state.window);
+    std::uint32_t window = state.windowSize();
     if (state.health.state() == HealthState::Probing) {
         window = 1;
     } else if (now - m_takenOver < takeOverPeriod) {
@@ -612,19 +573,12 @@
 
 Duration Shard::expectedFirstToken() const
 {
-    std::vector<Duration> times;
-    for (const EndpointState &state : m_endpoints | std::views::values) {
-        if (const auto time = state.health.firstToken(); time && state.health.state() == HealthState::Healthy) {
-            times.push_back(*time);
-        }
-    }
-    if (times.empty()) {
+    const auto median = medianFirstToken(m_endpoints);
+    if (!median) {
         return Duration::zero();
     }
-    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-    std::ranges::nth_element(times, middle);
     // Runs differ: an ask that would only just be on time by the median is more often late.
-    return std::chrono::duration_cast<Duration>(*middle * expectedMargin) + expectedTransit;
+    return std::chrono::duration_cast<Duration>(*median * expectedMargin) + expectedTransit;
 }
 
 void Shard::pump(Instant now)
@@ -667,7 +621,7 @@
     const Candidate chosen {endpoint, state.running, state.running + room(state, now), state.memoryTokens,
                             state.movedTokensPerMs};
     const PlacedRun placed = std::visit([&](auto &placement) { return placement.placed(ask, chosen, now); }, m_placement);
-    Base::require(isUsable(state), Base::Invariant::LeavingGetsNothing);
+    Base::require(state.isUsable(), Base::Invariant::LeavingGetsNothing);
     Base::require(!m_permits.contains(ask.key), Base::Invariant::AnsweredOnce);
     ++state.running;
     // The home's clock runs as fast as this one, so that the time waited here can be added to the time it sent the ask.
@@ -687,11 +641,7 @@
 
 void Shard::checkPermits() const
 {
-    std::size_t running = 0;
-    for (const EndpointState &state : m_endpoints | std::views::values) {
-        running += state.running;
-    }
-    Base::require(running == m_permits.size(), Base::Invariant::PermitsWithinGrants);
+    Base::require(runningOn(m_endpoints) == m_permits.size(), Base::Invariant::PermitsWithinGrants);
 }
 
 void Shard::handOver()
@@ -729,15 +679,7 @@
 
 std::vector<EndpointView> Shard::endpoints() const
 {
-    std::vector<EndpointView> views;
-    views.reserve(m_endpoints.size());
-    for (const auto &[number, state] : m_endpoints) {
-        views.push_back({number, state.running, std::visit([](const auto &policy) { return policy.size(); }, state.window),
-                         state.health.state(), state.drained || state.leaving,
-                         Base::milliseconds(state.health.firstToken().value_or(Duration::zero())),
-                         Base::milliseconds(state.health.pace().value_or(Duration::zero()))});
-    }
-    return views;
+    return viewsOf(m_endpoints);
 }
 
 AskView Shard::find(const AskKey &key) const
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "Configuration/catalogue.h"
-#include "Dispatch/health.h"
+#include "Dispatch/endpointstates.h"
 #include "Dispatch/laterefusals.h"
 #include "Dispatch/order.h"
 #include "Dispatch/placement.h"
@@ -15,10 +15,8 @@
 #include "Dispatch/queuedask.h"
 #include "Dispatch/shardmap.h"
 #include "Dispatch/soonestfirsttoken.h"
-#include "Dispatch/window.h"
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -46,18 +44,6 @@
     std::uint64_t ejections = 0;
 };
 
-/// What an operator sees of an endpoint.
-struct EndpointView
-{
-    std::uint32_t endpoint = 0;
-    std::uint32_t running = 0;
-    std::uint32_t window = 0;
-    HealthState health = HealthState::Healthy;
-    bool drained = false;
-    double firstTokenMs = 0;
-    double paceMs = 0;
-};
-
 /// Where an ask stands.
 struct AskView
 {
@@ -108,19 +94,6 @@
 private:
     using Order = std::variant<FifoOrder, TieredOrder>;
     using Placement = std::variant<RoundRobin, LeastLoaded, PrefixAffinity, SoonestFirstToken>;
-    using Window = std::variant<FixedWindow, AdaptiveWindow>;
-
-    struct EndpointState
-    {
-        Window window = FixedWindow(1);
-        Health health;
-        std::uint32_t running = 0;
-        std::uint32_t slots = 0;
-        std::uint64_t memoryTokens = 0;
-        double movedTokensPerMs = 0;
-        bool drained = false;
-        bool leaving = false;
-    };
 
     struct Permit
     {
@@ -157,14 +130,11 @@
     Base::Duration lateness(Base::Instant now, const QueuedAsk &ask) const;
     Base::Duration waitBehind(const QueuedAsk &ask) const;
     void refuseLate(Base::Instant now);
-    std::vector<Candidate> usable() const;
     void dropExpired(Base::Instant now);
     void ejectBad(Base::Instant now);
-    std::optional<Base::Duration> medianPace() const;
     Base::Duration expectedFirstToken() const;
     Base::Duration retryAfter() const;
     std::uint32_t pressure() const;
-    static bool isUsable(const EndpointState &state);
     /// Why no endpoint can be expected to take work, if none can.
     std::optional<Peer::RefusalReason> reasonForNone() const;
     void refuseAllIfNone();
@@ -177,7 +147,7 @@
     Configuration::PlacementPolicy m_placementPolicy {};
     Order m_order;
     Placement m_placement;
-    std::map<std::uint32_t, EndpointState> m_endpoints;
+    EndpointStates m_endpoints;
     std::unordered_map<AskKey, Permit, AskKeyHash> m_permits;
     std::vector<Reply> m_replies;
     ShardCounters m_counters;
