Fleet: A host is ready once it knows routes and endpoints

Cause: a host that had started knew the configuration up to half a second before the endpoints, said that it was ready, and refused (not-run) what came. Change: not ready until an endpoint has been known once; endpoints that go later do not count. Measured: Fleet.aHostIsReadyOnceItKnowsRoutesAndEndpoints, which failed before.

--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -398,6 +398,7 @@
     if (parts.ok()) {
         parts->policies = m_settings.policies;
         m_siteCatalogue = Configuration::Catalogue::assemble(std::move(*parts));
+        m_endpointsEverKnown = m_endpointsEverKnown || !m_siteCatalogue->endpoints().empty();
         Base::log(Base::LogLevel::Info, Base::LogEvent::ConfigurationApplied,
                   {{"revision", m_records.revision()},
                    {"configuration-version", m_records.revisions().configuration},
@@ -467,6 +468,10 @@
 absl::Status Fleet::readiness(Base::Instant now) const
 {
     const bool none = keepsRecords() ? m_siteCatalogue->routes().empty() : m_replica.revision() == 0 && !m_storeEverAnswered;
+    if (keepsRecords() && !none && !m_endpointsEverKnown) {
+        return makeError(Base::ErrorKind::NotReady,
+                         "no endpoint is known yet: neither the table service nor a peer has told of one");
+    }
     if (none) {
         return makeError(Base::ErrorKind::NotReady, "no configuration yet: neither the table service nor a peer has answered");
     }
--- a/Source/Node/fleet.h
+++ b/Source/Node/fleet.h
@@ -138,6 +138,7 @@
     bool m_polling = false;
     bool m_storeAnswers = false;
     bool m_storeEverAnswered = false;
+    bool m_endpointsEverKnown = false; ///< of a platform's records
     bool m_recordsUnread = false; ///< they have changed since they were decoded
     Base::Instant m_nextDecode {};
     bool m_isFollower = true; ///< picked by the present membership
--- a/Tests/Node/fleettest.cpp
+++ b/Tests/Node/fleettest.cpp
@@ -114,3 +114,21 @@
     fleet.run(std::chrono::seconds(2));
     CHECK_EQUAL(fleet.size(), fleet.hostsWith(RecordKind::Configuration, 30));
 }
+
+/// A host that knows where requests may go, but no endpoint yet, would refuse them all.
+TEST(Fleet, aHostIsReadyOnceItKnowsRoutesAndEndpoints)
+{
+    LinkedFleet pair {2, narrowLink};
+    pair.run(std::chrono::seconds(4));
+    pair.tell(0, {configuration(10, "routes")});
+    pair.run(milliseconds(500));
+    CHECK_FALSE(pair.isReady(0));
+    pair.tell(0, {endpoint(20, "value")});
+    pair.run(std::chrono::seconds(1));
+    CHECK_TRUE(pair.isReady(0));
+    CHECK_TRUE(pair.isReady(1));
+    // Endpoints that all go later are the callers' trouble, not this host's.
+    pair.tell(0, {{RecordKind::Endpoint, "e20", 21, true, ""}});
+    pair.run(std::chrono::seconds(1));
+    CHECK_TRUE(pair.isReady(0));
+}
--- a/Tests/Node/linkedfleet.h
+++ b/Tests/Node/linkedfleet.h
@@ -34,6 +34,7 @@
             settings.name = fmt::format("h{}", index);
             settings.advertisedPeer = addressOf(index);
             settings.platformForm = Node::PlatformForm::Records;
+            settings.notReadyAfter = std::chrono::seconds(15);
             settings.seeds = {addressOf(0), addressOf(1)};
             m_settings.push_back(std::move(settings));
         }
@@ -85,6 +86,11 @@
             std::ranges::count_if(m_hosts, [&](const auto &host) { return host->inForce.of(kind) >= version; }));
     }
 
+    bool isReady(std::size_t index) const
+    {
+        return m_hosts[index]->fleet->readiness(m_now).ok();
+    }
+
     /// Bytes of changes that all hosts have received so far.
     std::size_t changesReceived() const
     {
@@ -139,17 +145,20 @@
         host.fleet = std::make_unique<Node::Fleet>(
             settings, m_client, incarnation, self,
             Node::FleetEvents {.send = [this, index](const std::string &address,
-                                                     Peer::Message message) { send(index, address, std::move(message)); },
+                                                     const Peer::Message &message) { send(index, address, message); },
                                .changed = [] {},
                                .memberGone = [](const std::string &, std::uint64_t) {},
-                               .endpointsLeaving = [](std::vector<std::uint32_t>) {}},
+                               .endpointsLeaving = [](const std::vector<std::uint32_t> &) {}},
             [&host](const Configuration::SiteRecords &records) -> absl::StatusOr<Configuration::CatalogueParts> {
                 host.inForce = records.revisions();
-                return Configuration::CatalogueParts {};
+                Configuration::CatalogueParts parts;
+                parts.routes.resize(records.present(Configuration::RecordKind::Configuration).size());
+                parts.endpoints.resize(records.present(Configuration::RecordKind::Endpoint).size());
+                return parts;
             });
     }
 
-    void send(std::size_t from, const std::string &address, Peer::Message message)
+    void send(std::size_t from, const std::string &address, const Peer::Message &message)
     {
         const auto port = address.rfind(':');
         if (port == std::string::npos) {
@@ -161,7 +170,7 @@
         Host &receiver = *m_hosts[to];
         sender.outFree = std::max(sender.outFree, m_now) + takes;
         receiver.inFree = std::max(receiver.inFree + takes, sender.outFree + delay);
-        m_sent.push({receiver.inFree, ++m_order, from, to, std::move(message)});
+        m_sent.push({receiver.inFree, ++m_order, from, to, message});
     }
 
     void deliver()
