--- a/Tests/Integration/recordsplatform.py
+++ b/Tests/Integration/recordsplatform.py
@@ -14,13 +14,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
-from fleet import request, wait_until
-
-
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+from fleet import localfleet, request, wait_until
 
 
 class QuietServer(ThreadingHTTPServer):
@@ -234,7 +228,7 @@
     def __init__(self, binaries, platforms):
         count = len(platforms)
         self.directory = tempfile.mkdtemp(prefix="yokepond-records-")
-        ports = [[free_port() for _ in range(3)] for _ in range(count)]
+        ports = [localfleet.free_ports(3) for _ in range(count)]
         seeds = ", ".join(f"127.0.0.1:{entry[2]}" for entry in ports)
         self.callers = [f"127.0.0.1:{entry[0]}" for entry in ports]
         self.operators = [f"127.0.0.1:{entry[1]}" for entry in ports]
--- a/Utilities/localfleet.py
+++ b/Utilities/localfleet.py
@@ -6,14 +6,17 @@
 """
 
 import argparse
+import fcntl
 import hashlib
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 import urllib.error
 import urllib.request
@@ -55,16 +58,33 @@
 OPERATOR_KEY = "operator-key-for-tests"
 TICKET_SECRET = "ticket-secret-for-tests-only"
 
+# Below those that Linux gives to outgoing connections (ip_local_port_range).
+FIRST_PORT, LAST_PORT = 15000, 32000
+HELD_PORTS = []  # locks, until this process ends
+
 
 def free_ports(count):
-    """Ports that were free a moment ago, all different."""
-    sockets = [socket.socket() for _ in range(count)]
-    for entry in sockets:
-        entry.bind(("127.0.0.1", 0))
-    ports = [entry.getsockname()[1] for entry in sockets]
-    for entry in sockets:
-        entry.close()
-    return ports
+    """Ports that no other fleet is about to use, and that the system gives to no outgoing connection: between the moment that a
+    port is found free and that in which a host listens there, or listens again, either could take it."""
+    return [take_port() for _ in range(count)]
+
+
+def take_port():
+    while True:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        locks = os.path.join(tempfile.gettempdir(), "yokepond-ports")
+        os.makedirs(locks, exist_ok=True)
+        lock = open(os.path.join(locks, str(port)), "w", encoding="utf-8")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                probe.bind(("127.0.0.1", port))
+        except OSError:
+            lock.close()
+            continue
+        HELD_PORTS.append(lock)
+        return port
 
 
 def call(address, path, body=None, headers=None, timeout=10):
