Tests: An engine that crashes before the first event is a case of its own

process-faults failed once beside load. Trace: four of six runs broke off at the crashed engine with 0 events, three were tried again (2.6, 1.6, 0.6 retries left of a reserve of 3 and a tenth of six), the fourth got status 502 with a typed error and outcome unknown, since nothing had been sent of a stream: allowed, and no silent cut. The test meant a crash in the midst of streams and did not wait for one. It now waits for events and asks for status 200 with a whole or an explicit end as before; a test of its own brings the other case about and asks for a typed error with its outcome.

--- a/Tests/Integration/test_faults.py
+++ b/Tests/Integration/test_faults.py
@@ -66,18 +66,45 @@
         fleet.no_violations()
 
 
+def ended_openly(answer):
+    """Whole, or ended by an explicit error: an event of the stream, or where no event has been sent a status and a typed body."""
+    if answer.status == 200:
+        return answer.body.rstrip().endswith("[DONE]") or "event: error" in answer.body
+    return answer.status in (502, 503, 504) and answer.error != "" and answer.outcome in ("unknown", "not-run")
+
+
+def test_engine_crash_before_the_first_event():
+    """More runs break off than the budget has retries for: some callers get an error in place of a stream, none is left in doubt."""
+    with Fleet("--hosts", 2, "--engines", 2, "--services", 1) as fleet:
+        first = fleet.hosts[0]
+        for engine in fleet.endpoints("engine"):
+            fleet.faults(engine["address"], slow=200)
+        background = [in_background(fleet.chat, first, f"early {index}", "bulletin", True, 5) for index in range(12)]
+        wait_until(lambda: sum(len(fleet.runs(engine)) for engine in fleet.endpoints("engine")) == 12, "twelve runs")
+        for engine in fleet.endpoints("engine"):
+            request(engine["address"], "POST", "/faults", body='{"crash": true}')
+        answers = []
+        for thread, results in background:
+            thread.join()
+            answers.append(results[0])
+        assert all(ended_openly(answer) for answer in answers), [(answer.status, answer.body[-200:]) for answer in answers]
+        assert any(answer.status != 200 for answer in answers)
+        fleet.no_violations()
+
+
 def test_engine_crash_mid_stream():
     with Fleet("--hosts", 2, "--engines", 2, "--services", 1) as fleet:
         first = fleet.hosts[0]
         background = [in_background(fleet.chat, first, f"crash {index}", "bulletin", True, 200) for index in range(6)]
         wait_until(lambda: sum(len(fleet.runs(engine)) for engine in fleet.endpoints("engine")) == 6, "six runs")
+        # In the midst of the streams: a run that has sent no event yet may be tried again, or end with an error status.
+        wait_until(lambda: fleet.metric(first, "yokepond_events_relayed_total") >= 60, "events of the streams")
         crashed = fleet.endpoints("engine")[0]
         request(crashed["address"], "POST", "/faults", body='{"crash": true}')
         for thread, results in background:
             thread.join()
             answer = results[0]
-            whole = answer.body.rstrip().endswith("[DONE]")
-            assert whole or "event: error" in answer.body, answer.body[-300:]
+            assert answer.status == 200 and ended_openly(answer), (answer.status, answer.body[-300:])
         # Afterwards requests go to the other engine.
         for index in range(6):
             assert fleet.chat(first, f"after {index}").status == 200
