Swim: A host that starts anew learns of all the others at once

Cause: whoever knew it as it was before took it for one that has the table. Change: the whole table also goes to a host that tells of itself with a newer incarnation.

--- a/Source/Membership/swim.cpp
+++ b/Source/Membership/swim.cpp
@@ -330,8 +330,10 @@
 void Swim::receive(Base::Instant now, const std::string &from, const Probe &probe)
 {
     const auto sender = m_members.find(from);
-    if (sender == m_members.end() || !isPresent(sender->second)) {
-        // A host that joins, or was thought dead, learns the whole table at once.
+    const auto isNewer = [&](const Member &news) { return news.name == from && news.incarnation > sender->second.incarnation; };
+    if (sender == m_members.end() || !isPresent(sender->second) || std::ranges::any_of(probe.members, isNewer)) {
+        // A host that joins, was thought dead or has started anew learns the whole table at once: without the others' addresses
+        // it can neither ask nor answer them.
         m_wholeDue.insert(from);
     }
     mergeAll(now, probe.members);
--- a/Tests/Membership/swimtest.cpp
+++ b/Tests/Membership/swimtest.cpp
@@ -136,6 +136,16 @@
     }
 }
 
+/// Its seed still has it as it was before, and no news to tell: nothing else would bring it the others for seconds. Until then it
+/// can neither ask them for what changed nor answer those that ask it.
+TEST(Swim, aHostThatStartsAnewLearnsOfAllTheOthersAtOnce)
+{
+    advance(10);
+    add("h3", 2);
+    advance(0.2);
+    CHECK_EQUAL(8U, hosts["h3"]->present().size());
+}
+
 TEST(Swim, leavingIsKnownAtOnceAndIsNotSuspected)
 {
     hosts["h6"]->leave();
