--- a/Tests/Node/sitewatchtest.cpp
+++ b/Tests/Node/sitewatchtest.cpp
@@ -198,7 +198,7 @@
 // were held so long again from the first answer on.
 // Cause: the platform counts on a host again 3 s after a disruption, for all that it has acknowledged until then; a call may
 // hang for less than that. The bound that was kept before looked only at what changes after those 3 s.
-// Proof: the times of the record; a play of the same kind of day was clean, so that this is not seen, but worked out.
+// Proof: the times of the record. The same kind of day with other luck was clean, so that this is not seen, but worked out.
 TEST(SiteWatch, aCallThatHangsSinceADisruptionIsGivenUpBeforeThePlatformCountsOnTheHost)
 {
     tickAfter({});
