Soak: Both kinds of request that may not be repeated are judged

Cause: the checks of doubled runs and of not-run looked at the paths of one route; the soak adds a second one that may not be repeated either, whose runs went unjudged. Change: the paths stand in one place, for both checks; nothing that was reported before is not reported now. Product code is unchanged.

--- a/Tests/Integration/soakchecks.py
+++ b/Tests/Integration/soakchecks.py
@@ -73,6 +73,7 @@
 
 
 NOT_RUN = (408, 421, 429, 503)
+ONCE = ("/once/", "/extra/")  # paths of what may not be repeated
 STOP_MARGIN = 0.2
 REVERT_SLACK = 0.25
 
@@ -89,12 +90,12 @@
                 yield f"{entry.name}: answered as {entry.answered_name} by {entry.signature}, whole {entry.whole}"
 
 
-def doubled_runs(record, once="/once/"):
+def doubled_runs(record):
     """What may not be repeated runs at most once."""
     paths = {entry.name: entry.path for entry in record.tries}
     counts = collections.Counter(run.name for run in record.runs)
     for name, count in counts.items():
-        if count > 1 and paths.get(name, "").startswith(once):
+        if count > 1 and paths.get(name, "").startswith(ONCE):
             yield f"{name}: ran {count} times"
 
 
@@ -103,11 +104,11 @@
     yield from (f"{run.name}: ran though nobody sent it" for run in record.runs if run.name not in names)
 
 
-def false_not_run(record, once="/once/"):
+def false_not_run(record):
     """What was said not to have run has not, also later."""
     ran = {run.name for run in record.runs}
     for entry in record.tries:
-        if entry.status in NOT_RUN and entry.path.startswith(once) and entry.name in ran:
+        if entry.status in NOT_RUN and entry.path.startswith(ONCE) and entry.name in ran:
             yield f"{entry.name}: answered {entry.status}, and ran"
 
 
--- a/Tests/Integration/test_soakchecks.py
+++ b/Tests/Integration/test_soakchecks.py
@@ -39,11 +39,13 @@
 
 def test_a_run_too_many():
     reports("doubled_runs", record_of([answered("a")], [Run("a", "e1", 10.0), Run("a", "e2", 10.1)]))
+    reports("doubled_runs", record_of([answered("a", path="/extra/x", status=502)], [Run("a", "e1", 10.0), Run("a", "e2", 10.1)]))
     reports("unasked_runs", record_of([answered("a")], [Run("a", "e1", 10.0), Run("z", "e1", 10.0)]))
 
 
 def test_what_was_said_not_to_have_run_ran():
     reports("false_not_run", record_of([answered("a", status=503)], [Run("a", "e1", 12.0)]))
+    reports("false_not_run", record_of([answered("a", path="/extra/x", status=503)], [Run("a", "e1", 12.0)]))
 
 
 def test_an_older_configuration():
