--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 33> eventNames = {{
+constexpr NameTable<LogEvent, 39> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -46,6 +46,12 @@
     {LogEvent::StoreLost, "store-lost"},
     {LogEvent::StoreBack, "store-back"},
     {LogEvent::ReadinessChanged, "readiness-changed"},
+    {LogEvent::LeaseTaken, "lease-taken"},
+    {LogEvent::LeaseLost, "lease-lost"},
+    {LogEvent::UsageReported, "usage-reported"},
+    {LogEvent::UsageReportFailed, "usage-report-failed"},
+    {LogEvent::UsageRowUnreadable, "usage-row-unreadable"},
+    {LogEvent::ClockCorrected, "clock-corrected"},
     {LogEvent::StatementAccepted, "statement-accepted"},
     {LogEvent::StatementRejected, "statement-rejected"},
     {LogEvent::InvariantViolated, "invariant-violated"},
--- a/Source/Http/client.cpp
+++ b/Source/Http/client.cpp
@@ -8,6 +8,7 @@
 #include <curl/curl.h>
 #include <fmt/format.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
@@ -90,6 +91,12 @@
     return size;
 }
 
+int resetWhenClosed(void *, curl_socket_t socket, curlsocktype)
+{
+    const linger noLinger {1, 0};
+    return setsockopt(socket, SOL_SOCKET, SO_LINGER, &noLinger, sizeof noLinger) == 0 ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
+}
+
 TransferFailure failureOf(CURLcode code)
 {
     switch (code) {
@@ -257,6 +264,9 @@
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(transfer.totalTimeout / std::chrono::milliseconds(1)));
         curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, transfer.freshConnection ? 1L : 0L);
         curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, transfer.freshConnection ? 1L : 0L);
+        if (transfer.resetOnClose) {
+            curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &resetWhenClosed);
+        }
         curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &onHeaderLine);
         curl_easy_setopt(handle, CURLOPT_HEADERDATA, &running);
         curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &onBody);
--- a/Source/Http/client.h
+++ b/Source/Http/client.h
@@ -48,6 +48,8 @@
     /// Use a connection that carried nothing before. libcurl sends a request again by itself if a kept connection turns out
     /// closed, so a request that may run at most once must never go over one.
     bool freshConnection = false;
+    /// Close the connection by a reset: bytes that the other side has not got yet are dropped rather than sent later.
+    bool resetOnClose = false;
 };
 
 /// What a transfer reports, all on the loop's thread. onEnd is called exactly once, and last, unless the transfer is cancelled.
--- a/Source/Language/statement.h
+++ b/Source/Language/statement.h
@@ -57,9 +57,9 @@
 
 // Queries
 
-enum class Subject { Requests, Classes, Tiers, Organisations, Pools, Endpoints, Hosts, Dispatchers, Changes, Settings };
+enum class Subject { Requests, Classes, Tiers, Organisations, Pools, Endpoints, Hosts, Dispatchers, Duties, Changes, Settings };
 
-inline constexpr Base::NameTable<Subject, 10> subjectNames = {{
+inline constexpr Base::NameTable<Subject, 11> subjectNames = {{
     {Subject::Requests, "requests"},
     {Subject::Classes, "classes"},
     {Subject::Tiers, "tiers"},
@@ -68,6 +68,7 @@
     {Subject::Endpoints, "endpoints"},
     {Subject::Hosts, "hosts"},
     {Subject::Dispatchers, "dispatchers"},
+    {Subject::Duties, "duties"},
     {Subject::Changes, "changes"},
     {Subject::Settings, "settings"},
 }};
--- a/Source/Membership/duty.cpp
+++ b/Source/Membership/duty.cpp
@@ -7,21 +7,51 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace Yokepond::Membership {
 
-bool isPicked(std::string_view self, std::string_view duty, const std::vector<Peer::Member> &members, std::size_t count)
+namespace {
+
+using Weight = std::tuple<bool, std::uint32_t, std::uint64_t>;
+
+Weight weightOf(const Peer::Member &member, std::uint64_t seed)
+{
+    // The store's answers are large at times; hosts with much processor are those with wide links too.
+    return {member.state != Peer::MemberState::Leaving, member.milliCores, Base::hash64(member.name, seed)};
+}
+
+} // namespace
+
+std::optional<std::size_t> rankOf(std::string_view self, std::string_view duty, const std::vector<Peer::Member> &members)
 {
-    const auto weight = [seed = Base::hash64(duty)](const Peer::Member &member) {
-        // The store's answers are large at times; hosts with much processor are those with wide links too.
-        return std::tuple(member.state != Peer::MemberState::Leaving, member.milliCores, Base::hash64(member.name, seed));
-    };
+    const std::uint64_t seed = Base::hash64(duty);
     const auto own = std::ranges::find(members, self, &Peer::Member::name);
     if (own == members.end()) {
-        return false;
+        return std::nullopt;
     }
-    const auto ahead = std::ranges::count_if(members, [&](const Peer::Member &other) { return weight(other) > weight(*own); });
-    return static_cast<std::size_t>(ahead) < count;
+    const Weight weight = weightOf(*own, seed);
+    return static_cast<std::size_t>(
+        std::ranges::count_if(members, [&](const Peer::Member &other) { return weightOf(other, seed) > weight; }));
+}
+
+bool isPicked(std::string_view self, std::string_view duty, const std::vector<Peer::Member> &members, std::size_t count)
+{
+    const auto rank = rankOf(self, duty, members);
+    return rank && *rank < count;
+}
+
+std::vector<std::string> picked(std::string_view duty, const std::vector<Peer::Member> &members, std::size_t count)
+{
+    const std::uint64_t seed = Base::hash64(duty);
+    std::vector<std::pair<Weight, const Peer::Member *>> weighed;
+    std::ranges::transform(members, std::back_inserter(weighed),
+                           [&](const Peer::Member &member) { return std::pair(weightOf(member, seed), &member); });
+    const auto end = weighed.begin() + static_cast<std::ptrdiff_t>(std::min(count, weighed.size()));
+    std::partial_sort(weighed.begin(), end, weighed.end(), std::greater<>());
+    std::vector<std::string> names;
+    std::transform(weighed.begin(), end, std::back_inserter(names), [](const auto &entry) { return entry.second->name; });
+    return names;
 }
 
 } // namespace Yokepond::Membership
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -23,6 +23,9 @@
 namespace {
 
 constexpr Base::Duration tickPeriod = std::chrono::milliseconds(50); ///< an idle host spends most of its control time here
+/// Beyond the time that has to lie between two holders of a duty, and, twice, before its end: for calls that are on their way,
+/// and a host that notices the end of its right late.
+constexpr Base::Duration dutyMargin = std::chrono::milliseconds(500);
 constexpr std::size_t mostDumpedRows = 200;
 constexpr unsigned int incarnationRandomBits = 12;
 constexpr int exitCutShort = 3;
@@ -112,7 +115,9 @@
         FrontEvents {.relay = [this](Relay::Command command) { m_relay->command(std::move(command)); },
                      .send
                      = [this](const std::string &member, Peer::Message message) { sendToMember(member, std::move(message)); }});
-    m_queries = std::make_unique<Queries>(m_settings, *m_fleet, m_dispatcher, m_home, *m_front);
+    m_queries = std::make_unique<Queries>(m_settings, *m_fleet, m_dispatcher, m_home, *m_front, [this](Base::Instant now) {
+        return m_usage == nullptr ? std::nullopt : std::optional(m_usage->view(now));
+    });
     m_gatherer = std::make_unique<Gatherer>(
         [this](const std::string &member, Peer::Message message) { sendToMember(member, std::move(message)); });
     m_console = std::make_unique<Console>(m_settings, *m_fleet, *m_queries, *m_gatherer,
@@ -133,6 +138,9 @@
     if (m_settings.platformForm == PlatformForm::Records) {
         startWatch();
     }
+    if (m_settings.duties.port != 0) {
+        startUsage();
+    }
     m_timer = m_loop.every(tickPeriod, [this] { tick(); });
     Base::log(Base::LogLevel::Info, Base::LogEvent::Started,
               {{"incarnation", fmt::format("{:x}", m_incarnation)},
@@ -144,7 +152,8 @@
 
 absl::StatusOr<std::unique_ptr<Relay::Relay>> Daemon::startRelay()
 {
-    const Relay::RelayOptions options {.listen = m_settings.callerListen, .limits = m_settings.callerLimits};
+    const Relay::RelayOptions options {
+        .listen = m_settings.callerListen, .limits = m_settings.callerLimits, .tellBegan = m_settings.duties.port != 0};
     const auto handler = [this](Relay::Event event) { m_mailbox->post(std::move(event)); };
     const auto body = [](const absl::Status &error) { return errorBody(error, Request::Outcome::NotRun); };
     if (m_settings.platformForm == PlatformForm::Records) {
@@ -174,6 +183,19 @@
                              }});
 }
 
+void Daemon::startUsage()
+{
+    m_dutyClient
+        = std::make_unique<Platform::DutyClient>(m_client, m_settings.platform, m_settings.duties, m_settings.platformTimeout);
+    UsageDutyOptions options {.host = m_settings.name, .incarnation = m_incarnation};
+    options.reporter.window = m_settings.usageWindow;
+    options.reporter.lease.quiet = m_settings.dutyQuiet + dutyMargin;
+    options.reporter.lease.actFor = m_settings.dutyQuiet - dutyMargin * 2;
+    m_usage = std::make_unique<UsageDuty<Platform::DutyClient>>(
+        *m_dutyClient, options, Base::now(), Base::wallMicroseconds(),
+        [this](const std::string &member, Peer::Message message) { sendToMember(member, std::move(message)); });
+}
+
 void Daemon::reloadSettings()
 {
     const auto loaded = m_settingsFile.load();
@@ -227,6 +249,14 @@
                     m_home.receive(now, received.from, entry);
                 } else if constexpr (requires { m_front->forwarder().receive(received.from, entry); }) {
                     m_front->forwarder().receive(received.from, entry);
+                } else if constexpr (std::is_same_v<std::decay_t<decltype(entry)>, Peer::UsageCounts>) {
+                    if (m_usage != nullptr) {
+                        m_usage->receive(now, received.from, received.incarnation, entry);
+                    }
+                } else if constexpr (std::is_same_v<std::decay_t<decltype(entry)>, Peer::UsageReceived>) {
+                    if (m_usage != nullptr) {
+                        m_usage->receive(now, received.from, entry);
+                    }
                 } else if constexpr (std::is_same_v<std::decay_t<decltype(entry)>, Peer::Gathered>) {
                     m_gatherer->receive(received.from, entry);
                 } else if constexpr (std::is_same_v<std::decay_t<decltype(entry)>, Peer::Gather>) {
@@ -264,7 +294,14 @@
     struct Handler
     {
         Front &front;
+        UsageDuty<Platform::DutyClient> *usage;
 
+        void operator()(const Relay::RunBegan &began) const
+        {
+            if (usage != nullptr) {
+                usage->began(began.at, began.organisation);
+            }
+        }
         void operator()(const Relay::CallArrived &call) const
         {
             front.arrived(call);
@@ -282,7 +319,7 @@
             front.forwarder().adoptedAnswer(answer);
         }
     };
-    std::visit(Handler {*m_front}, event);
+    std::visit(Handler {*m_front, m_usage.get()}, event);
 }
 
 void Daemon::sendToMember(const std::string &member, Peer::Message message)
@@ -384,6 +421,9 @@
             m_fleet->noteStore(m_watch->answers());
         }
     }
+    if (m_usage != nullptr) {
+        m_usage->tick(now, m_fleet->present());
+    }
     m_dispatcher.tick(now);
     m_home.tick(now);
     m_front->tick(now);
@@ -508,6 +548,12 @@
     m_metrics.set("yokepond_retries_total", "", static_cast<double>(m_home.counters().retried));
     m_metrics.set("yokepond_local_runs_total", "", static_cast<double>(m_home.counters().localRuns));
     m_metrics.set("yokepond_stale_grants_total", "", static_cast<double>(m_home.counters().staleGrants));
+    if (m_usage != nullptr) {
+        const UsageView usage = m_usage->view(Base::now());
+        m_metrics.set("yokepond_usage_reports_total", label("result", "accepted"), static_cast<double>(usage.reports));
+        m_metrics.set("yokepond_usage_reports_total", label("result", "failed"), static_cast<double>(usage.failures));
+        m_metrics.set("yokepond_duty_held", label("duty", "usage"), usage.reporter.holder ? 1.0 : 0.0);
+    }
     m_metrics.set("yokepond_configuration_revision", "", static_cast<double>(m_fleet->revision()));
     m_metrics.set("yokepond_invariant_violations_total", "", static_cast<double>(Base::invariantViolations()));
     return m_metrics.text();
@@ -534,6 +580,7 @@
             {"store-answers", m_fleet->storeAnswers()},
             {"members", rows(Language::Subject::Hosts)},
             {"shards", rows(Language::Subject::Dispatchers)},
+            {"duties", rows(Language::Subject::Duties)},
             {"endpoints", rows(Language::Subject::Endpoints)},
             {"requests", rows(Language::Subject::Requests)},
             {"settings",
--- a/Source/Node/daemon.h
+++ b/Source/Node/daemon.h
@@ -18,9 +18,11 @@
 #include "Node/settings.h"
 #include "Node/settingsfile.h"
 #include "Node/sitewatch.h"
+#include "Node/usageduty.h"
 #include "Peer/edge.h"
 #include "Relay/relay.h"
 #include "Request/home.h"
+#include "platform/dutyclient.h"
 #include "platform/rowsclient.h"
 
 #include <memory>
@@ -51,6 +53,7 @@
 
     absl::StatusOr<std::unique_ptr<Relay::Relay>> startRelay();
     void startWatch();
+    void startUsage();
     void reloadSettings();
     void handle(EdgeEvent event);
     void handlePeer(const Peer::Received &received);
@@ -85,6 +88,8 @@
     std::unique_ptr<Fleet> m_fleet;
     std::unique_ptr<Platform::RowsClient> m_rows;
     std::unique_ptr<SiteWatch<Platform::RowsClient>> m_watch; ///< only where the platform keeps records
+    std::unique_ptr<Platform::DutyClient> m_dutyClient;
+    std::unique_ptr<UsageDuty<Platform::DutyClient>> m_usage; ///< only where the platform wants usage reported
     std::unique_ptr<Front> m_front;
     std::unique_ptr<Queries> m_queries;
     std::unique_ptr<Gatherer> m_gatherer;
--- a/Source/Node/queries.cpp
+++ b/Source/Node/queries.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <ranges>
 
 namespace Yokepond::Node {
@@ -117,18 +118,20 @@
 bool isFleetWide(const Language::Query &query)
 {
     if (const auto *show = std::get_if<Language::Show>(&query)) {
-        return show->subject == Subject::Requests || show->subject == Subject::Endpoints || show->subject == Subject::Dispatchers;
+        constexpr std::array ofEachHost = {Subject::Requests, Subject::Endpoints, Subject::Dispatchers, Subject::Duties};
+        return std::ranges::find(ofEachHost, show->subject) != ofEachHost.end();
     }
     return true;
 }
 
 Queries::Queries(const Settings &settings, const Fleet &fleet, const Dispatch::Dispatcher &dispatcher, const Request::Home &home,
-                 const Front &front)
+                 const Front &front, UsageState usage)
     : m_settings(settings)
     , m_fleet(fleet)
     , m_dispatcher(dispatcher)
     , m_home(home)
     , m_front(front)
+    , m_usage(std::move(usage))
 {
 }
 
@@ -151,6 +154,8 @@
         return hosts();
     case Subject::Dispatchers:
         return dispatchers();
+    case Subject::Duties:
+        return duties(now);
     case Subject::Changes:
         return changes();
     case Subject::Classes:
@@ -280,6 +285,29 @@
     return answer;
 }
 
+Answer Queries::duties(Base::Instant now) const
+{
+    Answer answer {{"duty", "host", "holds", "fence", "rank", "written-by", "fixed-up-to", "reported-up-to", "unreported",
+                    "hosts-heard", "reports", "failures"},
+                   {},
+                   {}};
+    if (const auto usage = m_usage(now)) {
+        answer.rows.push_back({{"duty", "usage"},
+                               {"host", m_settings.name},
+                               {"holds", usage->reporter.holder},
+                               {"fence", usage->reporter.fence},
+                               {"rank", usage->rank ? static_cast<std::int64_t>(*usage->rank) : -1},
+                               {"written-by", usage->reporter.host},
+                               {"fixed-up-to", usage->reporter.fixedUpTo},
+                               {"reported-up-to", usage->reporter.reportedUpTo},
+                               {"unreported", usage->reporter.unreported},
+                               {"hosts-heard", usage->hostsHeard},
+                               {"reports", usage->reports},
+                               {"failures", usage->failures}});
+    }
+    return answer;
+}
+
 Answer Queries::changes() const
 {
     Answer answer {{"revision", "id", "at", "by", "reason", "objects"}, {}, {}};
--- a/Source/Node/queries.h
+++ b/Source/Node/queries.h
@@ -10,12 +10,14 @@
 #include "Language/statement.h"
 #include "Node/fleet.h"
 #include "Node/front.h"
+#include "Node/usageduty.h"
 #include "Request/home.h"
 
 #include <nlohmann/json.hpp>
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,8 +44,11 @@
 class Queries
 {
 public:
+    /// This host's part in reporting usage; nothing where the platform does not want it reported.
+    using UsageState = std::function<std::optional<UsageView>(Base::Instant now)>;
+
     Queries(const Settings &settings, const Fleet &fleet, const Dispatch::Dispatcher &dispatcher, const Request::Home &home,
-            const Front &front);
+            const Front &front, UsageState usage);
 
     Answer local(const Language::Query &query, Base::Instant now) const;
 
@@ -55,6 +60,7 @@
     Answer endpoints() const;
     Answer hosts() const;
     Answer dispatchers() const;
+    Answer duties(Base::Instant now) const;
     Answer changes() const;
     Answer whyRequest(const std::string &name, Base::Instant now) const;
     Answer whyEndpoint(const std::string &name) const;
@@ -67,6 +73,7 @@
     const Dispatch::Dispatcher &m_dispatcher;
     const Request::Home &m_home;
     const Front &m_front;
+    UsageState m_usage;
 };
 
 /// Puts queries to the other hosts and waits a bounded time for their answers.
--- a/Source/Node/settings.cpp
+++ b/Source/Node/settings.cpp
@@ -177,6 +177,16 @@
     settings.platformSettledAfter = milliseconds(ini, "platform", "settled-after-ms", 3000);
     settings.configurationPoll = milliseconds(ini, "platform", "poll-ms", 500, 10);
     settings.storeFollowers = static_cast<std::size_t>(ini.number("platform", "followers", 8, 1, 10'000));
+    if (const std::string duties = ini.text("usage", "address", ""); !duties.empty()) {
+        const auto address = Base::parseAddress(duties);
+        if (!address.ok()) {
+            ini.reject("usage", "address", "an IPv4 number and a port");
+        }
+        settings.duties = address.value_or(Base::Address {});
+    }
+    settings.usageWindow = std::chrono::duration_cast<Base::Duration>(
+        std::chrono::duration<double>(ini.decimal("usage", "window-s", 5.0, 1.0, 24.0 * 3600.0)));
+    settings.dutyQuiet = milliseconds(ini, "usage", "quiet-ms", 3000, 1000);
     settings.notReadyAfter = milliseconds(ini, "platform", "not-ready-after-ms", 30'000);
     settings.callerLimits = parseLimits(ini);
     settings.membership = parseMembership(ini);
--- /dev/null
+++ b/Source/Node/usageduty.h
@@ -0,0 +1,197 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+/// @file
+/// A host's part in reporting usage: it counts what its endpoints began, tells the hosts that may report, and reports if the duty
+/// is its own.
+
+#pragma once
+
+#include "Base/log.h"
+#include "Membership/duty.h"
+#include "Peer/message.h"
+#include "Usage/usagereporter.h"
+
+#include <algorithm>
+#include <concepts>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace Yokepond::Node {
+
+/// What reporting needs of the platform; answers come later, on the loop's thread.
+template<typename P>
+concept DutyPlatform
+    = requires(P platform, const std::string &text, const Usage::ReportUsage &report,
+               std::function<void(const std::optional<Usage::ReadResult> &)> onRow,
+               std::function<void(Lease::WriteResult, std::uint64_t, const std::optional<Usage::ReadResult> &)> onWritten,
+               std::function<void(Usage::ReportResult, const std::string &)> onReported) {
+          platform.readRow(onRow);
+          platform.writeRow(std::uint64_t {0}, text, onWritten);
+          platform.report(text, report, onReported);
+      };
+
+struct UsageDutyOptions
+{
+    std::string host;
+    std::uint64_t incarnation = 0;
+    Usage::ReporterOptions reporter;
+    std::function<Base::Instant()> clock = Base::now; ///< when answers come
+};
+
+/// What an operator sees of the duty at one host.
+struct UsageView
+{
+    Usage::ReporterView reporter;
+    std::optional<std::size_t> rank;
+    std::size_t hostsHeard = 0; ///< that told this host their counts lately
+    std::uint64_t reports = 0; ///< accepted
+    std::uint64_t failures = 0;
+};
+
+template<DutyPlatform P>
+class UsageDuty
+{
+public:
+    using Send = std::function<void(const std::string &member, Peer::Message message)>;
+
+    UsageDuty(P &platform, const UsageDutyOptions &options, Base::Instant now, Usage::FleetTime timeOfDay, Send send)
+        : m_platform(platform)
+        , m_options(options)
+        , m_send(std::move(send))
+        , m_clock(now, timeOfDay)
+        , m_reporter(options.reporter, options.host, options.incarnation, timeOfDay)
+        , m_started(now)
+    {
+    }
+
+    /// An endpoint began a request of @p organisation.
+    void began(Base::Instant at, const std::string &organisation)
+    {
+        m_own.add(Usage::windowOf(m_clock.at(at), m_options.reporter.window), organisation);
+    }
+
+    void tick(Base::Instant now, const std::vector<Peer::Member> &members)
+    {
+        if (now >= m_nextTell) {
+            m_nextTell = now + tellPeriod;
+            tell(now, members);
+        }
+        // Until the other hosts' counts and clocks have come, what would be fixed is not the fleet's.
+        const bool settled = now - m_started >= settleTime;
+        m_rank = Membership::rankOf(m_options.host, dutyName, members);
+        const std::optional<std::size_t> rank = settled && m_rank && *m_rank < candidates ? m_rank : std::nullopt;
+        for (Usage::ReporterAction &action : m_reporter.tick(now, m_clock.at(now), rank, m_fleet)) {
+            std::visit([this](auto &entry) { carryOut(entry); }, action);
+        }
+    }
+
+    void receive(Base::Instant now, const std::string &from, std::uint64_t incarnation, const Peer::UsageCounts &counts)
+    {
+        const Base::Duration offset(counts.clock - m_clock.at(now));
+        m_fleet.take(now, from, incarnation, offset, counts.entries);
+        const Usage::FleetTime fleetTime = m_clock.at(now) + m_fleet.clockOffset(now).count();
+        m_send(from, Peer::UsageReceived {fleetTime, m_reporter.fixedUpTo(), m_reporter.isHolder()});
+    }
+
+    void receive(Base::Instant now, const std::string &from, const Peer::UsageReceived &received)
+    {
+        if (const Base::Duration by = m_clock.correct(now, received.clock); by != Base::Duration::zero()) {
+            Base::log(Base::LogLevel::Warning, Base::LogEvent::ClockCorrected,
+                      {{"by-ms", Base::milliseconds(by)}, {"from", from}});
+            m_own.clear();
+        }
+        if (received.holder && from != m_options.host) {
+            m_holder = from;
+            m_reporter.heardFixed(received.fixedUpTo);
+        }
+    }
+
+    UsageView view(Base::Instant now) const
+    {
+        return {m_reporter.view(now), m_rank, m_fleet.hosts(now), m_reports, m_failures};
+    }
+
+private:
+    static constexpr std::string_view dutyName = "usage";
+    /// What a host that is killed had not told yet is lost: a second of its counts, of a window of five.
+    static constexpr Base::Duration tellPeriod = std::chrono::seconds(1);
+    static constexpr Base::Duration settleTime = std::chrono::seconds(3);
+    /// Hosts that get all counts beside the holder, so that one that takes over has them.
+    static constexpr std::size_t collectors = 2;
+    /// Hosts that may take over, by rank.
+    static constexpr std::size_t candidates = 3;
+
+    void tell(Base::Instant now, const std::vector<Peer::Member> &members)
+    {
+        const Usage::WindowNumber present = Usage::windowOf(m_clock.at(now), m_options.reporter.window);
+        m_own.forgetBefore(present);
+        m_fleet.forgetBefore(present);
+        std::vector<std::string> to = Membership::picked(dutyName, members, collectors);
+        const bool holderThere = std::ranges::find(members, m_holder, &Peer::Member::name) != members.end();
+        if (holderThere && std::ranges::find(to, m_holder) == to.end()) {
+            to.push_back(m_holder);
+        }
+        const Peer::UsageCounts counts {m_clock.at(now), m_own.entries(m_reporter.fixedUpTo())};
+        // What this host counted itself it always knows, also if it takes over.
+        m_fleet.take(now, m_options.host, m_options.incarnation, Base::Duration::zero(), counts.entries);
+        for (const std::string &member : to) {
+            if (member != m_options.host) {
+                m_send(member, counts);
+            }
+        }
+        const bool collects = std::ranges::find(to, m_options.host) != to.end();
+        if (collects) {
+            m_clock.correct(now, m_clock.at(now) + m_fleet.clockOffset(now).count());
+        }
+    }
+
+    void carryOut(const Usage::ReadRow &)
+    {
+        m_platform.readRow([this](const std::optional<Usage::ReadResult> &row) { m_reporter.rowRead(m_options.clock(), row); });
+    }
+
+    void carryOut(const Usage::WriteRow &write)
+    {
+        m_platform.writeRow(
+            write.expectedVersion, write.value,
+            [this](Lease::WriteResult result, std::uint64_t version, const std::optional<Usage::ReadResult> &row) {
+                m_reporter.rowWritten(m_options.clock(), result, version, row);
+            });
+    }
+
+    void carryOut(const Usage::ReportUsage &report)
+    {
+        const auto handler = [this, window = report.usage.window, fence = report.fence,
+                              organisations = report.usage.counts.size()](Usage::ReportResult result, const std::string &reason) {
+            const bool accepted = result == Usage::ReportResult::Accepted;
+            ++(accepted ? m_reports : m_failures);
+            Base::log(accepted ? Base::LogLevel::Info : Base::LogLevel::Warning,
+                      accepted ? Base::LogEvent::UsageReported : Base::LogEvent::UsageReportFailed,
+                      {{"window", window}, {"fence", fence}, {"organisations", organisations}, {"answer", reason}});
+            m_reporter.reported(m_options.clock(), window, result);
+        };
+        m_platform.report(m_options.host, report, handler);
+    }
+
+    P &m_platform;
+    UsageDutyOptions m_options;
+    Send m_send;
+    Usage::FleetClock m_clock;
+    Usage::HostCounts m_own;
+    Usage::FleetCounts m_fleet;
+    Usage::UsageReporter m_reporter;
+    Base::Instant m_started;
+    Base::Instant m_nextTell {};
+    std::optional<std::size_t> m_rank;
+    std::string m_holder; ///< another host that said that it reports
+    std::uint64_t m_reports = 0;
+    std::uint64_t m_failures = 0;
+};
+
+} // namespace Yokepond::Node
--- a/Source/Peer/codec.cpp
+++ b/Source/Peer/codec.cpp
@@ -174,6 +174,27 @@
         auto builder = message.initQueued();
         encodeId(queued.id, builder);
     }
+
+    void operator()(const UsageCounts &counts)
+    {
+        auto builder = message.initUsageCounts();
+        builder.setClock(counts.clock);
+        auto entries = builder.initEntries(static_cast<unsigned int>(counts.entries.size()));
+        for (unsigned int index = 0; index < entries.size(); ++index) {
+            entries[index].setWindow(counts.entries[index].window);
+            entries[index].setOrganisation(counts.entries[index].organisation);
+            entries[index].setBegan(counts.entries[index].began);
+        }
+    }
+
+    void operator()(const UsageReceived &received)
+    {
+        auto builder = message.initUsageReceived();
+        builder.setClock(received.clock);
+        builder.setFixedUpTo(received.fixedUpTo);
+        builder.setHolder(received.holder);
+    }
+
     void operator()(const Withdrawal &withdrawal)
     {
         auto builder = message.initWithdrawal();
@@ -368,6 +389,16 @@
     return changes;
 }
 
+UsageCounts decodeUsage(Wire::UsageCounts::Reader reader)
+{
+    UsageCounts counts;
+    counts.clock = reader.getClock();
+    for (const auto entry : reader.getEntries()) {
+        counts.entries.push_back({entry.getWindow(), toString(entry.getOrganisation()), entry.getBegan()});
+    }
+    return counts;
+}
+
 /// The kind of traffic of each message; all that is not named is dispatch.
 struct TrafficKind
 {
@@ -382,6 +413,8 @@
             return Traffic::Query;
         } else if constexpr (std::is_same_v<Kind, Forward> || std::is_same_v<Kind, Forwarded>) {
             return Traffic::Forwarding;
+        } else if constexpr (std::is_same_v<Kind, UsageCounts> || std::is_same_v<Kind, UsageReceived>) {
+            return Traffic::Usage;
         } else {
             return Traffic::Dispatch;
         }
@@ -414,6 +447,12 @@
         return decodeRefusal(reader.getRefusal());
     case Wire::Message::WITHDRAWAL:
         return Withdrawal {decodeId(reader.getWithdrawal()), reader.getWithdrawal().getShard()};
+    case Wire::Message::USAGE_COUNTS:
+        return decodeUsage(reader.getUsageCounts());
+    case Wire::Message::USAGE_RECEIVED: {
+        const auto received = reader.getUsageReceived();
+        return UsageReceived {received.getClock(), received.getFixedUpTo(), received.getHolder()};
+    }
     case Wire::Message::QUEUED:
         return Queued {decodeId(reader.getQueued())};
     case Wire::Message::RELEASE:
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -231,18 +231,44 @@
     std::string body;
 };
 
+/// How many requests of one organisation endpoints began in one window, at the host that tells it.
+struct UsageEntry
+{
+    std::int64_t window = 0;
+    std::string organisation;
+    std::uint64_t began = 0;
+
+    bool operator==(const UsageEntry &) const = default;
+};
+
+/// What a host's endpoints began, of all windows that may still have to be reported; replaces what it told before.
+struct UsageCounts
+{
+    std::int64_t clock = 0; ///< of the sender, microseconds since the Unix epoch
+    std::vector<UsageEntry> entries;
+};
+
+/// That a host's counts have come, with the fleet's time and how far usage has been fixed.
+struct UsageReceived
+{
+    std::int64_t clock = 0; ///< the median over all hosts, microseconds since the Unix epoch
+    std::int64_t fixedUpTo = 0; ///< newest window whose counts are in the store, 0 if not known
+    bool holder = false; ///< the sender is the one that reports
+};
+
 using Message = std::variant<Ask, Grant, Refusal, Withdrawal, Release, RunningReport, Probe, Acknowledgement, ChangesRequest,
-                             Changes, Gather, Gathered, Forward, Forwarded, Queued>;
+                             Changes, Gather, Gathered, Forward, Forwarded, Queued, UsageCounts, UsageReceived>;
 
 /// What a message is for; bytes on the wire are counted apart for each.
-enum class Traffic { Dispatch, Membership, Configuration, Query, Forwarding };
+enum class Traffic { Dispatch, Membership, Configuration, Query, Forwarding, Usage };
 
-inline constexpr Base::NameTable<Traffic, 5> trafficNames = {{
+inline constexpr Base::NameTable<Traffic, 6> trafficNames = {{
     {Traffic::Dispatch, "dispatch"},
     {Traffic::Membership, "membership"},
     {Traffic::Configuration, "configuration"},
     {Traffic::Query, "query"},
     {Traffic::Forwarding, "forwarding"},
+    {Traffic::Usage, "usage"},
 }};
 
 /// The kind of traffic that @p message belongs to.
--- a/Source/Peer/peer.capnp
+++ b/Source/Peer/peer.capnp
@@ -149,6 +149,23 @@
   body @3 :Data;
 }
 
+struct UsageEntry {
+  window @0 :Int64;
+  organisation @1 :Text;
+  began @2 :UInt64;
+}
+
+struct UsageCounts {
+  clock @0 :Int64;             # of the sender, microseconds since the Unix epoch
+  entries @1 :List(UsageEntry);
+}
+
+struct UsageReceived {
+  clock @0 :Int64;             # the median over all hosts
+  fixedUpTo @1 :Int64;         # newest window whose counts are in the store, 0 if not known
+  holder @2 :Bool;             # the sender is the one that reports
+}
+
 struct Message {
   union {
     ask @0 :Ask;
@@ -166,6 +183,8 @@
     forward @12 :Forward;
     forwarded @13 :Forwarded;
     queued @14 :Queued;
+    usageCounts @15 :UsageCounts;
+    usageReceived @16 :UsageReceived;
   }
 }
 
--- a/Source/Peer/peer.capnp.h
+++ b/Source/Peer/peer.capnp.h
@@ -37,6 +37,9 @@
 CAPNP_DECLARE_SCHEMA(e3a414ad0d61c55e);
 CAPNP_DECLARE_SCHEMA(87c7b060a0ff76c1);
 CAPNP_DECLARE_SCHEMA(e60015a9721219cc);
+CAPNP_DECLARE_SCHEMA(d1d1a8874a0598f2);
+CAPNP_DECLARE_SCHEMA(b1634ad80af90f43);
+CAPNP_DECLARE_SCHEMA(bd4ad4f6ecc12f8d);
 CAPNP_DECLARE_SCHEMA(96e489aa813b7fb3);
 CAPNP_DECLARE_SCHEMA(9dd4c91cfa0e511d);
 CAPNP_DECLARE_SCHEMA(bc08ee4c84dccee1);
@@ -322,6 +325,51 @@
   };
 };
 
+struct UsageEntry {
+  UsageEntry() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d1d1a8874a0598f2, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UsageCounts {
+  UsageCounts() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b1634ad80af90f43, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UsageReceived {
+  UsageReceived() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bd4ad4f6ecc12f8d, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Message {
   Message() = delete;
 
@@ -344,6 +392,8 @@
     FORWARD,
     FORWARDED,
     QUEUED,
+    USAGE_COUNTS,
+    USAGE_RECEIVED,
   };
 
   struct _capnpPrivate {
@@ -2290,6 +2340,269 @@
 };
 #endif  // !CAPNP_LITE
 
+class UsageEntry::Reader {
+public:
+  typedef UsageEntry Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getWindow() const;
+
+  inline bool hasOrganisation() const;
+  inline  ::capnp::Text::Reader getOrganisation() const;
+
+  inline  ::uint64_t getBegan() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UsageEntry::Builder {
+public:
+  typedef UsageEntry Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getWindow();
+  inline void setWindow( ::int64_t value);
+
+  inline bool hasOrganisation();
+  inline  ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOrganisation();
+
+  inline  ::uint64_t getBegan();
+  inline void setBegan( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UsageEntry::Pipeline {
+public:
+  typedef UsageEntry Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UsageCounts::Reader {
+public:
+  typedef UsageCounts Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getClock() const;
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::Yokepond::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UsageCounts::Builder {
+public:
+  typedef UsageCounts Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getClock();
+  inline void setClock( ::int64_t value);
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::Yokepond::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::Yokepond::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Yokepond::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::Yokepond::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Yokepond::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UsageCounts::Pipeline {
+public:
+  typedef UsageCounts Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UsageReceived::Reader {
+public:
+  typedef UsageReceived Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getClock() const;
+
+  inline  ::int64_t getFixedUpTo() const;
+
+  inline bool getHolder() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UsageReceived::Builder {
+public:
+  typedef UsageReceived Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::int64_t getClock();
+  inline void setClock( ::int64_t value);
+
+  inline  ::int64_t getFixedUpTo();
+  inline void setFixedUpTo( ::int64_t value);
+
+  inline bool getHolder();
+  inline void setHolder(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UsageReceived::Pipeline {
+public:
+  typedef UsageReceived Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Message::Reader {
 public:
   typedef Message Reads;
@@ -2368,6 +2681,14 @@
   inline bool hasQueued() const;
   inline  ::Yokepond::Peer::Wire::Queued::Reader getQueued() const;
 
+  inline bool isUsageCounts() const;
+  inline bool hasUsageCounts() const;
+  inline  ::Yokepond::Peer::Wire::UsageCounts::Reader getUsageCounts() const;
+
+  inline bool isUsageReceived() const;
+  inline bool hasUsageReceived() const;
+  inline  ::Yokepond::Peer::Wire::UsageReceived::Reader getUsageReceived() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2517,6 +2838,22 @@
   inline void adoptQueued(::capnp::Orphan< ::Yokepond::Peer::Wire::Queued>&& value);
   inline ::capnp::Orphan< ::Yokepond::Peer::Wire::Queued> disownQueued();
 
+  inline bool isUsageCounts();
+  inline bool hasUsageCounts();
+  inline  ::Yokepond::Peer::Wire::UsageCounts::Builder getUsageCounts();
+  inline void setUsageCounts( ::Yokepond::Peer::Wire::UsageCounts::Reader value);
+  inline  ::Yokepond::Peer::Wire::UsageCounts::Builder initUsageCounts();
+  inline void adoptUsageCounts(::capnp::Orphan< ::Yokepond::Peer::Wire::UsageCounts>&& value);
+  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::UsageCounts> disownUsageCounts();
+
+  inline bool isUsageReceived();
+  inline bool hasUsageReceived();
+  inline  ::Yokepond::Peer::Wire::UsageReceived::Builder getUsageReceived();
+  inline void setUsageReceived( ::Yokepond::Peer::Wire::UsageReceived::Reader value);
+  inline  ::Yokepond::Peer::Wire::UsageReceived::Builder initUsageReceived();
+  inline void adoptUsageReceived(::capnp::Orphan< ::Yokepond::Peer::Wire::UsageReceived>&& value);
+  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::UsageReceived> disownUsageReceived();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4726,6 +5063,158 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t UsageEntry::Reader::getWindow() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UsageEntry::Builder::getWindow() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageEntry::Builder::setWindow( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UsageEntry::Reader::hasOrganisation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UsageEntry::Builder::hasOrganisation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UsageEntry::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UsageEntry::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UsageEntry::Builder::setOrganisation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UsageEntry::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UsageEntry::Builder::adoptOrganisation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UsageEntry::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t UsageEntry::Reader::getBegan() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UsageEntry::Builder::getBegan() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void UsageEntry::Builder::setBegan( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t UsageCounts::Reader::getClock() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UsageCounts::Builder::getClock() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageCounts::Builder::setClock( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UsageCounts::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UsageCounts::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Yokepond::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>::Reader UsageCounts::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Yokepond::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>::Builder UsageCounts::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UsageCounts::Builder::setEntries( ::capnp::List< ::Yokepond::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Yokepond::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>::Builder UsageCounts::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UsageCounts::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::Yokepond::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Yokepond::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>> UsageCounts::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::UsageEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t UsageReceived::Reader::getClock() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UsageReceived::Builder::getClock() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageReceived::Builder::setClock( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t UsageReceived::Reader::getFixedUpTo() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UsageReceived::Builder::getFixedUpTo() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void UsageReceived::Builder::setFixedUpTo( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UsageReceived::Reader::getHolder() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool UsageReceived::Builder::getHolder() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void UsageReceived::Builder::setHolder(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::Yokepond::Peer::Wire::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5545,6 +6034,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isUsageCounts() const {
+  return which() == Message::USAGE_COUNTS;
+}
+inline bool Message::Builder::isUsageCounts() {
+  return which() == Message::USAGE_COUNTS;
+}
+inline bool Message::Reader::hasUsageCounts() const {
+  if (which() != Message::USAGE_COUNTS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasUsageCounts() {
+  if (which() != Message::USAGE_COUNTS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Yokepond::Peer::Wire::UsageCounts::Reader Message::Reader::getUsageCounts() const {
+  KJ_IREQUIRE((which() == Message::USAGE_COUNTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::UsageCounts>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Yokepond::Peer::Wire::UsageCounts::Builder Message::Builder::getUsageCounts() {
+  KJ_IREQUIRE((which() == Message::USAGE_COUNTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::UsageCounts>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setUsageCounts( ::Yokepond::Peer::Wire::UsageCounts::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::USAGE_COUNTS);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::UsageCounts>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Yokepond::Peer::Wire::UsageCounts::Builder Message::Builder::initUsageCounts() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::USAGE_COUNTS);
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::UsageCounts>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptUsageCounts(
+    ::capnp::Orphan< ::Yokepond::Peer::Wire::UsageCounts>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::USAGE_COUNTS);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::UsageCounts>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Yokepond::Peer::Wire::UsageCounts> Message::Builder::disownUsageCounts() {
+  KJ_IREQUIRE((which() == Message::USAGE_COUNTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::UsageCounts>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isUsageReceived() const {
+  return which() == Message::USAGE_RECEIVED;
+}
+inline bool Message::Builder::isUsageReceived() {
+  return which() == Message::USAGE_RECEIVED;
+}
+inline bool Message::Reader::hasUsageReceived() const {
+  if (which() != Message::USAGE_RECEIVED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasUsageReceived() {
+  if (which() != Message::USAGE_RECEIVED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Yokepond::Peer::Wire::UsageReceived::Reader Message::Reader::getUsageReceived() const {
+  KJ_IREQUIRE((which() == Message::USAGE_RECEIVED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::UsageReceived>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Yokepond::Peer::Wire::UsageReceived::Builder Message::Builder::getUsageReceived() {
+  KJ_IREQUIRE((which() == Message::USAGE_RECEIVED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::UsageReceived>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setUsageReceived( ::Yokepond::Peer::Wire::UsageReceived::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::USAGE_RECEIVED);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::UsageReceived>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Yokepond::Peer::Wire::UsageReceived::Builder Message::Builder::initUsageReceived() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::USAGE_RECEIVED);
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::UsageReceived>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptUsageReceived(
+    ::capnp::Orphan< ::Yokepond::Peer::Wire::UsageReceived>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::USAGE_RECEIVED);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::UsageReceived>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Yokepond::Peer::Wire::UsageReceived> Message::Builder::disownUsageReceived() {
+  KJ_IREQUIRE((which() == Message::USAGE_RECEIVED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::UsageReceived>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Session::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/Source/Relay/call.h
+++ b/Source/Relay/call.h
@@ -58,6 +58,13 @@
     std::optional<Http::Response> answer;
 };
 
+/// An endpoint has begun a request, by its first token or, where there are none, by its answer; only if RelayOptions ask.
+struct RunBegan
+{
+    std::string organisation;
+    Base::Instant at {};
+};
+
 /// The answer to a request that came by Adopt.
 struct AdoptedAnswer
 {
@@ -65,7 +72,7 @@
     Http::Response response;
 };
 
-using Event = std::variant<CallArrived, CallerLeft, RunOver, AdoptedAnswer>;
+using Event = std::variant<CallArrived, CallerLeft, RunOver, RunBegan, AdoptedAnswer>;
 
 // To the relay
 
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -23,6 +23,7 @@
     Http::ServerLimits limits;
     Base::Duration connectTimeout = std::chrono::milliseconds(500);
     std::size_t streamBufferBytes = 256U << 10U; ///< held for a slow caller before its endpoint is held back
+    bool tellBegan = false; ///< send RunBegan
     std::size_t heldAnswerBytes = 1U << 20U; ///< largest answer kept whole
 };
 
--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -122,6 +122,7 @@
         bool done = false; ///< the last event has come
         bool paused = false;
         int rejoins = 0;
+        bool toldBegan = false; ///< of the present run
     };
 
     absl::Status startThread()
@@ -207,6 +208,9 @@
             m_handler(CallerLeft {id});
             return;
         }
+        if (!call->run.engine) {
+            tellBegan(*call, call->began);
+        }
         // Closing the connection cancels the run at the endpoint.
         m_client->cancel(std::exchange(call->transfer, 0));
         Request::RunReport report = reportOf(*call, Request::RunStage::Sent);
@@ -299,6 +303,7 @@
         call.done = false;
         call.paused = false;
         call.rejoins = 0;
+        call.toldBegan = false;
         call.failure.reset();
     }
 
@@ -358,6 +363,7 @@
         }
         if (event.hasData && !event.isDone && !event.isError) {
             noteToken(call);
+            tellBegan(call, call.firstTokenAt);
         }
         if (!event.id.empty()) {
             call.lastEventId = event.id;
@@ -377,6 +383,15 @@
         }
     }
 
+    /// Once a run.
+    void tellBegan(Call &call, Base::Instant at)
+    {
+        if (m_options.tellBegan && !call.toldBegan) {
+            call.toldBegan = true;
+            m_handler(RunBegan {call.run.organisation, at});
+        }
+    }
+
     static void noteToken(Call &call)
     {
         const Base::Instant now = Base::now();
@@ -421,6 +436,10 @@
             completeWhole(call);
         } else {
             keepFailure(call, whole);
+            if (!call.run.engine || call.head.status != 0) {
+                // A service may have run it, as it may have where it answers an error.
+                tellBegan(call, call.began);
+            }
             reportOver(call, Request::RunStage::Sent);
         }
     }
@@ -471,6 +490,7 @@
 
     void completeWhole(Call &call)
     {
+        tellBegan(call, call.began);
         if (call.tokens == 0) {
             call.tokens = 1;
             call.firstTokenAt = Base::now();
--- /dev/null
+++ b/Source/Usage/fleetclock.cpp
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+#include "Usage/fleetclock.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace Yokepond::Usage {
+
+namespace {
+
+/// A message between hosts takes less, and a twentieth of this moves no count of a window of seconds.
+constexpr Base::Duration leastCorrection = std::chrono::milliseconds(50);
+
+} // namespace
+
+FleetClock::FleetClock(Base::Instant now, FleetTime timeOfDay)
+    : m_atEpoch(timeOfDay - now.time_since_epoch().count())
+{
+}
+
+FleetTime FleetClock::at(Base::Instant instant) const
+{
+    return m_atEpoch + instant.time_since_epoch().count();
+}
+
+Base::Duration FleetClock::correct(Base::Instant now, FleetTime median)
+{
+    const Base::Duration by(median - at(now));
+    if (std::chrono::abs(by) < leastCorrection) {
+        return Base::Duration::zero();
+    }
+    m_atEpoch += by.count();
+    return by;
+}
+
+Base::Duration medianOffset(std::span<const Base::Duration> offsets)
+{
+    if (offsets.empty()) {
+        return Base::Duration::zero();
+    }
+    std::vector<Base::Duration> sorted(offsets.begin(), offsets.end());
+    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+    std::ranges::nth_element(sorted, middle);
+    return *middle;
+}
+
+} // namespace Yokepond::Usage
--- /dev/null
+++ b/Tests/Lease/leasetest.cpp
@@ -0,0 +1,121 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+#include "Lease/lease.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Yokepond;
+using Lease::WriteResult;
+using std::chrono::milliseconds;
+
+namespace {
+
+Base::Instant at(int ms)
+{
+    return Base::Instant(std::chrono::seconds(1000)) + milliseconds(ms);
+}
+
+constexpr std::uint64_t self = 7;
+constexpr std::uint64_t other = 8;
+
+} // namespace
+
+TEST_GROUP(Lease)
+{
+    Lease::Lease lease {{.actFor = milliseconds(2000), .quiet = milliseconds(3500)}, self};
+
+    void take(int ms, std::uint64_t version)
+    {
+        lease.writing(at(ms));
+        lease.written(WriteResult::Done, version);
+    }
+};
+
+TEST(Lease, nothingIsWrittenBeforeTheRowIsKnown)
+{
+    CHECK_TRUE(lease.mustRead());
+    CHECK_FALSE(lease.mayWrite(at(10'000)));
+}
+
+TEST(Lease, anAbsentRowIsTakenAtOnce)
+{
+    lease.seen(at(0), {0, 0});
+    CHECK_TRUE(lease.mayWrite(at(0)));
+    CHECK_EQUAL(0U, lease.expectedVersion());
+    take(0, 40);
+    CHECK_EQUAL(40U, lease.fence(at(100)).value());
+}
+
+TEST(Lease, anothersRowIsTakenOnlyAfterItWasQuiet)
+{
+    lease.seen(at(0), {40, other});
+    CHECK_FALSE(lease.mayWrite(at(3499)));
+    CHECK_TRUE(lease.mayWrite(at(3500)));
+}
+
+TEST(Lease, aChangeOfAnothersRowBeginsTheWaitAnew)
+{
+    lease.seen(at(0), {40, other});
+    lease.seen(at(3000), {41, other});
+    CHECK_FALSE(lease.mayWrite(at(3600)));
+    CHECK_TRUE(lease.mayWrite(at(6500)));
+}
+
+TEST(Lease, theRightIsCountedFromBeforeTheWriteLeft)
+{
+    lease.seen(at(0), {0, 0});
+    lease.writing(at(0));
+    // The answer came late.
+    lease.written(WriteResult::Done, 40);
+    CHECK_TRUE(lease.fence(at(1999)).has_value());
+    CHECK_FALSE(lease.fence(at(2000)).has_value());
+    CHECK_TRUE(lease.timeToAct(at(1500)) == milliseconds(500));
+    CHECK_TRUE(lease.timeToAct(at(5000)) == milliseconds(0));
+}
+
+TEST(Lease, theFenceStaysWhileTheHolderDoes)
+{
+    lease.seen(at(0), {0, 0});
+    take(0, 40);
+    take(5000, 55);
+    CHECK_EQUAL(40U, lease.fence(at(5100)).value());
+    CHECK_EQUAL(55U, lease.expectedVersion());
+}
+
+TEST(Lease, aLostAnswerGivesNoRightUntilTheRowWasReadAndWrittenAgain)
+{
+    lease.seen(at(0), {0, 0});
+    lease.writing(at(0));
+    lease.written(WriteResult::Undetermined, 0);
+    CHECK_TRUE(lease.mustRead());
+    CHECK_FALSE(lease.mayWrite(at(100)));
+    lease.seen(at(1600), {40, self});
+    CHECK_FALSE(lease.fence(at(1600)).has_value());
+    CHECK_TRUE(lease.mayWrite(at(1600)));
+    take(1600, 41);
+    CHECK_EQUAL(40U, lease.fence(at(1700)).value());
+}
+
+TEST(Lease, aRefusedWriteEndsTheRight)
+{
+    lease.seen(at(0), {0, 0});
+    take(0, 40);
+    lease.writing(at(1000));
+    lease.written(WriteResult::Refused, 0);
+    CHECK_FALSE(lease.fence(at(1100)).has_value());
+    lease.seen(at(1100), {50, other});
+    CHECK_FALSE(lease.isHeld());
+    CHECK_FALSE(lease.mayWrite(at(4000)));
+    CHECK_TRUE(lease.mayWrite(at(4600)));
+    take(4600, 60);
+    CHECK_EQUAL(60U, lease.fence(at(4700)).value());
+}
+
+TEST(Lease, anOlderReadSaysNothing)
+{
+    lease.seen(at(0), {50, other});
+    lease.seen(at(3000), {40, other});
+    CHECK_EQUAL(50U, lease.expectedVersion());
+    CHECK_TRUE(lease.mayWrite(at(3500)));
+}
--- a/Tests/Node/settingstest.cpp
+++ b/Tests/Node/settingstest.cpp
@@ -72,3 +72,19 @@
     STRCMP_CONTAINS("[host] colour: unknown key",
                     failureOf(replaced("data-centre = lisbon-a", "data-centre = lisbon-a\ncolour = red")).c_str());
 }
+
+TEST(Settings, usageIsReportedOnlyWhereAnAddressIsGiven)
+{
+    const auto without = Node::parseSettings(*Base::IniFile::parse(std::string(good), "y.ini"));
+    CHECK_EQUAL(0, without->duties.port);
+    const std::string text = std::string(good) + "[usage]\naddress = 127.0.0.1:8424\nwindow-s = 10\nquiet-ms = 4000\n";
+    const auto with = Node::parseSettings(*Base::IniFile::parse(text, "y.ini"));
+    CHECK_EQUAL(8424, with->duties.port);
+    CHECK_TRUE(with->usageWindow == std::chrono::seconds(10));
+    CHECK_TRUE(with->dutyQuiet == std::chrono::milliseconds(4000));
+}
+
+TEST(Settings, aMalformedAddressOfDutiesIsRefused)
+{
+    STRCMP_CONTAINS("[usage] address", failureOf(std::string(good) + "[usage]\naddress = elsewhere\n").c_str());
+}
--- a/Tests/Peer/codectest.cpp
+++ b/Tests/Peer/codectest.cpp
@@ -85,3 +85,13 @@
     forward.headers = {{"a", "b"}};
     CHECK_TRUE(roundTrip(forward).body == forward.body);
 }
+
+TEST(Codec, usageKeepsAllFields)
+{
+    const UsageCounts counts {1'800'000'000'000'123, {{360'000'001, "small", 412}, {360'000'002, "large", 1}}};
+    const UsageCounts gotCounts = roundTrip(counts);
+    CHECK_TRUE(gotCounts.clock == counts.clock && gotCounts.entries == counts.entries);
+    const UsageReceived received {1'800'000'000'000'124, 360'000'001, true};
+    const UsageReceived got = roundTrip(received);
+    CHECK_TRUE(got.clock == received.clock && got.fixedUpTo == received.fixedUpTo && got.holder == received.holder);
+}
