Site form: Records that are not an endpoint's own are told and left out; what scaling costs is read

Cause: an address that cannot be read became an empty one, to which runs were sent; any state but ready was taken for leaving; slots of any number were believed. Entries may come from another writer or be cut. Change: address, state, slots and types are checked; one log line (record-rejected) when a record becomes unusable. The configuration's terms of scaling and an endpoint's being preemptible are typed.

--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 39> eventNames = {{
+constexpr NameTable<LogEvent, 40> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -41,6 +41,7 @@
     {LogEvent::PeerLost, "peer-lost"},
     {LogEvent::ConfigurationApplied, "configuration-applied"},
     {LogEvent::ConfigurationIgnored, "configuration-ignored"},
+    {LogEvent::RecordRejected, "record-rejected"},
     {LogEvent::ChangesSent, "changes-sent"},
     {LogEvent::ChangesReceived, "changes-received"},
     {LogEvent::StoreLost, "store-lost"},
--- a/Source/Base/log.h
+++ b/Source/Base/log.h
@@ -47,6 +47,7 @@
     PeerLost,
     ConfigurationApplied,
     ConfigurationIgnored,
+    RecordRejected,
     ChangesSent,
     ChangesReceived,
     StoreLost,
--- a/Source/Configuration/catalogue.h
+++ b/Source/Configuration/catalogue.h
@@ -49,12 +49,34 @@
     std::optional<int> rank; ///< its requests have this rank, whatever their class's tier
 };
 
+/// What a second of an endpoint costs in one data centre, as a part of the platform's usual price.
+struct DataCentrePrice
+{
+    std::string dataCentre;
+    double price = 1.0;
+
+    bool operator==(const DataCentrePrice &) const = default;
+};
+
+/// How the platform lets the number of a pool's endpoints be set, and what they cost.
+struct ScalingTerms
+{
+    std::uint32_t least = 0; ///< endpoints in each data centre, of both kinds together
+    std::uint32_t most = 0;
+    Base::Duration start {}; ///< until a new one serves
+    double preemptiblePrice = 1.0; ///< of one that may be withdrawn, as a part of the others'
+    std::vector<DataCentrePrice> prices;
+
+    bool operator==(const ScalingTerms &) const = default;
+};
+
 struct Pool
 {
     std::uint32_t number = 0;
     std::string name;
     PoolKind kind = PoolKind::Engine;
     std::string model;
+    std::optional<ScalingTerms> scaling; ///< none: the number is not ours to set
 };
 
 struct Endpoint
@@ -69,6 +91,16 @@
     bool drained = false;
     std::uint64_t memoryTokens = 0; ///< room for prompts and answers under way, 0 if not known
     double movedTokensPerMs = 0; ///< of a kept prompt that it takes from another engine; 0: it cannot
+    bool preemptible = false; ///< the platform may withdraw it, with all others of its kind in its data centre
+};
+
+/// A record of an endpoint that cannot be used.
+struct RejectedRecord
+{
+    std::string key;
+    std::string reason;
+
+    bool operator==(const RejectedRecord &) const = default;
 };
 
 /// One of the classes a route's requests may be of, by the pool that is to serve them.
@@ -131,6 +163,7 @@
     std::vector<Pool> pools;
     std::vector<Endpoint> endpoints;
     std::vector<Route> routes;
+    std::vector<RejectedRecord> rejected; ///< records that are no endpoints
 };
 
 /// One setting that operators can create: its name, and what its value must be.
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -398,6 +398,7 @@
     auto parts = m_decode(m_records);
     if (parts.ok()) {
         parts->policies = m_settings.policies;
+        logRejected(std::move(parts->rejected));
         m_siteCatalogue = Configuration::Catalogue::assemble(std::move(*parts));
         m_endpointsEverKnown = m_endpointsEverKnown || !m_siteCatalogue->endpoints().empty();
         Base::log(Base::LogLevel::Info, Base::LogEvent::ConfigurationApplied,
@@ -416,6 +417,18 @@
     m_nextDecode = now + std::min(longestDecodePause, took * decodePauseFactor);
 }
 
+/// A line for each record that has become unusable.
+void Fleet::logRejected(std::vector<Configuration::RejectedRecord> rejected)
+{
+    for (const Configuration::RejectedRecord &record : rejected) {
+        if (std::ranges::find(m_rejected, record) == m_rejected.end()) {
+            Base::log(Base::LogLevel::Warning, Base::LogEvent::RecordRejected,
+                      {{"endpoint", record.key}, {"reason", record.reason}, {"revision", m_records.revision()}});
+        }
+    }
+    m_rejected = std::move(rejected);
+}
+
 void Fleet::noteStore(bool answers)
 {
     m_storeAnswers = answers;
--- a/Source/Node/fleet.h
+++ b/Source/Node/fleet.h
@@ -109,6 +109,7 @@
     void spread(const Peer::Changes &changes);
     void recordsChanged();
     void decodeRecords(Base::Instant now);
+    void logRejected(std::vector<Configuration::RejectedRecord> rejected);
     bool keepsRecords() const;
     void flushMembership();
     void rebuild();
@@ -139,6 +140,7 @@
     bool m_storeAnswers = false;
     bool m_storeEverAnswered = false;
     bool m_endpointsEverKnown = false; ///< of a platform's records
+    std::vector<Configuration::RejectedRecord> m_rejected; ///< as logged
     bool m_recordsUnread = false; ///< they have changed since they were decoded
     Base::Instant m_nextDecode {};
     bool m_isFollower = true; ///< picked by the present membership
--- a/Tests/Platform/siteformtest.cpp
+++ b/Tests/Platform/siteformtest.cpp
@@ -8,6 +8,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 using namespace Yokepond;
 using namespace Yokepond::Configuration;
 
@@ -92,3 +94,53 @@
     CHECK_TRUE(Base::errorKind(Platform::decodeSite(records).status()) == Base::ErrorKind::InvalidValue);
     CHECK_TRUE(Base::errorKind(Platform::decodeSite({}).status()) == Base::ErrorKind::NotReady);
 }
+
+/// Entries may come from another writer, or be cut: none of them becomes an endpoint, the others hold, and each is told.
+TEST(SiteForm, recordsThatAreNotAnEndpointsOwnAreLeftOut)
+{
+    const std::vector<std::string> bad = {
+        R"({"service":"llm","zone":"a","slots":64,"state":"ready"})",
+        R"({"service":"llm","address":"elsewhere","zone":"a","slots":64,"state":"ready"})",
+        R"({"service":"llm","address":"10.0.0.9","zone":"a","slots":64,"state":"ready"})",
+        R"({"service":"llm","address":"10.0.0.9:0","zone":"a","slots":64,"state":"ready"})",
+        R"({"service":"llm","address":7,"zone":"a","slots":64,"state":"ready"})",
+        R"({"service":"llm","address":"10.0.0.9:80","zone":"a","slots":0,"state":"ready"})",
+        R"({"service":"llm","address":"10.0.0.9:80","zone":"a","slots":-3,"state":"ready"})",
+        R"({"service":"llm","address":"10.0.0.9:80","zone":"a","slots":99999999,"state":"ready"})",
+        R"({"service":"llm","address":"10.0.0.9:80","zone":"a","slots":"64","state":"ready"})",
+        R"({"service":"llm","address":"10.0.0.9:80","zone":"a","slots":64,"state":"resting"})",
+        R"({"service":"llm","address":"10.0.0.9:80","zone":"a","slots":64})",
+        R"({"service":"llm","address":"10.0.0.9:80","zone":5,"slots":64,"state":"ready"})",
+        R"({"address":"10.0.0.9:80","zone":"a","slots":64,"state":"ready"})",
+        R"({"service":"llm","address":"10.0.0.9:80","zo)",
+        "\xff\xfe\x01",
+        "[]",
+        "",
+    };
+    for (std::size_t index = 0; index < bad.size(); ++index) {
+        endpoint("x-" + std::to_string(index), 20 + index, bad[index]);
+    }
+    const auto parts = Platform::decodeSite(records);
+    CHECK_EQUAL(1U, parts->endpoints.size());
+    STRCMP_EQUAL("i-1", parts->endpoints.front().name.c_str());
+    CHECK_EQUAL(bad.size(), parts->rejected.size());
+    CHECK_TRUE(std::ranges::none_of(parts->rejected, [](const RejectedRecord &record) { return record.reason.empty(); }));
+}
+
+TEST(SiteForm, howAPoolMayBeScaledIsRead)
+{
+    records.merge({RecordKind::Configuration, "config", 8, false,
+                   R"({"version":8,"routes":[],"services":[{"name":"llm","scaling":{"min_count":1,"max_count":60,"boot_s":4.0,
+                       "spot_price":0.18,"zone_prices":{"a":0.85,"b":1.2}}},{"name":"other"}]})"});
+    endpoint("i-3", 9, R"({"service":"llm","address":"10.0.0.7:80","zone":"b","slots":64,"state":"ready","preemptible":true})");
+    const auto parts = Platform::decodeSite(records);
+    const ScalingTerms &scaling = *parts->pools.front().scaling;
+    CHECK_EQUAL(1U, scaling.least);
+    CHECK_EQUAL(60U, scaling.most);
+    CHECK_TRUE(scaling.start == std::chrono::seconds(4));
+    DOUBLES_EQUAL(0.18, scaling.preemptiblePrice, 1e-9);
+    CHECK_EQUAL(2U, scaling.prices.size());
+    CHECK_FALSE(parts->pools.back().scaling.has_value());
+    CHECK_FALSE(parts->endpoints.front().preemptible);
+    CHECK_TRUE(parts->endpoints.back().preemptible);
+}
