Planned stop: Answers that have not been sent keep the process

Cause: a stopping host waited 0.3 s after its last run had ended. The answer of a run may still wait in the process then, for a slow caller, a narrow link or a busy host. Change: the server's requests whose answers were not handed to the kernel whole count as open; the limit of the stop holds as before.

--- a/Source/Http/server.cpp
+++ b/Source/Http/server.cpp
@@ -143,6 +143,11 @@
         m_closing = true;
     }
 
+    std::size_t openRequests() const override
+    {
+        return m_open.size();
+    }
+
     bool isClosing() const
     {
         return m_closing;
--- a/Source/Http/server.h
+++ b/Source/Http/server.h
@@ -91,6 +91,9 @@
 
     /// From now on each answer ends its connection, and says so.
     virtual void closeAfterAnswers() = 0;
+
+    /// Requests that have come, whole or in part, and whose answers have not been handed to the kernel whole.
+    virtual std::size_t openRequests() const = 0;
 };
 
 } // namespace Yokepond::Http
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -35,6 +35,7 @@
     std::atomic<std::uint64_t> resumes = 0;
     std::atomic<std::uint64_t> events = 0;
     std::atomic<std::uint64_t> open = 0;
+    std::atomic<std::uint64_t> unsent = 0; ///< requests whose answers have not been handed to the kernel whole
     std::atomic<std::int64_t> processorMicroseconds = 0;
 };
 
--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -162,6 +162,7 @@
         clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
         m_counters.processorMicroseconds = used.tv_sec * 1'000'000 + used.tv_nsec / 1'000;
         m_counters.open = m_calls.size();
+        m_counters.unsent = m_server->openRequests();
         m_mostCalls = std::max(m_mostCalls, m_calls.size());
         if (m_mostCalls > leastCallsToTrim && m_calls.size() < m_mostCalls / 2) {
             // The allocator keeps what a burst of streams has used unless it is told.
@@ -189,6 +190,7 @@
         call->exchange = exchange;
         m_calls.emplace(id, std::move(call));
         m_counters.open = m_calls.size();
+        m_counters.unsent = m_server->openRequests();
         m_handler(std::move(event));
     }
 
