Scaling: The capacity that was provided, at the price of endpoints that may be withdrawn

Change: Source/Scaling, pure: a plan (as many withdrawable endpoints that the loss of any one data centre's is borne, one regular one a data centre, regular ones back where the others cannot be had) and the duty's holder, with the lease of one row as usage has it, which also keeps what the operators provided. Settings [scaling] mode (off, dry, on); show duties, metrics, endpoints-ordered; DutyClient orders. quiet-ms of duties has a least value: with less a holder's right is over before a report can be sent (test_duties.py found it).

--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 40> eventNames = {{
+constexpr NameTable<LogEvent, 41> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -51,8 +51,9 @@
     {LogEvent::LeaseLost, "lease-lost"},
     {LogEvent::UsageReported, "usage-reported"},
     {LogEvent::UsageReportFailed, "usage-report-failed"},
-    {LogEvent::UsageRowUnreadable, "usage-row-unreadable"},
+    {LogEvent::DutyRowUnreadable, "duty-row-unreadable"},
     {LogEvent::ClockCorrected, "clock-corrected"},
+    {LogEvent::EndpointsOrdered, "endpoints-ordered"},
     {LogEvent::StatementAccepted, "statement-accepted"},
     {LogEvent::StatementRejected, "statement-rejected"},
     {LogEvent::InvariantViolated, "invariant-violated"},
--- a/Source/Lease/lease.h
+++ b/Source/Lease/lease.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace Yokepond::Lease {
 
@@ -29,6 +30,13 @@
     std::uint64_t holder = 0; ///< incarnation of the process that wrote it
 };
 
+/// The row with what its writer kept in it; version 0: there is none.
+struct StoredRow
+{
+    std::uint64_t version = 0;
+    std::string value;
+};
+
 /// What became of a write under the condition that the row had the expected version.
 enum class WriteResult {
     Done,
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -116,7 +116,8 @@
                      .send
                      = [this](const std::string &member, Peer::Message message) { sendToMember(member, std::move(message)); }});
     m_queries = std::make_unique<Queries>(m_settings, *m_fleet, m_dispatcher, m_home, *m_front, [this](Base::Instant now) {
-        return m_usage == nullptr ? std::nullopt : std::optional(m_usage->view(now));
+        return Queries::Duties {m_usage == nullptr ? std::nullopt : std::optional(m_usage->view(now)),
+                                m_scaling == nullptr ? std::nullopt : std::optional(m_scaling->view(now))};
     });
     m_gatherer = std::make_unique<Gatherer>(
         [this](const std::string &member, Peer::Message message) { sendToMember(member, std::move(message)); });
@@ -139,7 +140,7 @@
         startWatch();
     }
     if (m_settings.duties.port != 0) {
-        startUsage();
+        startDuties();
     }
     m_timer = m_loop.every(tickPeriod, [this] { tick(); });
     Base::log(Base::LogLevel::Info, Base::LogEvent::Started,
@@ -183,7 +184,7 @@
                              }});
 }
 
-void Daemon::startUsage()
+void Daemon::startDuties()
 {
     m_dutyClient
         = std::make_unique<Platform::DutyClient>(m_client, m_settings.platform, m_settings.duties, m_settings.platformTimeout);
@@ -194,6 +195,12 @@
     m_usage = std::make_unique<UsageDuty<Platform::DutyClient>>(
         *m_dutyClient, options, Base::now(), Base::wallMicroseconds(),
         [this](const std::string &member, Peer::Message message) { sendToMember(member, std::move(message)); });
+    if (m_settings.scaling != ScalingMode::Off) {
+        ScalingDutyOptions scaling {.host = m_settings.name, .incarnation = m_incarnation};
+        scaling.scaler.lease = options.reporter.lease;
+        scaling.scaler.dry = m_settings.scaling == ScalingMode::Dry;
+        m_scaling = std::make_unique<ScalingDuty<Platform::DutyClient>>(*m_dutyClient, scaling, Base::now());
+    }
 }
 
 void Daemon::reloadSettings()
@@ -401,6 +408,9 @@
     m_dispatcher.update(now, *shards, m_fleet->catalogue());
     m_home.updateView(now, m_fleet->catalogue(), shards, m_fleet->present());
     m_front->forwarder().membersChanged();
+    if (m_scaling != nullptr) {
+        m_scaling->setPools(Scaling::scaledPools(*m_fleet->catalogue()));
+    }
     settle();
 }
 
@@ -422,7 +432,11 @@
         }
     }
     if (m_usage != nullptr) {
-        m_usage->tick(now, m_fleet->present());
+        const std::vector<Peer::Member> members = m_fleet->present();
+        m_usage->tick(now, members);
+        if (m_scaling != nullptr) {
+            m_scaling->tick(now, members, m_usage->isIdle(now));
+        }
     }
     m_dispatcher.tick(now);
     m_home.tick(now);
@@ -466,7 +480,9 @@
         m_stopStage = StopStage::Draining;
         m_relay->closeListener();
     }
-    const bool idle = m_front->open() == 0 && m_home.active() == 0 && m_relay->counters().open == 0;
+    // A run that has ended leaves an answer that a slow caller, a narrow link or a busy host has not sent yet.
+    const bool sent = m_relay->counters().open == 0 && m_relay->counters().unsent == 0;
+    const bool idle = m_front->open() == 0 && m_home.active() == 0 && sent;
     const bool recorded = m_front->unrecorded() == 0 || !m_fleet->storeAnswers();
     if (!idle) {
         m_idleSince = now;
@@ -554,6 +570,12 @@
         m_metrics.set("yokepond_usage_reports_total", label("result", "failed"), static_cast<double>(usage.failures));
         m_metrics.set("yokepond_duty_held", label("duty", "usage"), usage.reporter.holder ? 1.0 : 0.0);
     }
+    if (m_scaling != nullptr) {
+        const ScalingView scaling = m_scaling->view(Base::now());
+        m_metrics.set("yokepond_orders_total", label("result", "accepted"), static_cast<double>(scaling.accepted));
+        m_metrics.set("yokepond_orders_total", label("result", "failed"), static_cast<double>(scaling.failures));
+        m_metrics.set("yokepond_duty_held", label("duty", "scaling"), scaling.scaler.holder ? 1.0 : 0.0);
+    }
     m_metrics.set("yokepond_configuration_revision", "", static_cast<double>(m_fleet->revision()));
     m_metrics.set("yokepond_invariant_violations_total", "", static_cast<double>(Base::invariantViolations()));
     return m_metrics.text();
--- a/Source/Node/daemon.h
+++ b/Source/Node/daemon.h
@@ -15,6 +15,7 @@
 #include "Node/front.h"
 #include "Node/metrics.h"
 #include "Node/queries.h"
+#include "Node/scalingduty.h"
 #include "Node/settings.h"
 #include "Node/settingsfile.h"
 #include "Node/sitewatch.h"
@@ -53,7 +54,7 @@
 
     absl::StatusOr<std::unique_ptr<Relay::Relay>> startRelay();
     void startWatch();
-    void startUsage();
+    void startDuties();
     void reloadSettings();
     void handle(EdgeEvent event);
     void handlePeer(const Peer::Received &received);
@@ -90,6 +91,7 @@
     std::unique_ptr<SiteWatch<Platform::RowsClient>> m_watch; ///< only where the platform keeps records
     std::unique_ptr<Platform::DutyClient> m_dutyClient;
     std::unique_ptr<UsageDuty<Platform::DutyClient>> m_usage; ///< only where the platform wants usage reported
+    std::unique_ptr<ScalingDuty<Platform::DutyClient>> m_scaling; ///< only where endpoints are ordered
     std::unique_ptr<Front> m_front;
     std::unique_ptr<Queries> m_queries;
     std::unique_ptr<Gatherer> m_gatherer;
--- a/Source/Node/queries.cpp
+++ b/Source/Node/queries.cpp
@@ -125,13 +125,13 @@
 }
 
 Queries::Queries(const Settings &settings, const Fleet &fleet, const Dispatch::Dispatcher &dispatcher, const Request::Home &home,
-                 const Front &front, UsageState usage)
+                 const Front &front, DutyState duties)
     : m_settings(settings)
     , m_fleet(fleet)
     , m_dispatcher(dispatcher)
     , m_home(home)
     , m_front(front)
-    , m_usage(std::move(usage))
+    , m_duties(std::move(duties))
 {
 }
 
@@ -287,23 +287,42 @@
 
 Answer Queries::duties(Base::Instant now) const
 {
-    Answer answer {{"duty", "host", "holds", "fence", "rank", "written-by", "fixed-up-to", "reported-up-to", "unreported",
-                    "hosts-heard", "reports", "failures"},
+    Answer answer {{"duty", "host", "holds", "fence", "rank", "written-by", "done", "failures", "fixed-up-to", "reported-up-to",
+                    "unreported", "hosts-heard", "orders"},
                    {},
                    {}};
-    if (const auto usage = m_usage(now)) {
+    const auto rankOf = [](const std::optional<std::size_t> &rank) { return rank ? static_cast<std::int64_t>(*rank) : -1; };
+    const Duties duties = m_duties(now);
+    if (duties.usage) {
+        const Usage::ReporterView &reporter = duties.usage->reporter;
         answer.rows.push_back({{"duty", "usage"},
                                {"host", m_settings.name},
-                               {"holds", usage->reporter.holder},
-                               {"fence", usage->reporter.fence},
-                               {"rank", usage->rank ? static_cast<std::int64_t>(*usage->rank) : -1},
-                               {"written-by", usage->reporter.host},
-                               {"fixed-up-to", usage->reporter.fixedUpTo},
-                               {"reported-up-to", usage->reporter.reportedUpTo},
-                               {"unreported", usage->reporter.unreported},
-                               {"hosts-heard", usage->hostsHeard},
-                               {"reports", usage->reports},
-                               {"failures", usage->failures}});
+                               {"holds", reporter.holder},
+                               {"fence", reporter.fence},
+                               {"rank", rankOf(duties.usage->rank)},
+                               {"written-by", reporter.host},
+                               {"done", duties.usage->reports},
+                               {"failures", duties.usage->failures},
+                               {"fixed-up-to", reporter.fixedUpTo},
+                               {"reported-up-to", reporter.reportedUpTo},
+                               {"unreported", reporter.unreported},
+                               {"hosts-heard", duties.usage->hostsHeard}});
+    }
+    if (duties.scaling) {
+        const Scaling::ScalerView &scaler = duties.scaling->scaler;
+        std::vector<std::string> orders;
+        std::ranges::transform(scaler.orders, std::back_inserter(orders), [](const Scaling::Order &order) {
+            return fmt::format("{} {}{}: {}", order.pool, order.dataCentre, order.preemptible ? " preemptible" : "", order.count);
+        });
+        answer.rows.push_back({{"duty", "scaling"},
+                               {"host", m_settings.name},
+                               {"holds", scaler.holder},
+                               {"fence", scaler.fence},
+                               {"rank", rankOf(duties.scaling->rank)},
+                               {"written-by", scaler.host},
+                               {"done", duties.scaling->accepted},
+                               {"failures", duties.scaling->failures},
+                               {"orders", absl::StrJoin(orders, ", ")}});
     }
     return answer;
 }
--- a/Source/Node/queries.h
+++ b/Source/Node/queries.h
@@ -10,6 +10,7 @@
 #include "Language/statement.h"
 #include "Node/fleet.h"
 #include "Node/front.h"
+#include "Node/scalingduty.h"
 #include "Node/usageduty.h"
 #include "Request/home.h"
 
@@ -44,11 +45,16 @@
 class Queries
 {
 public:
-    /// This host's part in reporting usage; nothing where the platform does not want it reported.
-    using UsageState = std::function<std::optional<UsageView>(Base::Instant now)>;
+    /// This host's part in the duties of one host; nothing where the platform has none.
+    struct Duties
+    {
+        std::optional<UsageView> usage;
+        std::optional<ScalingView> scaling;
+    };
+    using DutyState = std::function<Duties(Base::Instant now)>;
 
     Queries(const Settings &settings, const Fleet &fleet, const Dispatch::Dispatcher &dispatcher, const Request::Home &home,
-            const Front &front, UsageState usage);
+            const Front &front, DutyState duties);
 
     Answer local(const Language::Query &query, Base::Instant now) const;
 
@@ -73,7 +79,7 @@
     const Dispatch::Dispatcher &m_dispatcher;
     const Request::Home &m_home;
     const Front &m_front;
-    UsageState m_usage;
+    DutyState m_duties;
 };
 
 /// Puts queries to the other hosts and waits a bounded time for their answers.
--- a/Source/Node/settings.cpp
+++ b/Source/Node/settings.cpp
@@ -138,6 +138,9 @@
     return policies;
 }
 
+/// A holder acts for a second less than this, and a call takes up to half a second.
+constexpr std::int64_t leastDutyQuietMs = 2000;
+
 void refuseClashes(IniFile &ini, const Settings &settings)
 {
     const auto clash = [](const Address &left, const Address &right) { return left.port != 0 && left == right; };
@@ -184,9 +187,14 @@
         }
         settings.duties = address.value_or(Base::Address {});
     }
+    const auto scaling = Base::valueOf(scalingModeNames, ini.text("scaling", "mode", "off"));
+    if (!scaling) {
+        ini.reject("scaling", "mode", "off, dry or on");
+    }
+    settings.scaling = scaling.value_or(ScalingMode::Off);
     settings.usageWindow = std::chrono::duration_cast<Base::Duration>(
         std::chrono::duration<double>(ini.decimal("usage", "window-s", 5.0, 1.0, 24.0 * 3600.0)));
-    settings.dutyQuiet = milliseconds(ini, "usage", "quiet-ms", 3000, 1000);
+    settings.dutyQuiet = milliseconds(ini, "usage", "quiet-ms", 3000, leastDutyQuietMs);
     settings.notReadyAfter = milliseconds(ini, "platform", "not-ready-after-ms", 30'000);
     settings.callerLimits = parseLimits(ini);
     settings.membership = parseMembership(ini);
--- a/Source/Node/settings.h
+++ b/Source/Node/settings.h
@@ -47,6 +47,19 @@
     {PlatformForm::Records, "records"},
 }};
 
+/// Whether endpoints are ordered where the platform lets their number be set.
+enum class ScalingMode {
+    Off,
+    Dry, ///< what would be ordered is logged
+    On,
+};
+
+inline constexpr Base::NameTable<ScalingMode, 3> scalingModeNames = {{
+    {ScalingMode::Off, "off"},
+    {ScalingMode::Dry, "dry"},
+    {ScalingMode::On, "on"},
+}};
+
 struct Settings
 {
     std::string name;
@@ -65,6 +78,7 @@
     std::size_t storeFollowers = 8; ///< hosts that follow the platform's records; the others ask them
     Base::Address duties; ///< of the platform, where usage is reported; no port: it is not
     Base::Duration usageWindow {};
+    ScalingMode scaling = ScalingMode::Off;
     Base::Duration dutyQuiet {}; ///< between the acts of two holders of a duty
     Base::Duration notReadyAfter {}; ///< cut off from the table and all peers
     Http::ServerLimits callerLimits;
--- a/Source/Node/usageduty.h
+++ b/Source/Node/usageduty.h
@@ -28,11 +28,11 @@
 template<typename P>
 concept DutyPlatform
     = requires(P platform, const std::string &text, const Usage::ReportUsage &report,
-               std::function<void(const std::optional<Usage::ReadResult> &)> onRow,
-               std::function<void(Lease::WriteResult, std::uint64_t, const std::optional<Usage::ReadResult> &)> onWritten,
+               std::function<void(const std::optional<Lease::StoredRow> &)> onRow,
+               std::function<void(Lease::WriteResult, std::uint64_t, const std::optional<Lease::StoredRow> &)> onWritten,
                std::function<void(Usage::ReportResult, const std::string &)> onReported) {
-          platform.readRow(onRow);
-          platform.writeRow(std::uint64_t {0}, text, onWritten);
+          platform.readRow(text, onRow);
+          platform.writeRow(text, std::uint64_t {0}, text, onWritten);
           platform.report(text, report, onReported);
       };
 
@@ -112,6 +112,13 @@
         }
     }
 
+    /// No request began lately, as far as this host was told.
+    bool isIdle(Base::Instant now) const
+    {
+        const Usage::WindowNumber present = Usage::windowOf(m_clock.at(now), m_options.reporter.window);
+        return m_fleet.total(present).empty() && m_fleet.total(present - 1).empty();
+    }
+
     UsageView view(Base::Instant now) const
     {
         return {m_reporter.view(now), m_rank, m_fleet.hosts(now), m_reports, m_failures};
@@ -153,16 +160,16 @@
 
     void carryOut(const Usage::ReadRow &)
     {
-        m_platform.readRow([this](const std::optional<Usage::ReadResult> &row) { m_reporter.rowRead(m_options.clock(), row); });
+        m_platform.readRow(std::string(dutyName),
+                           [this](const std::optional<Lease::StoredRow> &row) { m_reporter.rowRead(m_options.clock(), row); });
     }
 
     void carryOut(const Usage::WriteRow &write)
     {
-        m_platform.writeRow(
-            write.expectedVersion, write.value,
-            [this](Lease::WriteResult result, std::uint64_t version, const std::optional<Usage::ReadResult> &row) {
-                m_reporter.rowWritten(m_options.clock(), result, version, row);
-            });
+        m_platform.writeRow(std::string(dutyName), write.expectedVersion, write.value,
+                            [this](Lease::WriteResult result, std::uint64_t version, const std::optional<Lease::StoredRow> &row) {
+                                m_reporter.rowWritten(m_options.clock(), result, version, row);
+                            });
     }
 
     void carryOut(const Usage::ReportUsage &report)
--- a/Source/Usage/usagereporter.cpp
+++ b/Source/Usage/usagereporter.cpp
@@ -4,6 +4,7 @@
 #include "Usage/usagereporter.h"
 
 #include "Base/log.h"
+#include "Base/text.h"
 
 #include <algorithm>
 #include <ranges>
@@ -114,12 +115,13 @@
     return WriteRow {m_lease.expectedVersion(), rowText(std::move(row))};
 }
 
-void UsageReporter::takeRow(Instant now, const ReadResult &result)
+void UsageReporter::takeRow(Instant now, const Lease::StoredRow &result)
 {
     auto row = result.version == 0 ? absl::StatusOr<UsageRow>(UsageRow {}) : parseRow(result.value);
     if (!row.ok()) {
         // Whoever wrote it holds the duty all the same.
-        Base::log(Base::LogLevel::Error, Base::LogEvent::UsageRowUnreadable, {{"reason", row.status().message()}});
+        Base::log(Base::LogLevel::Error, Base::LogEvent::DutyRowUnreadable,
+                  {{"duty", "usage"}, {"reason", Base::messageOf(row.status())}});
         row = UsageRow {};
     }
     m_lease.seen(now, {result.version, row->holder});
@@ -148,7 +150,7 @@
     m_pending = std::move(pending);
 }
 
-void UsageReporter::rowRead(Instant now, const std::optional<ReadResult> &row)
+void UsageReporter::rowRead(Instant now, const std::optional<Lease::StoredRow> &row)
 {
     m_busy = false;
     if (row) {
@@ -156,7 +158,7 @@
     }
 }
 
-void UsageReporter::rowWritten(Instant now, WriteResult result, std::uint64_t version, const std::optional<ReadResult> &row)
+void UsageReporter::rowWritten(Instant now, WriteResult result, std::uint64_t version, const std::optional<Lease::StoredRow> &row)
 {
     m_busy = false;
     m_lease.written(result, version);
--- a/Source/Usage/usagereporter.h
+++ b/Source/Usage/usagereporter.h
@@ -48,13 +48,6 @@
 
 using ReporterAction = std::variant<ReadRow, WriteRow, ReportUsage>;
 
-/// The row as a read or a refused write showed it; version 0: there is none.
-struct ReadResult
-{
-    std::uint64_t version = 0;
-    std::string value;
-};
-
 enum class ReportResult {
     Accepted,
     TryAgain, ///< no answer, or the platform cannot take it now
@@ -84,9 +77,10 @@
     std::vector<ReporterAction> tick(Base::Instant now, FleetTime time, std::optional<std::size_t> rank,
                                      const FleetCounts &counts);
 
-    void rowRead(Base::Instant now, const std::optional<ReadResult> &row);
+    void rowRead(Base::Instant now, const std::optional<Lease::StoredRow> &row);
     /// @p row: where the write was refused.
-    void rowWritten(Base::Instant now, Lease::WriteResult result, std::uint64_t version, const std::optional<ReadResult> &row);
+    void rowWritten(Base::Instant now, Lease::WriteResult result, std::uint64_t version,
+                    const std::optional<Lease::StoredRow> &row);
     void reported(Base::Instant now, WindowNumber window, ReportResult result);
 
     /// Another host says how far it has fixed windows.
@@ -105,7 +99,7 @@
 
     WindowNumber newestDue(FleetTime time) const;
     bool isOverdue(FleetTime time, std::size_t rank) const;
-    void takeRow(Base::Instant now, const ReadResult &row);
+    void takeRow(Base::Instant now, const Lease::StoredRow &row);
     void takeWindows(std::vector<FixedWindow> windows);
     std::optional<ReporterAction> write(Base::Instant now, FleetTime time, const FleetCounts &counts);
     std::optional<ReporterAction> report(Base::Instant now);
--- a/Tests/Integration/recordsplatform.py
+++ b/Tests/Integration/recordsplatform.py
@@ -113,6 +113,9 @@
             if self.down or turned_away():
                 send(handler, 503, {})
                 return
+            if url.path == "/rows-tx":
+                self.transact(handler, json.loads(handler.body))
+                return
             table = query["table"]
             if url.path == "/rows-get":
                 rows = [row for row in self.changed(table, -1) if not row.get("deleted")]
@@ -136,6 +139,20 @@
                 return
             self.answer(handler, {"rows": self.changed(table, since)})
 
+    def transact(self, handler, body):
+        """Writes all rows if each expected one has its version."""
+        expected = [(row, self.rows.get((row["table"], row["key_file"]))) for row in body["expected_revision"]]
+        held = [row for _, row in expected if row is not None]
+        if any((row["schema_version"] if row else 0) != wanted["schema_version"] for wanted, row in expected):
+            answer = {"rows": held, "schema_version": self.version, "now_ms": int(time.monotonic() * 1000)}
+            send(handler, 412, {"Content-Type": "application/json"}, json.dumps(answer).encode())
+            return
+        self.version += 1
+        for row in body["write"]:
+            self.rows[(row["table"], row["key_file"])] = {**row, "schema_version": self.version}
+        self.lock.notify_all()
+        self.answer(handler, {})
+
     def never_answer(self, handler):
         self.ended.wait()
         handler.close_connection = True
@@ -157,6 +174,45 @@
         self.store.respond(handler, lambda: self.closed)
 
 
+class Duties(Server):
+    """Where duties are done. Takes what comes, and judges it: `broken` lists what the platform forbids. `down`: answers only 503."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.down = False
+        self.reports = {}  # counts by window
+        self.orders = []  # bodies
+        self.holders = []  # of all calls, in order
+        self.fences = {}  # by path: fence, to the holder that used it
+        self.broken = []
+        super().__init__()
+
+    def respond(self, handler):
+        body = json.loads(handler.body)
+        holder = handler.headers["X-Duty-Holder"]
+        fence = int(handler.headers["X-Fencing-Token"])
+        with self.lock:
+            used = self.fences.setdefault(handler.path, {})
+            if used and fence < max(used):
+                self.broken.append(f"{handler.path}: fence {fence} of {holder} after {max(used)}")
+            if used.setdefault(fence, holder) != holder:
+                self.broken.append(f"{handler.path}: fence {fence} of {used[fence]} and {holder}")
+            if self.down:
+                send(handler, 503, {})
+                return
+            self.holders.append(holder)
+            if handler.path == "/metering":
+                if self.reports.setdefault(body["window_id"], body["counts"]) != body["counts"]:
+                    self.broken.append(f"window {body['window_id']} reported twice: {body['counts']}")
+            else:
+                self.orders.append(body)
+        send(handler, 200, {})
+
+    def total(self, organisation):
+        with self.lock:
+            return sum(counts.get(organisation, 0) for counts in self.reports.values())
+
+
 class Runner(Server):
     """An endpoint. Streams five events; `cut_after`: breaks a new stream off, within the event after so many."""
 
@@ -223,9 +279,9 @@
 
 
 class Hosts:
-    """A daemon on the store for each of its addresses in `platforms`."""
+    """A daemon on the store for each of its addresses in `platforms`; `more` is added to their settings."""
 
-    def __init__(self, binaries, platforms):
+    def __init__(self, binaries, platforms, more=""):
         count = len(platforms)
         self.directory = tempfile.mkdtemp(prefix="yokepond-records-")
         ports = [localfleet.free_ports(3) for _ in range(count)]
@@ -242,7 +298,7 @@
                            f"[platform]\nform = records\naddress = {platforms[index]}\ntimeout-ms = 1000\n"
                            "[dispatch]\nwhole-pool-shards = yes\nplacement = soonest-first-token\nwindow = fixed\n"
                            "[retries]\nshare = 0.2\nslack = 50\n[stop]\nbalancer-lag-ms = 200\nkilled-after-s = 5\n"
-                           "[test]\nfatal-invariants = yes\n")
+                           f"[test]\nfatal-invariants = yes\n{more}")
             self.start(index)
 
     def start(self, index):
--- a/Tests/Node/settingstest.cpp
+++ b/Tests/Node/settingstest.cpp
@@ -88,3 +88,10 @@
 {
     STRCMP_CONTAINS("[usage] address", failureOf(std::string(good) + "[usage]\naddress = elsewhere\n").c_str());
 }
+
+/// With less, a holder's right would be over before a report could be sent.
+TEST(Settings, tooShortAQuietTimeOfDutiesIsRefused)
+{
+    STRCMP_CONTAINS("[usage] quiet-ms",
+                    failureOf(std::string(good) + "[usage]\naddress = 127.0.0.1:1\nquiet-ms = 1400\n").c_str());
+}
--- /dev/null
+++ b/Tests/Scaling/scalertest.cpp
@@ -0,0 +1,201 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+/// @file
+/// What is ordered, when and by whom. The figures are the shifted deployment's as its operators state them: 30 engines in each of
+/// three data centres, up to 60 of both kinds, withdrawable ones at 0.18 of the others' price, 4 s until a new one serves.
+
+#include "Scaling/scaler.h"
+
+#include "Base/error.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Yokepond;
+using namespace Yokepond::Scaling;
+using Lease::WriteResult;
+
+namespace {
+
+constexpr std::uint32_t base = 90;
+
+Base::Instant at(double seconds)
+{
+    return Base::Instant(std::chrono::duration_cast<Base::Duration>(std::chrono::duration<double>(1000 + seconds)));
+}
+
+ScaledPool pool(const std::vector<DataCentreCounts> &counts)
+{
+    return {"llm", {1, 60, std::chrono::seconds(4), 0.18, {{"a", 0.85}, {"b", 1.2}, {"c", 1.0}}}, counts};
+}
+
+ScaledPool atStart()
+{
+    return pool({{"a", 30, 0}, {"b", 30, 0}, {"c", 30, 0}});
+}
+
+} // namespace
+
+TEST_GROUP(ScalingPlan) {/// The number ordered, or -1 for none.
+                         static int ordered(const std::vector<Order> &orders, const std::string &dataCentre, bool preemptible) {
+                             const auto order = std::ranges::find_if(orders, [&](const Order &entry) {
+                                 return entry.dataCentre == dataCentre && entry.preemptible == preemptible;
+                             });
+return order == orders.end() ? -1 : static_cast<int>(order->count);
+}
+}
+;
+
+/// With all preemptible engines of any one data centre withdrawn, the others are as many as were provided.
+TEST(ScalingPlan, theLossOfOneDataCentresPreemptibleEnginesIsBorne)
+{
+    const auto orders = planFor(atStart(), base);
+    CHECK_EQUAL(45, ordered(orders, "a", true));
+    CHECK_EQUAL(45, ordered(orders, "b", true));
+    CHECK_EQUAL(45, ordered(orders, "c", true));
+}
+
+TEST(ScalingPlan, regularEnginesGoOnlyWhenThePreemptibleOnesServe)
+{
+    CHECK_EQUAL(-1, ordered(planFor(atStart(), base), "a", false));
+    CHECK_EQUAL(-1, ordered(planFor(pool({{"a", 30, 45}, {"b", 30, 30}, {"c", 30, 0}}), base), "a", false));
+    CHECK_EQUAL(1, ordered(planFor(pool({{"a", 30, 45}, {"b", 30, 45}, {"c", 30, 0}}), base), "a", false));
+}
+
+TEST(ScalingPlan, theLossOfOneDataCentreBringsNoRegularEnginesBack)
+{
+    CHECK_EQUAL(1, ordered(planFor(pool({{"a", 1, 0}, {"b", 1, 45}, {"c", 1, 45}}), base), "a", false));
+}
+
+TEST(ScalingPlan, regularEnginesComeBackWherePreemptibleOnesCannotBeHad)
+{
+    const auto orders = planFor(pool({{"a", 1, 0}, {"b", 1, 0}, {"c", 1, 45}}), base);
+    CHECK_EQUAL(30, ordered(orders, "a", false));
+    CHECK_EQUAL(30, ordered(orders, "c", false));
+}
+
+TEST(ScalingPlan, theLimitCountsBothKinds)
+{
+    ScaledPool large = atStart();
+    large.terms.most = 40;
+    CHECK_EQUAL(39, ordered(planFor(large, base), "a", true));
+}
+
+TEST(ScalingPlan, wherePreemptibleEnginesSaveNothingTheNumbersStay)
+{
+    ScaledPool dear = atStart();
+    dear.terms.preemptiblePrice = 0.7;
+    CHECK_TRUE(planFor(dear, base).empty());
+    ScaledPool one = pool({{"a", 30, 0}});
+    CHECK_TRUE(planFor(one, base).empty());
+    CHECK_TRUE(planFor(atStart(), 0).empty());
+}
+
+TEST_GROUP(Scaler)
+{
+    static constexpr std::uint64_t self = 7;
+    Scaler scaler {{}, "h1", self};
+
+    std::vector<ScalerAction> tick(double now, const ScaledPool &seen, bool idle = true, std::size_t rank = 0)
+    {
+        return scaler.tick(at(now), rank, {seen}, idle);
+    }
+
+    /// Reads an absent row and takes it.
+    void take(const ScaledPool &seen)
+    {
+        CHECK_TRUE(tick(0, seen).empty());
+        CHECK_TRUE(std::holds_alternative<ReadRow>(tick(2, seen).front()));
+        scaler.rowRead(at(2), Lease::StoredRow {});
+        const auto actions = tick(2.05, seen);
+        CHECK_EQUAL(0U, std::get<WriteRow>(actions.front()).expectedVersion);
+        scaler.rowWritten(at(2.1), WriteResult::Done, 40, std::nullopt);
+    }
+
+    Order send(double now, const ScaledPool &seen, bool idle = true, OrderResult result = OrderResult::Accepted)
+    {
+        const auto actions = tick(now, seen, idle);
+        CHECK_EQUAL(1U, actions.size());
+        const SendOrder order = std::get<SendOrder>(actions.front());
+        scaler.ordered(at(now), order.order, result);
+        return order.order;
+    }
+};
+
+TEST(Scaler, nothingIsOrderedBeforeTheRowIsItsOwn)
+{
+    take(atStart());
+    const auto actions = tick(2.15, atStart());
+    const SendOrder first = std::get<SendOrder>(actions.front());
+    CHECK_EQUAL(40U, first.fence);
+    CHECK_EQUAL(45U, first.order.count);
+    CHECK_TRUE(first.order.preemptible);
+    CHECK_TRUE(first.within <= std::chrono::seconds(2));
+}
+
+TEST(Scaler, eachOrderIsSentOnceAndRepeatedWhenItsEnginesDoNotCome)
+{
+    take(atStart());
+    for (int index = 0; index < 3; ++index) {
+        CHECK_TRUE(send(2.15 + index * 0.05, atStart()).preemptible);
+    }
+    CHECK_TRUE(tick(2.4, atStart()).empty());
+    CHECK_TRUE(tick(11.0, atStart()).empty());
+    // The right has run out: it is renewed before anything is sent.
+    CHECK_TRUE(std::holds_alternative<WriteRow>(tick(12.5, atStart()).front()));
+    scaler.rowWritten(at(12.6), WriteResult::Done, 55, std::nullopt);
+    const auto actions = tick(12.65, atStart());
+    CHECK_EQUAL(40U, std::get<SendOrder>(actions.front()).fence);
+}
+
+TEST(Scaler, whileRequestsRunOneDataCentreAtATimeGivesUpEngines)
+{
+    take(atStart());
+    const ScaledPool both = pool({{"a", 30, 45}, {"b", 30, 45}, {"c", 30, 45}});
+    CHECK_FALSE(send(2.2, both, false).preemptible);
+    CHECK_TRUE(tick(2.3, both, false).empty());
+    CHECK_TRUE(std::holds_alternative<WriteRow>(tick(7.3, both, false).front()));
+}
+
+TEST(Scaler, withoutRequestsAllGiveUpEnginesAtOnce)
+{
+    take(atStart());
+    const ScaledPool both = pool({{"a", 30, 45}, {"b", 30, 45}, {"c", 30, 45}});
+    for (int index = 0; index < 3; ++index) {
+        const Order order = send(2.2 + index * 0.05, both);
+        CHECK_FALSE(order.preemptible);
+        CHECK_EQUAL(1U, order.count);
+    }
+}
+
+/// What the operators provided is in the row: a successor does not take what is ordered now for that.
+TEST(Scaler, aSuccessorKnowsWhatWasProvided)
+{
+    const ScaledPool both = pool({{"a", 1, 45}, {"b", 1, 45}, {"c", 1, 20}});
+    CHECK_TRUE(tick(0, both).empty());
+    CHECK_TRUE(std::holds_alternative<ReadRow>(tick(2, both).front()));
+    scaler.rowRead(at(2), Lease::StoredRow {50, rowText({8, "h2", {{"llm", 90}}})});
+    // Another held it: its right may last.
+    CHECK_TRUE(tick(2.1, both).empty());
+    CHECK_TRUE(std::holds_alternative<ReadRow>(tick(4.2, both).front()));
+    scaler.rowRead(at(4.2), Lease::StoredRow {50, rowText({8, "h2", {{"llm", 90}}})});
+    const auto actions = tick(5.6, both);
+    CHECK_EQUAL(50U, std::get<WriteRow>(actions.front()).expectedVersion);
+    CHECK_TRUE(parseScalingRow(std::get<WriteRow>(actions.front()).value)->bases == (std::vector<PoolBase> {{"llm", 90}}));
+}
+
+TEST(Scaler, withoutARankOrPoolsNothingIsDone)
+{
+    CHECK_TRUE(scaler.tick(at(10), std::nullopt, {atStart()}, true).empty());
+    CHECK_TRUE(scaler.tick(at(20), 0, {}, true).empty());
+}
+
+TEST(Scaler, aRowThatCannotBeReadIsATypedError)
+{
+    for (const char *text :
+         {"", "[]", "{}", R"({"holder":"x","host":"h","bases":[]})", R"({"holder":1,"host":"h","bases":[{}]})"}) {
+        CHECK_TRUE(Base::errorKind(parseScalingRow(text).status()) == Base::ErrorKind::InvalidValue);
+    }
+}
--- a/Tests/Usage/usagereportertest.cpp
+++ b/Tests/Usage/usagereportertest.cpp
@@ -22,9 +22,9 @@
 using namespace Yokepond;
 using Base::Duration;
 using Base::Instant;
+using Lease::StoredRow;
 using Lease::WriteResult;
 using std::chrono::milliseconds;
-using Usage::ReadResult;
 using Usage::ReportResult;
 
 namespace {
@@ -145,13 +145,13 @@
         {
         }
 
-        void readRow(std::function<void(const std::optional<ReadResult> &)> handler)
+        void readRow(const std::string &, std::function<void(const std::optional<StoredRow> &)> handler)
         {
             m_simulation.read(m_host, m_life, std::move(handler));
         }
 
-        void writeRow(std::uint64_t expected, const std::string &value,
-                      std::function<void(WriteResult, std::uint64_t, const std::optional<ReadResult> &)> handler)
+        void writeRow(const std::string &, std::uint64_t expected, const std::string &value,
+                      std::function<void(WriteResult, std::uint64_t, const std::optional<StoredRow> &)> handler)
         {
             m_simulation.write(m_host, m_life, expected, value, std::move(handler));
         }
@@ -368,12 +368,12 @@
 
     static constexpr Duration storeTimeout = milliseconds(1500);
 
-    ReadResult row() const
+    StoredRow row() const
     {
         return {m_rowVersion, m_rowValue};
     }
 
-    void read(std::size_t host, std::uint64_t life, std::function<void(const std::optional<ReadResult> &)> handler)
+    void read(std::size_t host, std::uint64_t life, std::function<void(const std::optional<StoredRow> &)> handler)
     {
         ++m_calls;
         const Duration time = storeTime();
@@ -400,7 +400,7 @@
     }
 
     void write(std::size_t host, std::uint64_t life, std::uint64_t expected, const std::string &value,
-               std::function<void(WriteResult, std::uint64_t, const std::optional<ReadResult> &)> handler)
+               std::function<void(WriteResult, std::uint64_t, const std::optional<StoredRow> &)> handler)
     {
         ++m_calls;
         if (m_hosts[host].cutFromStore) {
