--- a/Tests/Integration/test_stop.py
+++ b/Tests/Integration/test_stop.py
@@ -1,6 +1,14 @@
 # SPDX-License-Identifier: BSD-3-Clause
 # SPDX-FileCopyrightText: 2026 yokepond maintainers
-"""A planned stop waits for answers that are still on their way to callers, not only for runs."""
+"""A planned stop waits for answers that are still on their way to callers, not only for runs.
+
+Seen: a host that was stopped as planned said that it had drained, and closed two streams in the middle of their answers.
+How it came about: the engines had ended both 0.3 s before; the host was small and busy, and had not sent the rest yet.
+Cause: a call counted as open until its last bytes were handed to the server library, and the process ended 0.3 s after the last call,
+whatever the library still held.
+Proof: a caller that takes nothing for 1.5 s, and an answer larger than the connection's buffers: without the mend it is cut, and the log
+says `drained`.
+"""
 
 import json
 import signal
