Duties: Members are looked at when they change, not at each tick

Change: ranks and collectors are worked out when the view changes; whether the fleet is idle is asked only by a host that may order. Measured: not apart from all else; test-usage and test_duties.py pass as before.

--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -201,6 +201,7 @@
         scaling.scaler.dry = m_settings.scaling == ScalingMode::Dry;
         m_scaling = std::make_unique<ScalingDuty<Platform::DutyClient>>(*m_dutyClient, scaling, Base::now());
     }
+    showDutiesTheView();
 }
 
 void Daemon::reloadSettings()
@@ -408,10 +409,19 @@
     m_dispatcher.update(now, *shards, m_fleet->catalogue());
     m_home.updateView(now, m_fleet->catalogue(), shards, m_fleet->present());
     m_front->forwarder().membersChanged();
+    showDutiesTheView();
+    settle();
+}
+
+void Daemon::showDutiesTheView()
+{
+    if (m_usage != nullptr) {
+        m_usage->setMembers(m_fleet->present());
+    }
     if (m_scaling != nullptr) {
+        m_scaling->setMembers(m_fleet->present());
         m_scaling->setPools(Scaling::scaledPools(*m_fleet->catalogue()));
     }
-    settle();
 }
 
 void Daemon::tick()
@@ -432,11 +442,10 @@
         }
     }
     if (m_usage != nullptr) {
-        const std::vector<Peer::Member> members = m_fleet->present();
-        m_usage->tick(now, members);
-        if (m_scaling != nullptr) {
-            m_scaling->tick(now, members, m_usage->isIdle(now));
-        }
+        m_usage->tick(now);
+    }
+    if (m_scaling != nullptr) {
+        m_scaling->tick(now, [this, now] { return m_usage->isIdle(now); });
     }
     m_dispatcher.tick(now);
     m_home.tick(now);
--- a/Source/Node/daemon.h
+++ b/Source/Node/daemon.h
@@ -65,6 +65,7 @@
     void carryOut(Request::Action action);
     void settle();
     void viewChanged();
+    void showDutiesTheView();
     void tick();
     void requestStop();
     void advanceStop(Base::Instant now);
--- a/Source/Node/scalingduty.h
+++ b/Source/Node/scalingduty.h
@@ -55,15 +55,20 @@
         m_pools = std::move(pools);
     }
 
-    /// @p idle: no request has begun lately.
-    void tick(Base::Instant now, const std::vector<Peer::Member> &members, bool idle)
+    /// The hosts that are present, this one among them; call when they change.
+    void setMembers(const std::vector<Peer::Member> &members)
     {
-        if (m_pools.empty() || now - m_started < settleTime) {
-            return;
-        }
         m_rank = Membership::rankOf(m_options.host, dutyName, members);
+    }
+
+    /// @p isIdle: tells whether no request has begun lately; asked only where it matters.
+    void tick(Base::Instant now, const std::function<bool()> &isIdle)
+    {
         const std::optional<std::size_t> mine = m_rank && *m_rank < candidates ? m_rank : std::nullopt;
-        for (Scaling::ScalerAction &action : m_scaler.tick(now, mine, m_pools, idle)) {
+        if (m_pools.empty() || now - m_started < settleTime || (!mine && !m_scaler.isHolder())) {
+            return;
+        }
+        for (Scaling::ScalerAction &action : m_scaler.tick(now, mine, m_pools, isIdle())) {
             std::visit([this](auto &entry) { carryOut(entry); }, action);
         }
     }
--- a/Source/Node/usageduty.h
+++ b/Source/Node/usageduty.h
@@ -76,15 +76,22 @@
         m_own.add(Usage::windowOf(m_clock.at(at), m_options.reporter.window), organisation);
     }
 
-    void tick(Base::Instant now, const std::vector<Peer::Member> &members)
+    /// The hosts that are present, this one among them; call when they change.
+    void setMembers(const std::vector<Peer::Member> &members)
+    {
+        m_rank = Membership::rankOf(m_options.host, dutyName, members);
+        m_collectors = Membership::picked(dutyName, members, collectors);
+        m_holderPresent = std::ranges::find(members, m_holder, &Peer::Member::name) != members.end();
+    }
+
+    void tick(Base::Instant now)
     {
         if (now >= m_nextTell) {
             m_nextTell = now + tellPeriod;
-            tell(now, members);
+            tell(now);
         }
         // Until the other hosts' counts and clocks have come, what would be fixed is not the fleet's.
         const bool settled = now - m_started >= settleTime;
-        m_rank = Membership::rankOf(m_options.host, dutyName, members);
         const std::optional<std::size_t> rank = settled && m_rank && *m_rank < candidates ? m_rank : std::nullopt;
         for (Usage::ReporterAction &action : m_reporter.tick(now, m_clock.at(now), rank, m_fleet)) {
             std::visit([this](auto &entry) { carryOut(entry); }, action);
@@ -108,6 +115,7 @@
         }
         if (received.holder && from != m_options.host) {
             m_holder = from;
+            m_holderPresent = true;
             m_reporter.heardFixed(received.fixedUpTo);
         }
     }
@@ -134,14 +142,13 @@
     /// Hosts that may take over, by rank.
     static constexpr std::size_t candidates = 3;
 
-    void tell(Base::Instant now, const std::vector<Peer::Member> &members)
+    void tell(Base::Instant now)
     {
         const Usage::WindowNumber present = Usage::windowOf(m_clock.at(now), m_options.reporter.window);
         m_own.forgetBefore(present);
         m_fleet.forgetBefore(present);
-        std::vector<std::string> to = Membership::picked(dutyName, members, collectors);
-        const bool holderThere = std::ranges::find(members, m_holder, &Peer::Member::name) != members.end();
-        if (holderThere && std::ranges::find(to, m_holder) == to.end()) {
+        std::vector<std::string> to = m_collectors;
+        if (m_holderPresent && std::ranges::find(to, m_holder) == to.end()) {
             to.push_back(m_holder);
         }
         const Peer::UsageCounts counts {m_clock.at(now), m_own.entries(m_reporter.fixedUpTo())};
@@ -196,6 +203,8 @@
     Base::Instant m_started;
     Base::Instant m_nextTell {};
     std::optional<std::size_t> m_rank;
+    std::vector<std::string> m_collectors;
+    bool m_holderPresent = false;
     std::string m_holder; ///< another host that said that it reports
     std::uint64_t m_reports = 0;
     std::uint64_t m_failures = 0;
--- a/Source/Scaling/scaler.cpp
+++ b/Source/Scaling/scaler.cpp
@@ -253,6 +253,11 @@
     }
 }
 
+bool Scaler::isHolder() const
+{
+    return m_lease.isHeld();
+}
+
 ScalerView Scaler::view(Instant now) const
 {
     ScalerView view {m_lease.isHeld(), m_lease.fence(now).value_or(0), m_rowHost, m_bases, {}};
--- a/Source/Scaling/scaler.h
+++ b/Source/Scaling/scaler.h
@@ -110,6 +110,7 @@
                     const std::optional<Lease::StoredRow> &row);
     void ordered(Base::Instant now, const Order &order, OrderResult result);
 
+    bool isHolder() const;
     ScalerView view(Base::Instant now) const;
 
 private:
--- a/Tests/Usage/usagereportertest.cpp
+++ b/Tests/Usage/usagereportertest.cpp
@@ -329,7 +329,8 @@
                 host.duty->began(m_now, "small");
             }
         }
-        host.duty->tick(m_now, members());
+        host.duty->setMembers(members());
+        host.duty->tick(m_now);
     }
 
     /// Runs @p answer at the process if it still lives, when it is not frozen.
