--- a/Source/Node/scalingduty.h
+++ b/Source/Node/scalingduty.h
@@ -69,7 +69,7 @@
             return;
         }
         for (Scaling::ScalerAction &action : m_scaler.tick(now, mine, m_pools, isIdle())) {
-            std::visit([this](auto &entry) { carryOut(entry); }, action);
+            std::visit([this](auto &entry) { this->carryOut(entry); }, action);
         }
     }
 
--- a/Source/Node/usageduty.h
+++ b/Source/Node/usageduty.h
@@ -94,7 +94,7 @@
         const bool settled = now - m_started >= settleTime;
         const std::optional<std::size_t> rank = settled && m_rank && *m_rank < candidates ? m_rank : std::nullopt;
         for (Usage::ReporterAction &action : m_reporter.tick(now, m_clock.at(now), rank, m_fleet)) {
-            std::visit([this](auto &entry) { carryOut(entry); }, action);
+            std::visit([this](auto &entry) { this->carryOut(entry); }, action);
         }
     }
 
--- a/Tests/Usage/usagereportertest.cpp
+++ b/Tests/Usage/usagereportertest.cpp
@@ -145,21 +145,21 @@
         {
         }
 
-        void readRow(const std::string &, std::function<void(const std::optional<StoredRow> &)> handler)
+        void readRow(const std::string &, const std::function<void(const std::optional<StoredRow> &)> &handler)
         {
-            m_simulation.read(m_host, m_life, std::move(handler));
+            m_simulation.read(m_host, m_life, handler);
         }
 
         void writeRow(const std::string &, std::uint64_t expected, const std::string &value,
-                      std::function<void(WriteResult, std::uint64_t, const std::optional<StoredRow> &)> handler)
+                      const std::function<void(WriteResult, std::uint64_t, const std::optional<StoredRow> &)> &handler)
         {
-            m_simulation.write(m_host, m_life, expected, value, std::move(handler));
+            m_simulation.write(m_host, m_life, expected, value, handler);
         }
 
         void report(const std::string &, const Usage::ReportUsage &report,
-                    std::function<void(ReportResult, const std::string &)> handler)
+                    const std::function<void(ReportResult, const std::string &)> &handler)
         {
-            m_simulation.report(m_host, m_life, report, std::move(handler));
+            m_simulation.report(m_host, m_life, report, handler);
         }
 
     private:
@@ -374,7 +374,7 @@
         return {m_rowVersion, m_rowValue};
     }
 
-    void read(std::size_t host, std::uint64_t life, std::function<void(const std::optional<StoredRow> &)> handler)
+    void read(std::size_t host, std::uint64_t life, const std::function<void(const std::optional<StoredRow> &)> &handler)
     {
         ++m_calls;
         const Duration time = storeTime();
@@ -401,7 +401,7 @@
     }
 
     void write(std::size_t host, std::uint64_t life, std::uint64_t expected, const std::string &value,
-               std::function<void(WriteResult, std::uint64_t, const std::optional<StoredRow> &)> handler)
+               const std::function<void(WriteResult, std::uint64_t, const std::optional<StoredRow> &)> &handler)
     {
         ++m_calls;
         if (m_hosts[host].cutFromStore) {
@@ -432,7 +432,7 @@
     }
 
     void report(std::size_t host, std::uint64_t life, const Usage::ReportUsage &report,
-                std::function<void(ReportResult, const std::string &)> handler)
+                const std::function<void(ReportResult, const std::string &)> &handler)
     {
         ++m_calls;
         m_lastReporter = host;
--- a/Utilities/localfleet.py
+++ b/Utilities/localfleet.py
@@ -162,6 +162,16 @@
     return "\n".join(lines) + "\n"
 
 
+def listens(address):
+    """Whether something takes connections at @p address."""
+    host, port = address.split(":")
+    try:
+        with socket.create_connection((host, int(port)), timeout=1):
+            return True
+    except OSError:
+        return False
+
+
 def up(options):
     site = SITES[options.site]
     directory = pathlib.Path(options.dir)
@@ -239,6 +249,9 @@
         host["settings"] = str(settings)
         save()
     wait_until(lambda: call(platform, "/counts")[0] == 200, "the platform's start")
+    # An endpoint that does not listen yet fails its first runs, and one that is being probed gets one run at a time.
+    for endpoint in fleet["endpoints"]:
+        wait_until(lambda endpoint=endpoint: listens(endpoint["address"]), f"the start of {endpoint['name']}")
     listed = [{"name": host["name"], "address": host["peer"], "role": "router", "state": "live"} for host in fleet["hosts"]]
     call(platform, "/hosts", json.dumps(listed))
     first = fleet["hosts"][0]["operator"]
