Scaling: Regular endpoints stay until the reserve serves

Change: regular engines first make room for the reserve and go when it serves; what the limit cut is ordered again at once; a host of the next rank takes over six seconds later, not fourteen. The test of the plan that expected one regular engine a data centre while a third of the reserve is missing now expects that with the whole of it, and another holds the steps between.

--- a/Source/Scaling/scaler.cpp
+++ b/Source/Scaling/scaler.cpp
@@ -31,7 +31,7 @@
 constexpr Duration betweenShrinks = std::chrono::seconds(5);
 /// A host of the next rank takes over when orders have been needed for so long.
 constexpr Duration takeOverAfter = std::chrono::seconds(2);
-constexpr Duration takeOverStep = std::chrono::seconds(14);
+constexpr Duration takeOverStep = std::chrono::seconds(6);
 constexpr Duration readPeriod = std::chrono::milliseconds(1000);
 constexpr Duration retryPeriod = std::chrono::milliseconds(700);
 constexpr Duration leastOrderTime = std::chrono::milliseconds(500);
@@ -246,7 +246,12 @@
         m_nextTry = now + retryPeriod;
         return;
     }
-    std::erase_if(m_sent, [&](const Sent &entry) { return sameSubject(entry.order, order); });
+    // Regular endpoints that go make room below the limit: what was cut by it is ordered again at once.
+    std::erase_if(m_sent, [&](const Sent &entry) {
+        const bool hasRoomNow
+            = !order.preemptible && entry.order.pool == order.pool && entry.order.dataCentre == order.dataCentre;
+        return sameSubject(entry.order, order) || hasRoomNow;
+    });
     m_sent.push_back({order, now});
     if (!order.preemptible) {
         m_lastShrink = now;
--- a/Source/Scaling/scalingplan.cpp
+++ b/Source/Scaling/scalingplan.cpp
@@ -71,6 +71,11 @@
     const std::uint32_t room = pool.terms.most > regularFloor ? pool.terms.most - regularFloor : 0;
     const std::uint32_t preemptible = std::min(room, dividedUp(base, dataCentres - 1));
     const bool enough = preemptibleOf(pool) >= std::min(base, static_cast<std::uint32_t>(preemptible * dataCentres));
+    const bool allThere
+        = std::ranges::all_of(pool.counts, [&](const DataCentreCounts &counts) { return counts.preemptible >= preemptible; });
+    // The limit counts both kinds: regular endpoints first make room for the rest of the preemptible ones, and go when these
+    // serve. When they went at once, a holder that was cut off then left 90 engines without any reserve, and a withdrawal 60.
+    const std::uint32_t besideAll = std::max(regularFloor, pool.terms.most - preemptible);
     const bool tooFew = static_cast<double>(totalOf(pool)) < leastShareServing * base;
     std::vector<Order> orders;
     for (const DataCentreCounts &counts : pool.counts) {
@@ -78,7 +83,8 @@
         if (tooFew) {
             orders.push_back({pool.pool, counts.dataCentre, false, dividedUp(base, dataCentres)});
         } else if (enough) {
-            orders.push_back({pool.pool, counts.dataCentre, false, regularFloor});
+            const std::uint32_t kept = allThere ? regularFloor : std::max(regularFloor, std::min(counts.regular, besideAll));
+            orders.push_back({pool.pool, counts.dataCentre, false, kept});
         }
     }
     return orders;
--- a/Tests/Scaling/scalertest.cpp
+++ b/Tests/Scaling/scalertest.cpp
@@ -61,7 +61,18 @@
 {
     CHECK_EQUAL(-1, ordered(planFor(atStart(), base), "a", false));
     CHECK_EQUAL(-1, ordered(planFor(pool({{"a", 30, 45}, {"b", 30, 30}, {"c", 30, 0}}), base), "a", false));
-    CHECK_EQUAL(1, ordered(planFor(pool({{"a", 30, 45}, {"b", 30, 45}, {"c", 30, 0}}), base), "a", false));
+    CHECK_EQUAL(1, ordered(planFor(pool({{"a", 30, 45}, {"b", 30, 45}, {"c", 30, 45}}), base), "a", false));
+}
+
+/// The limit of 60 counts both kinds: beside 30 regular engines no more than 30 others come. Half of the regular ones make room
+/// for the reserve; the rest stay until it serves, so that a withdrawal meanwhile leaves as many as were provided.
+TEST(ScalingPlan, regularEnginesMakeRoomForTheReserveBeforeTheyGo)
+{
+    const auto orders = planFor(pool({{"a", 30, 30}, {"b", 30, 30}, {"c", 30, 30}}), base);
+    CHECK_EQUAL(45, ordered(orders, "a", true));
+    CHECK_EQUAL(15, ordered(orders, "a", false));
+    // Once few are left, none come back for it.
+    CHECK_EQUAL(1, ordered(planFor(pool({{"a", 1, 45}, {"b", 1, 45}, {"c", 1, 0}}), base), "a", false));
 }
 
 TEST(ScalingPlan, theLossOfOneDataCentreBringsNoRegularEnginesBack)
@@ -186,6 +197,22 @@
     CHECK_TRUE(parseScalingRow(std::get<WriteRow>(actions.front()).value)->bases == (std::vector<PoolBase> {{"llm", 90}}));
 }
 
+/// What the limit cut off is ordered again when regular engines of the data centre were told to go.
+TEST(Scaler, whatTheLimitCutIsOrderedAgainWhenThereIsRoom)
+{
+    take(atStart());
+    for (int index = 0; index < 3; ++index) {
+        send(2.15 + index * 0.05, atStart());
+    }
+    const ScaledPool half = pool({{"a", 30, 30}, {"b", 30, 30}, {"c", 30, 30}});
+    const Order regular = send(2.5, half);
+    CHECK_FALSE(regular.preemptible);
+    CHECK_EQUAL(15U, regular.count);
+    const Order again = send(2.55, half);
+    CHECK_TRUE(again.preemptible && again.dataCentre == regular.dataCentre);
+    CHECK_EQUAL(45U, again.count);
+}
+
 TEST(Scaler, withoutARankOrPoolsNothingIsDone)
 {
     CHECK_TRUE(scaler.tick(at(10), std::nullopt, {atStart()}, true).empty());
