Logs: Which requests are the same work

Cause: the output of the hosts told requests by name only, which is new with each try, so that the same request sent again could not be told from another. Changed: a hash of organisation, method, path, query and body, made once where a request comes in, stands in `request-ended`.

--- a/Source/Node/front.cpp
+++ b/Source/Node/front.cpp
@@ -254,6 +254,8 @@
     request.expectedTokens = call.expectedTokens;
     request.rank = admitted.rank;
     request.timeLeft = call.timeLeft;
+    admitted.work = Base::mixed(call.work, admitted.organisation);
+    request.work = admitted.work;
     m_admitted.emplace(call.id, std::move(admitted));
     m_home.start(Base::now(), request);
 }
@@ -651,6 +653,7 @@
     const Request::RunReport &run = admitted.lastRun;
     nlohmann::json fields = {{"request", requestName(admitted.id)},
                              {"class", admitted.requestClass.name},
+                             {"work", Base::hexadecimal(admitted.work)},
                              {"outcome", Base::nameOf(Request::outcomeNames, outcome)},
                              {"ms", Base::milliseconds(now - admitted.arrived)},
                              {"status", run.status},
--- a/Source/Node/front.h
+++ b/Source/Node/front.h
@@ -84,6 +84,7 @@
         std::string callersName; ///< of the request, where its protocol has one
         std::string organisationName; ///< told to the endpoint, may be empty
         int rank = 0;
+        std::uint64_t work = 0; ///< see Request::NewRequest
         Base::Instant deadline {};
         Request::RunReport lastRun; ///< of the last run that has ended
         bool engine = true;
--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include "Base/hash.h"
 #include "Base/mailbox.h"
 #include "Base/text.h"
 #include "Http/client.h"
@@ -184,6 +185,7 @@
         event.method = request.method;
         event.path = request.path;
         event.forwarded = forwarded;
+        event.work = workOf(request);
         m_protocol.describe(request, call->state, event);
         const std::uint64_t id = call->id;
         exchange->onClosed([this, id] { callerLeft(id); });
@@ -194,6 +196,12 @@
         m_handler(std::move(event));
     }
 
+    static std::uint64_t workOf(const Http::Request &request)
+    {
+        const std::uint64_t where = Base::hash64(request.query, Base::hash64(request.path, Base::hash64(request.method)));
+        return Base::hash64(request.body, where);
+    }
+
     void callerLeft(std::uint64_t id)
     {
         Call *call = find(id);
