Time: Decisions and timers count the time in which a host is suspended

Changed: Base::now() and the loop's timers read CLOCK_BOOTTIME. Wall clocks still decide nothing. Ruled out: looking for jumps between the steady clock and the time of day, which steps. Time limits inside libcurl and the RPC library still stand still while suspended; they only end calls later.

--- a/Source/Base/loop.cpp
+++ b/Source/Base/loop.cpp
@@ -4,6 +4,7 @@
 #include "Base/loop.h"
 
 #include "Base/log.h"
+#include "Base/time.h"
 
 #include <ace/Event_Handler.h>
 #include <ace/Log_Msg.h>
@@ -147,10 +148,9 @@
 namespace {
 
 /// ACE's own queue counts on the time of day, whose steps would hold timers back or set off all of them at once.
-ACE_Time_Value steadyTime()
+ACE_Time_Value decisionTime()
 {
-    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
-    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(sinceStart).count();
+    const auto micros = now().time_since_epoch().count();
     constexpr std::int64_t microsPerSecond = 1'000'000;
     return ACE_Time_Value(static_cast<time_t>(micros / microsPerSecond), static_cast<suseconds_t>(micros % microsPerSecond));
 }
@@ -158,7 +158,7 @@
 std::unique_ptr<ACE_Timer_Queue> makeTimers()
 {
     auto timers = std::make_unique<ACE_Timer_Heap_Variable_Time_Source>();
-    timers->set_time_policy(&steadyTime);
+    timers->set_time_policy(&decisionTime);
     return timers;
 }
 
--- a/Source/Base/loop.h
+++ b/Source/Base/loop.h
@@ -63,7 +63,7 @@
 
 private:
     class SignalHandler;
-    std::unique_ptr<ACE_Timer_Queue> m_timers; ///< on the monotonic clock
+    std::unique_ptr<ACE_Timer_Queue> m_timers; ///< on the clock of decisions
     ACE_Reactor m_reactor;
     std::unique_ptr<SignalHandler> m_signals;
 };
--- a/Source/Base/time.h
+++ b/Source/Base/time.h
@@ -7,18 +7,23 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace Yokepond::Base {
 
 using Duration = std::chrono::microseconds;
 
-/// A point on the host's monotonic clock. Instants of two hosts cannot be compared.
+/// A point on the host's clock since boot. Instants of two hosts cannot be compared.
 using Instant = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
 /// The present instant; decision code gets it as an argument and never calls this.
 inline Instant now()
 {
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    // std::chrono::steady_clock stands still while a host is suspended: on waking, a lease that ran out would still look held.
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return Instant(
+        std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 /// @p duration in milliseconds, with a fraction.
