Quarantine: What operators see and may do; a test with real hosts; answers that come whole do not tell their begin

Cause: a held work could be seen in logs only and not be released before its time; the process test, written for that, ended six engines in place of three with requests whose answers are no streams: their heads come at the end, so that each ending counted half. Changed: `show quarantine`, `release work ID`, metrics, pages; whether an answer is a stream comes with the request (body, or route of the platform).

--- a/Source/Configuration/catalogue.h
+++ b/Source/Configuration/catalogue.h
@@ -34,6 +34,7 @@
     Base::Duration tokenGap {}; ///< target
     Base::Duration deadline {};
     Base::Duration starvationBound {};
+    bool streams = false; ///< all its answers are streams, which begin with their runs
     bool resumable = false; ///< a stream that broke off may go on at another endpoint from its last event
     bool deadlineEndsRun = false; ///< else the deadline only bounds when a run may start
     std::uint32_t mostRuns = 8; ///< endpoints that one request may be sent to
--- a/Source/Language/plan.cpp
+++ b/Source/Language/plan.cpp
@@ -110,6 +110,12 @@
                          "cancel request acts at once and cannot stand in a transaction with other commands");
     }
 
+    absl::Status operator()(const ReleaseWork &)
+    {
+        return makeError(ErrorKind::InvalidValue,
+                         "release work acts at once and cannot stand in a transaction with other commands");
+    }
+
     std::vector<Mutation> takeMutations()
     {
         return std::move(m_mutations);
--- a/Source/Language/statement.cpp
+++ b/Source/Language/statement.cpp
@@ -250,15 +250,16 @@
     return fields;
 }
 
-enum class Verb { Create, Set, Delete, Drain, Resume, Cancel };
+enum class Verb { Create, Set, Delete, Drain, Resume, Cancel, Release };
 
-constexpr Base::NameTable<Verb, 6> verbNames = {{
+constexpr Base::NameTable<Verb, 7> verbNames = {{
     {Verb::Create, "create"},
     {Verb::Set, "set"},
     {Verb::Delete, "delete"},
     {Verb::Drain, "drain"},
     {Verb::Resume, "resume"},
     {Verb::Cancel, "cancel"},
+    {Verb::Release, "release"},
 }};
 
 Command readCommand(Reader &reader)
@@ -272,6 +273,10 @@
         reader.require("request");
         return CancelRequest {reader.take("a request id")};
     }
+    if (verb == Verb::Release) {
+        reader.require("work");
+        return ReleaseWork {reader.take("the work as `show quarantine` names it")};
+    }
     const Kind kind = reader.takeEnum(Configuration::kindNames, "a kind");
     std::string name = reader.takeName(fmt::format("the name of a {}", Base::nameOf(Configuration::kindNames, kind)));
     if (verb == Verb::Delete) {
--- a/Source/Language/statement.h
+++ b/Source/Language/statement.h
@@ -53,13 +53,32 @@
     std::string id;
 };
 
-using Command = std::variant<Create, Set, Delete, Drain, CancelRequest>;
+/// Lets work run again that is held because endpoints ended under it; not part of the configuration.
+struct ReleaseWork
+{
+    std::string work;
+};
+
+using Command = std::variant<Create, Set, Delete, Drain, CancelRequest, ReleaseWork>;
 
 // Queries
 
-enum class Subject { Requests, Classes, Tiers, Organisations, Pools, Endpoints, Hosts, Dispatchers, Duties, Changes, Settings };
+enum class Subject {
+    Requests,
+    Classes,
+    Tiers,
+    Organisations,
+    Pools,
+    Endpoints,
+    Hosts,
+    Dispatchers,
+    Duties,
+    Quarantine,
+    Changes,
+    Settings
+};
 
-inline constexpr Base::NameTable<Subject, 11> subjectNames = {{
+inline constexpr Base::NameTable<Subject, 12> subjectNames = {{
     {Subject::Requests, "requests"},
     {Subject::Classes, "classes"},
     {Subject::Tiers, "tiers"},
@@ -69,6 +88,7 @@
     {Subject::Hosts, "hosts"},
     {Subject::Dispatchers, "dispatchers"},
     {Subject::Duties, "duties"},
+    {Subject::Quarantine, "quarantine"},
     {Subject::Changes, "changes"},
     {Subject::Settings, "settings"},
 }};
--- a/Source/Node/console.cpp
+++ b/Source/Node/console.cpp
@@ -182,6 +182,10 @@
             cancelRequest(exchange, cancel->id);
             return;
         }
+        if (const auto *release = std::get_if<Language::ReleaseWork>(&commands->front())) {
+            releaseWork(exchange, release->work);
+            return;
+        }
     }
     commit(exchange, account, std::move(*commands));
 }
@@ -231,6 +235,17 @@
                      fmt::format("request '{}' is not under way at this host; its name begins with the host to ask", id)));
 }
 
+void Console::releaseWork(const Exchange &exchange, const std::string &work)
+{
+    std::uint64_t number = 0;
+    if (Base::parseHexadecimal(work, &number) && m_events.releaseWork(number)) {
+        respond(exchange, httpOk, {{"outcome", "accepted"}});
+        return;
+    }
+    refuse(exchange,
+           makeError(ErrorKind::UnknownName, fmt::format("work '{}' is not held; `show quarantine` lists what is", work)));
+}
+
 void Console::awaitHosts(const Exchange &exchange, const Configuration::CommitResult &result)
 {
     auto waiting = std::make_shared<AwaitingHosts>(
--- a/Source/Node/console.h
+++ b/Source/Node/console.h
@@ -25,6 +25,7 @@
     std::function<std::string()> metrics;
     std::function<nlohmann::json()> dump;
     std::function<bool(const std::string &request)> cancelRequest; ///< false if it is not under way here
+    std::function<bool(std::uint64_t work)> releaseWork; ///< false if it is not held
 };
 
 class Console
@@ -58,6 +59,7 @@
     void command(const Exchange &exchange, const OperatorAccount &account);
     void commit(const Exchange &exchange, const OperatorAccount &account, std::vector<Language::Command> commands);
     void cancelRequest(const Exchange &exchange, const std::string &id);
+    void releaseWork(const Exchange &exchange, const std::string &work);
     void awaitHosts(const Exchange &exchange, const Configuration::CommitResult &result);
     void askHosts(Base::Instant now, const std::shared_ptr<AwaitingHosts> &waiting);
     const OperatorAccount *authenticate(const Http::Request &request) const;
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -132,6 +132,12 @@
                                                                      = number && m_home.cancel(Base::now(), *number);
                                                                  settle();
                                                                  return cancelled;
+                                                             },
+                                                         .releaseWork =
+                                                             [this](std::uint64_t work) {
+                                                                 const bool released = m_home.releaseWork(Base::now(), work);
+                                                                 settle();
+                                                                 return released;
                                                              }});
     if (absl::Status status = m_console->start(m_loop); !status.ok()) {
         return status;
@@ -573,6 +579,10 @@
     m_metrics.set("yokepond_retries_total", "", static_cast<double>(m_home.counters().retried));
     m_metrics.set("yokepond_local_runs_total", "", static_cast<double>(m_home.counters().localRuns));
     m_metrics.set("yokepond_stale_grants_total", "", static_cast<double>(m_home.counters().staleGrants));
+    const Request::QuarantineCounters &quarantine = m_home.quarantine().counters();
+    m_metrics.set("yokepond_runs_suspected_total", "", static_cast<double>(quarantine.suspected));
+    m_metrics.set("yokepond_work_held_total", "", static_cast<double>(quarantine.held));
+    m_metrics.set("yokepond_work_cleared_total", "", static_cast<double>(quarantine.cleared));
     if (m_usage != nullptr) {
         const UsageView usage = m_usage->view(Base::now());
         m_metrics.set("yokepond_usage_reports_total", label("result", "accepted"), static_cast<double>(usage.reports));
@@ -612,6 +622,7 @@
             {"members", rows(Language::Subject::Hosts)},
             {"shards", rows(Language::Subject::Dispatchers)},
             {"duties", rows(Language::Subject::Duties)},
+            {"quarantine", rows(Language::Subject::Quarantine)},
             {"endpoints", rows(Language::Subject::Endpoints)},
             {"requests", rows(Language::Subject::Requests)},
             {"settings",
--- a/Source/Node/front.cpp
+++ b/Source/Node/front.cpp
@@ -256,6 +256,7 @@
     request.timeLeft = call.timeLeft;
     admitted.work = Base::mixed(call.work, admitted.organisation);
     request.work = admitted.work;
+    request.streams = call.streams || admitted.requestClass.streams;
     m_admitted.emplace(call.id, std::move(admitted));
     m_home.start(Base::now(), request);
 }
--- a/Source/Node/queries.cpp
+++ b/Source/Node/queries.cpp
@@ -118,7 +118,8 @@
 bool isFleetWide(const Language::Query &query)
 {
     if (const auto *show = std::get_if<Language::Show>(&query)) {
-        constexpr std::array ofEachHost = {Subject::Requests, Subject::Endpoints, Subject::Dispatchers, Subject::Duties};
+        constexpr std::array ofEachHost
+            = {Subject::Requests, Subject::Endpoints, Subject::Dispatchers, Subject::Duties, Subject::Quarantine};
         return std::ranges::find(ofEachHost, show->subject) != ofEachHost.end();
     }
     return true;
@@ -156,6 +157,8 @@
         return dispatchers();
     case Subject::Duties:
         return duties(now);
+    case Subject::Quarantine:
+        return quarantine(now);
     case Subject::Changes:
         return changes();
     case Subject::Classes:
@@ -327,6 +330,19 @@
     return answer;
 }
 
+Answer Queries::quarantine(Base::Instant now) const
+{
+    Answer answer {{"work", "state", "round", "left-s", "host"}, {}, {}};
+    for (const Request::QuarantineView &view : m_home.quarantine().view(now)) {
+        answer.rows.push_back({{"work", Base::hexadecimal(view.work)},
+                               {"state", view.held ? "held" : "cleared"},
+                               {"round", view.round},
+                               {"left-s", std::chrono::duration_cast<std::chrono::seconds>(view.left).count()},
+                               {"host", m_settings.name}});
+    }
+    return answer;
+}
+
 Answer Queries::changes() const
 {
     Answer answer {{"revision", "id", "at", "by", "reason", "objects"}, {}, {}};
--- a/Source/Node/queries.h
+++ b/Source/Node/queries.h
@@ -67,6 +67,7 @@
     Answer hosts() const;
     Answer dispatchers() const;
     Answer duties(Base::Instant now) const;
+    Answer quarantine(Base::Instant now) const;
     Answer changes() const;
     Answer whyRequest(const std::string &name, Base::Instant now) const;
     Answer whyEndpoint(const std::string &name) const;
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -261,7 +261,7 @@
 {
     std::uint64_t work = 0; ///< see Request::NewRequest
     std::uint32_t endpoint = 0;
-    bool justBegan = false; ///< its answer had begun, and hardly more
+    bool justBegan = false; ///< its answer had begun, and hardly more; or it does not tell its begin
 };
 
 /// What is believed of work under which endpoints ended.
--- a/Source/Relay/call.h
+++ b/Source/Relay/call.h
@@ -41,6 +41,7 @@
     std::vector<std::uint64_t> prefix;
     std::vector<std::uint32_t> prefixTokens; ///< tokens up to the end of each entry of prefix; may be empty
     std::string callersName; ///< of the request, where its protocol has one; for logs
+    bool streams = false; ///< its answer is to be a stream
     std::uint64_t work = 0; ///< of method, path, query and body: equal for all tries of the same work, at any host
     Base::Duration timeLeft {}; ///< that the caller will wait; zero: it did not say
     absl::Status error; ///< not OK if the request is not what its path or protocol needs
--- a/Source/Relay/openaiprotocol.cpp
+++ b/Source/Relay/openaiprotocol.cpp
@@ -49,6 +49,7 @@
     event.model = std::move(prompt->model);
     event.promptTokens = prompt->tokens;
     event.prefix = std::move(prompt->prefix);
+    event.streams = prompt->stream;
     state.body = std::move(prompt->body);
 }
 
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -458,9 +458,8 @@
     if (report.stage == RunStage::Whole) {
         m_quarantine.runCompleted(now, pending.request.work);
     } else if (brokeOff(report)) {
-        const Configuration::Pool *pool = m_catalogue->poolNumbered(pending.terms.pool);
-        const bool tellsBegin = pool != nullptr && pool->kind == Configuration::PoolKind::Engine;
-        const bool justBegan = !tellsBegin || (report.status != 0 && report.tokens <= fewEvents);
+        // Of an answer that comes whole nobody knows whether the run had begun.
+        const bool justBegan = !pending.request.streams || (report.status != 0 && report.tokens <= fewEvents);
         m_quarantine.runBroke(now, pending.request.work, pending.endpoint, justBegan);
     }
 }
@@ -573,6 +572,13 @@
     return true;
 }
 
+bool Home::releaseWork(Instant now, std::uint64_t work)
+{
+    const bool released = m_quarantine.release(now, work);
+    enforceQuarantine(now);
+    return released;
+}
+
 /// Ends the request wherever it stands.
 void Home::stopWith(Instant now, Pending &pending, const absl::Status &error)
 {
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -83,6 +83,9 @@
     /// Ends a request by an operator's command; false if it is not under way.
     bool cancel(Base::Instant now, std::uint64_t request);
 
+    /// Lets work run again that is held; false if it is not.
+    bool releaseWork(Base::Instant now, std::uint64_t work);
+
     /// Ends each request that waits for an endpoint, as not run, with @p error.
     void failWaiting(Base::Instant now, const absl::Status &error);
 
--- a/Source/Request/quarantine.cpp
+++ b/Source/Request/quarantine.cpp
@@ -116,6 +116,16 @@
     }
 }
 
+bool Quarantine::release(Instant now, std::uint64_t work)
+{
+    const auto entry = m_entries.find(work);
+    if (entry == m_entries.end() || !entry->second.held) {
+        return false;
+    }
+    clear(now, work, entry->second);
+    return true;
+}
+
 // --- Counting
 
 void Quarantine::receive(Instant now, const std::string &, const Peer::RunBroke &broke)
--- a/Source/Request/quarantine.h
+++ b/Source/Request/quarantine.h
@@ -51,12 +51,15 @@
     bool holds(std::uint64_t work) const;
 
     /// The connection of a run of @p work broke before its answer was whole. @p justBegan: its answer had begun, and hardly
-    /// more; otherwise it may have been waiting there, or have run for long.
+    /// more, or does not tell its begin; otherwise it was waiting there, or had run for long.
     void runBroke(Base::Instant now, std::uint64_t work, std::uint32_t endpoint, bool justBegan);
 
     /// A run of @p work has ended well.
     void runCompleted(Base::Instant now, std::uint64_t work);
 
+    /// An operator lets @p work run again, at all hosts; false if it is not held. It is held anew by as many endings as before.
+    bool release(Base::Instant now, std::uint64_t work);
+
     void receive(Base::Instant now, const std::string &from, const Peer::RunBroke &broke);
     void receive(Base::Instant now, const std::string &from, const Peer::QuarantineNews &news);
 
--- a/Source/Request/types.h
+++ b/Source/Request/types.h
@@ -39,6 +39,7 @@
     std::uint32_t expectedTokens = 0; ///< of the answer, 0 if not known
     int rank = 0; ///< 0: that of the class's tier
     Base::Duration timeLeft {}; ///< that the caller will wait; zero: the class's deadline alone counts
+    bool streams = false; ///< its answer begins with its run, not at the end of it
     std::uint64_t work = 0; ///< equal for all requests of the same organisation, path and body, at any host
 };
 
--- a/Source/Standin/engine.cpp
+++ b/Source/Standin/engine.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
 
 namespace Yokepond::Standin {
 
@@ -94,6 +95,7 @@
     m_faults.refuse = faults->value("refuse", m_faults.refuse);
     m_faults.failPercent = faults->value("fail-percent", m_faults.failPercent);
     m_faults.cutPercent = faults->value("cut-percent", m_faults.cutPercent);
+    m_faults.endsOn = faults->value("ends-on", m_faults.endsOn);
     respondJson(exchange, httpOk, {{"set", true}});
     schedule();
 }
@@ -120,6 +122,7 @@
     run->nonce = Base::hash64(text);
     run->priority = prompt->body.value("priority", 0);
     run->order = m_nextOrder++;
+    run->endsEngine = !m_faults.endsOn.empty() && text.find(m_faults.endsOn) != std::string::npos;
     run->stream = prompt->stream;
     std::geometric_distribution<std::uint32_t> length(1.0 / std::max(1U, m_options.meanTokens));
     run->tokens = std::max(1U, prompt->body.value("max_tokens", 1 + length(m_random)));
@@ -246,6 +249,9 @@
 
 void Engine::produce(const RunPointer &run)
 {
+    if (run->endsEngine) {
+        std::_Exit(EXIT_FAILURE);
+    }
     ++run->produced;
     ++m_tokens;
     if (run->stream) {
--- a/Source/Standin/engine.h
+++ b/Source/Standin/engine.h
@@ -40,6 +40,7 @@
     bool refuse = false; ///< answer 503 to new runs
     std::uint32_t failPercent = 0; ///< of new runs are answered 500
     std::uint32_t cutPercent = 0; ///< of streams are cut at some token
+    std::string endsOn; ///< the process ends as it begins a prompt that holds this text; empty: on none
 };
 
 class Engine
@@ -56,6 +57,7 @@
     {
         std::string request;
         std::uint64_t nonce = 0; ///< hash of the prompt; every token names it
+        bool endsEngine = false;
         int priority = 0;
         std::uint64_t order = 0;
         bool stream = false;
--- a/Tests/Request/fleetload.h
+++ b/Tests/Request/fleetload.h
@@ -343,6 +343,7 @@
         request.prefix = {subject, (std::uint64_t {1} << 63U) + id};
         request.prefixTokens = {terms.sharedTokens, request.promptTokens};
         request.expectedTokens = terms.events * 8;
+        request.streams = true;
         request.work = terms.sameWork ? subject : id;
         m_hosts[host].home->start(m_now, request);
         collect(host);
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -363,9 +363,13 @@
 /// What a run tells of its endpoint goes to whoever counts: only what broke off, and in full only what had just begun.
 TEST(Home, onlyRunsThatBrokeOffAreSuspected)
 {
-    const auto told = [&](int status, std::uint32_t tokens, RunStage stage) {
+    const auto told = [&](int status, std::uint32_t tokens, RunStage stage, bool streams = true) {
         home.start(at(0),
-                   {.id = 1, .requestClass = Tests::numberOf(objects, Kind::Class, "once"), .organisation = 1, .work = 42});
+                   {.id = 1,
+                    .requestClass = Tests::numberOf(objects, Kind::Class, "once"),
+                    .organisation = 1,
+                    .streams = streams,
+                    .work = 42});
         const Peer::Ask ask = lastAsk();
         grant(ask, 0.1, 2);
         home.takeActions();
@@ -383,6 +387,7 @@
     CHECK_TRUE(told(200, 0, RunStage::Sent).front().justBegan);
     CHECK_FALSE(told(0, 0, RunStage::Sent).front().justBegan);
     CHECK_FALSE(told(200, 30, RunStage::Sent).front().justBegan);
+    CHECK_TRUE(told(0, 0, RunStage::Sent, false).front().justBegan);
     CHECK_EQUAL(0U, told(500, 0, RunStage::Sent).size());
     CHECK_EQUAL(0U, told(0, 0, RunStage::NotSent).size());
     CHECK_EQUAL(0U, told(503, 0, RunStage::Refused).size());
