Home: The choice of a shard stands in a file of its own

Changed: what shards said of themselves, and the choice by it, moved to ShardChoice; behaviour and the order of random numbers as before.

--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -46,18 +46,6 @@
 constexpr std::uint32_t fewEvents = 2;
 /// A host that has just started may not know the others yet; it must not take their parts of a shared reserve.
 constexpr std::size_t leastHostsSharing = 6;
-/// Part of its windows by which the shard that has the prompt's prefix may be fuller than another, per thousand.
-constexpr std::uint32_t pressureSlack = 300;
-/// What a shard last said of itself counts this long.
-constexpr Duration shardNewsKept = std::chrono::seconds(2);
-constexpr Duration shardAvoided = std::chrono::seconds(1);
-
-/// Requests that share a long beginning meet in one shard. By the first part of their prompts alone, which thousands of different
-/// beginnings may have in common, each of a pool's shards came to read every one of them.
-std::uint64_t shardAffinity(const NewRequest &request)
-{
-    return request.prefix.empty() ? Base::hash64(fmt::format("{}", request.id)) : Dispatch::sharedBeginning(request.prefix);
-}
 
 /// No time to come back: it would end the endpoint that runs it then.
 absl::Status heldError()
@@ -186,51 +174,10 @@
     ask(now, pending);
 }
 
-const ShardInfo *Home::chooseShard(Instant now, const Pending &pending)
-{
-    std::vector<const ShardInfo *> shards = m_shards->ofPool(pending.terms.pool);
-    std::erase_if(shards,
-                  [&](const ShardInfo *shard) { return m_shardNews[shard->id].avoidedUntil > now || shard->dispatcher.empty(); });
-    if (shards.empty()) {
-        return nullptr;
-    }
-    const std::uint64_t affinity = shardAffinity(pending.request);
-    const auto score = [&](const ShardInfo *shard) { return Base::hash64(fmt::format("{}", shard->id), affinity); };
-    const ShardInfo *first = *std::ranges::max_element(shards, {}, score);
-    if (shards.size() == 1) {
-        return first;
-    }
-    std::erase(shards, first);
-    const ShardInfo *second = shards[m_random() % shards.size()];
-    // The better of two choices (Mitzenmacher, 2001), with a preference for where the prefix was before.
-    const bool firstIsAvoided = pending.avoid != 0 && first->endpoints.size() == 1 && first->endpoints.front() == pending.avoid;
-    return firstIsAvoided || pressureOf(now, first->id) > pressureOf(now, second->id) + pressureSlack ? second : first;
-}
-
-bool Home::someShardIsDown(Instant now, std::uint32_t pool) const
-{
-    return std::ranges::any_of(m_shards->ofPool(pool), [&](const ShardInfo *shard) {
-        const auto news = m_shardNews.find(shard->id);
-        return news != m_shardNews.end() && news->second.down && news->second.avoidedUntil > now;
-    });
-}
-
-std::uint32_t Home::pressureOf(Instant now, std::uint32_t shard) const
-{
-    const auto news = m_shardNews.find(shard);
-    return news == m_shardNews.end() || now - news->second.at > shardNewsKept ? 0 : news->second.pressure;
-}
-
-void Home::hearPressure(Instant now, std::uint32_t shard, std::uint32_t pressure)
-{
-    m_shardNews[shard].pressure = pressure;
-    m_shardNews[shard].at = now;
-}
-
 void Home::ask(Instant now, Pending &pending)
 {
-    const ShardInfo *shard = chooseShard(now, pending);
-    if (shard == nullptr && someShardIsDown(now, pending.terms.pool)) {
+    const ShardInfo *shard = m_shardChoice.choose(now, *m_shards, pending.terms.pool, pending.request, pending.avoid, m_random);
+    if (shard == nullptr && m_shardChoice.someIsDown(now, *m_shards, pending.terms.pool)) {
         backOff(now, pending, downBackOff);
         return;
     }
@@ -248,7 +195,7 @@
     sendAsk(now, pending);
     note(pending, now, Step::Asked,
          fmt::format("dispatcher {}, shard {:08x}, pressure {}/1000", pending.dispatcher, pending.shard,
-                     pressureOf(now, shard->id)));
+                     m_shardChoice.pressureOf(now, shard->id)));
     if (unreachable(pending.dispatcher)) {
         tryLocalWindow(now, pending);
     }
@@ -355,7 +302,7 @@
         }
         return;
     }
-    hearPressure(now, pending->shard, grant.pressure);
+    m_shardChoice.hearPressure(now, pending->shard, grant.pressure);
     if (now > grant.startBy) {
         ++m_counters.staleGrants;
         note(*pending, now, Step::GrantStale, fmt::format("{:.0f} ms late", Base::milliseconds(now - grant.startBy)));
@@ -377,7 +324,7 @@
     note(*pending, now, Step::Refused,
          fmt::format("by {}: {}, pressure {}/1000", from, Base::nameOf(Peer::refusalReasonNames, refusal.reason),
                      refusal.pressure));
-    hearPressure(now, pending->shard, refusal.pressure);
+    m_shardChoice.hearPressure(now, pending->shard, refusal.pressure);
     switch (refusal.reason) {
     case RefusalReason::QueueFull:
         fail(now, *pending, makeError(ErrorKind::Overloaded, "the queue is full of requests of this tier or above; retry later"),
@@ -394,8 +341,7 @@
         // Another shard of the pool may have endpoints that take work.
     case RefusalReason::NoEndpoint:
     case RefusalReason::EndpointsDown:
-        m_shardNews[pending->shard].avoidedUntil = now + shardAvoided;
-        m_shardNews[pending->shard].down = refusal.reason == RefusalReason::EndpointsDown;
+        m_shardChoice.hearNoEndpoint(now, pending->shard, refusal.reason == RefusalReason::EndpointsDown);
         ask(now, *pending);
         break;
     case RefusalReason::NotDispatcher:
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -11,6 +11,7 @@
 #include "Dispatch/shardmap.h"
 #include "Request/localwindow.h"
 #include "Request/quarantine.h"
+#include "Request/shardchoice.h"
 #include "Request/types.h"
 
 #include <cstdint>
@@ -20,7 +21,6 @@
 #include <random>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace Yokepond::Request {
@@ -128,21 +128,8 @@
         std::vector<TraceEntry> trace;
     };
 
-    /// What a shard's last reply said of it.
-    struct ShardNews
-    {
-        std::uint32_t pressure = 0;
-        Base::Instant at {};
-        Base::Instant avoidedUntil {}; ///< it had no endpoint that takes work
-        bool down = false; ///< because all had failed
-    };
-
     void ask(Base::Instant now, Pending &pending);
     void sendAsk(Base::Instant now, Pending &pending);
-    const Dispatch::ShardInfo *chooseShard(Base::Instant now, const Pending &pending);
-    bool someShardIsDown(Base::Instant now, std::uint32_t pool) const;
-    std::uint32_t pressureOf(Base::Instant now, std::uint32_t shard) const;
-    void hearPressure(Base::Instant now, std::uint32_t shard, std::uint32_t pressure);
     void doWithoutDispatcher(Base::Instant now, Pending &pending);
     void tryLocalWindow(Base::Instant now, Pending &pending);
     void beginRun(Base::Instant now, Pending &pending, std::uint32_t endpoint, Base::Instant startBy, std::uint32_t keeper = 0);
@@ -173,7 +160,7 @@
     std::size_t m_hosts = 1;
     std::set<std::string> m_unreachable; ///< suspected members, and those that have not been heard of since
     std::map<std::uint64_t, Pending> m_pending;
-    std::unordered_map<std::uint32_t, ShardNews> m_shardNews;
+    ShardChoice m_shardChoice;
     std::map<std::uint32_t, Base::TokenBucket> m_budgets; ///< retries, by pool
     std::set<std::uint32_t> m_reported; ///< shards that had permits in the last report
     LocalWindow m_localWindow;
