--- a/Source/Request/quarantine.cpp
+++ b/Source/Request/quarantine.cpp
@@ -33,7 +33,7 @@
 constexpr Duration heldFor = std::chrono::minutes(10);
 /// Longer than work is held, so that the endings before count for the try after it.
 constexpr Duration endingsKept = heldFor * 2;
-/// An endpoint that ends has some 100 runs, and a host counts 1 in 195 of those of a fleet of 390: 40 kB an ending of all 600.
+/// An endpoint that ends has some 100 runs, slots and queue: those of 40 endpoints at a time, in 0.4 MB. The oldest are forgotten.
 constexpr std::size_t mostSuspicions = 4096;
 /// At 14 requests a second and host, the target's share, five minutes.
 constexpr std::size_t mostCompleted = 4096;
