--- a/Tests/Request/quarantinetest.cpp
+++ b/Tests/Request/quarantinetest.cpp
@@ -311,7 +311,7 @@
     hosts.messages = 0;
     hosts.run(60'000);
     // Two a second and host, and no answers: all know the same.
-    CHECK_TRUE(hosts.messages <= 8 * 120);
+    CHECK_TRUE(hosts.messages <= std::size_t {8} * 120);
 }
 
 /// Many works that end endpoints, and ten thousand that are only near when one ends: what is kept is bounded, and so is what is
@@ -329,7 +329,7 @@
     hosts.messages = 0;
     hosts.run(10'000);
     // Those that were dropped here and there differ for a while.
-    CHECK_TRUE(hosts.messages <= 8 * 20 * 4);
+    CHECK_TRUE(hosts.messages <= std::size_t {8} * 20 * 4);
 }
 
 /// Any mix of endings, good ends, cuts and restarts: five quiet seconds later all hosts hold the same, and nothing that ended
