Site watch: What a whole read does not list is gone, also of what other hosts told

Cause: a host that begins to follow the store reads the whole list; only what its own watch had read before was taken for missing. It kept engines that had gone without a word, told others its version, and nobody who took it asked for what lay before. Changed: the read is compared with all endpoints that this host believes in, up to the version of the read; the configuration is left aside.

--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -187,7 +187,8 @@
                                             {"out-ms", Base::milliseconds(news.outFor)},
                                             {"reason", Base::messageOf(news.error)}});
                                  m_fleet->noteStore(news.answers);
-                             }});
+                             },
+                         .endpoints = [this] { return m_fleet->endpointRecords(); }});
 }
 
 void Daemon::startDuties()
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -376,6 +376,14 @@
     }
 }
 
+std::vector<Configuration::Record> Fleet::endpointRecords() const
+{
+    std::vector<Configuration::Record> found;
+    std::ranges::transform(m_records.present(Configuration::RecordKind::Endpoint), std::back_inserter(found),
+                           [](const Configuration::Record *record) { return *record; });
+    return found;
+}
+
 void Fleet::expectRecord(const Configuration::Record &record)
 {
     m_records.expect(record);
--- a/Source/Node/fleet.h
+++ b/Source/Node/fleet.h
@@ -58,6 +58,9 @@
     /// Takes in what the platform's records say now.
     void takeRecords(const std::vector<Configuration::Record> &records);
 
+    /// The platform's records of endpoints that are there, whoever told of them.
+    std::vector<Configuration::Record> endpointRecords() const;
+
     /// Notes that a record is known of and not believed yet.
     void expectRecord(const Configuration::Record &record);
 
--- a/Source/Node/sitewatch.h
+++ b/Source/Node/sitewatch.h
@@ -65,6 +65,7 @@
     std::function<void(std::vector<Configuration::Record> records)> records; ///< to be merged
     std::function<void(const Configuration::Record &record)> heldBack; ///< known of, not believed yet
     std::function<void(const StoreNews &news)> storeAnswers; ///< when it changes
+    std::function<std::vector<Configuration::Record>()> endpoints; ///< those that this host believes in, whoever told it
 };
 
 /// Tells what it reads by records(); what is held there already is passed over by its version.
@@ -202,11 +203,20 @@
         }
     }
 
-    /// What a whole read does not list is gone, as of that read.
-    static void addMissing(Table &table, Platform::FeedPage &page)
+    /// What a whole read does not list is gone, as of that read; also what only other hosts have told, since the version of the
+    /// read is passed on as one up to which nothing is lacking.
+    void addMissing(const Table &table, Platform::FeedPage &page) const
     {
+        std::map<std::string, std::uint64_t> there = table.known;
+        if (table.kind == Configuration::RecordKind::Endpoint) {
+            for (const Record &record : m_events.endpoints()) {
+                if (record.version <= page.version) {
+                    there.try_emplace(record.key, record.version);
+                }
+            }
+        }
         std::vector<Record> missing;
-        for (const auto &[key, version] : table.known) {
+        for (const auto &[key, version] : there) {
             if (std::ranges::find(page.records, key, &Record::key) == page.records.end()) {
                 missing.push_back({table.kind, key, std::max(version + 1, page.version), true, {}});
             }
--- a/Tests/Node/sitewatchtest.cpp
+++ b/Tests/Node/sitewatchtest.cpp
@@ -58,13 +58,15 @@
     std::vector<Record> told;
     std::vector<Record> heldBack;
     std::vector<bool> answers;
+    std::vector<Record> believed; ///< of endpoints, as other hosts told
     Node::SiteWatch<FakeFeed> watch {
         feed,
         {},
         1,
         {.records = [this](std::vector<Record> records) { std::ranges::move(records, std::back_inserter(told)); },
          .heldBack = [this](const Record &record) { heldBack.push_back(record); },
-         .storeAnswers = [this](const Node::StoreNews &news) { answers.push_back(news.answers); }}};
+         .storeAnswers = [this](const Node::StoreNews &news) { answers.push_back(news.answers); },
+         .endpoints = [this] { return believed; }}};
 
     void tickAfter(Base::Duration delay)
     {
@@ -125,6 +127,34 @@
     CHECK_TRUE(answers == std::vector<bool> {true});
 }
 
+/// What was seen: requests went to endpoints up to 1.3 s after all hosts had to know that their records were gone. How it came
+/// about: hosts are stopped and started in turn, and another one begins to follow the store. Its first call reads the whole list,
+/// as of a version after ten records went; it passed that version on, and all who took it never asked for what lay before. Cause:
+/// of a whole read only what this watch itself had read before was taken for missing, not what other hosts had told. Proof: in
+/// the output of all hosts 40 of them held ten endpoints too many at one version, all told by the host that had just begun to
+/// follow.
+TEST(SiteWatch, aHostThatBeginsToFollowTellsWhatIsGoneOfWhatOthersToldIt)
+{
+    believed = {live("e1", 3), live("e2", 4), live("e3", 30)};
+    tickAfter({});
+    answer(Platform::FeedPage {{live("e1", 3)}, 20});
+    CHECK_EQUAL(2U, told.size());
+    CHECK_TRUE(told[1] == gone("e2", 20));
+}
+
+/// As before, while the platform may drop the records of endpoints that live.
+TEST(SiteWatch, whatOthersToldIsBelievedGoneOnlyLaterAfterAnOutage)
+{
+    believed = {live("e2", 4)};
+    tickAfter({});
+    fail(Base::ErrorKind::StoreUnavailable);
+    tickAfter(std::chrono::seconds(1));
+    answer(Platform::FeedPage {{live("e1", 3)}, 20});
+    CHECK_EQUAL(1U, told.size());
+    CHECK_EQUAL(1U, heldBack.size());
+    CHECK_TRUE(heldBack.front() == gone("e2", 20));
+}
+
 TEST(SiteWatch, anEndpointDroppedDuringAnOutageIsBelievedGoneOnlyLater)
 {
     failAfterTwoAreKnown(Base::ErrorKind::StoreUnavailable);
