Logs: The rate that an endpoint names is read, and told when it changes

Cause: of an endpoint's answer only its kind reached the decisions; no log told that endpoints had named a limit, nor at which endpoint a request ran that was a success at once. Change: the platform's header is decoded once into a typed field (a decimal of at least 0; what is none is told and changes nothing), our own interface has Yokepond-Requests-Per-Second for it. The relay tells the home before any of the answer goes on; the home keeps the newest word of an endpoint and logs endpoint-rate when it changes. request-ended names the endpoint. Nothing acts on it yet.

--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 43> eventNames = {{
+constexpr NameTable<LogEvent, 45> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -34,6 +34,8 @@
     {LogEvent::EndpointEjected, "endpoint-ejected"},
     {LogEvent::EndpointGone, "endpoint-gone"},
     {LogEvent::EndpointReturned, "endpoint-returned"},
+    {LogEvent::EndpointRate, "endpoint-rate"},
+    {LogEvent::RateUnreadable, "rate-unreadable"},
     {LogEvent::ReadingSpeedLearned, "reading-speed-learned"},
     {LogEvent::LongestPauseLearned, "longest-pause-learned"},
     {LogEvent::MemberChanged, "member-changed"},
--- a/Source/Base/log.h
+++ b/Source/Base/log.h
@@ -40,6 +40,8 @@
     EndpointEjected,
     EndpointGone,
     EndpointReturned,
+    EndpointRate,
+    RateUnreadable,
     ReadingSpeedLearned,
     LongestPauseLearned,
     MemberChanged,
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -325,6 +325,10 @@
         {
             front.callerLeft(left.id);
         }
+        void operator()(const Relay::RateStated &stated) const
+        {
+            front.rateStated(stated);
+        }
         void operator()(Relay::RunOver &over) const
         {
             front.runOver(std::move(over));
--- a/Source/Node/front.cpp
+++ b/Source/Node/front.cpp
@@ -499,7 +499,8 @@
         m_home.runEnded(Base::now(), {.id = run.id, .stage = Request::RunStage::Stale});
         return;
     }
-    const Admitted &admitted = entry->second;
+    Admitted &admitted = entry->second;
+    admitted.endpoint = endpoint->name;
     Relay::Run command;
     command.id = run.id;
     command.requestName = requestName(run.id.request);
@@ -516,6 +517,7 @@
     command.engine = admitted.engine;
     command.priority = admitted.rank == 0 ? admitted.requestClass.rank : admitted.rank;
     command.repeatable = admitted.requestClass.repeatable;
+    command.tellRate = run.tellRate;
     command.holdAnswer = !admitted.operationKey.empty();
     command.operationKey = admitted.operationKey;
     command.fence
@@ -529,6 +531,11 @@
     m_events.relay(Relay::Stop {cancel.request});
 }
 
+void Front::rateStated(const Relay::RateStated &stated)
+{
+    m_home.rateStated(Base::now(), stated.id, stated.stated);
+}
+
 void Front::runOver(Relay::RunOver over)
 {
     const auto entry = m_admitted.find(over.report.id.request);
@@ -657,6 +664,7 @@
                              {"work", Base::hexadecimal(admitted.work)},
                              {"outcome", Base::nameOf(Request::outcomeNames, outcome)},
                              {"ms", Base::milliseconds(now - admitted.arrived)},
+                             {"endpoint", admitted.endpoint},
                              {"status", run.status},
                              {"first-ms", Base::milliseconds(run.firstToken)},
                              {"events", run.tokens},
--- a/Source/Node/front.h
+++ b/Source/Node/front.h
@@ -44,6 +44,7 @@
     // From the relay
     void arrived(const Relay::CallArrived &call);
     void callerLeft(std::uint64_t id);
+    void rateStated(const Relay::RateStated &stated);
     void runOver(Relay::RunOver over);
 
     // From the home
@@ -83,6 +84,7 @@
         std::string path; ///< at the endpoint
         std::string callersName; ///< of the request, where its protocol has one
         std::string organisationName; ///< told to the endpoint, may be empty
+        std::string endpoint; ///< of the last run, empty before the first
         int rank = 0;
         std::uint64_t work = 0; ///< see Request::NewRequest
         Base::Instant deadline {};
--- a/Source/Relay/openaiprotocol.cpp
+++ b/Source/Relay/openaiprotocol.cpp
@@ -106,6 +106,11 @@
     return events || head.status >= httpServerError ? AnswerKind::Failed : AnswerKind::Body;
 }
 
+Rate::StatedRate OpenAiProtocol::statedRate(const AnswerHead &head) const
+{
+    return Rate::parseStatedRate(Http::headerValue(head.headers, statedRateHeader));
+}
+
 Http::Headers OpenAiProtocol::streamHeaders(const Run &run, const AnswerHead &) const
 {
     return {{"content-type", std::string(Http::eventStreamType)},
--- a/Source/Relay/openaiprotocol.h
+++ b/Source/Relay/openaiprotocol.h
@@ -12,6 +12,9 @@
 
 namespace Yokepond::Relay {
 
+/// Of an endpoint's answer: the requests a second that it takes from all hosts together.
+inline constexpr std::string_view statedRateHeader = "yokepond-requests-per-second";
+
 class OpenAiProtocol
 {
 public:
@@ -29,6 +32,7 @@
                             const std::string &lastEventId) const;
     std::optional<Http::Transfer> rejoin(const Run &run, const std::string &lastEventId) const;
     AnswerKind judge(const Run &run, const AnswerHead &head) const;
+    Rate::StatedRate statedRate(const AnswerHead &head) const;
     Http::Headers streamHeaders(const Run &run, const AnswerHead &head) const;
     Http::Headers bodyHeaders(const Run &run, const AnswerHead &head) const;
 };
--- a/Source/Relay/protocol.h
+++ b/Source/Relay/protocol.h
@@ -8,6 +8,7 @@
 
 #include "Http/client.h"
 #include "Http/message.h"
+#include "Rate/statedrate.h"
 #include "Relay/call.h"
 
 #include <concepts>
@@ -50,6 +51,10 @@
           {
               protocol.judge(run, head)
           } -> std::same_as<AnswerKind>;
+          /// The requests a second that the endpoint says it takes from all hosts together.
+          {
+              protocol.statedRate(head)
+          } -> std::same_as<Rate::StatedRate>;
           /// The headers the caller gets with a stream, and with a whole body.
           {
               protocol.streamHeaders(run, head)
--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -325,6 +325,7 @@
             if (Call *found = find(id)) {
                 found->head = {status, headers};
                 found->kind = m_protocol.judge(found->run, found->head);
+                tellRate(*found);
             }
         };
         events.onBytes = [this, id](std::string_view bytes) {
@@ -341,6 +342,19 @@
         call.transfer = m_client->start(std::move(transfer), std::move(events));
     }
 
+    /// Before any of the answer goes to the caller, so that the home knows at least as much as the caller.
+    void tellRate(const Call &call)
+    {
+        if (call.kind == AnswerKind::Gone) {
+            // Another endpoint's word.
+            return;
+        }
+        const Rate::StatedRate stated = m_protocol.statedRate(call.head);
+        if (call.run.tellRate || stated.statement != Rate::Statement::None) {
+            m_handler(RateStated {call.run.id, stated});
+        }
+    }
+
     void received(Call &call, std::string_view bytes)
     {
         if (call.kind != AnswerKind::Events) {
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -117,6 +117,7 @@
     const auto before = std::exchange(m_shards, std::move(shards));
     m_catalogue = std::move(catalogue);
     m_hosts = members.size();
+    m_rates.updateView(*m_catalogue);
     m_quarantine.updateView(now, members, m_catalogue->policies().mostEndings);
     m_unreachable.clear();
     for (const Peer::Member &member : members) {
@@ -261,7 +262,8 @@
     };
     const std::string taken = keeper == 0 ? "" : fmt::format(", its prompt kept by {}", nameOf(keeper));
     note(pending, now, Step::Started, fmt::format("endpoint {}{}", nameOf(endpoint), taken));
-    m_actions.emplace_back(StartRun {{pending.request.id, pending.attempt}, endpoint, startBy, keeper});
+    const bool tellRate = m_rates.of(endpoint).isLimited();
+    m_actions.emplace_back(StartRun {{pending.request.id, pending.attempt}, endpoint, startBy, tellRate, keeper});
 }
 
 void Home::receive(Instant, const std::string &from, const Peer::Queued &queued)
@@ -372,6 +374,14 @@
                                                         report.gap, report.tokens, report.longestGap}});
 }
 
+void Home::rateStated(Instant now, const Peer::AttemptId &id, const Rate::StatedRate &stated)
+{
+    const Pending *pending = find(id.request);
+    if (pending != nullptr && pending->phase == Phase::Running && pending->attempt == id.attempt) {
+        m_rates.said(now, pending->endpoint, stated);
+    }
+}
+
 void Home::runEnded(Instant now, const RunReport &report)
 {
     Pending *pending = find(report.id.request);
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -9,6 +9,7 @@
 #include "Base/tokenbucket.h"
 #include "Configuration/catalogue.h"
 #include "Dispatch/shardmap.h"
+#include "Rate/endpointrates.h"
 #include "Request/localwindow.h"
 #include "Request/quarantine.h"
 #include "Request/shardchoice.h"
@@ -77,6 +78,9 @@
     void receive(Base::Instant now, const std::string &from, const Peer::RunBroke &broke);
     void receive(Base::Instant now, const std::string &from, const Peer::QuarantineNews &news);
 
+    /// The answer of a run has begun and says @p stated of its endpoint.
+    void rateStated(Base::Instant now, const Peer::AttemptId &id, const Rate::StatedRate &stated);
+
     void runEnded(Base::Instant now, const RunReport &report);
     void callerGone(Base::Instant now, std::uint64_t request);
 
@@ -165,6 +169,7 @@
     std::set<std::uint32_t> m_reported; ///< shards that had permits in the last report
     LocalWindow m_localWindow;
     Quarantine m_quarantine;
+    Rate::EndpointRates m_rates;
     Base::Instant m_nextReport {};
     std::deque<std::pair<std::uint64_t, std::vector<TraceEntry>>> m_ended;
     HomeCounters m_counters;
--- a/Source/Request/types.h
+++ b/Source/Request/types.h
@@ -80,6 +80,7 @@
     Peer::AttemptId id;
     std::uint32_t endpoint = 0;
     Base::Instant startBy {};
+    bool tellRate = false; ///< whether its answer states a rate is to be told, also if it states none
     std::uint32_t keeper = 0; ///< endpoint that keeps a part of the prompt which @p endpoint is to take over, 0 for none
 };
 
--- a/Tests/Platform/requestprotocoltest.cpp
+++ b/Tests/Platform/requestprotocoltest.cpp
@@ -58,6 +58,22 @@
     }
 };
 
+TEST(RequestProtocol, theRateThatAnEndpointStatesIsTypedOnce)
+{
+    const auto stated = [&](int status, const char *text) {
+        return protocol.statedRate({status, {{std::string(Names::statedRate), text}}});
+    };
+    CHECK_TRUE(protocol.statedRate({200, answer()}).statement == Rate::Statement::None);
+    CHECK_TRUE(stated(200, "0.2").statement == Rate::Statement::Limit);
+    DOUBLES_EQUAL(0.2, stated(200, "0.2").perSecond, 1e-9);
+    DOUBLES_EQUAL(3.0, stated(500, " 3 ").perSecond, 1e-9);
+    CHECK_TRUE(stated(503, "0").statement == Rate::Statement::Limit);
+    DOUBLES_EQUAL(Rate::largestRate, stated(200, "100000000000000000000").perSecond, 1e-9);
+    for (const char *text : {"", "-1", "many", "1 2", "nan", "inf", "1e3", "0x10", "1,5"}) {
+        CHECK_TRUE(stated(200, text).statement == Rate::Statement::Unreadable);
+    }
+}
+
 TEST(RequestProtocol, headersBecomeTypedFields)
 {
     const Relay::CallArrived call = described();
