Shard: Whether an ask can be on time stands in a file of its own

Cause: shard.cpp had grown by what rates and retries need, and its longest part, the foretelling of lateness, touches none of the shard's own state. Change: Prospects judges the asks of one moment: lateness, waits by the rates of endpoints, what begins in vain. No change of behaviour.

--- /dev/null
+++ b/Source/Dispatch/prospects.h
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+/// @file
+/// Whether asks can still be on time, as far as it can be told of one moment.
+
+#pragma once
+
+#include "Dispatch/endpointstates.h"
+#include "Dispatch/queuedask.h"
+#include "Dispatch/soonestfirsttoken.h"
+
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace Yokepond::Dispatch {
+
+using Placement = std::variant<RoundRobin, LeastLoaded, PrefixAffinity, SoonestFirstToken>;
+
+/// What is to be served before an ask.
+struct Ahead
+{
+    Base::Duration work {};
+    std::size_t asks = 0;
+};
+
+struct Prospect
+{
+    Base::Duration late {}; ///< by which the first token must be expected to miss its target; zero if it need not
+    bool inVain = false; ///< it cannot begin before its deadline
+};
+
+/// Of one shard at one moment; what several asks have in common is found once, when it is first needed.
+class Prospects
+{
+public:
+    /// @p refuseLate: whether asks are to be judged by their targets, and not by their deadlines alone.
+    Prospects(Base::Instant now, const EndpointStates &endpoints, const Placement &placement, bool refuseLate);
+
+    /// Whether what is ahead of an ask tells anything about it.
+    bool dependOnOthers();
+
+    Prospect of(const QueuedAsk &ask, const Ahead &ahead);
+
+private:
+    Base::Duration lateness(const QueuedAsk &ask, const Ahead &ahead);
+    const std::optional<PooledPace> &pace();
+    /// How long the rates of the endpoints keep an ask behind @p asks; zero if some endpoint limits none.
+    Base::Duration pacedWait(std::size_t asks);
+
+    Base::Instant m_now;
+    const EndpointStates &m_endpoints;
+    const Placement &m_placement;
+    bool m_refuseLate;
+    std::vector<Candidate> m_usable;
+    std::map<int, LeastBacklog> m_leastBacklogs; ///< by rank
+    std::optional<std::optional<PooledPace>> m_pace;
+};
+
+} // namespace Yokepond::Dispatch
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -82,7 +82,7 @@
     return TieredOrder(policies.guaranteedPercent / percent);
 }
 
-Shard::Placement Shard::makePlacement(const Policies &policies)
+Placement Shard::makePlacement(const Policies &policies)
 {
     switch (policies.placement) {
     case Configuration::PlacementPolicy::RoundRobin:
@@ -249,10 +249,9 @@
         return;
     }
     m_lateRefusals.earn(queued.terms.rank);
-    LatenessView view;
-    const bool judged = m_catalogue->policies().refuseLate || allLimitTheirRate(now, view);
-    const Ahead ahead = judged ? aheadOf(queued) : Ahead {};
-    if (const Prospect prospect = prospectOf(now, queued, ahead, view); mayRefuse(queued, prospect)) {
+    Prospects prospects(now, m_endpoints, m_placement, m_catalogue->policies().refuseLate);
+    const Ahead ahead = prospects.dependOnOthers() ? aheadOf(queued) : Ahead {};
+    if (const Prospect prospect = prospects.of(queued, ahead); mayRefuse(queued, prospect)) {
         refuse(queued, RefusalReason::TooLate, prospect.late + leastRetryAfterLate);
         return;
     }
@@ -301,48 +300,6 @@
     return static_cast<double>(ahead) / m_grantsPerSecond > Base::seconds(ask.deadline - now);
 }
 
-/// By how much the first token must be expected to miss its target even if the ask were served next; zero if it need not.
-Duration Shard::lateness(Instant now, const QueuedAsk &ask, const Ahead &ahead, LatenessView &view) const
-{
-    // A later attempt has waited already for what was not its fault.
-    const bool laterAttempt = ask.key.id.attempt > 1 && !ask.ask.retry;
-    if (!m_catalogue->policies().refuseLate || laterAttempt) {
-        return Duration::zero();
-    }
-    const Duration paced = pacedWait(now, ahead.asks, view);
-    const bool modelled = std::visit([&](const auto &placement) { return placement.work(ask); }, m_placement) > Duration::zero();
-    if (!modelled) {
-        // Where no prompts are read only the rate of the endpoints tells anything.
-        return paced > Duration::zero() ? std::max(Duration::zero(), now + paced - ask.patience()) : Duration::zero();
-    }
-    if (view.usable.empty()) {
-        view.usable = usableOf(m_endpoints, now);
-    }
-    const Duration behindWork = ahead.work / std::max<std::int64_t>(1, static_cast<std::int64_t>(view.usable.size()));
-    const Duration wait = std::max(paced, behindWork);
-    return std::visit(
-        [&](const auto &placement) {
-            const auto [least, added] = view.leastBacklogs.try_emplace(ask.terms.rank);
-            if (added) {
-                least->second = placement.leastBacklog(ask.terms.rank, view.usable, now);
-            }
-            const Duration atMost = placement.expectedAtMost(ask, least->second);
-            if (atMost < Duration::max() && now + wait + atMost <= ask.patience()) {
-                return Duration::zero();
-            }
-            return std::max(Duration::zero(), now + wait + placement.expected(ask, view.usable, now) - ask.patience());
-        },
-        m_placement);
-}
-
-Shard::Prospect Shard::prospectOf(Instant now, const QueuedAsk &ask, const Ahead &ahead, LatenessView &view) const
-{
-    const Duration late = lateness(now, ask, ahead, view);
-    const Instant begins = now + pacedWait(now, ahead.asks, view);
-    const bool inVain = begins >= ask.deadline;
-    return {inVain ? std::max(late, begins - ask.patience()) : late, inVain};
-}
-
 /// What cannot begin before its deadline would wait in vain, whatever its tier; else a tier has to have refusals left.
 bool Shard::mayRefuse(const QueuedAsk &ask, const Prospect &prospect)
 {
@@ -350,20 +307,7 @@
         || (prospect.late > Duration::zero() && m_lateRefusals.spend(ask.terms.rank, poolTerms().lowestRank()));
 }
 
-bool Shard::allLimitTheirRate(Instant now, LatenessView &view) const
-{
-    if (!view.pace) {
-        view.pace = pooledPace(m_endpoints, now);
-    }
-    return view.pace->has_value();
-}
-
-Duration Shard::pacedWait(Instant now, std::size_t asks, LatenessView &view) const
-{
-    return allLimitTheirRate(now, view) ? (*view.pace)->waitBehind(asks) : Duration::zero();
-}
-
-Shard::Ahead Shard::aheadOf(const QueuedAsk &ask) const
+Ahead Shard::aheadOf(const QueuedAsk &ask) const
 {
     Ahead ahead;
     for (const QueuedAsk *other : queuedAsks()) {
@@ -386,10 +330,10 @@
     std::vector<const QueuedAsk *> inOrder = queuedAsks();
     std::ranges::sort(inOrder, {}, [](const QueuedAsk *ask) { return std::pair(ask->terms.rank, ask->arrival); });
     std::vector<std::pair<QueuedAsk, Prospect>> late;
-    LatenessView view;
+    Prospects prospects(now, m_endpoints, m_placement, true);
     Ahead ahead;
     for (const QueuedAsk *ask : inOrder) {
-        const Prospect prospect = prospectOf(now, *ask, ahead, view);
+        const Prospect prospect = prospects.of(*ask, ahead);
         if (prospect.late > Duration::zero()) {
             late.emplace_back(*ask, prospect);
         }
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -12,10 +12,10 @@
 #include "Dispatch/order.h"
 #include "Dispatch/placement.h"
 #include "Dispatch/poolterms.h"
+#include "Dispatch/prospects.h"
 #include "Dispatch/queuedask.h"
 #include "Dispatch/retrybudget.h"
 #include "Dispatch/shardmap.h"
-#include "Dispatch/soonestfirsttoken.h"
 
 #include <cstdint>
 #include <map>
@@ -99,7 +99,6 @@
 
 private:
     using Order = std::variant<FifoOrder, TieredOrder>;
-    using Placement = std::variant<RoundRobin, LeastLoaded, PrefixAffinity, SoonestFirstToken>;
 
     struct Permit
     {
@@ -113,27 +112,6 @@
         Base::Instant expires = Base::Instant::max(); ///< a run cannot last longer; its release must have been lost
     };
 
-    /// What looks at one moment share, found when first needed.
-    struct LatenessView
-    {
-        std::vector<Candidate> usable;
-        std::map<int, LeastBacklog> leastBacklogs; ///< by rank
-        std::optional<std::optional<PooledPace>> pace;
-    };
-
-    /// What is to be served before an ask.
-    struct Ahead
-    {
-        Base::Duration work {};
-        std::size_t asks = 0;
-    };
-
-    struct Prospect
-    {
-        Base::Duration late {}; ///< by which the first token must be expected to miss its target; zero if it need not
-        bool inVain = false; ///< it cannot begin before its deadline
-    };
-
     static Order makeOrder(const Configuration::Policies &policies);
     static Placement makePlacement(const Configuration::Policies &policies);
     Window makeWindow(std::uint32_t slots) const;
@@ -157,13 +135,8 @@
     std::uint32_t room(const EndpointState &state, Base::Instant now) const;
     void grant(Base::Instant now, const QueuedAsk &ask, std::uint32_t endpoint);
     void dropPermit(const AskKey &key, const SeenTokens &seen = {});
-    Base::Duration lateness(Base::Instant now, const QueuedAsk &ask, const Ahead &ahead, LatenessView &view) const;
-    Prospect prospectOf(Base::Instant now, const QueuedAsk &ask, const Ahead &ahead, LatenessView &view) const;
     bool mayRefuse(const QueuedAsk &ask, const Prospect &prospect);
     Ahead aheadOf(const QueuedAsk &ask) const;
-    bool allLimitTheirRate(Base::Instant now, LatenessView &view) const;
-    /// How long the rates of the endpoints keep an ask behind @p asks; zero if some endpoint limits none.
-    Base::Duration pacedWait(Base::Instant now, std::size_t asks, LatenessView &view) const;
     void refuseLate(Base::Instant now);
     void dropExpired(Base::Instant now);
     void ejectBad(Base::Instant now);
