Retries: Only where the pool has room to spare

Change: a retry is accepted only if its first token can be expected within a quarter of the target from its coming on; else the request ends with the failure it had, in any tier. A quarter is chosen: about the time that an engine without a backlog takes to read the longest usual prompt.

--- a/Source/Dispatch/queuedask.h
+++ b/Source/Dispatch/queuedask.h
@@ -63,10 +63,12 @@
     }
 
     /// When the first token must have come for the ask not to be given up for others. A retry has lost time by what was not its
-    /// fault: it is given up where an ask that came with it would be.
+    /// fault, so that it counts from its own coming; but it is only for a pool with room to spare, since where there is none it makes
+    /// first tries late that have cost no run yet.
     Base::Instant patience() const
     {
-        return (ask.retry ? received : arrival) + terms.firstToken;
+        constexpr int partForRetry = 4;
+        return ask.retry ? received + terms.firstToken / partForRetry : target();
     }
 };
 
