--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -436,7 +436,7 @@
     Peer::Ask granted(std::uint64_t id, double now, const Rate::RateWord &rate = {})
     {
         start(id, "alert", now);
-        const Peer::Ask ask = lastAsk();
+        Peer::Ask ask = lastAsk();
         home.receive(at(now), "h2", Peer::Grant {ask.id, endpoint, at(now + 2), 0, 0, rate});
         return ask;
     }
