--- a/Source/Dispatch/queuedask.h
+++ b/Source/Dispatch/queuedask.h
@@ -63,12 +63,10 @@
     }
 
     /// When the first token must have come for the ask not to be given up for others. A retry has lost time by what was not its
-    /// fault, so that it counts from its own coming; but it is only for a pool with room to spare, since where there is none it makes
-    /// first tries late that have cost no run yet.
+    /// fault: it is given up where an ask that came with it would be.
     Base::Instant patience() const
     {
-        constexpr int partForRetry = 4;
-        return ask.retry ? received + terms.firstToken / partForRetry : target();
+        return (ask.retry ? received : arrival) + terms.firstToken;
     }
 };
 
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -300,12 +300,11 @@
     return static_cast<double>(ahead) / m_grantsPerSecond > Base::seconds(ask.deadline - now);
 }
 
-/// What cannot begin before its deadline would wait in vain, whatever its tier, and a retry gives way to first tries; else a tier
-/// has to have refusals left.
+/// What cannot begin before its deadline would wait in vain, whatever its tier; else a tier has to have refusals left.
 bool Shard::mayRefuse(const QueuedAsk &ask, const Prospect &prospect)
 {
-    const bool late = prospect.late > Duration::zero();
-    return prospect.inVain || (late && (ask.ask.retry || m_lateRefusals.spend(ask.terms.rank, poolTerms().lowestRank())));
+    return prospect.inVain
+        || (prospect.late > Duration::zero() && m_lateRefusals.spend(ask.terms.rank, poolTerms().lowestRank()));
 }
 
 Ahead Shard::aheadOf(const QueuedAsk &ask) const
