Retries: By parts at each home again

Twice as many requests ended at their deadline; why a pool that says it has room makes them late is not known. Conclusion: reverted.

--- a/Source/Base/tokenbucket.h
+++ b/Source/Base/tokenbucket.h
@@ -36,13 +36,6 @@
         return true;
     }
 
-    /// At most @p most are saved up from now on.
-    void resize(double most)
-    {
-        m_most = most;
-        m_left = std::min(m_left, m_most);
-    }
-
     double left() const
     {
         return m_left;
--- a/Source/Dispatch/prospects.cpp
+++ b/Source/Dispatch/prospects.cpp
@@ -32,22 +32,21 @@
     const Duration late = lateness(ask, ahead);
     const Instant begins = m_now + pacedWait(ahead.asks);
     const bool inVain = begins >= ask.deadline;
-    return {inVain ? std::max(late, begins - ask.patience()) : late, inVain};
+    return {inVain ? std::max(late, begins - ask.target()) : late, inVain};
 }
 
 /// By how much the first token must be expected to miss its target even if the ask were served next; zero if it need not.
 Duration Prospects::lateness(const QueuedAsk &ask, const Ahead &ahead)
 {
-    // A later attempt has waited already for what was not its fault.
-    const bool laterAttempt = ask.key.id.attempt > 1 && !ask.ask.retry;
-    if (!m_refuseLate || laterAttempt) {
+    // A later attempt has cost a run already.
+    if (!m_refuseLate || ask.key.id.attempt > 1) {
         return Duration::zero();
     }
     const Duration paced = pacedWait(ahead.asks);
     const bool modelled = std::visit([&](const auto &placement) { return placement.work(ask); }, m_placement) > Duration::zero();
     if (!modelled) {
         // Where no prompts are read only the rate of the endpoints tells anything.
-        return paced > Duration::zero() ? std::max(Duration::zero(), m_now + paced - ask.patience()) : Duration::zero();
+        return paced > Duration::zero() ? std::max(Duration::zero(), m_now + paced - ask.target()) : Duration::zero();
     }
     if (m_usable.empty()) {
         m_usable = usableOf(m_endpoints, m_now);
@@ -61,10 +60,10 @@
                 least->second = placement.leastBacklog(ask.terms.rank, m_usable, m_now);
             }
             const Duration atMost = placement.expectedAtMost(ask, least->second);
-            if (atMost < Duration::max() && begins + atMost <= ask.patience()) {
+            if (atMost < Duration::max() && begins + atMost <= ask.target()) {
                 return Duration::zero();
             }
-            return std::max(Duration::zero(), begins + placement.expected(ask, m_usable, m_now) - ask.patience());
+            return std::max(Duration::zero(), begins + placement.expected(ask, m_usable, m_now) - ask.target());
         },
         m_placement);
 }
--- a/Source/Dispatch/queuedask.h
+++ b/Source/Dispatch/queuedask.h
@@ -61,13 +61,6 @@
     {
         return arrival + terms.firstToken;
     }
-
-    /// When the first token must have come for the ask not to be given up for others. A retry has lost time by what was not its
-    /// fault: it is given up where an ask that came with it would be.
-    Base::Instant patience() const
-    {
-        return (ask.retry ? received : arrival) + terms.firstToken;
-    }
 };
 
 } // namespace Yokepond::Dispatch
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -67,7 +67,6 @@
     , m_catalogue(std::move(catalogue))
     , m_takenOver(now)
     , m_periodBegan(now)
-    , m_retries(m_catalogue->policies(), info.ofPool)
 {
     buildPolicies();
     configureEndpoints(now);
@@ -192,7 +191,6 @@
     if (changed) {
         buildPolicies();
     }
-    m_retries.configure(m_catalogue->policies(), m_info.ofPool);
     configureEndpoints(now);
     refuseAllIfNone();
     pump(now, mostPassedOverAtEvent);
@@ -244,10 +242,6 @@
         refuse(queued, RefusalReason::DeadlinePassed);
         return;
     }
-    if (!mayTry(message)) {
-        refuse(queued, RefusalReason::NoRetryLeft);
-        return;
-    }
     m_lateRefusals.earn(queued.terms.rank);
     Prospects prospects(now, m_endpoints, m_placement, m_catalogue->policies().refuseLate);
     const Ahead ahead = prospects.dependOnOthers() ? aheadOf(queued) : Ahead {};
@@ -263,19 +257,6 @@
     }
 }
 
-/// Retries are few against the first tries of all hosts, and runs break at many homes at once: a part of them for each home would
-/// be less than one in a large fleet, and lie where nothing broke.
-bool Shard::mayTry(const Peer::Ask &ask)
-{
-    if (ask.retry) {
-        return m_retries.spend();
-    }
-    if (ask.id.attempt <= 1) {
-        m_retries.earn();
-    }
-    return true;
-}
-
 void Shard::shedOverLimit(const QueuedAsk &newcomer)
 {
     if (queued() <= m_catalogue->policies().queueLimit) {
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -14,7 +14,6 @@
 #include "Dispatch/poolterms.h"
 #include "Dispatch/prospects.h"
 #include "Dispatch/queuedask.h"
-#include "Dispatch/retrybudget.h"
 #include "Dispatch/shardmap.h"
 
 #include <cstdint>
@@ -122,7 +121,6 @@
     void markGone(std::uint32_t endpoint);
     PoolTerms poolTerms() const;
     void enqueue(const QueuedAsk &ask);
-    bool mayTry(const Peer::Ask &ask);
     void shedOverLimit(const QueuedAsk &newcomer);
     bool isHopeless(Base::Instant now, const QueuedAsk &ask) const;
     void refuse(const QueuedAsk &ask, Peer::RefusalReason reason);
@@ -163,7 +161,6 @@
     std::uint64_t m_grantsInPeriod = 0;
     Base::Instant m_periodBegan {};
     LateRefusals m_lateRefusals;
-    RetryBudget m_retries;
     bool m_saturated = false; ///< asks waited through the whole present period
 };
 
--- a/Source/Dispatch/shardmap.cpp
+++ b/Source/Dispatch/shardmap.cpp
@@ -148,9 +148,6 @@
     }
     std::erase_if(m_shards, [](const ShardInfo &shard) { return shard.endpoints.empty(); });
     std::ranges::sort(m_shards, {}, &ShardInfo::id);
-    std::map<std::uint32_t, std::size_t> shardsOfPool;
-    std::ranges::for_each(m_shards, [&](const ShardInfo &shard) { ++shardsOfPool[shard.pool]; });
-    std::ranges::for_each(m_shards, [&](ShardInfo &shard) { shard.ofPool = shardsOfPool.at(shard.pool); });
 }
 
 const std::vector<ShardInfo> &ShardMap::shards() const
--- a/Source/Dispatch/shardmap.h
+++ b/Source/Dispatch/shardmap.h
@@ -24,7 +24,6 @@
     std::uint32_t index = 0; ///< among the shards of this pool and data centre
     std::vector<std::uint32_t> endpoints;
     std::string dispatcher; ///< name of a member; empty if there is none
-    std::size_t ofPool = 1; ///< shards that the pool has
 };
 
 class ShardMap
--- a/Source/Peer/codec.cpp
+++ b/Source/Peer/codec.cpp
@@ -167,7 +167,6 @@
         builder.setRank(static_cast<std::int16_t>(ask.rank));
         builder.setExpectedTokens(ask.expectedTokens);
         builder.setPrefixTokens(kj::arrayPtr(ask.prefixTokens.data(), ask.prefixTokens.size()));
-        builder.setRetry(ask.retry);
     }
 
     void operator()(const Grant &grant)
@@ -380,7 +379,6 @@
     for (const std::uint32_t tokens : reader.getPrefixTokens()) {
         ask.prefixTokens.push_back(tokens);
     }
-    ask.retry = reader.getRetry();
     return ask;
 }
 
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -42,7 +42,6 @@
     int rank = 0; ///< of the request; 1 is the highest, 0: that of its class
     std::uint32_t expectedTokens = 0; ///< of the answer, 0 if not known
     std::vector<std::uint32_t> prefixTokens; ///< tokens of the prompt up to the end of each entry of prefix; may be empty
-    bool retry = false; ///< a run of it has failed, so that another is one of the pool's retries
 };
 
 /// Gives an endpoint to an ask.
@@ -72,10 +71,9 @@
     UnknownClass,
     EndpointsDown, ///< all have failed and will be probed soon
     TooLate, ///< the target cannot be met
-    NoRetryLeft, ///< the pool's retries are used up
 };
 
-inline constexpr Base::NameTable<RefusalReason, 8> refusalReasonNames = {{
+inline constexpr Base::NameTable<RefusalReason, 7> refusalReasonNames = {{
     {RefusalReason::QueueFull, "queue-full"},
     {RefusalReason::DeadlinePassed, "deadline-passed"},
     {RefusalReason::NoEndpoint, "no-endpoint"},
@@ -83,7 +81,6 @@
     {RefusalReason::UnknownClass, "unknown-class"},
     {RefusalReason::EndpointsDown, "endpoints-down"},
     {RefusalReason::TooLate, "too-late"},
-    {RefusalReason::NoRetryLeft, "no-retry-left"},
 }};
 
 struct Refusal
--- a/Source/Peer/peer.capnp
+++ b/Source/Peer/peer.capnp
@@ -24,7 +24,6 @@
   rank @11 :Int16;             # of the request; 1 is the highest, 0: that of its class
   expectedTokens @12 :UInt32;  # of the answer, 0 if not known
   prefixTokens @13 :List(UInt32); # tokens of the prompt up to the end of each entry of prefix; may be empty
-  retry @14 :Bool;             # a run of it has failed
 }
 
 struct RateWord {
--- a/Source/Peer/peer.capnp.h
+++ b/Source/Peer/peer.capnp.h
@@ -634,8 +634,6 @@
   inline bool hasPrefixTokens() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getPrefixTokens() const;
 
-  inline bool getRetry() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -716,9 +714,6 @@
   inline void adoptPrefixTokens(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownPrefixTokens();
 
-  inline bool getRetry();
-  inline void setRetry(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4172,20 +4167,6 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Ask::Reader::getRetry() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
-}
-
-inline bool Ask::Builder::getRetry() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
-}
-inline void Ask::Builder::setRetry(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::uint8_t RateWord::Reader::getKnowledge() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -6,7 +6,6 @@
 #include "Base/hash.h"
 #include "Base/invariant.h"
 #include "Dispatch/preference.h"
-#include "Dispatch/retrybudget.h"
 
 #include <fmt/format.h>
 
@@ -222,7 +221,6 @@
     ask.expectedTokens = pending.request.expectedTokens;
     ask.rank = pending.request.rank;
     ask.avoid = pending.avoid;
-    ask.retry = pending.retry;
     m_actions.emplace_back(SendToMember {pending.dispatcher, std::move(ask)});
 }
 
@@ -234,8 +232,7 @@
 void Home::tryLocalWindow(Instant now, Pending &pending)
 {
     const ShardInfo *shard = m_shards->find(pending.shard);
-    const bool noRetryLeft = pending.retry && budgetOf(pending).left() < 1.0;
-    if (shard == nullptr || noRetryLeft) {
+    if (shard == nullptr) {
         return;
     }
     const std::vector<std::uint64_t> &prefix = pending.request.prefix;
@@ -246,9 +243,6 @@
     if (!endpoint) {
         return;
     }
-    if (std::exchange(pending.retry, false)) {
-        budgetOf(pending).spend();
-    }
     m_rates.startedAlone(*endpoint);
     pending.grantedRate = {};
     ++m_counters.localRuns;
@@ -334,7 +328,6 @@
         return;
     }
     pending->grantedRate = Rate::knownFrom(grant.rate, now);
-    pending->retry = false;
     note(*pending, now, Step::Granted, fmt::format("by {}, pressure {}/1000", from, grant.pressure));
     beginRun(now, *pending, grant.endpoint, grant.startBy, grant.keeper);
 }
@@ -380,14 +373,7 @@
         fail(now, *pending, makeError(ErrorKind::DeadlineExceeded, "the request cannot start before its deadline"),
              refusal.retryAfter);
         break;
-    case RefusalReason::NoRetryLeft:
-        failAfterRun(now, *pending);
-        break;
     case RefusalReason::TooLate:
-        if (pending->mayHaveRun) {
-            failAfterRun(now, *pending);
-            break;
-        }
         fail(now, *pending, makeError(ErrorKind::Overloaded, "the request cannot meet its target now; retry later"),
              refusal.retryAfter);
         break;
@@ -515,15 +501,11 @@
 void Home::retryOrFail(Instant now, Pending &pending, const RunReport &report)
 {
     const bool free = report.stage == RunStage::Stale;
-    const bool dispatcherCounts = m_catalogue->policies().retriesAreShared;
-    const bool withinBudget = free || dispatcherCounts || budgetOf(pending).left() >= 1.0;
+    const bool withinBudget = free || budgetOf(pending).left() >= 1.0;
     if (mayRetry(pending, report) && now < pending.deadline && withinBudget) {
         if (!free) {
-            pending.avoid = pending.endpoint;
-            pending.retry = dispatcherCounts;
-        }
-        if (!free && !dispatcherCounts) {
             budgetOf(pending).spend();
+            pending.avoid = pending.endpoint;
         }
         ++m_counters.retried;
         note(pending, now, Step::Retried, fmt::format("{:.1f} retries left", budgetOf(pending).left()));
@@ -535,11 +517,6 @@
         }
         return;
     }
-    failAfterRun(now, pending);
-}
-
-void Home::failAfterRun(Instant now, Pending &pending)
-{
     if (!pending.mayHaveRun) {
         fail(now, pending, makeError(ErrorKind::EndpointUnreachable, "the endpoint could not be reached or refused the request"),
              std::chrono::seconds(1));
@@ -553,9 +530,8 @@
 Base::TokenBucket &Home::budgetOf(const Pending &pending)
 {
     const Configuration::Policies &policies = m_catalogue->policies();
-    const double hosts = static_cast<double>(std::max(m_hosts, leastHostsSharing));
-    const double part = policies.retriesAreShared ? (1 - Dispatch::dispatchersShare) / hosts : 1.0;
-    return m_budgets.try_emplace(pending.terms.pool, policies.retryReserve * part, policies.mostRetries * part).first->second;
+    const double hosts = policies.retriesAreShared ? static_cast<double>(std::max(m_hosts, leastHostsSharing)) : 1.0;
+    return m_budgets.try_emplace(pending.terms.pool, policies.retryReserve / hosts, policies.mostRetries / hosts).first->second;
 }
 
 void Home::withdraw(Pending &pending)
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -126,7 +126,6 @@
         std::uint32_t sends = 0; ///< of these, those of which the endpoint may have seen something
         bool mayHaveRun = false; ///< some run's request may have been processed; never taken back
         Rate::KnownRate grantedRate; ///< by which the dispatcher counted when it granted the run
-        bool retry = false; ///< a run has failed, and the next is not granted yet
         bool returned = false; ///< a grant has been given back since the dispatcher did not know the endpoint's rate
         bool heard = false; ///< the dispatcher has told that the ask waits there
         unsigned int misdirected = 0; ///< refusals in a row by hosts whose view differs from this one's
@@ -146,7 +145,6 @@
     void release(const Pending &pending, const RunReport &report, Peer::RunResult result);
     void judgeWork(Base::Instant now, const Pending &pending, const RunReport &report);
     void enforceQuarantine(Base::Instant now);
-    void failAfterRun(Base::Instant now, Pending &pending);
     void retryOrFail(Base::Instant now, Pending &pending, const RunReport &report);
     bool mayRetry(const Pending &pending, const RunReport &report) const;
     void expire(Base::Instant now, Pending &pending);
--- a/Tests/Peer/codectest.cpp
+++ b/Tests/Peer/codectest.cpp
@@ -41,11 +41,10 @@
     ask.promptTokens = 99;
     ask.prefix = {1, 2, 3};
     ask.avoid = 8;
-    ask.retry = true;
     const Ask got = roundTrip(ask);
     CHECK_TRUE(got.id == ask.id && got.shard == ask.shard && got.age == ask.age && got.remaining == ask.remaining
                && got.sentAt == ask.sentAt);
-    CHECK_TRUE(got.prefix == ask.prefix && got.avoid == ask.avoid && got.retry && got.promptTokens == ask.promptTokens
+    CHECK_TRUE(got.prefix == ask.prefix && got.avoid == ask.avoid && got.promptTokens == ask.promptTokens
                && got.organisation == ask.organisation);
 }
 
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -167,34 +167,6 @@
     CHECK_EQUAL(5, retries);
 }
 
-/// Where one budget counts over all hosts, a home's part may be less than one retry.
-TEST(Home, whereRetriesAreSharedTheDispatcherCountsThem)
-{
-    Configuration::CatalogueParts parts;
-    parts.classes = catalogue->classes();
-    parts.pools = catalogue->pools();
-    parts.endpoints = catalogue->endpoints();
-    parts.policies = catalogue->policies();
-    parts.policies.retriesAreShared = true;
-    parts.policies.retryReserve = 0.5;
-    parts.policies.mostRetries = 0.5;
-    catalogue = Configuration::Catalogue::assemble(parts);
-    view(0);
-    start(1, "alert");
-    const Peer::Ask first = lastAsk();
-    CHECK_FALSE(first.retry);
-    grant(first, 0.1, 2);
-    home.takeActions();
-    ended(first, 0.2, RunStage::Sent);
-    const Peer::Ask second = lastAsk();
-    CHECK_TRUE(second.retry);
-    home.receive(at(0.3), "h2", Peer::Refusal {second.id, Peer::RefusalReason::NoRetryLeft, {}, 0});
-    const auto failed = actions<Fail>();
-    CHECK_EQUAL(1U, failed.size());
-    CHECK_TRUE(failed.front().outcome == Outcome::Unknown);
-    CHECK_TRUE(Base::errorKind(failed.front().error) == Base::ErrorKind::EndpointFailed);
-}
-
 TEST(Home, deadDispatchersAsksMoveToItsSuccessorWithTheirAge)
 {
     start(1, "alert");
