Shard: What comes to wait in vain is refused also if its deadline lies before its target

Cause: found on reading the change: an ask that cannot begin before its deadline was refused at a tick only if it was late by its target too, and was not counted as ahead of others. Change: one condition. Test: Shard.whatComesToWaitInVainIsRefusedAtTheNextTick failed before. It acts only where all endpoints of a shard name a rate.

--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -315,7 +315,7 @@
     Ahead ahead;
     for (const QueuedAsk *ask : inOrder) {
         const Prospect prospect = prospects.of(*ask, ahead);
-        if (prospect.late > Duration::zero()) {
+        if (prospect.inVain || prospect.late > Duration::zero()) {
             late.emplace_back(*ask, prospect);
         }
         if (prospect.inVain) {
--- a/Tests/Dispatch/shardtest.cpp
+++ b/Tests/Dispatch/shardtest.cpp
@@ -441,6 +441,30 @@
     CHECK_TRUE(refusals.front().retryAfter > std::chrono::milliseconds(100));
 }
 
+/// Its deadline lies before its target, so that it is never late.
+TEST(Shard, whatComesToWaitInVainIsRefusedAtTheNextTick)
+{
+    build("create setting refuse-late value yes\n");
+    for (const char *name : {"e1", "e2"}) {
+        shard->hearRate(at(0), home, {1, endpoint(name), {Rate::Knowledge::Limited, 0.5, {}}});
+    }
+    Peer::Ask brief;
+    brief.id = {next++, 1};
+    brief.shard = 1;
+    brief.requestClass = Tests::numberOf(objects, Kind::Class, "routine");
+    brief.organisation = Tests::numberOf(objects, Kind::Organisation, "small");
+    brief.remaining = std::chrono::seconds(3);
+    shard->ask(at(0), home, brief);
+    for (int index = 0; index < 3; ++index) {
+        ask("alert", 0);
+    }
+    CHECK_EQUAL(0U, replies<Peer::Refusal>().size());
+    shard->tick(at(0.1));
+    const auto refusals = replies<Peer::Refusal>();
+    CHECK_EQUAL(1U, refusals.size());
+    CHECK_TRUE(refusals.front().id == brief.id);
+}
+
 TEST(Shard, theEndOfALimitLetsWhatWaitsBegin)
 {
     for (const char *name : {"e1", "e2"}) {
