Home: A lost connection does not double the time after which asks are repeated

Seen by callers: in a build that looks for overflows, two hosts ended 2 s after the dispatcher they waited for had been killed, and their callers' connections were refused; in others asks were sent 20 times a second. Cause: a lost connection has each waiting ask sent again at the next tick, and each sending doubled the time until the next; connecting fails each 50 ms, and 42 doublings overflow.

--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -179,6 +179,39 @@
     CHECK_TRUE(after.age == std::chrono::seconds(1));
 }
 
+/// What was seen: hosts that waited for a dispatcher that had been killed ended by an overflow, in a build that looks for them. How it
+/// came about: each attempt to connect to it failed, and each failure had the ask sent again at the next tick. Cause: each sending
+/// doubled the time until the next, 42 times in two seconds. In other builds the time became negative, and the ask was sent at every
+/// tick.
+TEST(Home, anAskToADispatcherThatIsLostTimeAndAgainIsStillRepeatedSeldom)
+{
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        start(id, "alert");
+    }
+    const std::string dispatcher = Dispatch::ShardMap(*catalogue, members).shards().front().dispatcher;
+    home.takeActions();
+    const auto asked = [&] {
+        std::size_t asks = 0;
+        for (const SendToMember &sent : actions<SendToMember>()) {
+            asks += std::holds_alternative<Peer::Ask>(sent.message) ? 1 : 0;
+        }
+        return asks;
+    };
+    double now = 0.05;
+    for (int loss = 0; loss < 80; ++loss, now += 0.05) {
+        home.memberLost(at(now), dispatcher);
+        home.tick(at(now));
+    }
+    asked();
+    for (int tick = 0; tick < 20; ++tick, now += 0.05) {
+        home.tick(at(now));
+    }
+    const std::size_t askedMeanwhile = asked();
+    CHECK_EQUAL(0U, askedMeanwhile);
+    home.tick(at(now + 4));
+    CHECK_TRUE(asked() >= 1);
+}
+
 TEST(Home, anAskThatTheLocalWindowServesIsWithdrawn)
 {
     start(1, "alert");
