--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -651,8 +651,8 @@
     }
     for (Pending &pending : m_pending | std::views::values) {
         if (pending.phase == Phase::Asking && pending.dispatcher == member) {
-            // Sent again at the next tick, in case the connection comes back. How long it has waited for an answer says nothing of the
-            // next one; doubled at each loss, the time grew until it overflowed.
+            // Sent again at the next tick, in case the connection comes back. How long it has waited for an answer says nothing
+            // of the next one; doubled at each loss, the time grew until it overflowed.
             pending.heard = false;
             pending.repeatAfter = repeatAskAfter;
             pending.askedAt = now - pending.repeatAfter;
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -179,10 +179,10 @@
     CHECK_TRUE(after.age == std::chrono::seconds(1));
 }
 
-/// What was seen: hosts that waited for a dispatcher that had been killed ended by an overflow, in a build that looks for them. How it
-/// came about: each attempt to connect to it failed, and each failure had the ask sent again at the next tick. Cause: each sending
-/// doubled the time until the next, 42 times in two seconds. In other builds the time became negative, and the ask was sent at every
-/// tick.
+/// What was seen: hosts that waited for a dispatcher that had been killed ended by an overflow, in a build that looks for them.
+/// How it came about: each attempt to connect to it failed, and each failure had the ask sent again at the next tick. Cause: each
+/// sending doubled the time until the next, 42 times in two seconds. In other builds the time became negative, and the ask was
+/// sent at every tick.
 TEST(Home, anAskToADispatcherThatIsLostTimeAndAgainIsStillRepeatedSeldom)
 {
     for (std::uint64_t id = 1; id <= 3; ++id) {
