Logs: What a host that refuses by its configuration holds, and which hosts follow the store

Cause: a refusal for an unknown route or key told neither which configuration the host acted on, nor who had told of it, nor which request of the caller it was; which hosts follow the platform's store was in no line. Change: such refusals tell the version in force, its source, for how long it has been in force, and the caller's name of the request; configuration-applied tells the source; follows-store tells when a host begins or ceases to follow, and why; the dump has all of it. Following the store stands in a file of its own, with its clock passed in, so that a model of many hosts can drive it. No decision is changed.

--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 45> eventNames = {{
+constexpr NameTable<LogEvent, 46> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -48,6 +48,7 @@
     {LogEvent::ChangesReceived, "changes-received"},
     {LogEvent::StoreLost, "store-lost"},
     {LogEvent::StoreBack, "store-back"},
+    {LogEvent::FollowsStore, "follows-store"},
     {LogEvent::ReadinessChanged, "readiness-changed"},
     {LogEvent::WorkHeld, "work-held"},
     {LogEvent::WorkCleared, "work-cleared"},
--- a/Source/Base/log.h
+++ b/Source/Base/log.h
@@ -54,6 +54,7 @@
     ChangesReceived,
     StoreLost,
     StoreBack,
+    FollowsStore,
     ReadinessChanged,
     WorkHeld,
     WorkCleared,
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -143,7 +143,7 @@
         return status;
     }
     if (m_settings.platformForm == PlatformForm::Records) {
-        startWatch();
+        startFollowing();
     }
     if (m_settings.duties.port != 0) {
         startDuties();
@@ -169,26 +169,16 @@
     return Relay::RelayThread<Relay::OpenAiProtocol>::start(options, {}, handler, body);
 }
 
-void Daemon::startWatch()
+void Daemon::startFollowing()
 {
     m_rows = std::make_unique<Platform::RowsClient>(m_client, m_settings.platform, m_settings.platformTimeout);
-    m_watch = std::make_unique<SiteWatch<Platform::RowsClient>>(
-        *m_rows, SiteWatchOptions {.wait = longestHold(m_settings.platformSettledAfter, m_settings.platformTimeout)},
-        m_incarnation,
-        SiteWatchEvents {.records = [this](const std::vector<Configuration::Record> &records) { m_fleet->takeRecords(records); },
-                         .heldBack = [this](const Configuration::Record &record) { m_fleet->expectRecord(record); },
-                         .storeAnswers =
-                             [this](const StoreNews &news) {
-                                 Base::log(news.answers ? Base::LogLevel::Info : Base::LogLevel::Warning,
-                                           news.answers ? Base::LogEvent::StoreBack : Base::LogEvent::StoreLost,
-                                           {{"platform", m_settings.platform.text()},
-                                            {"revision", m_fleet->revision()},
-                                            {"kind", Base::nameOf(Configuration::recordKindNames, news.kind)},
-                                            {"out-ms", Base::milliseconds(news.outFor)},
-                                            {"reason", Base::messageOf(news.error)}});
-                                 m_fleet->noteStore(news.answers);
-                             },
-                         .endpoints = [this] { return m_fleet->endpointRecords(); }});
+    m_follower = std::make_unique<StoreFollower<Platform::RowsClient>>(
+        *m_rows, *m_fleet,
+        StoreFollowerOptions {
+            .platform = m_settings.platform.text(),
+            .watch = {.wait = longestHold(m_settings.platformSettledAfter, m_settings.platformTimeout)},
+            .seed = m_incarnation,
+        });
 }
 
 void Daemon::startDuties()
@@ -445,12 +435,8 @@
             reloadSettings();
         }
     }
-    if (m_watch != nullptr) {
-        const bool follows = m_fleet->followsStore(now);
-        m_watch->tick(now, follows);
-        if (follows) {
-            m_fleet->noteStore(m_watch->answers());
-        }
+    if (m_follower != nullptr) {
+        m_follower->tick(now);
     }
     if (m_usage != nullptr) {
         m_usage->tick(now);
@@ -617,6 +603,7 @@
         return list;
     };
     const Request::HomeCounters &home = m_home.counters();
+    const std::optional<FollowReason> followReason = m_follower == nullptr ? std::nullopt : m_follower->reason();
     return {{"host", m_settings.name},
             {"incarnation", fmt::format("{:x}", m_incarnation)},
             {"data-centre", m_settings.dataCentre},
@@ -625,6 +612,9 @@
             {"stopping", m_stopStage != StopStage::None},
             {"revision", m_fleet->revision()},
             {"store-answers", m_fleet->storeAnswers()},
+            {"follows-store", followReason ? Base::nameOf(followReasonNames, *followReason) : "no"},
+            {"configuration-version", m_fleet->configurationInForce().version},
+            {"configuration-from", m_fleet->configurationInForce().from},
             {"members", rows(Language::Subject::Hosts)},
             {"shards", rows(Language::Subject::Dispatchers)},
             {"duties", rows(Language::Subject::Duties)},
--- a/Source/Node/daemon.h
+++ b/Source/Node/daemon.h
@@ -18,7 +18,7 @@
 #include "Node/scalingduty.h"
 #include "Node/settings.h"
 #include "Node/settingsfile.h"
-#include "Node/sitewatch.h"
+#include "Node/storefollower.h"
 #include "Node/usageduty.h"
 #include "Peer/edge.h"
 #include "Relay/relay.h"
@@ -53,7 +53,7 @@
     enum class StopStage { None, AwaitingBalancer, Draining, Over };
 
     absl::StatusOr<std::unique_ptr<Relay::Relay>> startRelay();
-    void startWatch();
+    void startFollowing();
     void startDuties();
     void reloadSettings();
     void handle(EdgeEvent event);
@@ -89,7 +89,7 @@
     Request::Home m_home;
     std::unique_ptr<Fleet> m_fleet;
     std::unique_ptr<Platform::RowsClient> m_rows;
-    std::unique_ptr<SiteWatch<Platform::RowsClient>> m_watch; ///< only where the platform keeps records
+    std::unique_ptr<StoreFollower<Platform::RowsClient>> m_follower; ///< only where the platform keeps records
     std::unique_ptr<Platform::DutyClient> m_dutyClient;
     std::unique_ptr<UsageDuty<Platform::DutyClient>> m_usage; ///< only where the platform wants usage reported
     std::unique_ptr<ScalingDuty<Platform::DutyClient>> m_scaling; ///< only where endpoints are ordered
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -27,6 +27,7 @@
 /// force within the longest pause and a tick, well below the two seconds that a platform allows.
 constexpr int decodePauseFactor = 8;
 constexpr Base::Duration longestDecodePause = std::chrono::milliseconds(400);
+constexpr std::string_view theStoreItself = "store";
 constexpr std::string_view followDuty = "follow-store";
 /// A host hears of another at least once a period of the membership; after three, what it hears of changes may be out of date.
 constexpr Base::Duration peersSilentAfter = std::chrono::milliseconds(1200);
@@ -254,7 +255,9 @@
     if (ofConfiguration) {
         m_pulls.answered(from);
     }
+    const std::uint64_t before = m_records.revisions().configuration;
     const bool changed = m_records.merge(*records);
+    noteTeller(before, from);
     Base::log(Base::LogLevel::Info, Base::LogEvent::ChangesReceived,
               {{"from", from},
                {"configuration-version", records->revisions.configuration},
@@ -367,10 +370,12 @@
 
 void Fleet::takeRecords(const std::vector<Configuration::Record> &records)
 {
+    const std::uint64_t before = m_records.revisions().configuration;
     bool changed = false;
     for (const Configuration::Record &record : records) {
         changed = m_records.merge(record) || changed;
     }
+    noteTeller(before, std::string(theStoreItself));
     if (changed) {
         recordsChanged();
     }
@@ -390,6 +395,13 @@
     m_swim.setRevision(m_records.digest());
 }
 
+void Fleet::noteTeller(std::uint64_t versionBefore, const std::string &teller)
+{
+    if (m_records.revisions().configuration > versionBefore) {
+        m_configurationFrom = teller;
+    }
+}
+
 void Fleet::recordsChanged()
 {
     m_swim.setRevision(m_records.digest());
@@ -409,9 +421,13 @@
         logRejected(std::move(parts->rejected));
         m_siteCatalogue = Configuration::Catalogue::assemble(std::move(*parts));
         m_endpointsEverKnown = m_endpointsEverKnown || !m_siteCatalogue->endpoints().empty();
+        if (m_inForce.version != m_records.revisions().configuration) {
+            m_inForce = {m_records.revisions().configuration, m_configurationFrom, now};
+        }
         Base::log(Base::LogLevel::Info, Base::LogEvent::ConfigurationApplied,
                   {{"revision", m_records.revision()},
-                   {"configuration-version", m_records.revisions().configuration},
+                   {"configuration-version", m_inForce.version},
+                   {"configuration-from", m_inForce.from},
                    {"endpoints-version", m_records.revisions().endpoints},
                    {"routes", m_siteCatalogue->routes().size()},
                    {"endpoints", m_siteCatalogue->endpoints().size()}});
@@ -437,19 +453,25 @@
     m_rejected = std::move(rejected);
 }
 
-void Fleet::noteStore(bool answers)
+void Fleet::noteStore(Base::Instant now, bool answers)
 {
     m_storeAnswers = answers;
     if (answers) {
-        m_storeContact = Base::now();
+        m_storeContact = now;
         m_storeEverAnswered = true;
     }
 }
 
-bool Fleet::followsStore(Base::Instant now) const
+std::optional<FollowReason> Fleet::followsStore(Base::Instant now) const
 {
+    if (m_siteCatalogue->routes().empty()) {
+        return FollowReason::NoConfiguration;
+    }
+    if (m_isFollower) {
+        return FollowReason::Picked;
+    }
     const bool alone = now - m_swim.lastContact() > peersSilentAfter;
-    return m_isFollower || alone || m_siteCatalogue->routes().empty();
+    return alone ? std::optional(FollowReason::Alone) : std::nullopt;
 }
 
 std::uint64_t Fleet::revision() const
@@ -472,6 +494,11 @@
     return m_replica;
 }
 
+const ConfigurationInForce &Fleet::configurationInForce() const
+{
+    return m_inForce;
+}
+
 Configuration::Store<Platform::EtcdTable> &Fleet::store()
 {
     return m_store;
--- a/Source/Node/fleet.h
+++ b/Source/Node/fleet.h
@@ -21,6 +21,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -36,6 +37,27 @@
     std::function<void(std::vector<std::uint32_t> endpoints)> endpointsLeaving; ///< by the platform's list
 };
 
+/// Why a host follows the platform's records itself.
+enum class FollowReason {
+    Picked, ///< it is one of the few that do for all
+    Alone, ///< it hears of no other host
+    NoConfiguration, ///< it knows none yet
+};
+
+inline constexpr Base::NameTable<FollowReason, 3> followReasonNames = {{
+    {FollowReason::Picked, "picked"},
+    {FollowReason::Alone, "alone"},
+    {FollowReason::NoConfiguration, "no-configuration"},
+}};
+
+/// The platform's configuration that a host acts on.
+struct ConfigurationInForce
+{
+    std::uint64_t version = 0; ///< of its record; 0 if there is none
+    std::string from; ///< the host that told of it, or the platform's own name for a host that read it itself
+    Base::Instant since {};
+};
+
 /// Makes the parts of a catalogue of records in the platform's form.
 using DecodeSite = std::function<absl::StatusOr<Configuration::CatalogueParts>(const Configuration::SiteRecords &records)>;
 
@@ -65,7 +87,7 @@
     void expectRecord(const Configuration::Record &record);
 
     /// Notes whether the platform answers, where something else than this fleet asks it.
-    void noteStore(bool answers);
+    void noteStore(Base::Instant now, bool answers);
 
     const std::map<std::string, Peer::Member> &members() const;
     std::vector<Peer::Member> present() const;
@@ -80,6 +102,9 @@
     std::shared_ptr<const Dispatch::ShardMap> shards() const;
     const Configuration::Replica &replica() const;
 
+    /// Where the platform keeps the configuration as records.
+    const ConfigurationInForce &configurationInForce() const;
+
     /// Of the configuration in force here; grows only.
     std::uint64_t revision() const;
     Configuration::Store<Platform::EtcdTable> &store();
@@ -92,7 +117,7 @@
 
     /// Whether this host is to follow the platform's records itself. In a large fleet a few do, and the others ask them for
     /// what changed; a host that knows no configuration or hears of no other host does so too.
-    bool followsStore(Base::Instant now) const;
+    std::optional<FollowReason> followsStore(Base::Instant now) const;
 
 private:
     void receive(Base::Instant now, const std::string &from, const Peer::Probe &probe);
@@ -111,6 +136,7 @@
     void spreadConfiguration();
     void spread(const Peer::Changes &changes);
     void recordsChanged();
+    void noteTeller(std::uint64_t versionBefore, const std::string &teller);
     void decodeRecords(Base::Instant now);
     void logRejected(std::vector<Configuration::RejectedRecord> rejected);
     bool keepsRecords() const;
@@ -128,6 +154,8 @@
     Configuration::SiteRecords m_records;
     Configuration::ChangesCodec m_codec;
     bool m_baseMissing = false; ///< the last changes were against a configuration that is not held here
+    std::string m_configurationFrom; ///< who told of the newest configuration
+    ConfigurationInForce m_inForce;
     std::shared_ptr<const Configuration::Catalogue> m_siteCatalogue;
     DecodeSite m_decode;
     Platform::EtcdTable m_table;
--- a/Source/Node/front.cpp
+++ b/Source/Node/front.cpp
@@ -104,7 +104,7 @@
     const auto catalogue = m_fleet.catalogue();
     auto routed = routeRequest(*catalogue, call);
     if (!routed.ok()) {
-        refuse(call.id, routed.status(), Outcome::NotRun, refusedRetryAfter);
+        refuse(call.id, routed.status(), Outcome::NotRun, refusedRetryAfter, call.callersName);
         return;
     }
     const RequestClass &requestClass = *routed->requestClass;
@@ -637,21 +637,33 @@
     m_events.relay(Relay::Answer {call, std::move(response)});
 }
 
-void Front::refuse(std::uint64_t call, const absl::Status &error, Outcome outcome, Base::Duration retryAfter)
+void Front::refuse(std::uint64_t call, const absl::Status &error, Outcome outcome, Base::Duration retryAfter,
+                   const std::string &callersName)
 {
-    logRefusal(call, error, outcome);
+    logRefusal(call, error, outcome, callersName);
     answer(call, responseTo(error, outcome, call, retryAfter));
 }
 
 /// A request that never came to a home.
-void Front::logRefusal(std::uint64_t call, const absl::Status &error, Outcome outcome) const
-{
-    Base::log(Base::LogLevel::Info, Base::LogEvent::RequestEnded,
-              {{"request", requestName(call)},
-               {"outcome", Base::nameOf(Request::outcomeNames, outcome)},
-               {"error", Base::errorName(Base::errorKind(error))},
-               {"reason", Base::messageOf(error)},
-               {"revision", m_fleet.revision()}});
+void Front::logRefusal(std::uint64_t call, const absl::Status &error, Outcome outcome, const std::string &callersName) const
+{
+    nlohmann::json fields = {{"request", requestName(call)},
+                             {"outcome", Base::nameOf(Request::outcomeNames, outcome)},
+                             {"error", Base::errorName(Base::errorKind(error))},
+                             {"reason", Base::messageOf(error)},
+                             {"revision", m_fleet.revision()}};
+    if (!callersName.empty()) {
+        fields["caller"] = callersName;
+    }
+    const ErrorKind kind = Base::errorKind(error);
+    const bool byConfiguration = kind == ErrorKind::NotFound || kind == ErrorKind::Unauthenticated;
+    if (byConfiguration && m_settings.platformForm == PlatformForm::Records) {
+        const ConfigurationInForce &inForce = m_fleet.configurationInForce();
+        fields["configuration-version"] = inForce.version;
+        fields["configuration-from"] = inForce.from;
+        fields["configuration-ms"] = Base::milliseconds(Base::now() - inForce.since);
+    }
+    Base::log(Base::LogLevel::Info, Base::LogEvent::RequestEnded, std::move(fields));
 }
 
 /// One line a request; with all its steps unless it was a success at the first try.
--- a/Source/Node/front.h
+++ b/Source/Node/front.h
@@ -117,10 +117,11 @@
     void listModels(std::uint64_t call);
     void answer(std::uint64_t call, Http::Response response);
     void refuse(std::uint64_t call, const absl::Status &error, Request::Outcome outcome = Request::Outcome::NotRun,
-                Base::Duration retryAfter = {});
+                Base::Duration retryAfter = {}, const std::string &callersName = {});
     void logEnd(const Admitted &admitted, Request::Outcome outcome, const absl::Status &error) const;
     nlohmann::json stepsOf(const Admitted &admitted) const;
-    void logRefusal(std::uint64_t call, const absl::Status &error, Request::Outcome outcome) const;
+    void logRefusal(std::uint64_t call, const absl::Status &error, Request::Outcome outcome,
+                    const std::string &callersName) const;
     Http::Response responseTo(const absl::Status &error, Request::Outcome outcome, std::uint64_t call,
                               Base::Duration retryAfter) const;
     void endOperation(const Admitted &admitted, Request::Outcome outcome, const std::optional<Http::Response> &response,
--- a/Source/Node/sitewatch.h
+++ b/Source/Node/sitewatch.h
@@ -49,6 +49,7 @@
     Base::Duration longestRetry = std::chrono::milliseconds(1000);
     /// Endpoints that the platform dropped while it was away are believed gone only after this: those that live come back.
     Base::Duration removalGrace = std::chrono::milliseconds(2800);
+    std::function<Base::Instant()> clock = Base::now; ///< when calls begin and answers come
 };
 
 /// That the platform began or ceased to answer, by one call.
@@ -75,7 +76,7 @@
 public:
     SiteWatch(F &feed, SiteWatchOptions options, std::uint64_t seed, SiteWatchEvents events)
         : m_feed(feed)
-        , m_options(options)
+        , m_options(std::move(options))
         , m_random(seed)
         , m_events(std::move(events))
     {
@@ -133,7 +134,7 @@
     void call(Table &table)
     {
         table.calling = true;
-        table.calledAt = Base::now();
+        table.calledAt = m_options.clock();
         const bool whole = table.readWhole;
         auto handler
             = [this, &table, whole](absl::StatusOr<Platform::FeedPage> page) { answered(table, whole, std::move(page)); };
@@ -147,7 +148,7 @@
 
     void answered(Table &table, bool whole, absl::StatusOr<Platform::FeedPage> page)
     {
-        const Base::Instant now = Base::now();
+        const Base::Instant now = m_options.clock();
         table.calling = false;
         if (!page.ok() && Base::errorKind(page.status()) == Base::ErrorKind::HistoryGone) {
             table.readWhole = true;
