Test: All hosts that follow the store cannot, failing

Seen: in 87-host fleets requests on new routes and with new keys are refused more than 3 s after the store took the change, while the store turns a part of the hosts away. The model has 60 hosts of the real code, links and a store under one clock.

--- a/Tests/Node/linkedfleet.h
+++ b/Tests/Node/linkedfleet.h
@@ -3,11 +3,13 @@
 
 /// @file
 /// Hosts of a fleet in one process, joined by links of limited bandwidth: a message waits until what was sent before it has
-/// left the sender's link and come through the receiver's. Time is simulated.
+/// left the sender's link and come through the receiver's. Time is simulated. With a store the hosts follow it as daemons do.
 
 #pragma once
 
 #include "Node/fleet.h"
+#include "Node/simulatedstore.h"
+#include "Node/storefollower.h"
 
 #include <fmt/format.h>
 
@@ -21,12 +23,17 @@
 
 namespace Yokepond::Tests {
 
+/// Whether the hosts of a LinkedFleet follow a store, or are told of records by the test alone.
+enum class Source { Test, Store };
+
 class LinkedFleet
 {
 public:
     /// @p bytesPerSecond: of each host's link, each way.
-    LinkedFleet(std::size_t hosts, double bytesPerSecond)
-        : m_bytesPerSecond(bytesPerSecond)
+    LinkedFleet(std::size_t hosts, double bytesPerSecond, Source source = Source::Test, std::uint64_t seed = 0)
+        : m_source(source)
+        , m_bytesPerSecond(bytesPerSecond)
+        , m_seed(seed)
     {
         m_settings.reserve(hosts);
         for (std::size_t index = 0; index < hosts; ++index) {
@@ -51,8 +58,11 @@
         while (m_now < end) {
             m_now += tickPeriod;
             deliver();
-            for (const std::unique_ptr<Host> &host : m_hosts) {
-                host->fleet->tick(m_now);
+            m_store.deliver(m_now, [this](std::size_t index) { return !m_frozen.contains(index); });
+            for (std::size_t index = 0; index < m_hosts.size(); ++index) {
+                if (!m_frozen.contains(index)) {
+                    tick(*m_hosts[index]);
+                }
             }
         }
     }
@@ -69,12 +79,51 @@
         m_cut.insert(index);
     }
 
+    /// The links between the hosts of @p some and all others carry nothing from now on, and lose what they hold.
+    void part(const std::set<std::size_t> &some)
+    {
+        m_apart = some;
+    }
+
+    /// The process of host @p index stands still; what comes for it waits.
+    void freeze(std::size_t index)
+    {
+        m_frozen.insert(index);
+    }
+
+    void thaw(std::size_t index)
+    {
+        m_frozen.erase(index);
+    }
+
     /// The process of host @p index is replaced by a new one, which knows nothing.
     void restart(std::size_t index)
     {
         start(index);
     }
 
+    SimulatedStore &store()
+    {
+        return m_store;
+    }
+
+    Base::Instant now() const
+    {
+        return m_now;
+    }
+
+    /// The hosts that follow the store.
+    std::set<std::size_t> followers() const
+    {
+        std::set<std::size_t> found;
+        for (std::size_t index = 0; index < m_hosts.size(); ++index) {
+            if (m_hosts[index]->follower != nullptr && m_hosts[index]->follower->reason()) {
+                found.insert(index);
+            }
+        }
+        return found;
+    }
+
     std::size_t size() const
     {
         return m_hosts.size();
@@ -111,6 +160,8 @@
     struct Host
     {
         std::unique_ptr<Node::Fleet> fleet;
+        std::unique_ptr<StoreDoor> door;
+        std::unique_ptr<Node::StoreFollower<StoreDoor>> follower;
         Configuration::RecordRevisions inForce;
         Base::Instant outFree {};
         Base::Instant inFree {};
@@ -141,10 +192,38 @@
         return smallMessage + (changes == nullptr ? 0 : changes->snapshot.size() + changes->packed.size());
     }
 
+    void tick(Host &host)
+    {
+        host.fleet->tick(m_now);
+        if (host.follower != nullptr) {
+            host.follower->tick(m_now);
+        }
+    }
+
+    void follow(std::size_t index, std::uint64_t seed)
+    {
+        Host &host = *m_hosts[index];
+        m_store.forget(index);
+        host.door = std::make_unique<StoreDoor>(m_store, index, m_now);
+        host.follower = std::make_unique<Node::StoreFollower<StoreDoor>>(
+            *host.door, *host.fleet,
+            Node::StoreFollowerOptions {
+                .platform = "store",
+                .watch = {.wait = Node::longestHold(std::chrono::seconds(4), SimulatedStore::callTimeout),
+                          .clock = [this] { return m_now; }},
+                .seed = seed,
+            });
+    }
+
+    bool isApart(std::size_t from, std::size_t to) const
+    {
+        return m_apart.contains(from) != m_apart.contains(to);
+    }
+
     void start(std::size_t index)
     {
         const Node::Settings &settings = m_settings[index];
-        const std::uint64_t incarnation = 100 + index + 1000 * ++m_starts;
+        const std::uint64_t incarnation = 100 + index + 1000 * ++m_starts + (m_seed << 32U);
         const Peer::Member self {
             settings.name, incarnation, 1, Peer::MemberState::Alive, settings.advertisedPeer, "dc", "", "", 0};
         Host &host = *m_hosts[index];
@@ -163,6 +242,9 @@
                 parts.endpoints.resize(records.present(Configuration::RecordKind::Endpoint).size());
                 return parts;
             });
+        if (m_source == Source::Store) {
+            follow(index, incarnation);
+        }
     }
 
     void send(std::size_t from, const std::string &address, const Peer::Message &message)
@@ -182,10 +264,15 @@
 
     void deliver()
     {
+        std::vector<Sent> waiting;
         while (!m_sent.empty() && m_sent.top().arrives <= m_now) {
             const Sent next = m_sent.top();
             m_sent.pop();
-            if (m_cut.contains(next.from) || m_cut.contains(next.to)) {
+            if (m_cut.contains(next.from) || m_cut.contains(next.to) || isApart(next.from, next.to)) {
+                continue;
+            }
+            if (m_frozen.contains(next.to)) {
+                waiting.push_back(next);
                 continue;
             }
             if (std::holds_alternative<Peer::Changes>(next.message)) {
@@ -193,15 +280,21 @@
             }
             m_hosts[next.to]->fleet->receive(m_now, m_settings[next.from].name, next.message);
         }
+        std::ranges::for_each(waiting, [this](const Sent &sent) { m_sent.push(sent); });
     }
 
     Base::Loop m_loop;
     Http::Client m_client {m_loop};
+    SimulatedStore m_store;
+    Source m_source;
     std::vector<Node::Settings> m_settings;
     std::vector<std::unique_ptr<Host>> m_hosts;
     std::priority_queue<Sent> m_sent;
     std::set<std::size_t> m_cut;
+    std::set<std::size_t> m_apart;
+    std::set<std::size_t> m_frozen;
     double m_bytesPerSecond;
+    std::uint64_t m_seed;
     Base::Instant m_now = Base::now();
     std::uint64_t m_order = 0;
     std::uint64_t m_starts = 0;
--- /dev/null
+++ b/Tests/Node/storefollowertest.cpp
@@ -0,0 +1,156 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+// Seen: in fleets of 54 to 87 hosts requests on new routes and with new keys were refused as unknown more than 3 s after the
+// platform's store had taken the change, while the store turned a part of the hosts away and served the others.
+
+#include "Node/linkedfleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <random>
+
+using namespace Yokepond;
+using Configuration::Record;
+using Configuration::RecordKind;
+using std::chrono::milliseconds;
+using Tests::Door;
+using Tests::LinkedFleet;
+using Tests::Source;
+
+namespace {
+
+constexpr std::size_t hosts = 60;
+constexpr double link = 1.25e6; ///< bytes a second: 10 Mbit/s
+/// What the users of such fleets allow from the store's acknowledgement until a change is in force on all hosts in touch.
+constexpr Base::Duration allowed = std::chrono::seconds(3);
+
+Record configuration(const std::string &value)
+{
+    return {RecordKind::Configuration, "config", 0, false, value};
+}
+
+Record endpoint(const std::string &state)
+{
+    return {RecordKind::Endpoint, "e1", 0, false, state};
+}
+
+/// A fleet that has found together and knows a configuration and an endpoint.
+struct Settled
+{
+    explicit Settled(std::uint64_t seed)
+        : fleet(hosts, link, Source::Store, seed)
+    {
+        fleet.store().put(fleet.now(), configuration("first"));
+        fleet.store().put(fleet.now(), endpoint("ready"));
+        fleet.run(std::chrono::seconds(14));
+        followers = fleet.followers();
+    }
+
+    void turnAway(const std::set<std::size_t> &some, Door door)
+    {
+        std::ranges::for_each(some, [&](std::size_t host) { fleet.store().setDoor(fleet.now(), host, door); });
+    }
+
+    /// The hosts outside @p excused that do not act on the store's newest @p kind.
+    std::set<std::size_t> behind(RecordKind kind, const std::set<std::size_t> &excused = {}) const
+    {
+        std::set<std::size_t> found;
+        for (std::size_t host = 0; host < hosts; ++host) {
+            if (!excused.contains(host) && fleet.inForce(host).of(kind) < newest.at(kind)) {
+                found.insert(host);
+            }
+        }
+        return found;
+    }
+
+    void change(const Record &record)
+    {
+        fleet.store().put(fleet.now(), record);
+        newest[record.kind] = fleet.store().version();
+    }
+
+    LinkedFleet fleet;
+    std::set<std::size_t> followers;
+    std::map<RecordKind, std::uint64_t> newest;
+};
+
+constexpr std::uint64_t seeds = 4;
+
+} // namespace
+
+TEST_GROUP(StoreFollower) {};
+
+TEST(StoreFollower, inAQuietFleetAFewFollow)
+{
+    Settled settled(1);
+    CHECK_EQUAL(8U, settled.followers.size());
+    settled.change(configuration("second"));
+    settled.fleet.run(allowed);
+    CHECK_EQUAL(0U, settled.behind(RecordKind::Configuration).size());
+}
+
+TEST(StoreFollower, aChangeIsInForceWhereTheStoreTurnsAwayAllThatFollow)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        Settled settled(seed);
+        settled.turnAway(settled.followers, Door::Refusing);
+        settled.change(configuration("second"));
+        settled.change(endpoint("leaving"));
+        settled.fleet.run(allowed);
+        CHECK_EQUAL(0U, settled.behind(RecordKind::Configuration).size());
+        CHECK_EQUAL(0U, settled.behind(RecordKind::Endpoint).size());
+    }
+}
+
+TEST(StoreFollower, aChangeIsInForceWhereTheStoreSwallowsTheCallsOfAllThatFollow)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        Settled settled(seed);
+        settled.turnAway(settled.followers, Door::Silent);
+        settled.change(configuration("second"));
+        settled.change(endpoint("leaving"));
+        settled.fleet.run(allowed);
+        CHECK_EQUAL(0U, settled.behind(RecordKind::Configuration).size());
+        CHECK_EQUAL(0U, settled.behind(RecordKind::Endpoint).size());
+    }
+}
+
+/// Those that follow, and most of those that would follow in their place.
+TEST(StoreFollower, aChangeIsInForceWhereTheStoreServesOneHostInTen)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        Settled settled(seed);
+        std::mt19937_64 random(seed);
+        std::set<std::size_t> away = settled.followers;
+        while (away.size() < hosts - hosts / 10) {
+            away.insert(random() % hosts);
+        }
+        settled.turnAway(away, Door::Refusing);
+        settled.change(configuration("second"));
+        settled.fleet.run(allowed);
+        CHECK_EQUAL(0U, settled.behind(RecordKind::Configuration).size());
+    }
+}
+
+TEST(StoreFollower, aChangeIsInForceWhereAllThatFollowStandStill)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        Settled settled(seed);
+        std::ranges::for_each(settled.followers, [&](std::size_t host) { settled.fleet.freeze(host); });
+        settled.change(configuration("second"));
+        settled.fleet.run(allowed);
+        CHECK_EQUAL(0U, settled.behind(RecordKind::Configuration, settled.followers).size());
+    }
+}
+
+TEST(StoreFollower, aChangeIsInForceWhereAllThatFollowAreCutOffFromTheOthers)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        Settled settled(seed);
+        settled.fleet.part(settled.followers);
+        settled.change(configuration("second"));
+        settled.fleet.run(allowed);
+        CHECK_EQUAL(0U, settled.behind(RecordKind::Configuration).size());
+    }
+}
