Swim: Dead members are asked again, so that a partition heals where nothing names the other side

What callers saw: nothing reported; in a model single hosts kept an old configuration for good, and two dispatchers granted each shard's endpoints after a cut. Cause: after a partition of ten seconds both sides believe each other dead. Nobody asks the dead again; where the platform keeps records there is no list of hosts. Change: each second a host probes one dead member and tells it that it is thought dead; a living one refutes it. Why it holds: every dead member is asked by every host in turn for the minute that it is remembered, and one contact brings both tables together. The test failed before (it is the old one without the list's help).

--- a/Source/Membership/swim.cpp
+++ b/Source/Membership/swim.cpp
@@ -95,6 +95,23 @@
         for (const std::string &address : m_seeds) {
             m_outgoing.push_back({address, Probe {++m_sequence, {m_self}, m_revision, digest(), {}}});
         }
+        probeDead();
+    }
+}
+
+/// After a partition each side believes the other dead and would never ask it again: two fleets for good, with two dispatchers of
+/// each shard. A member that lives learns by this that it is thought dead, and refutes it.
+void Swim::probeDead()
+{
+    std::vector<const Member *> dead;
+    for (const Member &member : m_members | std::views::values) {
+        if (!isPresent(member)) {
+            dead.push_back(&member);
+        }
+    }
+    if (!dead.empty()) {
+        const Member &chosen = *dead[m_random() % dead.size()];
+        m_outgoing.push_back({chosen.address, Probe {++m_sequence, {m_self, chosen}, m_revision, digest(), {}}});
     }
 }
 
--- a/Source/Membership/swim.h
+++ b/Source/Membership/swim.h
@@ -105,6 +105,7 @@
     };
 
     void startProbe(Base::Instant now);
+    void probeDead();
     void checkProbe(Base::Instant now);
     void checkSuspects(Base::Instant now);
     void suspect(Base::Instant now, const std::string &name);
--- a/Tests/Membership/swimtest.cpp
+++ b/Tests/Membership/swimtest.cpp
@@ -174,3 +174,24 @@
         CHECK_EQUAL(8U, host->present().size());
     }
 }
+
+// Seen: after hosts had been cut off from the others for ten seconds, both sides went on as two fleets for good, each with hosts
+// that follow the store and dispatchers of its own. Cause: each side believed the other dead, the dead were never asked again,
+// and where no list of hosts names them nothing else would. Proof: a model of 60 hosts, 20 of them cut off for 10 s, held 20 and
+// 40 for present 40 s later.
+TEST(Swim, aPartitionHealsWhereNothingNamesTheOtherSideAgain)
+{
+    for (int left = 0; left < 4; ++left) {
+        for (int right = 4; right < 8; ++right) {
+            cut.insert({fmt::format("h{}", left), fmt::format("h{}", right)});
+            cut.insert({fmt::format("h{}", right), fmt::format("h{}", left)});
+        }
+    }
+    advance(8);
+    CHECK_EQUAL(4U, hosts["h0"]->present().size());
+    cut.clear();
+    advance(6);
+    for (const auto &[name, host] : hosts) {
+        CHECK_EQUAL(8U, host->present().size());
+    }
+}
