Fleet: A message that is not its own is passed over

Cause: a message of a kind that the fleet has no overload for turned back into a Peer::Message and was received again, without end. No such message reaches it today: the daemon hands each kind to its own part; found when a new kind did, in a model of the fleet, whose process ended. Change: the kinds that are the fleet's are named. Conclusion: a latent crash is gone.

--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <type_traits>
 
 namespace Yokepond::Node {
 
@@ -32,6 +33,11 @@
 /// A host hears of another at least once a period of the membership; after three, what it hears of changes may be out of date.
 constexpr Base::Duration peersSilentAfter = std::chrono::milliseconds(1200);
 
+/// Any kind of message turns into a Peer::Message: whether an overload for it can be called would be true of all.
+template<typename Kind>
+constexpr bool isForFleet = std::is_same_v<Kind, Peer::Probe> || std::is_same_v<Kind, Peer::Acknowledgement>
+    || std::is_same_v<Kind, Peer::ChangesRequest> || std::is_same_v<Kind, Peer::Changes>;
+
 } // namespace
 
 Fleet::Fleet(const Settings &settings, Http::Client &client, std::uint64_t incarnation, Peer::Member self, FleetEvents events,
@@ -147,8 +153,7 @@
 {
     std::visit(
         [&](const auto &entry) {
-            if constexpr (requires { receive(now, from, entry); }
-                          && !std::is_same_v<std::decay_t<decltype(entry)>, Peer::Message>) {
+            if constexpr (isForFleet<std::decay_t<decltype(entry)>>) {
                 receive(now, from, entry);
             }
         },
