Site watch: Its options are not used after they were moved

Cause: the constructor moved its options, which hold a clock now, and went on to read them; the linter found it. What it reads are plain numbers that a move leaves alone. Change: it reads its own copy. Measured: the linter is quiet on the file. Conclusion: behaviour as before.

--- a/Source/Node/sitewatch.h
+++ b/Source/Node/sitewatch.h
@@ -90,9 +90,9 @@
         , m_events(std::move(events))
     {
         m_tables[0].kind = Configuration::RecordKind::Configuration;
-        m_tables[0].pause = options.configurationPause;
+        m_tables[0].pause = m_options.configurationPause;
         m_tables[1].kind = Configuration::RecordKind::Endpoint;
-        m_tables[1].pause = options.endpointPause;
+        m_tables[1].pause = m_options.endpointPause;
     }
 
     /// @p active: whether new calls are to be made. One that is under way is waited for in any case.
