Logs: What an endpoint's answer says of leaving and of rest, decoded once and told

Change: the head of an answer becomes one typed statement (rate, leaving, rest), made in platform/ and in the product's own form, and goes to the home as the rate did; what a home knows of it is logged (endpoint-leaves, endpoint-rests, availability-unreadable) and counted (runs turned away, runs begun at endpoints that had said so). Nothing decides by it yet. Words: leaving is 1 or 0; a rest a decimal number of seconds, or a date that counts from the answer's own; 0 asks for none, more than an hour is taken for one (chosen); what else comes changes nothing and is logged once. How long leaving is believed is a setting: 600 s where an endpoint that starts anew has another name, 60 s in the product's own form (both chosen). The stand-in engine and the engines of the fleet model say both.

--- /dev/null
+++ b/Source/Availability/knownavailability.h
@@ -0,0 +1,28 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+/// @file
+/// What a host knows of whether an endpoint takes requests, by the endpoint's own answers.
+
+#pragma once
+
+#include "Availability/statedavailability.h"
+
+namespace Yokepond::Availability {
+
+struct KnownAvailability
+{
+    Base::Instant leavesUntil {}; ///< until then it is taken to leave
+    Base::Instant restsUntil {}; ///< until then it takes no request of this host
+
+    bool leaves(Base::Instant now) const;
+    bool rests(Base::Instant now) const;
+
+    /// Whether nothing may be sent to it.
+    bool isClosed(Base::Instant now) const;
+
+    /// Takes in what an answer states; that it leaves is believed for @p leavingKept.
+    void hear(Base::Instant now, const StatedAvailability &stated, Base::Duration leavingKept);
+};
+
+} // namespace Yokepond::Availability
--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 47> eventNames = {{
+constexpr NameTable<LogEvent, 50> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -36,6 +36,9 @@
     {LogEvent::EndpointReturned, "endpoint-returned"},
     {LogEvent::EndpointRate, "endpoint-rate"},
     {LogEvent::RateUnreadable, "rate-unreadable"},
+    {LogEvent::EndpointLeaves, "endpoint-leaves"},
+    {LogEvent::EndpointRests, "endpoint-rests"},
+    {LogEvent::AvailabilityUnreadable, "availability-unreadable"},
     {LogEvent::ReadingSpeedLearned, "reading-speed-learned"},
     {LogEvent::LongestPauseLearned, "longest-pause-learned"},
     {LogEvent::MemberChanged, "member-changed"},
--- a/Source/Configuration/catalogue.cpp
+++ b/Source/Configuration/catalogue.cpp
@@ -26,6 +26,7 @@
     SettingSchema {"guaranteed-percent", {.name = "value", .type = FieldType::Integer, .least = 1, .most = 50}},
     SettingSchema {"retry-percent", {.name = "value", .type = FieldType::Integer, .least = 0, .most = 100}},
     SettingSchema {"most-endings", {.name = "value", .type = FieldType::Integer, .least = 0, .most = 100}},
+    SettingSchema {"leaving-kept", {.name = "value", .type = FieldType::Integer, .least = 1, .most = 86'400}},
 };
 
 std::int64_t integer(const Object &object, std::string_view field)
@@ -116,6 +117,8 @@
     policies.guaranteedPercent = count("guaranteed-percent", policies.guaranteedPercent);
     policies.retryPercent = count("retry-percent", policies.retryPercent);
     policies.mostEndings = count("most-endings", policies.mostEndings);
+    policies.leavingKept = std::chrono::seconds(count(
+        "leaving-kept", static_cast<std::uint32_t>(std::chrono::floor<std::chrono::seconds>(policies.leavingKept).count())));
     return policies;
 }
 
--- a/Source/Configuration/catalogue.h
+++ b/Source/Configuration/catalogue.h
@@ -152,6 +152,7 @@
     double mostRetries = 50.0; ///< retries in one pool that each host may save up
     bool retriesAreShared = false; ///< the two numbers above are for all hosts together, not for each
     std::uint32_t mostEndings = 3; ///< endpoints that may end under one work before no host runs it; 0: no limit
+    Base::Duration leavingKept = std::chrono::seconds(60); ///< for which an endpoint that has said that it leaves gets nothing
     bool wholePoolShards = false; ///< shards do not stop at the borders of data centres
 };
 
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -320,9 +320,9 @@
         {
             front.callerLeft(left.id);
         }
-        void operator()(const Relay::RateStated &stated) const
+        void operator()(const Relay::EndpointStated &stated) const
         {
-            front.rateStated(stated);
+            front.endpointStated(stated);
         }
         void operator()(Relay::RunOver &over) const
         {
@@ -576,6 +576,8 @@
     m_metrics.set("yokepond_local_runs_total", "", static_cast<double>(m_home.counters().localRuns));
     m_metrics.set("yokepond_stale_grants_total", "", static_cast<double>(m_home.counters().staleGrants));
     m_metrics.set("yokepond_returned_grants_total", "", static_cast<double>(m_home.counters().returnedGrants));
+    m_metrics.set("yokepond_runs_turned_away_total", "", static_cast<double>(m_home.counters().turnedAway));
+    m_metrics.set("yokepond_runs_at_closed_endpoints_total", "", static_cast<double>(m_home.counters().sentToClosed));
     const Request::QuarantineCounters &quarantine = m_home.quarantine().counters();
     m_metrics.set("yokepond_runs_suspected_total", "", static_cast<double>(quarantine.suspected));
     m_metrics.set("yokepond_work_held_total", "", static_cast<double>(quarantine.held));
--- a/Source/Node/front.cpp
+++ b/Source/Node/front.cpp
@@ -531,9 +531,9 @@
     m_events.relay(Relay::Stop {cancel.request});
 }
 
-void Front::rateStated(const Relay::RateStated &stated)
+void Front::endpointStated(const Relay::EndpointStated &stated)
 {
-    m_home.rateStated(Base::now(), stated.id, stated.stated);
+    m_home.endpointStated(Base::now(), stated.id, stated.stated);
 }
 
 void Front::runOver(Relay::RunOver over)
--- a/Source/Node/settings.cpp
+++ b/Source/Node/settings.cpp
@@ -123,6 +123,9 @@
         policies.retriesAreShared = true;
     }
     policies.mostEndings = static_cast<std::uint32_t>(ini.number("retries", "most-endings", policies.mostEndings, 0, 100));
+    // An endpoint that starts anew has another name there, so that nothing is lost by believing it for long.
+    constexpr std::int64_t leavingKept = 600;
+    policies.leavingKept = std::chrono::seconds(ini.number("dispatch", "leaving-kept", leavingKept, 1, 86'400));
     const auto placement = Base::valueOf(Configuration::placementNames, ini.text("dispatch", "placement", "affinity"));
     if (!placement) {
         ini.reject("dispatch", "placement", "affinity, least-loaded, round-robin or soonest-first-token");
--- a/Source/Relay/call.h
+++ b/Source/Relay/call.h
@@ -9,7 +9,6 @@
 #include "Base/time.h"
 #include "Http/message.h"
 #include "Peer/message.h"
-#include "Rate/statedrate.h"
 #include "Request/types.h"
 
 #include <cstdint>
@@ -68,11 +67,11 @@
     Base::Instant at {};
 };
 
-/// An endpoint's answer has begun, and states a rate, or none where one was known.
-struct RateStated
+/// An endpoint's answer has begun, and says something of its endpoint, or names no rate where one was known.
+struct EndpointStated
 {
     Peer::AttemptId id;
-    Rate::StatedRate stated;
+    Request::EndpointStatement stated;
 };
 
 /// The answer to a request that came by Adopt.
@@ -82,7 +81,7 @@
     Http::Response response;
 };
 
-using Event = std::variant<CallArrived, CallerLeft, RunOver, RunBegan, RateStated, AdoptedAnswer>;
+using Event = std::variant<CallArrived, CallerLeft, RunOver, RunBegan, EndpointStated, AdoptedAnswer>;
 
 // To the relay
 
@@ -100,7 +99,7 @@
     bool engine = true; ///< an engine, whose answers are OpenAI-style; else a plain service
     int priority = 0; ///< the tier's rank, for the engine's own queue
     bool repeatable = true;
-    bool tellRate = false; ///< send RateStated also if the answer states no rate
+    bool tellRate = false; ///< send EndpointStated also if the answer states no rate
     bool holdAnswer = false; ///< report the whole answer, to be given again for the same idempotency key
     std::string operationKey; ///< told to the endpoint, may be empty
     std::string fence; ///< for endpoints that check orders, may be empty
--- a/Source/Relay/openaiprotocol.h
+++ b/Source/Relay/openaiprotocol.h
@@ -14,6 +14,8 @@
 
 /// Of an endpoint's answer: the requests a second that it takes from all hosts together.
 inline constexpr std::string_view statedRateHeader = "yokepond-requests-per-second";
+/// Of an endpoint's answer: `1` where it takes no further requests, since it is about to end.
+inline constexpr std::string_view leavingHeader = "yokepond-leaving";
 
 class OpenAiProtocol
 {
@@ -32,7 +34,7 @@
                             const std::string &lastEventId) const;
     std::optional<Http::Transfer> rejoin(const Run &run, const std::string &lastEventId) const;
     AnswerKind judge(const Run &run, const AnswerHead &head) const;
-    Rate::StatedRate statedRate(const AnswerHead &head) const;
+    Request::EndpointStatement statement(const Run &run, const AnswerHead &head) const;
     Http::Headers streamHeaders(const Run &run, const AnswerHead &head) const;
     Http::Headers bodyHeaders(const Run &run, const AnswerHead &head) const;
 };
--- a/Source/Relay/protocol.h
+++ b/Source/Relay/protocol.h
@@ -8,7 +8,6 @@
 
 #include "Http/client.h"
 #include "Http/message.h"
-#include "Rate/statedrate.h"
 #include "Relay/call.h"
 
 #include <concepts>
@@ -51,10 +50,10 @@
           {
               protocol.judge(run, head)
           } -> std::same_as<AnswerKind>;
-          /// The requests a second that the endpoint says it takes from all hosts together.
+          /// What the endpoint says of itself. @p head is not AnswerKind::Gone, which is another endpoint's.
           {
-              protocol.statedRate(head)
-          } -> std::same_as<Rate::StatedRate>;
+              protocol.statement(run, head)
+          } -> std::same_as<Request::EndpointStatement>;
           /// The headers the caller gets with a stream, and with a whole body.
           {
               protocol.streamHeaders(run, head)
--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -325,7 +325,7 @@
             if (Call *found = find(id)) {
                 found->head = {status, headers};
                 found->kind = m_protocol.judge(found->run, found->head);
-                tellRate(*found);
+                tellStatement(*found);
             }
         };
         events.onBytes = [this, id](std::string_view bytes) {
@@ -343,15 +343,18 @@
     }
 
     /// Before any of the answer goes to the caller, so that the home knows at least as much as the caller.
-    void tellRate(const Call &call)
+    void tellStatement(const Call &call)
     {
         if (call.kind == AnswerKind::Gone) {
             // Another endpoint's word.
             return;
         }
-        const Rate::StatedRate stated = m_protocol.statedRate(call.head);
-        if (call.run.tellRate || stated.statement != Rate::Statement::None) {
-            m_handler(RateStated {call.run.id, stated});
+        const Request::EndpointStatement stated = m_protocol.statement(call.run, call.head);
+        const bool saysRate = call.run.tellRate || stated.rate.statement != Rate::Statement::None;
+        const bool saysAvailability
+            = stated.availability.leaves || stated.availability.rest > Base::Duration::zero() || stated.availability.unreadable;
+        if (saysRate || saysAvailability) {
+            m_handler(EndpointStated {call.run.id, stated});
         }
     }
 
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -120,6 +120,7 @@
     m_catalogue = std::move(catalogue);
     m_hosts = members.size();
     m_rates.updateView(*m_catalogue);
+    m_availabilities.updateView(*m_catalogue);
     m_quarantine.updateView(now, members, m_catalogue->policies().mostEndings);
     m_unreachable.clear();
     for (const Peer::Member &member : members) {
@@ -260,6 +261,7 @@
     pending.phase = Phase::Running;
     pending.endpoint = endpoint;
     ++pending.runs;
+    m_counters.sentToClosed += m_availabilities.of(endpoint).isClosed(now) ? 1 : 0;
     pending.misdirected = 0;
     m_localWindow.started(endpoint);
     const auto nameOf = [this](std::uint32_t number) {
@@ -411,11 +413,12 @@
                                                         report.gap, report.tokens, report.longestGap}});
 }
 
-void Home::rateStated(Instant now, const Peer::AttemptId &id, const Rate::StatedRate &stated)
+void Home::endpointStated(Instant now, const Peer::AttemptId &id, const EndpointStatement &stated)
 {
     Pending *pending = find(id.request);
     if (pending != nullptr && pending->phase == Phase::Running && pending->attempt == id.attempt) {
-        m_rates.said(now, pending->endpoint, stated);
+        m_availabilities.said(now, pending->endpoint, stated.availability);
+        m_rates.said(now, pending->endpoint, stated.rate);
         if (!m_rates.of(pending->endpoint).agreesWith(pending->grantedRate)) {
             tellRate(now, *pending, pending->endpoint);
         }
@@ -438,6 +441,7 @@
                      Base::milliseconds(report.longestGap)));
     pending->mayHaveRun = pending->mayHaveRun || report.stage == RunStage::Sent || report.stage == RunStage::Whole;
     pending->sends += reachedEndpoint(report.stage) ? 1 : 0;
+    m_counters.turnedAway += report.stage == RunStage::Refused ? 1 : 0;
     judgeWork(now, *pending, report);
     if (report.callerGone) {
         end(report.id.request);
@@ -681,6 +685,7 @@
 void Home::tick(Instant now)
 {
     m_quarantine.tick(now);
+    m_availabilities.tick(now);
     enforceQuarantine(now);
     std::vector<std::uint64_t> due;
     for (auto &[id, pending] : m_pending) {
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include "Availability/endpointavailabilities.h"
 #include "Base/tokenbucket.h"
 #include "Configuration/catalogue.h"
 #include "Dispatch/shardmap.h"
@@ -57,6 +58,8 @@
     std::uint64_t localRuns = 0;
     std::uint64_t staleGrants = 0;
     std::uint64_t returnedGrants = 0; ///< by dispatchers that did not know the endpoint's rate
+    std::uint64_t turnedAway = 0; ///< runs that their endpoints refused
+    std::uint64_t sentToClosed = 0; ///< runs at endpoints that had said that they leave or want rest
 };
 
 /// Pure state machine: time and randomness come in, actions come out of takeActions(). Each request ends with exactly one
@@ -80,7 +83,7 @@
     void receive(Base::Instant now, const std::string &from, const Peer::QuarantineNews &news);
 
     /// The answer of a run has begun and says @p stated of its endpoint.
-    void rateStated(Base::Instant now, const Peer::AttemptId &id, const Rate::StatedRate &stated);
+    void endpointStated(Base::Instant now, const Peer::AttemptId &id, const EndpointStatement &stated);
 
     void runEnded(Base::Instant now, const RunReport &report);
     void callerGone(Base::Instant now, std::uint64_t request);
@@ -175,6 +178,7 @@
     LocalWindow m_localWindow;
     Quarantine m_quarantine;
     Rate::EndpointRates m_rates;
+    Availability::EndpointAvailabilities m_availabilities;
     Base::Instant m_nextReport {};
     std::deque<std::pair<std::uint64_t, std::vector<TraceEntry>>> m_ended;
     HomeCounters m_counters;
--- a/Source/Request/types.h
+++ b/Source/Request/types.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include "Availability/statedavailability.h"
 #include "Base/error.h"
 #include "Base/names.h"
 #include "Base/time.h"
@@ -43,6 +44,13 @@
     std::uint64_t work = 0; ///< equal for all requests of the same organisation, path and body, at any host
 };
 
+/// What the head of an answer says of its endpoint, beside the answer.
+struct EndpointStatement
+{
+    Rate::StatedRate rate;
+    Availability::StatedAvailability availability;
+};
+
 /// How far a run got at its endpoint.
 enum class RunStage {
     Stale, ///< the grant's start-by time had passed, so that nothing was started
--- a/Source/Standin/common.cpp
+++ b/Source/Standin/common.cpp
@@ -52,9 +52,9 @@
     exchange->respond({status, std::move(more), body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n"});
 }
 
-void respondError(const std::shared_ptr<Http::Exchange> &exchange, int status, const std::string &message)
+void respondError(const std::shared_ptr<Http::Exchange> &exchange, int status, const std::string &message, Http::Headers more)
 {
-    respondJson(exchange, status, {{"error", {{"message", message}}}});
+    respondJson(exchange, status, {{"error", {{"message", message}}}}, std::move(more));
 }
 
 RunLog::RunLog(const std::string &file)
--- a/Source/Standin/common.h
+++ b/Source/Standin/common.h
@@ -43,7 +43,8 @@
                  Http::Headers more = {});
 
 /// Answers `{"error":{"message"}}`.
-void respondError(const std::shared_ptr<Http::Exchange> &exchange, int status, const std::string &message);
+void respondError(const std::shared_ptr<Http::Exchange> &exchange, int status, const std::string &message,
+                  Http::Headers more = {});
 
 /// A run as GET /runs shows it.
 struct RunRecord
--- a/Source/Standin/engine.cpp
+++ b/Source/Standin/engine.cpp
@@ -97,14 +97,23 @@
     m_faults.failPercent = faults->value("fail-percent", m_faults.failPercent);
     m_faults.cutPercent = faults->value("cut-percent", m_faults.cutPercent);
     m_faults.rate = faults->value("rate", m_faults.rate);
+    m_faults.leaving = faults->value("leaving", m_faults.leaving);
+    m_faults.retryAfter = faults->value("retry-after", m_faults.retryAfter);
     m_faults.endsOn = faults->value("ends-on", m_faults.endsOn);
     respondJson(exchange, httpOk, {{"set", true}});
     schedule();
 }
 
-Http::Headers Engine::rateHeaders() const
+Http::Headers Engine::statementHeaders() const
 {
-    return m_faults.rate.empty() ? Http::Headers {} : Http::Headers {{std::string(Relay::statedRateHeader), m_faults.rate}};
+    Http::Headers headers;
+    if (!m_faults.rate.empty()) {
+        headers.push_back({std::string(Relay::statedRateHeader), m_faults.rate});
+    }
+    if (!m_faults.leaving.empty()) {
+        headers.push_back({std::string(Relay::leavingHeader), m_faults.leaving});
+    }
+    return headers;
 }
 
 void Engine::begin(const std::shared_ptr<Http::Exchange> &exchange)
@@ -116,7 +125,11 @@
         return;
     }
     if (m_faults.refuse) {
-        respondError(exchange, httpUnavailable, "the engine takes no work now");
+        Http::Headers headers = statementHeaders();
+        if (!m_faults.retryAfter.empty()) {
+            headers.push_back({"retry-after", m_faults.retryAfter});
+        }
+        respondError(exchange, httpUnavailable, "the engine takes no work now", std::move(headers));
         return;
     }
     if (m_random() % percent < m_faults.failPercent) {
@@ -157,7 +170,7 @@
     if (!run->stream) {
         return;
     }
-    Http::Headers headers = rateHeaders();
+    Http::Headers headers = statementHeaders();
     headers.push_back({"content-type", std::string(Http::eventStreamType)});
     exchange->beginStream(httpOk, std::move(headers));
     for (std::uint32_t token = from + 1; token <= run->produced; ++token) {
@@ -287,7 +300,7 @@
         run->exchange->write(fmt::format("id: {}\ndata: [DONE]\n\n", run->tokens + 1));
         run->exchange->finish();
     } else {
-        respondJson(run->exchange, httpOk, wholeAnswer(*run), rateHeaders());
+        respondJson(run->exchange, httpOk, wholeAnswer(*run), statementHeaders());
     }
     run->exchange.reset();
     run->suspendedAt = Base::now();
--- a/Source/Standin/engine.h
+++ b/Source/Standin/engine.h
@@ -41,6 +41,8 @@
     std::uint32_t failPercent = 0; ///< of new runs are answered 500
     std::uint32_t cutPercent = 0; ///< of streams are cut at some token
     std::string rate; ///< that its answers name, as text; empty: none
+    std::string leaving; ///< what its answers say of whether it leaves; empty: nothing
+    std::string retryAfter; ///< that its refusals name, as text; empty: none
     std::string endsOn; ///< the process ends as it begins a prompt that holds this text; empty: on none
 };
 
@@ -77,7 +79,7 @@
     void begin(const std::shared_ptr<Http::Exchange> &exchange);
     void resume(const std::shared_ptr<Http::Exchange> &exchange, const std::string &request);
     void attach(const RunPointer &run, const std::shared_ptr<Http::Exchange> &exchange, std::uint32_t from);
-    Http::Headers rateHeaders() const;
+    Http::Headers statementHeaders() const;
     void setFaults(const std::shared_ptr<Http::Exchange> &exchange);
     void schedule();
     void admit();
--- a/Tests/Platform/requestprotocoltest.cpp
+++ b/Tests/Platform/requestprotocoltest.cpp
@@ -61,9 +61,9 @@
 TEST(RequestProtocol, theRateThatAnEndpointStatesIsTypedOnce)
 {
     const auto stated = [&](int status, const char *text) {
-        return protocol.statedRate({status, {{std::string(Names::statedRate), text}}});
+        return protocol.statement({}, {status, {{std::string(Names::statedRate), text}}}).rate;
     };
-    CHECK_TRUE(protocol.statedRate({200, answer()}).statement == Rate::Statement::None);
+    CHECK_TRUE(protocol.statement({}, {200, answer()}).rate.statement == Rate::Statement::None);
     CHECK_TRUE(stated(200, "0.2").statement == Rate::Statement::Limit);
     DOUBLES_EQUAL(0.2, stated(200, "0.2").perSecond, 1e-9);
     DOUBLES_EQUAL(3.0, stated(500, " 3 ").perSecond, 1e-9);
@@ -74,6 +74,25 @@
     }
 }
 
+TEST(RequestProtocol, whatAnEndpointSaysOfLeavingAndRestIsTypedOnce)
+{
+    const auto stated = [&](int status, Http::Headers headers) { return protocol.statement({}, {status, headers}).availability; };
+    const Http::Header leaving {std::string(Names::leaving), "1"};
+    const Http::Header rest {std::string(Names::retryAfter), "3"};
+    const Http::Header notRun {std::string(Names::notRun), "1"};
+    for (const int status : {200, 404, 500, 503}) {
+        CHECK_TRUE(stated(status, {leaving}).leaves);
+        CHECK_FALSE(stated(status, {rest}).leaves);
+    }
+    CHECK_TRUE(stated(503, {rest, notRun}).rest == std::chrono::seconds(3));
+    CHECK_TRUE(stated(503, {rest}).rest == std::chrono::seconds(3));
+    CHECK_TRUE(stated(429, {rest, notRun}).rest == std::chrono::seconds(3));
+    // An application's word to one caller.
+    for (const int status : {200, 413, 429, 500}) {
+        CHECK_TRUE(stated(status, {rest}).rest == Base::Duration::zero());
+    }
+}
+
 TEST(RequestProtocol, headersBecomeTypedFields)
 {
     const Relay::CallArrived call = described();
--- a/Tests/Request/fleetload.h
+++ b/Tests/Request/fleetload.h
@@ -46,6 +46,8 @@
     Base::Duration way = std::chrono::microseconds(900); ///< of a message between two hosts
     Base::Duration engineStarts = std::chrono::milliseconds(3300); ///< until an engine that was ended by a request is back
     Base::Duration contact = std::chrono::seconds(3); ///< after which each host has to know what another saw
+    Base::Duration leavingBound
+        = std::chrono::seconds(2); ///< after which a host sends nothing to an engine that told it it leaves
     Configuration::Policies policies {.placement = Configuration::PlacementPolicy::SoonestFirstToken,
                                       .window = Configuration::WindowPolicy::Fixed,
                                       .ejectSlow = false,
@@ -92,6 +94,10 @@
     std::uint64_t othersHeld = 0; ///< of the requests that end no engines, refused since they were blamed for endings
     double mostOverRate = -1e9; ///< requests in 4 s at an engine beyond what the rate that it names allows; below 0: fewer
     std::uint64_t atLimited = 0; ///< arrivals at engines that name a rate
+    std::uint64_t atLeaving = 0; ///< arrivals at engines that say that they leave
+    std::uint64_t sentToLeaving = 0; ///< of these, over `leavingBound` after their host had got such an answer
+    std::uint64_t turnedAway = 0; ///< requests that engines refused though they had room
+    std::uint64_t mostInRest = 0; ///< requests from one host within one rest that it had been asked for
 };
 
 class FleetLoad
@@ -205,6 +211,20 @@
         m_engines[index].arrivals.clear();
     }
 
+    /// The answers of engine @p index say from now on whether it leaves.
+    void sayLeaving(std::size_t index, bool leaves)
+    {
+        m_engines[index].leaves = leaves;
+    }
+
+    /// Engine @p index turns @p share of what comes away at once and asks for @p rest, zero: for none; nothing else of it
+    /// changes.
+    void turnAway(std::size_t index, double share, Base::Duration rest)
+    {
+        m_engines[index].turnedAwayShare = share;
+        m_engines[index].rest = rest;
+    }
+
     const FleetLoadCounts &counts()
     {
         m_counts.localRuns = 0;
@@ -257,6 +277,15 @@
         }
     };
 
+    /// A rest that an engine has asked a host for.
+    struct AskedRest
+    {
+        std::size_t host = 0;
+        Base::Instant counted {}; ///< requests that come later count
+        Base::Instant until {};
+        std::uint64_t got = 0;
+    };
+
     struct Engine
     {
         bool up = true;
@@ -270,6 +299,11 @@
         std::optional<Base::Instant> firstNamed;
         std::map<std::size_t, Base::Instant> told; ///< by host: when an answer that named the rate first came to it
         std::deque<Base::Instant> arrivals; ///< in the last 4 s, from hosts that had been told half a second before
+        bool leaves = false;
+        std::map<std::size_t, Base::Instant> toldLeaving; ///< by host: when an answer that says so first came to it
+        double turnedAwayShare = 0;
+        Base::Duration rest {};
+        std::vector<AskedRest> rests;
     };
 
     struct Call
@@ -487,6 +521,12 @@
             m_events.push({m_now, [this, run] { report(run, Request::RunStage::Refused); }});
             return;
         }
+        countAgainstAvailability(engine, host);
+        if (engine.turnedAwayShare > 0 && std::uniform_real_distribution<double>()(m_random) < engine.turnedAwayShare) {
+            ++m_counts.turnedAway;
+            m_events.push({m_now + m_options.way * 4, [this, index, run] { answerTurnedAway(index, run); }});
+            return;
+        }
         if (engine.rate) {
             countAgainstRate(engine, host);
         }
@@ -518,6 +558,38 @@
         m_events.push({end, [this, index, ended, generation = engine.generation] { finish(index, ended, generation); }});
     }
 
+    void countAgainstAvailability(Engine &engine, std::size_t host)
+    {
+        m_counts.atLeaving += engine.leaves ? 1 : 0;
+        const auto told = engine.toldLeaving.find(host);
+        m_counts.sentToLeaving += told != engine.toldLeaving.end() && m_now > told->second + m_options.leavingBound ? 1 : 0;
+        for (AskedRest &rest : engine.rests) {
+            if (rest.host == host && m_now > rest.counted && m_now < rest.until) {
+                m_counts.mostInRest = std::max(m_counts.mostInRest, ++rest.got);
+            }
+        }
+    }
+
+    void answerTurnedAway(std::size_t index, const Run &run)
+    {
+        constexpr Base::Duration uncounted = std::chrono::milliseconds(500);
+        if (m_lost.contains(run.host)) {
+            return;
+        }
+        if (isFrozen(run.host)) {
+            m_events.push({m_hosts[run.host].frozenUntil, [this, index, run] { answerTurnedAway(index, run); }});
+            return;
+        }
+        Engine &engine = m_engines[index];
+        Request::EndpointStatement stated;
+        stated.availability.rest = engine.rest;
+        if (engine.rest > Base::Duration::zero()) {
+            engine.rests.push_back({run.host, m_now + uncounted, m_now + engine.rest, 0});
+        }
+        m_hosts[run.host].home->endpointStated(m_now, run.id, stated);
+        report(run, Request::RunStage::Refused);
+    }
+
     /// What an engine that names a rate takes in some 4 s is one and a half times that and 5 requests, from the hosts that had
     /// its word for half a second, once the fleet had the time to hear of it.
     void countAgainstRate(Engine &engine, std::size_t host)
@@ -555,9 +627,13 @@
             engine.firstNamed = engine.firstNamed.value_or(m_now);
             engine.told.try_emplace(run.host, m_now);
         }
-        if (engine.rate || tellRate) {
+        if (engine.leaves) {
+            engine.toldLeaving.try_emplace(run.host, m_now);
+        }
+        if (engine.rate || tellRate || engine.leaves) {
             const auto statement = engine.rate ? Rate::Statement::Limit : Rate::Statement::None;
-            m_hosts[run.host].home->rateStated(m_now, run.id, {statement, engine.rate.value_or(0)});
+            m_hosts[run.host].home->endpointStated(
+                m_now, run.id, {.rate = {statement, engine.rate.value_or(0)}, .availability = {.leaves = engine.leaves}});
             collect(run.host);
         }
     }
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -461,7 +461,7 @@
     void learnLimit(double now)
     {
         const Peer::Ask ask = granted(1, now);
-        home.rateStated(at(now), ask.id, {Rate::Statement::Limit, 1.0});
+        home.endpointStated(at(now), ask.id, {.rate = {Rate::Statement::Limit, 1.0}});
         ended(ask, now, RunStage::Whole);
         home.takeActions();
     }
@@ -471,12 +471,12 @@
 {
     const Peer::Ask ask = granted(1, 0);
     home.takeActions();
-    home.rateStated(at(0.1), ask.id, {Rate::Statement::Limit, 0.5});
+    home.endpointStated(at(0.1), ask.id, {.rate = {Rate::Statement::Limit, 0.5}});
     const auto news = told();
     CHECK_EQUAL(1U, news.size());
     CHECK_EQUAL(endpoint, news.front().endpoint);
     CHECK_TRUE(news.front().rate.knowledge == Rate::Knowledge::Limited && news.front().rate.perSecond == 0.5);
-    home.rateStated(at(0.1), {99, 1}, {Rate::Statement::Limit, 7});
+    home.endpointStated(at(0.1), {99, 1}, {.rate = {Rate::Statement::Limit, 7}});
     CHECK_EQUAL(0U, told().size());
 }
 
@@ -522,7 +522,7 @@
     learnLimit(0);
     const Peer::Ask ask = granted(2, 5, {Rate::Knowledge::Limited, 1, std::chrono::milliseconds(300)});
     CHECK_EQUAL(0U, told().size());
-    home.rateStated(at(5.2), ask.id, {});
+    home.endpointStated(at(5.2), ask.id, {});
     const auto news = told();
     CHECK_EQUAL(1U, news.size());
     CHECK_TRUE(news.front().rate.knowledge == Rate::Knowledge::Unlimited);
