--- a/Tests/Request/fleetloadtest.cpp
+++ b/Tests/Request/fleetloadtest.cpp
@@ -361,3 +361,45 @@
     fmt::print("rates in random mixes, seeds 1 to {}: most beyond what is allowed in 4 s {:.1f}\n", seeds, worst);
     CHECK_TRUE(worst <= 0);
 }
+
+/// Guards against requests to an engine that its answers have said leaves: it was chosen as before, by hosts that had been told.
+///
+/// The pattern: the load of a small site; an engine begins to say so at second 4, and serves on.
+TEST(FleetLoad, enginesThatSayThatTheyLeaveGetNothingMore)
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        FleetLoad load(smallSite(), smallSiteStreams(), seed);
+        load.run(std::chrono::seconds(4));
+        load.sayLeaving(0, true);
+        load.run(std::chrono::seconds(13));
+        print("one of nine engines says that it leaves", seed, load.counts());
+        fmt::print("  came to it {}, of these from hosts that had been told {}\n", load.counts().atLeaving,
+                   load.counts().sentToLeaving);
+        CHECK_TRUE(load.counts().atLeaving > 0);
+        CHECK_EQUAL(0U, load.counts().sentToLeaving);
+    }
+}
+
+/// Guards against requests to engines that have turned a host's request away and asked it for rest: having nothing to do, they
+/// drew more than before.
+///
+/// The pattern: the load of a small site; three of nine engines turn all away for 9 s and ask for 3 s of rest each time. The
+/// operators' alert for a class is a tenth of its requests that are not served.
+TEST(FleetLoad, enginesThatAskForRestGetIt)
+{
+    constexpr std::uint64_t allowedInRest = 2;
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        FleetLoad load(smallSite(), smallSiteStreams(), seed);
+        load.run(std::chrono::seconds(4));
+        for (std::size_t engine = 0; engine < 3; ++engine) {
+            load.turnAway(engine, 1.0, std::chrono::seconds(3));
+        }
+        load.run(std::chrono::seconds(9));
+        const FleetLoadCounts &counts = load.counts();
+        print("three of nine engines ask for rest", seed, counts);
+        fmt::print("  turned away {}, most from a host in one rest {}\n", counts.turnedAway, counts.mostInRest);
+        CHECK_TRUE(counts.turnedAway > 0);
+        CHECK_TRUE(counts.mostInRest <= allowedInRest);
+        CHECK_TRUE((counts.refused + counts.failed) * 10 <= counts.offered);
+    }
+}
