--- a/Source/Availability/knownavailability.cpp
+++ b/Source/Availability/knownavailability.cpp
@@ -31,4 +31,9 @@
     restsUntil = std::max(restsUntil, now + stated.rest);
 }
 
+AvailabilityWord KnownAvailability::word(Base::Instant now) const
+{
+    return {std::max(Base::Duration::zero(), leavesUntil - now), std::max(Base::Duration::zero(), restsUntil - now)};
+}
+
 } // namespace Yokepond::Availability
--- a/Source/Availability/knownavailability.h
+++ b/Source/Availability/knownavailability.h
@@ -10,6 +10,13 @@
 
 namespace Yokepond::Availability {
 
+/// What one host tells another.
+struct AvailabilityWord
+{
+    Base::Duration leavesFor {}; ///< it is taken to leave for so long; zero: not; sent in whole milliseconds, as the next
+    Base::Duration restsFor {}; ///< for so long it takes no request of the sender; zero: it may
+};
+
 struct KnownAvailability
 {
     Base::Instant leavesUntil {}; ///< until then it is taken to leave
@@ -23,6 +30,8 @@
 
     /// Takes in what an answer states; that it leaves is believed for @p leavingKept.
     void hear(Base::Instant now, const StatedAvailability &stated, Base::Duration leavingKept);
+
+    AvailabilityWord word(Base::Instant now) const;
 };
 
 } // namespace Yokepond::Availability
--- a/Source/Dispatch/dispatcher.cpp
+++ b/Source/Dispatch/dispatcher.cpp
@@ -68,10 +68,10 @@
     }
 }
 
-void Dispatcher::receive(Base::Instant now, const Home &home, const Peer::RateNews &news)
+void Dispatcher::receive(Base::Instant now, const Home &home, const Peer::EndpointNews &news)
 {
     if (const auto shard = m_shards.find(news.shard); shard != m_shards.end()) {
-        shard->second.hearRate(now, home, news);
+        shard->second.hearEndpoint(now, home, news);
     }
 }
 
--- a/Source/Dispatch/endpointstates.cpp
+++ b/Source/Dispatch/endpointstates.cpp
@@ -44,7 +44,7 @@
 
 bool EndpointState::isUsable() const
 {
-    return !drained && !leaving && !gone;
+    return !drained && !leaving && !gone && !saysItLeaves;
 }
 
 bool EndpointState::takesWork() const
@@ -143,7 +143,7 @@
     views.reserve(endpoints.size());
     for (const auto &[number, state] : endpoints) {
         const Rate::KnownRate &rate = state.pace.known();
-        views.push_back({number, state.running, state.windowSize(), state.health.state(), !state.isUsable(),
+        views.push_back({number, state.running, state.windowSize(), state.health.state(), !state.isUsable(), state.saysItLeaves,
                          Base::milliseconds(state.health.firstToken().value_or(Duration::zero())),
                          Base::milliseconds(state.health.pace().value_or(Duration::zero())),
                          rate.isLimited() ? std::optional(rate.perSecond) : std::nullopt});
--- a/Source/Dispatch/endpointstates.h
+++ b/Source/Dispatch/endpointstates.h
@@ -30,6 +30,7 @@
     std::uint32_t window = 0;
     HealthState health = HealthState::Healthy;
     bool drained = false;
+    bool saysItLeaves = false;
     double firstTokenMs = 0;
     double paceMs = 0;
     std::optional<double> ratePerSecond; ///< that it says it takes from all hosts together, if it limits that
@@ -46,6 +47,8 @@
     bool drained = false;
     bool leaving = false;
     bool gone = false; ///< another endpoint answers at its address; its name does not come back
+    Base::Instant leavesUntil {}; ///< as its answers say
+    bool saysItLeaves = false;
     Rate::Pace pace;
 
     /// Whether it may get work, whatever its health.
@@ -87,7 +90,8 @@
 /// Of those that are healthy; none if fewer than three have one to compare.
 std::optional<double> medianErrorShare(const EndpointStates &endpoints);
 
-/// All that take work, with all their slots free to choose; those whose rate is used up only if there are no others.
+/// All that take work, with all their slots free to choose; those whose rate is used up, or that rest, only if there are no
+/// others.
 std::vector<Candidate> usableOf(const EndpointStates &endpoints, Base::Instant now);
 
 /// Nothing if some endpoint that takes work does not limit its rate.
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -475,18 +475,43 @@
     pump(now, mostPassedOverAtEvent);
 }
 
+void Shard::hearEndpoint(Instant now, const Home &home, const Peer::EndpointNews &news)
+{
+    const auto endpoint = m_endpoints.find(news.endpoint);
+    if (endpoint != m_endpoints.end()) {
+        hearRate(now, home, news, endpoint->second);
+        hearLeaving(now, home, news, endpoint->second);
+    }
+}
+
 /// Every run at an endpoint that limits its rate is to be counted, and only the dispatcher sees them all. What it counts by it
 /// has from the homes: those whose runs were told, and those that know better than a grant that comes to them.
-void Shard::hearRate(Instant now, const Home &home, const Peer::RateNews &news)
+void Shard::hearRate(Instant now, const Home &home, const Peer::EndpointNews &news, EndpointState &state)
 {
-    const auto endpoint = m_endpoints.find(news.endpoint);
-    if (endpoint == m_endpoints.end()) {
+    const Rate::KnownRate before = state.pace.known();
+    if (state.pace.hear(now, Rate::knownFrom(news.rate, now))) {
+        Rate::logChange(news.endpoint, before, state.pace.known(), home.name);
+        pump(now, mostPassedOverAtEvent);
+    }
+}
+
+void Shard::hearLeaving(Instant now, const Home &home, const Peer::EndpointNews &news, EndpointState &state)
+{
+    if (news.availability.leavesFor == Duration::zero()) {
         return;
     }
-    const Rate::KnownRate before = endpoint->second.pace.known();
-    if (endpoint->second.pace.hear(now, Rate::knownFrom(news.rate, now))) {
-        Rate::logChange(news.endpoint, before, endpoint->second.pace.known(), home.name);
-        pump(now, mostPassedOverAtEvent);
+    state.leavesUntil = std::max(state.leavesUntil, now + news.availability.leavesFor);
+    if (!std::exchange(state.saysItLeaves, true)) {
+        Base::log(Base::LogLevel::Info, Base::LogEvent::EndpointLeaves, {{"endpoint", news.endpoint}, {"source", home.name}});
+        distrustUnusable();
+        refuseAllIfNone();
+    }
+}
+
+void Shard::endLeaving(Instant now)
+{
+    for (EndpointState &state : m_endpoints | std::views::values) {
+        state.saysItLeaves = state.saysItLeaves && now < state.leavesUntil;
     }
 }
 
@@ -541,6 +566,7 @@
 void Shard::tick(Instant now)
 {
     dropExpired(now);
+    endLeaving(now);
     if (now - m_periodBegan >= ratePeriod) {
         const double rate = static_cast<double>(m_grantsInPeriod) / Base::seconds(now - m_periodBegan);
         m_grantsPerSecond = m_grantsPerSecond <= 0 ? rate : m_grantsPerSecond + rateShareOfLatest * (rate - m_grantsPerSecond);
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -71,8 +71,8 @@
     /// Sets the permits of @p home to those it reports: unknown ones are added, and missing ones given up.
     void report(Base::Instant now, const Home &home, const Peer::RunningReport &report);
 
-    /// A home knows of the rate that an endpoint takes.
-    void hearRate(Base::Instant now, const Home &home, const Peer::RateNews &news);
+    /// A home knows something of an endpoint by the endpoint's own answers.
+    void hearEndpoint(Base::Instant now, const Home &home, const Peer::EndpointNews &news);
 
     /// Drops all asks and permits of a home that is dead; an incarnation of 0 stands for all but @p keep.
     void homeGone(Base::Instant now, const std::string &name, std::uint64_t keep);
@@ -138,6 +138,9 @@
     void refuseLate(Base::Instant now);
     void dropExpired(Base::Instant now);
     void ejectBad(Base::Instant now);
+    void hearRate(Base::Instant now, const Home &home, const Peer::EndpointNews &news, EndpointState &state);
+    void hearLeaving(Base::Instant now, const Home &home, const Peer::EndpointNews &news, EndpointState &state);
+    void endLeaving(Base::Instant now);
     Base::Duration expectedFirstToken() const;
     Base::Duration retryAfter() const;
     std::uint32_t pressure() const;
--- a/Source/Node/front.cpp
+++ b/Source/Node/front.cpp
@@ -506,6 +506,7 @@
     command.requestName = requestName(run.id.request);
     command.callersName = admitted.callersName;
     command.endpoint = endpoint->name;
+    command.endpointNumber = endpoint->number;
     command.organisation = admitted.organisationName;
     command.deadline = admitted.deadline;
     command.address = endpoint->address.text();
@@ -533,7 +534,7 @@
 
 void Front::endpointStated(const Relay::EndpointStated &stated)
 {
-    m_home.endpointStated(Base::now(), stated.id, stated.stated);
+    m_home.endpointStated(Base::now(), stated.id, stated.endpoint, stated.stated);
 }
 
 void Front::runOver(Relay::RunOver over)
--- a/Source/Node/queries.cpp
+++ b/Source/Node/queries.cpp
@@ -222,6 +222,18 @@
     return answer;
 }
 
+/// What an operator is told first of it.
+std::string_view Queries::stateOf(const Dispatch::EndpointView &view)
+{
+    if (view.saysItLeaves) {
+        return "leaving";
+    }
+    if (view.drained) {
+        return "drained";
+    }
+    return Base::nameOf(Dispatch::healthStateNames, view.health);
+}
+
 Answer Queries::endpoints() const
 {
     Answer answer {{"name", "pool", "address", "data-centre", "state", "running", "window", "slots", "first-token-ms", "pace-ms",
@@ -235,19 +247,18 @@
                 continue;
             }
             const auto *pool = m_fleet.catalogue()->poolNumbered(endpoint->pool);
-            answer.rows.push_back(
-                {{"name", endpoint->name},
-                 {"pool", pool == nullptr ? "" : pool->name},
-                 {"address", endpoint->address.text()},
-                 {"data-centre", endpoint->dataCentre},
-                 {"state", view.drained ? "drained" : std::string(Base::nameOf(Dispatch::healthStateNames, view.health))},
-                 {"running", view.running},
-                 {"window", view.window},
-                 {"slots", endpoint->slots},
-                 {"first-token-ms", view.firstTokenMs},
-                 {"pace-ms", view.paceMs},
-                 {"rate", view.ratePerSecond ? nlohmann::json(*view.ratePerSecond) : nlohmann::json("")},
-                 {"dispatcher", m_settings.name}});
+            answer.rows.push_back({{"name", endpoint->name},
+                                   {"pool", pool == nullptr ? "" : pool->name},
+                                   {"address", endpoint->address.text()},
+                                   {"data-centre", endpoint->dataCentre},
+                                   {"state", stateOf(view)},
+                                   {"running", view.running},
+                                   {"window", view.window},
+                                   {"slots", endpoint->slots},
+                                   {"first-token-ms", view.firstTokenMs},
+                                   {"pace-ms", view.paceMs},
+                                   {"rate", view.ratePerSecond ? nlohmann::json(*view.ratePerSecond) : nlohmann::json("")},
+                                   {"dispatcher", m_settings.name}});
         }
     }
     return answer;
--- a/Source/Node/queries.h
+++ b/Source/Node/queries.h
@@ -20,6 +20,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Yokepond::Node {
@@ -63,6 +64,7 @@
     Answer why(const Language::Why &why, Base::Instant now) const;
     Answer requests(Base::Instant now) const;
     Answer objects(Configuration::Kind kind) const;
+    static std::string_view stateOf(const Dispatch::EndpointView &view);
     Answer endpoints() const;
     Answer hosts() const;
     Answer dispatchers() const;
--- a/Source/Peer/codec.cpp
+++ b/Source/Peer/codec.cpp
@@ -182,12 +182,15 @@
         }
     }
 
-    void operator()(const RateNews &news)
+    void operator()(const EndpointNews &news)
     {
-        auto builder = message.initRateNews();
+        auto builder = message.initEndpointNews();
         builder.setShard(news.shard);
         builder.setEndpoint(news.endpoint);
         encodeRate(news.rate, builder.initRate());
+        // Not a moment less than is left.
+        builder.setLeavesForMs(toMilliseconds(std::chrono::ceil<std::chrono::milliseconds>(news.availability.leavesFor)));
+        builder.setRestsForMs(toMilliseconds(std::chrono::ceil<std::chrono::milliseconds>(news.availability.restsFor)));
     }
 
     void operator()(const Refusal &refusal)
@@ -531,9 +534,12 @@
         const auto broke = reader.getRunBroke();
         return RunBroke {broke.getWork(), broke.getEndpoint(), broke.getJustBegan()};
     }
-    case Wire::Message::RATE_NEWS: {
-        const auto news = reader.getRateNews();
-        return RateNews {news.getShard(), news.getEndpoint(), decodeRate(news.getRate())};
+    case Wire::Message::ENDPOINT_NEWS: {
+        const auto news = reader.getEndpointNews();
+        return EndpointNews {news.getShard(),
+                             news.getEndpoint(),
+                             decodeRate(news.getRate()),
+                             {fromMilliseconds(news.getLeavesForMs()), fromMilliseconds(news.getRestsForMs())}};
     }
     case Wire::Message::QUARANTINE_NEWS:
         return decodeQuarantine(reader.getQuarantineNews());
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include "Availability/knownavailability.h"
 #include "Base/names.h"
 #include "Base/time.h"
 #include "Rate/knownrate.h"
@@ -55,12 +56,13 @@
     Rate::RateWord rate; ///< by which the dispatcher counts at the endpoint
 };
 
-/// Tells a dispatcher what a home knows of an endpoint's rate.
-struct RateNews
+/// Tells a dispatcher what a home knows of an endpoint by the endpoint's own answers.
+struct EndpointNews
 {
     std::uint32_t shard = 0;
     std::uint32_t endpoint = 0;
     Rate::RateWord rate;
+    Availability::AvailabilityWord availability;
 };
 
 enum class RefusalReason : std::uint8_t {
@@ -303,7 +305,7 @@
 
 using Message = std::variant<Ask, Grant, Refusal, Withdrawal, Release, RunningReport, Probe, Acknowledgement, ChangesRequest,
                              Changes, Gather, Gathered, Forward, Forwarded, Queued, UsageCounts, UsageReceived, RunBroke,
-                             QuarantineNews, RateNews, FollowStore, FollowAnswer>;
+                             QuarantineNews, EndpointNews, FollowStore, FollowAnswer>;
 
 /// What a message is for; bytes on the wire are counted apart for each.
 enum class Traffic { Dispatch, Membership, Configuration, Query, Forwarding, Usage };
--- a/Source/Peer/peer.capnp
+++ b/Source/Peer/peer.capnp
@@ -199,10 +199,12 @@
   entries @1 :List(QuarantineEntry);
 }
 
-struct RateNews {
+struct EndpointNews {
   shard @0 :UInt32;
   endpoint @1 :UInt32;
   rate @2 :RateWord;
+  leavesForMs @3 :UInt32;      # it has said that it leaves, and is taken to for so long; 0: not
+  restsForMs @4 :UInt32;       # for so long it takes no request of the sender; 0: it may
 }
 
 struct Message {
@@ -226,7 +228,7 @@
     usageReceived @16 :UsageReceived;
     runBroke @17 :RunBroke;
     quarantineNews @18 :QuarantineNews;
-    rateNews @19 :RateNews;
+    endpointNews @19 :EndpointNews;
     followStore @20 :FollowStore;
     followAnswer @21 :FollowAnswer;
   }
--- a/Source/Peer/peer.capnp.c++
+++ b/Source/Peer/peer.capnp.c++
@@ -2501,45 +2501,59 @@
   1, 2, i_8c3622deb74deccf, nullptr, nullptr, { &s_8c3622deb74deccf, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<63> b_b7402ce29720cded = {
+static const ::capnp::_::AlignedData<95> b_a1081e280b038738 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    237, 205,  32, 151, 226,  44,  64, 183,
-     11,   0,   0,   0,   1,   0,   1,   0,
+     56, 135,   3,  11,  40,  30,   8, 161,
+     11,   0,   0,   0,   1,   0,   2,   0,
      17,  74, 233, 178, 247, 192, 161, 211,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 162,   0,   0,   0,
+     21,   0,   0,   0, 194,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 175,   0,   0,   0,
+     25,   0,   0,   0,  31,   1,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 101, 101, 114,  46,  99,  97, 112,
-    110, 112,  58,  82,  97, 116, 101,  78,
-    101, 119, 115,   0,   0,   0,   0,   0,
+    110, 112,  58,  69, 110, 100, 112, 111,
+    105, 110, 116,  78, 101, 119, 115,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
+     20,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,  50,   0,   0,   0,
+    125,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     64,   0,   0,   0,   3,   0,   1,   0,
-     76,   0,   0,   0,   2,   0,   1,   0,
+    120,   0,   0,   0,   3,   0,   1,   0,
+    132,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     73,   0,   0,   0,  74,   0,   0,   0,
+    129,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     72,   0,   0,   0,   3,   0,   1,   0,
-     84,   0,   0,   0,   2,   0,   1,   0,
+    128,   0,   0,   0,   3,   0,   1,   0,
+    140,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     81,   0,   0,   0,  42,   0,   0,   0,
+    137,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     76,   0,   0,   0,   3,   0,   1,   0,
-     88,   0,   0,   0,   2,   0,   1,   0,
+    132,   0,   0,   0,   3,   0,   1,   0,
+    144,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    141,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    140,   0,   0,   0,   3,   0,   1,   0,
+    152,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   3,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    149,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    148,   0,   0,   0,   3,   0,   1,   0,
+    160,   0,   0,   0,   2,   0,   1,   0,
     115, 104,  97, 114, 100,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -2563,19 +2577,37 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 101,  97, 118, 101, 115,  70, 111,
+    114,  77, 115,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 115, 116, 115,  70, 111, 114,
+     77, 115,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_b7402ce29720cded = b_b7402ce29720cded.words;
+::capnp::word const* const bp_a1081e280b038738 = b_a1081e280b038738.words;
 #if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_b7402ce29720cded[] = {
+static const ::capnp::_::RawSchema* const d_a1081e280b038738[] = {
   &s_b04f3f0ce5304b62,
 };
-static const uint16_t m_b7402ce29720cded[] = {1, 2, 0};
-static const uint16_t i_b7402ce29720cded[] = {0, 1, 2};
-const ::capnp::_::RawSchema s_b7402ce29720cded = {
-  0xb7402ce29720cded, b_b7402ce29720cded.words, 63, d_b7402ce29720cded, m_b7402ce29720cded,
-  1, 3, i_b7402ce29720cded, nullptr, nullptr, { &s_b7402ce29720cded, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_a1081e280b038738[] = {1, 3, 2, 4, 0};
+static const uint16_t i_a1081e280b038738[] = {0, 1, 2, 3, 4};
+const ::capnp::_::RawSchema s_a1081e280b038738 = {
+  0xa1081e280b038738, b_a1081e280b038738.words, 95, d_a1081e280b038738, m_a1081e280b038738,
+  1, 5, i_a1081e280b038738, nullptr, nullptr, { &s_a1081e280b038738, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<359> b_96e489aa813b7fb3 = {
@@ -2732,7 +2764,7 @@
      19,   0, 236, 255,   0,   0,   0,   0,
       0,   0,   1,   0,  19,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    201,   2,   0,   0,  74,   0,   0,   0,
+    201,   2,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     200,   2,   0,   0,   3,   0,   1,   0,
     212,   2,   0,   0,   2,   0,   1,   0,
@@ -2911,10 +2943,10 @@
      16,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    114,  97, 116, 101,  78, 101, 119, 115,
-      0,   0,   0,   0,   0,   0,   0,   0,
+    101, 110, 100, 112, 111, 105, 110, 116,
+     78, 101, 119, 115,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    237, 205,  32, 151, 226,  44,  64, 183,
+     56, 135,   3,  11,  40,  30,   8, 161,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
@@ -2951,11 +2983,11 @@
   &s_9408c88ff33eb71d,
   &s_9974cb2c1beffa05,
   &s_9df70cf2f33bbd12,
+  &s_a1081e280b038738,
   &s_abe75f955f81e674,
   &s_aeb3806fa0699ff4,
   &s_b0e5281bed3e81b7,
   &s_b1634ad80af90f43,
-  &s_b7402ce29720cded,
   &s_bd4ad4f6ecc12f8d,
   &s_d03db3b423ce76fc,
   &s_d060a6cad9309426,
@@ -2965,7 +2997,7 @@
   &s_e916846988672a67,
   &s_f42954e99795bb97,
 };
-static const uint16_t m_96e489aa813b7fb3[] = {7, 0, 9, 8, 21, 20, 12, 13, 10, 11, 1, 6, 18, 14, 19, 2, 4, 17, 5, 15, 16, 3};
+static const uint16_t m_96e489aa813b7fb3[] = {7, 0, 9, 8, 19, 21, 20, 12, 13, 10, 11, 1, 6, 18, 14, 2, 4, 17, 5, 15, 16, 3};
 static const uint16_t i_96e489aa813b7fb3[] = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21};
 const ::capnp::_::RawSchema s_96e489aa813b7fb3 = {
   0x96e489aa813b7fb3, b_96e489aa813b7fb3.words, 359, d_96e489aa813b7fb3, m_96e489aa813b7fb3,
@@ -3533,12 +3565,12 @@
 constexpr ::capnp::_::RawSchema const* QuarantineNews::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// RateNews
-constexpr uint16_t RateNews::_capnpPrivate::dataWordSize;
-constexpr uint16_t RateNews::_capnpPrivate::pointerCount;
+// EndpointNews
+constexpr uint16_t EndpointNews::_capnpPrivate::dataWordSize;
+constexpr uint16_t EndpointNews::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind RateNews::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* RateNews::_capnpPrivate::schema;
+constexpr ::capnp::Kind EndpointNews::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* EndpointNews::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 // Message
--- a/Source/Peer/peer.capnp.h
+++ b/Source/Peer/peer.capnp.h
@@ -46,7 +46,7 @@
 CAPNP_DECLARE_SCHEMA(8bd0514483279386);
 CAPNP_DECLARE_SCHEMA(b54ae1b6b421375b);
 CAPNP_DECLARE_SCHEMA(8c3622deb74deccf);
-CAPNP_DECLARE_SCHEMA(b7402ce29720cded);
+CAPNP_DECLARE_SCHEMA(a1081e280b038738);
 CAPNP_DECLARE_SCHEMA(96e489aa813b7fb3);
 CAPNP_DECLARE_SCHEMA(9dd4c91cfa0e511d);
 CAPNP_DECLARE_SCHEMA(bc08ee4c84dccee1);
@@ -467,15 +467,15 @@
   };
 };
 
-struct RateNews {
-  RateNews() = delete;
+struct EndpointNews {
+  EndpointNews() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b7402ce29720cded, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a1081e280b038738, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -508,7 +508,7 @@
     USAGE_RECEIVED,
     RUN_BROKE,
     QUARANTINE_NEWS,
-    RATE_NEWS,
+    ENDPOINT_NEWS,
     FOLLOW_STORE,
     FOLLOW_ANSWER,
   };
@@ -3232,9 +3232,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RateNews::Reader {
+class EndpointNews::Reader {
 public:
-  typedef RateNews Reads;
+  typedef EndpointNews Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3256,6 +3256,10 @@
   inline bool hasRate() const;
   inline  ::Yokepond::Peer::Wire::RateWord::Reader getRate() const;
 
+  inline  ::uint32_t getLeavesForMs() const;
+
+  inline  ::uint32_t getRestsForMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3268,9 +3272,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RateNews::Builder {
+class EndpointNews::Builder {
 public:
-  typedef RateNews Builds;
+  typedef EndpointNews Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3297,6 +3301,12 @@
   inline void adoptRate(::capnp::Orphan< ::Yokepond::Peer::Wire::RateWord>&& value);
   inline ::capnp::Orphan< ::Yokepond::Peer::Wire::RateWord> disownRate();
 
+  inline  ::uint32_t getLeavesForMs();
+  inline void setLeavesForMs( ::uint32_t value);
+
+  inline  ::uint32_t getRestsForMs();
+  inline void setRestsForMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3307,9 +3317,9 @@
 };
 
 #if !CAPNP_LITE
-class RateNews::Pipeline {
+class EndpointNews::Pipeline {
 public:
-  typedef RateNews Pipelines;
+  typedef EndpointNews Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3418,9 +3428,9 @@
   inline bool hasQuarantineNews() const;
   inline  ::Yokepond::Peer::Wire::QuarantineNews::Reader getQuarantineNews() const;
 
-  inline bool isRateNews() const;
-  inline bool hasRateNews() const;
-  inline  ::Yokepond::Peer::Wire::RateNews::Reader getRateNews() const;
+  inline bool isEndpointNews() const;
+  inline bool hasEndpointNews() const;
+  inline  ::Yokepond::Peer::Wire::EndpointNews::Reader getEndpointNews() const;
 
   inline bool isFollowStore() const;
   inline bool hasFollowStore() const;
@@ -3611,13 +3621,13 @@
   inline void adoptQuarantineNews(::capnp::Orphan< ::Yokepond::Peer::Wire::QuarantineNews>&& value);
   inline ::capnp::Orphan< ::Yokepond::Peer::Wire::QuarantineNews> disownQuarantineNews();
 
-  inline bool isRateNews();
-  inline bool hasRateNews();
-  inline  ::Yokepond::Peer::Wire::RateNews::Builder getRateNews();
-  inline void setRateNews( ::Yokepond::Peer::Wire::RateNews::Reader value);
-  inline  ::Yokepond::Peer::Wire::RateNews::Builder initRateNews();
-  inline void adoptRateNews(::capnp::Orphan< ::Yokepond::Peer::Wire::RateNews>&& value);
-  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::RateNews> disownRateNews();
+  inline bool isEndpointNews();
+  inline bool hasEndpointNews();
+  inline  ::Yokepond::Peer::Wire::EndpointNews::Builder getEndpointNews();
+  inline void setEndpointNews( ::Yokepond::Peer::Wire::EndpointNews::Reader value);
+  inline  ::Yokepond::Peer::Wire::EndpointNews::Builder initEndpointNews();
+  inline void adoptEndpointNews(::capnp::Orphan< ::Yokepond::Peer::Wire::EndpointNews>&& value);
+  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::EndpointNews> disownEndpointNews();
 
   inline bool isFollowStore();
   inline bool hasFollowStore();
@@ -6251,73 +6261,101 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t RateNews::Reader::getShard() const {
+inline  ::uint32_t EndpointNews::Reader::getShard() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t RateNews::Builder::getShard() {
+inline  ::uint32_t EndpointNews::Builder::getShard() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RateNews::Builder::setShard( ::uint32_t value) {
+inline void EndpointNews::Builder::setShard( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t RateNews::Reader::getEndpoint() const {
+inline  ::uint32_t EndpointNews::Reader::getEndpoint() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t RateNews::Builder::getEndpoint() {
+inline  ::uint32_t EndpointNews::Builder::getEndpoint() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void RateNews::Builder::setEndpoint( ::uint32_t value) {
+inline void EndpointNews::Builder::setEndpoint( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RateNews::Reader::hasRate() const {
+inline bool EndpointNews::Reader::hasRate() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RateNews::Builder::hasRate() {
+inline bool EndpointNews::Builder::hasRate() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Yokepond::Peer::Wire::RateWord::Reader RateNews::Reader::getRate() const {
+inline  ::Yokepond::Peer::Wire::RateWord::Reader EndpointNews::Reader::getRate() const {
   return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateWord>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Yokepond::Peer::Wire::RateWord::Builder RateNews::Builder::getRate() {
+inline  ::Yokepond::Peer::Wire::RateWord::Builder EndpointNews::Builder::getRate() {
   return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateWord>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::Yokepond::Peer::Wire::RateWord::Pipeline RateNews::Pipeline::getRate() {
+inline  ::Yokepond::Peer::Wire::RateWord::Pipeline EndpointNews::Pipeline::getRate() {
   return  ::Yokepond::Peer::Wire::RateWord::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void RateNews::Builder::setRate( ::Yokepond::Peer::Wire::RateWord::Reader value) {
+inline void EndpointNews::Builder::setRate( ::Yokepond::Peer::Wire::RateWord::Reader value) {
   ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateWord>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Yokepond::Peer::Wire::RateWord::Builder RateNews::Builder::initRate() {
+inline  ::Yokepond::Peer::Wire::RateWord::Builder EndpointNews::Builder::initRate() {
   return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateWord>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RateNews::Builder::adoptRate(
+inline void EndpointNews::Builder::adoptRate(
     ::capnp::Orphan< ::Yokepond::Peer::Wire::RateWord>&& value) {
   ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateWord>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Yokepond::Peer::Wire::RateWord> RateNews::Builder::disownRate() {
+inline ::capnp::Orphan< ::Yokepond::Peer::Wire::RateWord> EndpointNews::Builder::disownRate() {
   return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateWord>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t EndpointNews::Reader::getLeavesForMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EndpointNews::Builder::getLeavesForMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EndpointNews::Builder::setLeavesForMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EndpointNews::Reader::getRestsForMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EndpointNews::Builder::getRestsForMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void EndpointNews::Builder::setRestsForMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::Yokepond::Peer::Wire::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7353,57 +7391,57 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Message::Reader::isRateNews() const {
-  return which() == Message::RATE_NEWS;
+inline bool Message::Reader::isEndpointNews() const {
+  return which() == Message::ENDPOINT_NEWS;
 }
-inline bool Message::Builder::isRateNews() {
-  return which() == Message::RATE_NEWS;
+inline bool Message::Builder::isEndpointNews() {
+  return which() == Message::ENDPOINT_NEWS;
 }
-inline bool Message::Reader::hasRateNews() const {
-  if (which() != Message::RATE_NEWS) return false;
+inline bool Message::Reader::hasEndpointNews() const {
+  if (which() != Message::ENDPOINT_NEWS) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Message::Builder::hasRateNews() {
-  if (which() != Message::RATE_NEWS) return false;
+inline bool Message::Builder::hasEndpointNews() {
+  if (which() != Message::ENDPOINT_NEWS) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Yokepond::Peer::Wire::RateNews::Reader Message::Reader::getRateNews() const {
-  KJ_IREQUIRE((which() == Message::RATE_NEWS),
+inline  ::Yokepond::Peer::Wire::EndpointNews::Reader Message::Reader::getEndpointNews() const {
+  KJ_IREQUIRE((which() == Message::ENDPOINT_NEWS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateNews>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::EndpointNews>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Yokepond::Peer::Wire::RateNews::Builder Message::Builder::getRateNews() {
-  KJ_IREQUIRE((which() == Message::RATE_NEWS),
+inline  ::Yokepond::Peer::Wire::EndpointNews::Builder Message::Builder::getEndpointNews() {
+  KJ_IREQUIRE((which() == Message::ENDPOINT_NEWS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateNews>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::EndpointNews>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setRateNews( ::Yokepond::Peer::Wire::RateNews::Reader value) {
+inline void Message::Builder::setEndpointNews( ::Yokepond::Peer::Wire::EndpointNews::Reader value) {
   _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::RATE_NEWS);
-  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateNews>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ENDPOINT_NEWS);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::EndpointNews>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Yokepond::Peer::Wire::RateNews::Builder Message::Builder::initRateNews() {
+inline  ::Yokepond::Peer::Wire::EndpointNews::Builder Message::Builder::initEndpointNews() {
   _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::RATE_NEWS);
-  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateNews>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ENDPOINT_NEWS);
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::EndpointNews>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::adoptRateNews(
-    ::capnp::Orphan< ::Yokepond::Peer::Wire::RateNews>&& value) {
+inline void Message::Builder::adoptEndpointNews(
+    ::capnp::Orphan< ::Yokepond::Peer::Wire::EndpointNews>&& value) {
   _builder.setDataField<Message::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::RATE_NEWS);
-  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateNews>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ENDPOINT_NEWS);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::EndpointNews>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Yokepond::Peer::Wire::RateNews> Message::Builder::disownRateNews() {
-  KJ_IREQUIRE((which() == Message::RATE_NEWS),
+inline ::capnp::Orphan< ::Yokepond::Peer::Wire::EndpointNews> Message::Builder::disownEndpointNews() {
+  KJ_IREQUIRE((which() == Message::ENDPOINT_NEWS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateNews>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::EndpointNews>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
--- a/Source/Relay/call.h
+++ b/Source/Relay/call.h
@@ -71,6 +71,7 @@
 struct EndpointStated
 {
     Peer::AttemptId id;
+    std::uint32_t endpoint = 0;
     Request::EndpointStatement stated;
 };
 
@@ -93,6 +94,7 @@
     std::string callersName; ///< of the request, where its protocol has one
     std::string address; ///< of the endpoint, ip:port
     std::string endpoint; ///< its name
+    std::uint32_t endpointNumber = 0;
     std::string keeper; ///< address of an endpoint that keeps a part of the prompt for this one to take over; may be empty
     std::string organisation; ///< the caller's, may be empty
     std::string path;
--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -354,7 +354,7 @@
         const bool saysAvailability
             = stated.availability.leaves || stated.availability.rest > Base::Duration::zero() || stated.availability.unreadable;
         if (saysRate || saysAvailability) {
-            m_handler(EndpointStated {call.run.id, stated});
+            m_handler(EndpointStated {call.run.id, call.run.endpointNumber, stated});
         }
     }
 
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -238,8 +238,8 @@
     }
     const std::vector<std::uint64_t> &prefix = pending.request.prefix;
     const std::uint64_t shared = prefix.empty() ? m_random() : Dispatch::sharedBeginning(prefix);
-    const std::set<std::uint32_t> closed
-        = m_rates.closedAlone(now, shard->endpoints, std::max(m_hosts, leastHostsSharing), m_random);
+    std::set<std::uint32_t> closed = m_rates.closedAlone(now, shard->endpoints, std::max(m_hosts, leastHostsSharing), m_random);
+    closed.merge(m_availabilities.leaving(now));
     const auto endpoint = m_localWindow.choose(*shard, *m_catalogue, m_hosts, shared, closed);
     if (!endpoint) {
         return;
@@ -268,6 +268,9 @@
         const Configuration::Endpoint *object = m_catalogue->endpointNumbered(number);
         return object == nullptr ? std::string("?") : object->name;
     };
+    if (m_availabilities.of(keeper).leaves(now)) {
+        keeper = 0;
+    }
     const std::string taken = keeper == 0 ? "" : fmt::format(", its prompt kept by {}", nameOf(keeper));
     note(pending, now, Step::Started, fmt::format("endpoint {}{}", nameOf(endpoint), taken));
     // Whoever counts by a limit has to hear when it has ended.
@@ -321,12 +324,13 @@
         ask(now, *pending);
         return;
     }
+    if (m_availabilities.of(grant.endpoint).leaves(now)) {
+        tellEndpoint(now, *pending, grant.endpoint);
+        returnGrant(now, *pending, grant, fmt::format("{} did not know that the endpoint leaves", from));
+        return;
+    }
     if (correctsDispatcher(now, *pending, grant)) {
-        ++m_counters.returnedGrants;
-        pending->returned = true;
-        note(*pending, now, Step::GrantReturned, fmt::format("{} did not know the endpoint's rate", from));
-        release(*pending, {grant.id, RunStage::Stale, false, false, {}, {}, 0, 0}, RunResult::NotStarted);
-        ask(now, *pending);
+        returnGrant(now, *pending, grant, fmt::format("{} did not know the endpoint's rate", from));
         return;
     }
     pending->grantedRate = Rate::knownFrom(grant.rate, now);
@@ -334,6 +338,22 @@
     beginRun(now, *pending, grant.endpoint, grant.startBy, grant.keeper);
 }
 
+/// Asks anew, of a dispatcher that has been told what was wrong with its grant; one that grants the same again is not asked at
+/// once.
+void Home::returnGrant(Instant now, Pending &pending, const Peer::Grant &grant, std::string reason)
+{
+    ++m_counters.returnedGrants;
+    note(pending, now, Step::GrantReturned, std::move(reason));
+    pending.endpoint = grant.endpoint;
+    release(pending, {grant.id, RunStage::Stale, false, false, {}, {}, 0, 0}, RunResult::NotStarted);
+    if (std::exchange(pending.returned, true)) {
+        pending.avoid = grant.endpoint;
+        backOff(now, pending, firstBackOff);
+    } else {
+        ask(now, pending);
+    }
+}
+
 /// A dispatcher that has taken over knows only what it is told: whoever knows that the endpoint of its grant limits its rate
 /// tells it, and returns the grant, which was not counted. Returns whether the grant is to be returned.
 bool Home::correctsDispatcher(Instant now, const Pending &pending, const Peer::Grant &grant)
@@ -345,14 +365,15 @@
     if (!own.isLimited() || own.agreesWith(theirs) || !knowsBetter) {
         return false;
     }
-    tellRate(now, pending, grant.endpoint);
+    tellEndpoint(now, pending, grant.endpoint);
     return !theirs.isLimited() && !pending.returned;
 }
 
-void Home::tellRate(Instant now, const Pending &pending, std::uint32_t endpoint)
+void Home::tellEndpoint(Instant now, const Pending &pending, std::uint32_t endpoint)
 {
-    m_actions.emplace_back(
-        SendToMember {pending.dispatcher, Peer::RateNews {pending.shard, endpoint, m_rates.of(endpoint).word(now)}});
+    m_actions.emplace_back(SendToMember {
+        pending.dispatcher,
+        Peer::EndpointNews {pending.shard, endpoint, m_rates.of(endpoint).word(now), m_availabilities.of(endpoint).word(now)}});
 }
 
 void Home::receive(Instant now, const std::string &from, const Peer::Refusal &refusal)
@@ -413,15 +434,17 @@
                                                         report.gap, report.tokens, report.longestGap}});
 }
 
-void Home::endpointStated(Instant now, const Peer::AttemptId &id, const EndpointStatement &stated)
+void Home::endpointStated(Instant now, const Peer::AttemptId &id, std::uint32_t endpoint, const EndpointStatement &stated)
 {
+    // Also of a run that the home has given up meanwhile: its answer may have gone to the caller.
+    const bool saysAvailability = m_availabilities.said(now, endpoint, stated.availability);
     Pending *pending = find(id.request);
-    if (pending != nullptr && pending->phase == Phase::Running && pending->attempt == id.attempt) {
-        m_availabilities.said(now, pending->endpoint, stated.availability);
-        m_rates.said(now, pending->endpoint, stated.rate);
-        if (!m_rates.of(pending->endpoint).agreesWith(pending->grantedRate)) {
-            tellRate(now, *pending, pending->endpoint);
-        }
+    if (pending == nullptr || pending->phase != Phase::Running || pending->attempt != id.attempt) {
+        return;
+    }
+    m_rates.said(now, endpoint, stated.rate);
+    if (saysAvailability || !m_rates.of(endpoint).agreesWith(pending->grantedRate)) {
+        tellEndpoint(now, *pending, endpoint);
     }
 }
 
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -82,8 +82,8 @@
     void receive(Base::Instant now, const std::string &from, const Peer::RunBroke &broke);
     void receive(Base::Instant now, const std::string &from, const Peer::QuarantineNews &news);
 
-    /// The answer of a run has begun and says @p stated of its endpoint.
-    void endpointStated(Base::Instant now, const Peer::AttemptId &id, const EndpointStatement &stated);
+    /// The answer of a run at @p endpoint has begun and says @p stated of it.
+    void endpointStated(Base::Instant now, const Peer::AttemptId &id, std::uint32_t endpoint, const EndpointStatement &stated);
 
     void runEnded(Base::Instant now, const RunReport &report);
     void callerGone(Base::Instant now, std::uint64_t request);
@@ -142,8 +142,9 @@
     void sendAsk(Base::Instant now, Pending &pending);
     void doWithoutDispatcher(Base::Instant now, Pending &pending);
     void tryLocalWindow(Base::Instant now, Pending &pending);
+    void returnGrant(Base::Instant now, Pending &pending, const Peer::Grant &grant, std::string reason);
     bool correctsDispatcher(Base::Instant now, const Pending &pending, const Peer::Grant &grant);
-    void tellRate(Base::Instant now, const Pending &pending, std::uint32_t endpoint);
+    void tellEndpoint(Base::Instant now, const Pending &pending, std::uint32_t endpoint);
     void beginRun(Base::Instant now, Pending &pending, std::uint32_t endpoint, Base::Instant startBy, std::uint32_t keeper = 0);
     void release(const Pending &pending, const RunReport &report, Peer::RunResult result);
     void judgeWork(Base::Instant now, const Pending &pending, const RunReport &report);
--- a/Tests/Dispatch/shardtest.cpp
+++ b/Tests/Dispatch/shardtest.cpp
@@ -5,6 +5,8 @@
 
 #include "Dispatch/fixtures.h"
 
+#include <set>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace Yokepond;
@@ -407,7 +409,7 @@
 
 TEST(Shard, anEndpointThatLimitsItsRateGetsNoMoreAndItsNeighbourTheRest)
 {
-    shard->hearRate(at(0), home, {1, endpoint("e1"), {Rate::Knowledge::Limited, 1, {}}});
+    shard->hearEndpoint(at(0), home, {1, endpoint("e1"), {Rate::Knowledge::Limited, 1, {}}});
     std::uint32_t limited = 0;
     std::uint32_t others = 0;
     for (int index = 0; index < 200; ++index) {
@@ -428,7 +430,7 @@
 TEST(Shard, whereAllLimitTheirRateWhatCannotBeginInTimeIsRefusedAtOnceAndToldWhenToComeBack)
 {
     for (const char *name : {"e1", "e2"}) {
-        shard->hearRate(at(0), home, {1, endpoint(name), {Rate::Knowledge::Limited, 0.5, {}}});
+        shard->hearEndpoint(at(0), home, {1, endpoint(name), {Rate::Knowledge::Limited, 0.5, {}}});
     }
     // One a second: those from the twentieth on would begin after their deadline.
     for (int index = 0; index < 30; ++index) {
@@ -446,7 +448,7 @@
 {
     build("create setting refuse-late value yes\n");
     for (const char *name : {"e1", "e2"}) {
-        shard->hearRate(at(0), home, {1, endpoint(name), {Rate::Knowledge::Limited, 0.5, {}}});
+        shard->hearEndpoint(at(0), home, {1, endpoint(name), {Rate::Knowledge::Limited, 0.5, {}}});
     }
     Peer::Ask brief;
     brief.id = {next++, 1};
@@ -468,10 +470,55 @@
 TEST(Shard, theEndOfALimitLetsWhatWaitsBegin)
 {
     for (const char *name : {"e1", "e2"}) {
-        shard->hearRate(at(0), home, {1, endpoint(name), {Rate::Knowledge::Limited, 0, {}}});
+        shard->hearEndpoint(at(0), home, {1, endpoint(name), {Rate::Knowledge::Limited, 0, {}}});
     }
     ask("alert", 0);
     CHECK_EQUAL(0U, replies<Peer::Grant>().size());
-    shard->hearRate(at(1), home, {1, endpoint("e1"), {Rate::Knowledge::Unlimited, 0, std::chrono::milliseconds(100)}});
+    shard->hearEndpoint(at(1), home, {1, endpoint("e1"), {Rate::Knowledge::Unlimited, 0, std::chrono::milliseconds(100)}});
     CHECK_EQUAL(1U, replies<Peer::Grant>().size());
 }
+
+TEST_GROUP_BASE(ShardAvailability, TEST_GROUP_CppUTestGroupShard)
+{
+    Home other {"h2", 8};
+
+    void tellLeaving(std::string_view name, double now)
+    {
+        shard->hearEndpoint(at(now), home, {1, endpoint(name), {}, {.leavesFor = std::chrono::seconds(60)}});
+    }
+
+    std::set<std::uint32_t> granted()
+    {
+        std::set<std::uint32_t> found;
+        for (const Peer::Grant &grant : replies<Peer::Grant>()) {
+            found.insert(grant.endpoint);
+        }
+        return found;
+    }
+};
+
+TEST(ShardAvailability, whatSaysThatItLeavesGetsNothingOfAnyHome)
+{
+    tellLeaving("e1", 0);
+    for (int index = 0; index < 6; ++index) {
+        ask("alert", 0);
+    }
+    const auto endpoints = granted();
+    CHECK_TRUE(endpoints.contains(endpoint("e2")) && !endpoints.contains(endpoint("e1")));
+    shard->tick(at(59.9));
+    CHECK_TRUE(shard->endpoints().front().saysItLeaves || shard->endpoints().back().saysItLeaves);
+    shard->tick(at(60));
+    CHECK_FALSE(shard->endpoints().front().saysItLeaves || shard->endpoints().back().saysItLeaves);
+}
+
+TEST(ShardAvailability, whereAllSayThatTheyLeaveWhatWaitsIsRefusedAtOnce)
+{
+    for (int index = 0; index < 20; ++index) {
+        ask("alert", 0);
+    }
+    CHECK_TRUE(shard->queued() > 0);
+    tellLeaving("e1", 0.1);
+    tellLeaving("e2", 0.1);
+    CHECK_EQUAL(0U, shard->queued());
+    CHECK_TRUE(replies<Peer::Refusal>().front().reason == RefusalReason::NoEndpoint);
+}
--- a/Tests/Peer/codectest.cpp
+++ b/Tests/Peer/codectest.cpp
@@ -61,17 +61,29 @@
 
 TEST(Codec, rateNewsKeepAllFieldsAndWhatIsNoRateIsNone)
 {
-    const RateNews news {5, 8, {Yokepond::Rate::Knowledge::Unlimited, 0, milliseconds(17)}};
-    const RateNews got = roundTrip(news);
+    const EndpointNews news {5, 8, {Yokepond::Rate::Knowledge::Unlimited, 0, milliseconds(17)}};
+    const EndpointNews got = roundTrip(news);
     CHECK_TRUE(got.shard == 5 && got.endpoint == 8 && got.rate.knowledge == news.rate.knowledge && got.rate.age == news.rate.age);
     for (const double perSecond : {-1.0, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity()}) {
-        const RateNews malformed {5, 8, {Yokepond::Rate::Knowledge::Limited, perSecond, {}}};
+        const EndpointNews malformed {5, 8, {Yokepond::Rate::Knowledge::Limited, perSecond, {}}};
         CHECK_TRUE(roundTrip(malformed).rate.knowledge == Yokepond::Rate::Knowledge::Unknown);
     }
-    const RateNews huge {5, 8, {Yokepond::Rate::Knowledge::Limited, 1e12, {}}};
+    const EndpointNews huge {5, 8, {Yokepond::Rate::Knowledge::Limited, 1e12, {}}};
     DOUBLES_EQUAL(Yokepond::Rate::largestRate, roundTrip(huge).rate.perSecond, 1e-9);
 }
 
+TEST(Codec, whatEndpointsSayOfLeavingAndRestIsKept)
+{
+    const EndpointNews news {5, 8, {}, {std::chrono::seconds(600), milliseconds(2750)}};
+    const EndpointNews got = roundTrip(news);
+    CHECK_TRUE(got.rate.knowledge == Yokepond::Rate::Knowledge::Unknown);
+    CHECK_TRUE(got.availability.leavesFor == std::chrono::seconds(600) && got.availability.restsFor == milliseconds(2750));
+    // What is left must not end before its time.
+    const EndpointNews fraction {5, 8, {}, {{}, std::chrono::microseconds(1)}};
+    CHECK_TRUE(roundTrip(fraction).availability.restsFor == milliseconds(1));
+    CHECK_TRUE(roundTrip(EndpointNews {}).availability.leavesFor == milliseconds(0));
+}
+
 TEST(Codec, releaseKeepsAllFields)
 {
     const Release release {{77, 3}, 5, 8, RunResult::Failed, milliseconds(45), milliseconds(12), 97, milliseconds(203)};
--- a/Tests/Request/fleetload.h
+++ b/Tests/Request/fleetload.h
@@ -94,6 +94,7 @@
     std::uint64_t othersHeld = 0; ///< of the requests that end no engines, refused since they were blamed for endings
     double mostOverRate = -1e9; ///< requests in 4 s at an engine beyond what the rate that it names allows; below 0: fewer
     std::uint64_t atLimited = 0; ///< arrivals at engines that name a rate
+    std::uint64_t toldLeaving = 0; ///< hosts that got an answer by which its engine leaves
     std::uint64_t atLeaving = 0; ///< arrivals at engines that say that they leave
     std::uint64_t sentToLeaving = 0; ///< of these, over `leavingBound` after their host had got such an answer
     std::uint64_t turnedAway = 0; ///< requests that engines refused though they had room
@@ -355,6 +356,11 @@
         m_catalogue = Configuration::Catalogue::assemble(std::move(parts));
     }
 
+    static std::uint32_t endpointOf(std::size_t index)
+    {
+        return firstEndpoint + static_cast<std::uint32_t>(index);
+    }
+
     static std::size_t indexOf(const std::string &name)
     {
         return std::stoul(name.substr(1));
@@ -562,9 +568,13 @@
     {
         m_counts.atLeaving += engine.leaves ? 1 : 0;
         const auto told = engine.toldLeaving.find(host);
-        m_counts.sentToLeaving += told != engine.toldLeaving.end() && m_now > told->second + m_options.leavingBound ? 1 : 0;
+        const Base::Instant stoodStillUntil = m_hosts[host].frozenUntil;
+        m_counts.sentToLeaving
+            += told != engine.toldLeaving.end() && told->second > stoodStillUntil && m_now > told->second + m_options.leavingBound
+            ? 1
+            : 0;
         for (AskedRest &rest : engine.rests) {
-            if (rest.host == host && m_now > rest.counted && m_now < rest.until) {
+            if (rest.host == host && m_now > rest.counted && m_now < rest.until && rest.counted > stoodStillUntil) {
                 m_counts.mostInRest = std::max(m_counts.mostInRest, ++rest.got);
             }
         }
@@ -586,7 +596,7 @@
         if (engine.rest > Base::Duration::zero()) {
             engine.rests.push_back({run.host, m_now + uncounted, m_now + engine.rest, 0});
         }
-        m_hosts[run.host].home->endpointStated(m_now, run.id, stated);
+        m_hosts[run.host].home->endpointStated(m_now, run.id, endpointOf(index), stated);
         report(run, Request::RunStage::Refused);
     }
 
@@ -628,12 +638,13 @@
             engine.told.try_emplace(run.host, m_now);
         }
         if (engine.leaves) {
-            engine.toldLeaving.try_emplace(run.host, m_now);
+            m_counts.toldLeaving += engine.toldLeaving.try_emplace(run.host, m_now).second ? 1 : 0;
         }
         if (engine.rate || tellRate || engine.leaves) {
             const auto statement = engine.rate ? Rate::Statement::Limit : Rate::Statement::None;
             m_hosts[run.host].home->endpointStated(
-                m_now, run.id, {.rate = {statement, engine.rate.value_or(0)}, .availability = {.leaves = engine.leaves}});
+                m_now, run.id, endpointOf(index),
+                {.rate = {statement, engine.rate.value_or(0)}, .availability = {.leaves = engine.leaves}});
             collect(run.host);
         }
     }
--- a/Tests/Request/fleetloadtest.cpp
+++ b/Tests/Request/fleetloadtest.cpp
@@ -373,9 +373,9 @@
         load.sayLeaving(0, true);
         load.run(std::chrono::seconds(13));
         print("one of nine engines says that it leaves", seed, load.counts());
-        fmt::print("  came to it {}, of these from hosts that had been told {}\n", load.counts().atLeaving,
+        fmt::print("  came to it {}, hosts told {}, from those {}\n", load.counts().atLeaving, load.counts().toldLeaving,
                    load.counts().sentToLeaving);
-        CHECK_TRUE(load.counts().atLeaving > 0);
+        CHECK_TRUE(load.counts().toldLeaving > 0);
         CHECK_EQUAL(0U, load.counts().sentToLeaving);
     }
 }
@@ -403,3 +403,22 @@
         CHECK_TRUE((counts.refused + counts.failed) * 10 <= counts.offered);
     }
 }
+
+/// Guards against an endpoint that is out for good since it once said that it leaves, where its name comes back to life.
+TEST(FleetLoad, anEngineThatLeftAndCameBackGetsItsShareAgain)
+{
+    Tests::FleetLoadOptions options = smallSite();
+    options.policies.leavingKept = std::chrono::seconds(5);
+    FleetLoad load(options, smallSiteStreams(), 1);
+    load.run(std::chrono::seconds(4));
+    load.sayLeaving(0, true);
+    load.run(std::chrono::seconds(3));
+    load.sayLeaving(0, false);
+    load.run(std::chrono::seconds(6));
+    const std::uint64_t before = load.arrivalsAt(0);
+    const std::uint64_t all = load.counts().arrivals;
+    load.run(std::chrono::seconds(20));
+    const std::uint64_t got = load.arrivalsAt(0) - before;
+    fmt::print("{} of {} arrivals at one of nine engines afterwards\n", got, load.counts().arrivals - all);
+    CHECK_TRUE(got * 9 * 2 >= load.counts().arrivals - all);
+}
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -446,11 +446,11 @@
         return ask;
     }
 
-    std::vector<Peer::RateNews> told()
+    std::vector<Peer::EndpointNews> told()
     {
-        std::vector<Peer::RateNews> found;
+        std::vector<Peer::EndpointNews> found;
         for (const SendToMember &sent : actions<SendToMember>()) {
-            if (const auto *message = std::get_if<Peer::RateNews>(&sent.message)) {
+            if (const auto *message = std::get_if<Peer::EndpointNews>(&sent.message)) {
                 found.push_back(*message);
             }
         }
@@ -461,7 +461,7 @@
     void learnLimit(double now)
     {
         const Peer::Ask ask = granted(1, now);
-        home.endpointStated(at(now), ask.id, {.rate = {Rate::Statement::Limit, 1.0}});
+        home.endpointStated(at(now), ask.id, endpoint, {.rate = {Rate::Statement::Limit, 1.0}});
         ended(ask, now, RunStage::Whole);
         home.takeActions();
     }
@@ -471,12 +471,12 @@
 {
     const Peer::Ask ask = granted(1, 0);
     home.takeActions();
-    home.endpointStated(at(0.1), ask.id, {.rate = {Rate::Statement::Limit, 0.5}});
+    home.endpointStated(at(0.1), ask.id, endpoint, {.rate = {Rate::Statement::Limit, 0.5}});
     const auto news = told();
     CHECK_EQUAL(1U, news.size());
     CHECK_EQUAL(endpoint, news.front().endpoint);
     CHECK_TRUE(news.front().rate.knowledge == Rate::Knowledge::Limited && news.front().rate.perSecond == 0.5);
-    home.endpointStated(at(0.1), {99, 1}, {.rate = {Rate::Statement::Limit, 7}});
+    home.endpointStated(at(0.1), {99, 1}, endpoint, {.rate = {Rate::Statement::Limit, 7}});
     CHECK_EQUAL(0U, told().size());
 }
 
@@ -493,7 +493,7 @@
     for (const Action &action : home.takeActions()) {
         runs += std::holds_alternative<StartRun>(action) ? 1 : 0;
         if (const auto *sent = std::get_if<SendToMember>(&action)) {
-            news += std::holds_alternative<Peer::RateNews>(sent->message) ? 1 : 0;
+            news += std::holds_alternative<Peer::EndpointNews>(sent->message) ? 1 : 0;
             const auto *release = std::get_if<Peer::Release>(&sent->message);
             releases += release != nullptr && release->result == Peer::RunResult::NotStarted ? 1 : 0;
             if (const auto *ask = std::get_if<Peer::Ask>(&sent->message)) {
@@ -522,7 +522,7 @@
     learnLimit(0);
     const Peer::Ask ask = granted(2, 5, {Rate::Knowledge::Limited, 1, std::chrono::milliseconds(300)});
     CHECK_EQUAL(0U, told().size());
-    home.endpointStated(at(5.2), ask.id, {});
+    home.endpointStated(at(5.2), ask.id, endpoint, {});
     const auto news = told();
     CHECK_EQUAL(1U, news.size());
     CHECK_TRUE(news.front().rate.knowledge == Rate::Knowledge::Unlimited);
@@ -553,3 +553,96 @@
     // In 6 s, and not all of its turns.
     CHECK_TRUE(atLimited <= 6);
 }
+
+TEST_GROUP_BASE(HomeAvailability, TEST_GROUP_CppUTestGroupHomeRates)
+{
+    std::uint32_t other = 0;
+
+    void setup() override
+    {
+        TEST_GROUP_CppUTestGroupHomeRates::setup();
+        other = Tests::numberOf(objects, Kind::Endpoint, "e2");
+    }
+
+    /// An answer from e1 has said @p stated.
+    void learn(double now, const Availability::StatedAvailability &stated)
+    {
+        const Peer::Ask ask = granted(1, now);
+        home.endpointStated(at(now), ask.id, endpoint, {.availability = stated});
+        ended(ask, now, RunStage::Whole);
+    }
+};
+
+TEST(HomeAvailability, whatAnAnswerSaysIsToldToTheDispatcherAtOnce)
+{
+    learn(0, {.leaves = true, .rest = std::chrono::seconds(3)});
+    const auto news = told();
+    CHECK_EQUAL(1U, news.size());
+    CHECK_EQUAL(endpoint, news.front().endpoint);
+    CHECK_TRUE(news.front().availability.leavesFor > Base::Duration::zero());
+    CHECK_TRUE(news.front().availability.restsFor == std::chrono::seconds(3));
+}
+
+/// Guards against a word that is lost since the home had given the run up when its answer came.
+TEST(HomeAvailability, whatTheAnswerOfARunSaysThatHasBeenGivenUpIsKept)
+{
+    home.endpointStated(at(0), {99, 1}, endpoint, {.availability = {.leaves = true}});
+    CHECK_EQUAL(0U, told().size());
+    granted(1, 0.1);
+    CHECK_EQUAL(0U, actions<StartRun>().size());
+}
+
+/// Guards against runs that were granted before the word came, and by a dispatcher that does not know of it.
+TEST(HomeAvailability, aGrantOfAnEndpointThatTakesNothingIsReturned)
+{
+    learn(0, {.leaves = true});
+    home.takeActions();
+    granted(2, 0.5);
+    CHECK_EQUAL(0U, actions<StartRun>().size());
+    CHECK_EQUAL(1U, home.counters().returnedGrants);
+    CHECK_EQUAL(0U, home.counters().sentToClosed);
+}
+
+/// Guards against a home and a dispatcher of an older version that pass one grant back and forth without end.
+TEST(HomeAvailability, aDispatcherThatGrantsTheSameAgainIsAskedLaterAndForAnother)
+{
+    learn(0, {.leaves = true});
+    home.takeActions();
+    start(2, "alert", 0.1);
+    for (int turn = 0; turn < 3; ++turn) {
+        const double now = 0.1 + turn;
+        const Peer::Ask ask = lastAsk();
+        home.receive(at(now), "h2", Peer::Grant {ask.id, endpoint, at(now + 2), 0});
+        if (turn > 0) {
+            CHECK_EQUAL(0U, lastAsk().shard);
+            home.tick(at(now + 0.5));
+        }
+    }
+    CHECK_EQUAL(endpoint, lastAsk().avoid);
+    CHECK_EQUAL(3U, home.counters().returnedGrants);
+}
+
+TEST(HomeAvailability, withoutADispatcherNothingIsSentToWhatTakesNothing)
+{
+    learn(0, {.leaves = true});
+    home.takeActions();
+    for (std::uint64_t id = 10; id < 20; ++id) {
+        const double now = static_cast<double>(id) * 0.2;
+        start(id, "alert", now);
+        home.tick(at(now + 0.19));
+        for (const StartRun &run : actions<StartRun>()) {
+            CHECK_TRUE(run.endpoint != endpoint);
+            ended({.id = run.id}, now + 0.19, RunStage::Whole);
+        }
+    }
+    CHECK_TRUE(home.counters().localRuns >= 8);
+}
+
+TEST(HomeAvailability, nothingIsTakenFromAKeeperThatLeaves)
+{
+    learn(0, {.leaves = true});
+    home.takeActions();
+    start(2, "alert", 1);
+    home.receive(at(1), "h2", Peer::Grant {lastAsk().id, other, at(3), 0, endpoint});
+    CHECK_EQUAL(0U, actions<StartRun>().front().keeper);
+}
