Home, shard: An endpoint that turns a request away and asks for rest gets it

What callers saw: 59 of 231 requests refused within 9 s, after one or two tries at engines that refused all, while six of nine engines had room. Cause: a refusal changed nothing at the dispatcher, and Retry-After of an endpoint went to the caller alone. An engine that refuses at once has nothing to do, and by that draws all that comes: 4.1 to 9 requests a second where it had got 2. Why it works: the home keeps the word and sends nothing until its end, whoever grants; its dispatcher grants that home nothing there. Homes alone leave such endpoints out. After three refusals in a row, whosever they were, nobody gets a grant there until the latest named end, and then one run each 100 ms finds out whether it takes requests again, so that not all come at once. Where all rest, what cannot begin in time is refused at once with the soonest end, spread over half a second; a request that only came to refusals may be refused for that too. show endpoints says resting.

--- a/Source/Availability/endpointavailabilities.cpp
+++ b/Source/Availability/endpointavailabilities.cpp
@@ -47,11 +47,11 @@
     return entry == m_known.end() ? KnownAvailability {} : entry->second;
 }
 
-std::set<std::uint32_t> EndpointAvailabilities::leaving(Instant now) const
+std::set<std::uint32_t> EndpointAvailabilities::closed(Instant now) const
 {
     std::set<std::uint32_t> found;
     for (const auto &[endpoint, known] : m_known) {
-        if (known.leaves(now)) {
+        if (known.isClosed(now)) {
             found.insert(endpoint);
         }
     }
--- a/Source/Availability/endpointavailabilities.h
+++ b/Source/Availability/endpointavailabilities.h
@@ -28,7 +28,8 @@
 
     KnownAvailability of(std::uint32_t endpoint) const;
 
-    std::set<std::uint32_t> leaving(Base::Instant now) const;
+    /// Endpoints to which nothing may be sent.
+    std::set<std::uint32_t> closed(Base::Instant now) const;
 
     /// Forgets what has ended.
     void tick(Base::Instant now);
--- a/Source/Dispatch/endpointstates.cpp
+++ b/Source/Dispatch/endpointstates.cpp
@@ -61,7 +61,7 @@
 {
     return std::transform_reduce(endpoints.begin(), endpoints.end(), std::size_t {0}, std::plus {}, [](const auto &entry) {
         const EndpointState &state = entry.second;
-        if (!state.isUsable()) {
+        if (!state.isUsable() || state.rests.areOfAll()) {
             return std::size_t {0};
         }
         // The slots of an endpoint that limits its rate are not there to be filled.
@@ -107,13 +107,32 @@
     std::vector<Candidate> used;
     for (const auto &[number, state] : endpoints) {
         if (state.takesWork()) {
-            std::vector<Candidate> &found = state.pace.left(now) > 0 ? open : used;
+            const bool isOpen = state.pace.left(now) > 0 && state.rests.allowSome(now);
+            std::vector<Candidate> &found = isOpen ? open : used;
             found.push_back({number, state.running, std::max(1U, state.slots), state.memoryTokens, state.movedTokensPerMs});
         }
     }
     return open.empty() ? used : open;
 }
 
+bool allRest(const EndpointStates &endpoints, Base::Instant now)
+{
+    return std::ranges::all_of(endpoints | std::views::values,
+                               [now](const EndpointState &state) { return !state.takesWork() || state.rests.any(now); });
+}
+
+Duration restOf(const EndpointStates &endpoints, Base::Instant now, std::uint64_t home)
+{
+    std::optional<Duration> shortest;
+    for (const EndpointState &state : endpoints | std::views::values) {
+        if (state.takesWork()) {
+            const Duration rest = std::max(Duration::zero(), state.rests.end(home) - now);
+            shortest = std::min(rest, shortest.value_or(rest));
+        }
+    }
+    return shortest.value_or(Duration::zero());
+}
+
 Duration PooledPace::waitBehind(std::size_t before) const
 {
     const double missing = static_cast<double>(before + 1) - left;
@@ -144,7 +163,7 @@
     for (const auto &[number, state] : endpoints) {
         const Rate::KnownRate &rate = state.pace.known();
         views.push_back({number, state.running, state.windowSize(), state.health.state(), !state.isUsable(), state.saysItLeaves,
-                         Base::milliseconds(state.health.firstToken().value_or(Duration::zero())),
+                         state.rests.areOfAll(), Base::milliseconds(state.health.firstToken().value_or(Duration::zero())),
                          Base::milliseconds(state.health.pace().value_or(Duration::zero())),
                          rate.isLimited() ? std::optional(rate.perSecond) : std::nullopt});
     }
--- a/Source/Dispatch/endpointstates.h
+++ b/Source/Dispatch/endpointstates.h
@@ -9,6 +9,7 @@
 #include "Base/time.h"
 #include "Dispatch/health.h"
 #include "Dispatch/placement.h"
+#include "Dispatch/rests.h"
 #include "Dispatch/window.h"
 #include "Rate/pace.h"
 
@@ -31,6 +32,7 @@
     HealthState health = HealthState::Healthy;
     bool drained = false;
     bool saysItLeaves = false;
+    bool rests = false; ///< for all homes
     double firstTokenMs = 0;
     double paceMs = 0;
     std::optional<double> ratePerSecond; ///< that it says it takes from all hosts together, if it limits that
@@ -50,6 +52,7 @@
     Base::Instant leavesUntil {}; ///< as its answers say
     bool saysItLeaves = false;
     Rate::Pace pace;
+    Rests rests;
 
     /// Whether it may get work, whatever its health.
     bool isUsable() const;
@@ -94,6 +97,12 @@
 /// others.
 std::vector<Candidate> usableOf(const EndpointStates &endpoints, Base::Instant now);
 
+/// Whether each that takes work rests for some home.
+bool allRest(const EndpointStates &endpoints, Base::Instant now);
+
+/// How long all that take work rest for @p home; zero if one does not.
+Base::Duration restOf(const EndpointStates &endpoints, Base::Instant now, std::uint64_t home);
+
 /// Nothing if some endpoint that takes work does not limit its rate.
 std::optional<PooledPace> pooledPace(const EndpointStates &endpoints, Base::Instant now);
 
--- a/Source/Dispatch/prospects.h
+++ b/Source/Dispatch/prospects.h
@@ -30,6 +30,7 @@
 {
     Base::Duration late {}; ///< by which the first token must be expected to miss its target; zero if it need not
     bool inVain = false; ///< it cannot begin before its deadline
+    Base::Duration opens {}; ///< until an endpoint takes requests of its home
 };
 
 /// Of one shard at one moment; what several asks have in common is found once, when it is first needed.
@@ -49,12 +50,16 @@
     const std::optional<PooledPace> &pace();
     /// How long the rates of the endpoints keep an ask behind @p asks; zero if some endpoint limits none.
     Base::Duration pacedWait(std::size_t asks);
+    /// How long no endpoint takes requests of @p home, as they have asked it.
+    Base::Duration restOf(std::uint64_t home);
 
     Base::Instant m_now;
     const EndpointStates &m_endpoints;
     const Placement &m_placement;
     bool m_refuseLate;
     std::vector<Candidate> m_usable;
+    std::optional<bool> m_allRest; ///< for some home
+    std::map<std::uint64_t, Base::Duration> m_rests; ///< by home
     std::map<int, LeastBacklog> m_leastBacklogs; ///< by rank
     std::optional<std::optional<PooledPace>> m_pace;
 };
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -3,6 +3,7 @@
 
 #include "Dispatch/shard.h"
 
+#include "Base/hash.h"
 #include "Base/invariant.h"
 #include "Base/log.h"
 
@@ -40,6 +41,8 @@
 /// On top of the time by which an ask would be late: the next try must not meet just the same.
 constexpr Duration leastRetryAfterLate = std::chrono::milliseconds(100);
 constexpr Duration mostRetryAfter = std::chrono::seconds(30);
+/// Over so long come back those that were refused since all endpoints rested.
+constexpr Duration restSpread = std::chrono::milliseconds(500);
 /// A permit is given up by its home's report only if it is older: the grant may still be on its way.
 constexpr Duration reportGrace = std::chrono::seconds(3);
 constexpr Duration longestEjection = std::chrono::seconds(30);
@@ -246,7 +249,7 @@
     Prospects prospects(now, m_endpoints, m_placement, m_catalogue->policies().refuseLate);
     const Ahead ahead = prospects.dependOnOthers() ? aheadOf(queued) : Ahead {};
     if (const Prospect prospect = prospects.of(queued, ahead); mayRefuse(queued, prospect)) {
-        refuse(queued, RefusalReason::TooLate, prospect.late + leastRetryAfterLate);
+        refuse(queued, RefusalReason::TooLate, retryAfterLate(queued, prospect));
         return;
     }
     enqueue(queued);
@@ -327,7 +330,7 @@
     for (const auto &[ask, prospect] : late) {
         if (mayRefuse(ask, prospect)) {
             std::visit([&](auto &order) { order.remove(ask.key); }, m_order);
-            refuse(ask, RefusalReason::TooLate, prospect.late + leastRetryAfterLate);
+            refuse(ask, RefusalReason::TooLate, retryAfterLate(ask, prospect));
         }
     }
 }
@@ -385,6 +388,18 @@
     m_order = makeOrder(m_catalogue->policies());
 }
 
+/// Where all endpoints rest: when the first of them takes requests again, so spread that not all that were refused return at
+/// once.
+Duration Shard::retryAfterLate(const QueuedAsk &ask, const Prospect &prospect)
+{
+    const Duration late = prospect.late + leastRetryAfterLate;
+    if (prospect.opens == Duration::zero()) {
+        return late;
+    }
+    const auto spread = static_cast<Duration::rep>(Base::hash64(requestName(ask.home, ask.key)) % restSpread.count());
+    return std::max(late, prospect.opens + leastRetryAfterLate + Duration(spread));
+}
+
 Duration Shard::retryAfter() const
 {
     if (m_grantsPerSecond <= 0) {
@@ -443,12 +458,22 @@
         dropPermit(key, {release.firstToken, {release.gap, release.longestGap}});
         ejectBad(now);
     }
+    if (release.result == RunResult::Refused) {
+        noteTurnedAway(home, release.endpoint);
+    }
     if (release.result == RunResult::Gone) {
         markGone(release.endpoint);
     }
     pump(now, mostPassedOverAtEvent);
 }
 
+void Shard::noteTurnedAway(const Home &home, std::uint32_t endpoint)
+{
+    if (const auto entry = m_endpoints.find(endpoint); entry != m_endpoints.end()) {
+        entry->second.rests.turnedAway(home.incarnation);
+    }
+}
+
 void Shard::report(Instant now, const Home &home, const Peer::RunningReport &report)
 {
     std::vector<AskKey> missing;
@@ -481,6 +506,7 @@
     if (endpoint != m_endpoints.end()) {
         hearRate(now, home, news, endpoint->second);
         hearLeaving(now, home, news, endpoint->second);
+        hearRest(now, home, news, endpoint->second);
     }
 }
 
@@ -508,13 +534,39 @@
     }
 }
 
-void Shard::endLeaving(Instant now)
+void Shard::hearRest(Instant now, const Home &home, const Peer::EndpointNews &news, EndpointState &state)
+{
+    if (news.availability.restsFor == Duration::zero()) {
+        return;
+    }
+    Base::log(Base::LogLevel::Info, Base::LogEvent::EndpointRests,
+              {{"endpoint", news.endpoint},
+               {"for-ms", Base::milliseconds(news.availability.restsFor)},
+               {"rested", !state.rests.allow(now, home.incarnation)},
+               {"source", home.name}});
+    state.rests.asked(home.incarnation, now + news.availability.restsFor);
+    m_resting.insert(news.endpoint);
+}
+
+void Shard::endRests(Instant now)
 {
+    std::erase_if(m_resting, [&](std::uint32_t number) {
+        const auto endpoint = m_endpoints.find(number);
+        if (endpoint != m_endpoints.end()) {
+            endpoint->second.rests.tick(now);
+        }
+        return endpoint == m_endpoints.end() || !endpoint->second.rests.any(now);
+    });
     for (EndpointState &state : m_endpoints | std::views::values) {
         state.saysItLeaves = state.saysItLeaves && now < state.leavesUntil;
     }
 }
 
+bool Shard::isAllowed(Instant now, const QueuedAsk &ask, std::uint32_t endpoint) const
+{
+    return !m_resting.contains(endpoint) || m_endpoints.at(endpoint).rests.allow(now, ask.home.incarnation);
+}
+
 void Shard::homeGone(Instant now, const std::string &name, std::uint64_t keep)
 {
     const auto gone = [&](const Home &home) { return home.name == name && home.incarnation != keep; };
@@ -551,10 +603,16 @@
 void Shard::dropExpired(Instant now)
 {
     std::vector<AskKey> expired;
-    for (const auto &[key, permit] : m_permits) {
+    for (auto &[key, permit] : m_permits) {
         if (now >= permit.expires) {
             expired.push_back(key);
         }
+        if (!permit.accepted && now >= permit.grantedAt + refusalArrives) {
+            permit.accepted = true;
+            if (const auto endpoint = m_endpoints.find(permit.endpoint); endpoint != m_endpoints.end()) {
+                endpoint->second.rests.accepted();
+            }
+        }
     }
     for (const AskKey &key : expired) {
         Base::log(Base::LogLevel::Warning, Base::LogEvent::PermitExpired,
@@ -566,7 +624,7 @@
 void Shard::tick(Instant now)
 {
     dropExpired(now);
-    endLeaving(now);
+    endRests(now);
     if (now - m_periodBegan >= ratePeriod) {
         const double rate = static_cast<double>(m_grantsInPeriod) / Base::seconds(now - m_periodBegan);
         m_grantsPerSecond = m_grantsPerSecond <= 0 ? rate : m_grantsPerSecond + rateShareOfLatest * (rate - m_grantsPerSecond);
@@ -633,7 +691,7 @@
     std::vector<Candidate> found;
     for (const auto &[number, state] : m_endpoints) {
         const std::uint32_t free = room(state, now);
-        if (free > 0 && state.pace.left(now) > 0) {
+        if (free > 0 && state.pace.left(now) > 0 && state.rests.allowSome(now)) {
             found.push_back({number, state.running, state.running + free, state.memoryTokens, state.movedTokensPerMs});
         }
     }
@@ -679,11 +737,17 @@
     std::vector<Candidate> others;
     // The endpoint of a failed try is used again only if there is no other.
     const bool avoids = waiting.ask.avoid != 0 && withRoom.size() > 1;
-    if (avoids) {
-        std::ranges::copy_if(withRoom, std::back_inserter(others),
-                             [&](const Candidate &candidate) { return candidate.endpoint != waiting.ask.avoid; });
+    const bool filters = avoids || !m_resting.empty();
+    if (filters) {
+        std::ranges::copy_if(withRoom, std::back_inserter(others), [&](const Candidate &candidate) {
+            const bool avoided = avoids && candidate.endpoint == waiting.ask.avoid;
+            return !avoided && isAllowed(now, waiting, candidate.endpoint);
+        });
+        if (others.empty()) {
+            return false;
+        }
     }
-    const std::vector<Candidate> &found = avoids ? others : withRoom;
+    const std::vector<Candidate> &found = filters ? others : withRoom;
     const auto endpoint = std::visit([&](const auto &placement) { return placement.choose(waiting, found, now); }, m_placement);
     if (!endpoint) {
         return false;
@@ -704,6 +768,7 @@
     ++state.running;
     const Rate::RateWord rate = state.pace.known().word(now);
     state.pace.spend(now);
+    state.rests.granted(now);
     // The home's clock runs as fast as this one, so that the time waited here can be added to the time it sent the ask.
     const Instant startBy = ask.ask.sentAt + (now - ask.received) + startWithin;
     Permit permit {ask.home,
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -109,6 +110,7 @@
         bool windowWasFull = false;
         PlacedRun placed;
         Base::Instant expires = Base::Instant::max(); ///< a run cannot last longer; its release must have been lost
+        bool accepted = false; ///< it would have been turned away by now
     };
 
     static Order makeOrder(const Configuration::Policies &policies);
@@ -140,9 +142,13 @@
     void ejectBad(Base::Instant now);
     void hearRate(Base::Instant now, const Home &home, const Peer::EndpointNews &news, EndpointState &state);
     void hearLeaving(Base::Instant now, const Home &home, const Peer::EndpointNews &news, EndpointState &state);
-    void endLeaving(Base::Instant now);
+    void hearRest(Base::Instant now, const Home &home, const Peer::EndpointNews &news, EndpointState &state);
+    void noteTurnedAway(const Home &home, std::uint32_t endpoint);
+    void endRests(Base::Instant now);
+    bool isAllowed(Base::Instant now, const QueuedAsk &ask, std::uint32_t endpoint) const;
     Base::Duration expectedFirstToken() const;
     Base::Duration retryAfter() const;
+    static Base::Duration retryAfterLate(const QueuedAsk &ask, const Prospect &prospect);
     std::uint32_t pressure() const;
     /// Why no endpoint can be expected to take work, if none can.
     std::optional<Peer::RefusalReason> reasonForNone() const;
@@ -164,6 +170,7 @@
     std::uint64_t m_grantsInPeriod = 0;
     Base::Instant m_periodBegan {};
     LateRefusals m_lateRefusals;
+    std::set<std::uint32_t> m_resting; ///< endpoints that have asked some home for rest
     bool m_saturated = false; ///< asks waited through the whole present period
 };
 
--- a/Source/Node/queries.cpp
+++ b/Source/Node/queries.cpp
@@ -231,7 +231,7 @@
     if (view.drained) {
         return "drained";
     }
-    return Base::nameOf(Dispatch::healthStateNames, view.health);
+    return view.rests ? "resting" : Base::nameOf(Dispatch::healthStateNames, view.health);
 }
 
 Answer Queries::endpoints() const
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -239,7 +239,7 @@
     const std::vector<std::uint64_t> &prefix = pending.request.prefix;
     const std::uint64_t shared = prefix.empty() ? m_random() : Dispatch::sharedBeginning(prefix);
     std::set<std::uint32_t> closed = m_rates.closedAlone(now, shard->endpoints, std::max(m_hosts, leastHostsSharing), m_random);
-    closed.merge(m_availabilities.leaving(now));
+    closed.merge(m_availabilities.closed(now));
     const auto endpoint = m_localWindow.choose(*shard, *m_catalogue, m_hosts, shared, closed);
     if (!endpoint) {
         return;
@@ -324,9 +324,9 @@
         ask(now, *pending);
         return;
     }
-    if (m_availabilities.of(grant.endpoint).leaves(now)) {
+    if (m_availabilities.of(grant.endpoint).isClosed(now)) {
         tellEndpoint(now, *pending, grant.endpoint);
-        returnGrant(now, *pending, grant, fmt::format("{} did not know that the endpoint leaves", from));
+        returnGrant(now, *pending, grant, fmt::format("{} did not know that the endpoint takes nothing", from));
         return;
     }
     if (correctsDispatcher(now, *pending, grant)) {
--- a/Tests/Availability/endpointavailabilitiestest.cpp
+++ b/Tests/Availability/endpointavailabilitiestest.cpp
@@ -47,7 +47,7 @@
     known.updateView(*Configuration::Catalogue::build({}));
     CHECK_TRUE(known.of(7).leaves(at(30)));
     known.tick(at(30));
-    CHECK_EQUAL(1U, known.leaving(at(30)).size());
+    CHECK_EQUAL(1U, known.closed(at(30)).size());
 }
 
 TEST(EndpointAvailabilities, thatItLeavesIsBelievedForASetTime)
@@ -60,7 +60,7 @@
     CHECK_TRUE(known.of(7).leaves(at(6.9)));
     CHECK_FALSE(known.of(7).leaves(at(7)));
     known.tick(at(7));
-    CHECK_EQUAL(0U, known.leaving(at(7)).size());
+    CHECK_EQUAL(0U, known.closed(at(7)).size());
 }
 
 TEST(EndpointAvailabilities, theWordTellsWhatIsLeft)
--- a/Tests/Dispatch/shardtest.cpp
+++ b/Tests/Dispatch/shardtest.cpp
@@ -6,6 +6,7 @@
 #include "Dispatch/fixtures.h"
 
 #include <set>
+#include <string>
 
 #include <CppUTest/TestHarness.h>
 
@@ -487,6 +488,13 @@
         shard->hearEndpoint(at(now), home, {1, endpoint(name), {}, {.leavesFor = std::chrono::seconds(60)}});
     }
 
+    /// A run of @p of at the endpoint called @p name is turned away, and the home asked for @p rest.
+    void turnAway(std::string_view name, double now, Base::Duration rest, const Home &of)
+    {
+        shard->hearEndpoint(at(now), of, {1, endpoint(name), {}, {.restsFor = rest}});
+        shard->release(at(now), of, {{next++, 1}, 1, endpoint(name), Peer::RunResult::Refused});
+    }
+
     std::set<std::uint32_t> granted()
     {
         std::set<std::uint32_t> found;
@@ -522,3 +530,56 @@
     CHECK_EQUAL(0U, shard->queued());
     CHECK_TRUE(replies<Peer::Refusal>().front().reason == RefusalReason::NoEndpoint);
 }
+
+TEST(ShardAvailability, whatRestsForOneHomeTakesAnothersRequests)
+{
+    turnAway("e1", 0, std::chrono::seconds(3), home);
+    turnAway("e2", 0, std::chrono::seconds(3), other);
+    for (int index = 0; index < 3; ++index) {
+        ask("alert", 0.1);
+    }
+    const auto endpoints = granted();
+    CHECK_TRUE(endpoints.contains(endpoint("e2")) && !endpoints.contains(endpoint("e1")));
+}
+
+/// Guards against a refusal that tells a time at which all is as it was, and against requests that wait for a rest in vain.
+TEST(ShardAvailability, whereAllRestWhatCannotBeginInTimeIsRefusedAtOnceAndToldWhenToComeBack)
+{
+    turnAway("e1", 0, std::chrono::seconds(30), home);
+    turnAway("e2", 0, std::chrono::seconds(25), home);
+    std::set<Base::Duration> told;
+    for (int index = 0; index < 5; ++index) {
+        ask("alert", 0);
+    }
+    for (const Peer::Refusal &refusal : replies<Peer::Refusal>()) {
+        CHECK_TRUE(refusal.reason == RefusalReason::TooLate);
+        CHECK_TRUE(refusal.retryAfter > std::chrono::seconds(25) && refusal.retryAfter < std::chrono::seconds(26));
+        told.insert(refusal.retryAfter);
+    }
+    CHECK_EQUAL(5U, told.size());
+    CHECK_EQUAL(0U, shard->queued());
+}
+
+TEST(ShardAvailability, whatCanWaitForTheEndOfARestBeginsThen)
+{
+    turnAway("e1", 0, std::chrono::seconds(3), home);
+    turnAway("e2", 0, std::chrono::seconds(4), home);
+    ask("alert", 0);
+    shard->tick(at(2.9));
+    CHECK_EQUAL(0U, granted().size());
+    shard->tick(at(3));
+    CHECK_TRUE(granted().contains(endpoint("e1")));
+}
+
+/// Guards against an endpoint that turns away all, and by having nothing to do draws all: most it refuses come from homes that it
+/// has not refused yet.
+TEST(ShardAvailability, whatTurnsAwayOneAfterTheOtherGetsNothingOfAnyHomeUntilItsRestEnds)
+{
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        turnAway("e1", 0, std::chrono::seconds(3), {"h" + std::to_string(number + 1), number + 10});
+    }
+    for (int index = 0; index < 3; ++index) {
+        ask("alert", 0.1);
+    }
+    CHECK_FALSE(granted().contains(endpoint("e1")));
+}
--- a/Tests/Request/fleetloadtest.cpp
+++ b/Tests/Request/fleetloadtest.cpp
@@ -422,3 +422,106 @@
     fmt::print("{} of {} arrivals at one of nine engines afterwards\n", got, load.counts().arrivals - all);
     CHECK_TRUE(got * 9 * 2 >= load.counts().arrivals - all);
 }
+
+/// The pattern: three of nine engines turn two requests of five away and ask for 3 s of rest each time. What they would take of
+/// other hosts' requests is used all the same.
+TEST(FleetLoad, enginesThatTurnAwaySomeServeTheRest)
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        FleetLoad load(smallSite(), smallSiteStreams(), seed);
+        load.run(std::chrono::seconds(4));
+        for (std::size_t engine = 0; engine < 3; ++engine) {
+            load.turnAway(engine, 0.4, std::chrono::seconds(3));
+        }
+        const std::uint64_t before = load.arrivalsAt(0) + load.arrivalsAt(1) + load.arrivalsAt(2);
+        load.run(std::chrono::seconds(20));
+        const std::uint64_t at = load.arrivalsAt(0) + load.arrivalsAt(1) + load.arrivalsAt(2) - before;
+        const FleetLoadCounts &counts = load.counts();
+        print("three of nine engines turn away some", seed, counts);
+        fmt::print("  came to them {}, turned away {}, most from a host in one rest {}\n", at, counts.turnedAway,
+                   counts.mostInRest);
+        CHECK_TRUE(at > counts.turnedAway);
+        CHECK_TRUE(counts.mostInRest <= 2);
+        CHECK_TRUE((counts.refused + counts.failed) * 10 <= counts.offered);
+    }
+}
+
+/// The pattern: all nine engines turn all away for 4 s. When they take requests again none is refused, and what had waited holds
+/// up less than a tenth of what comes.
+TEST(FleetLoad, aWholePoolThatRestsIsUsedAgainWhenItsRestEnds)
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        FleetLoad load(smallSite(), smallSiteStreams(), seed);
+        load.run(std::chrono::seconds(4));
+        for (std::size_t engine = 0; engine < 9; ++engine) {
+            load.turnAway(engine, 1.0, std::chrono::seconds(1));
+        }
+        load.run(std::chrono::seconds(4));
+        for (std::size_t engine = 0; engine < 9; ++engine) {
+            load.turnAway(engine, 0, {});
+        }
+        load.run(std::chrono::seconds(3));
+        const FleetLoadCounts before = load.counts();
+        load.run(std::chrono::seconds(10));
+        const FleetLoadCounts &counts = load.counts();
+        print("all engines rested", seed, counts);
+        fmt::print("  most from a host in one rest {}\n", counts.mostInRest);
+        CHECK_TRUE(counts.mostInRest <= 2);
+        CHECK_EQUAL(0U, counts.refused - before.refused);
+        CHECK_TRUE((counts.late + counts.failed - before.late - before.failed) * 10 <= counts.offered - before.offered);
+    }
+}
+
+/// Random mixes of what may happen at once: engines say that they leave, turn all or some away, dispatchers end or stand still,
+/// and messages are swallowed.
+TEST(FleetLoad, leavingAndRestHoldInRandomMixes)
+{
+    constexpr std::uint64_t seeds = 60;
+    std::uint64_t sentToLeaving = 0;
+    std::uint64_t mostInRest = 0;
+    std::uint64_t turnedAway = 0;
+    std::uint64_t told = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        std::mt19937_64 random(seed);
+        FleetLoad load(smallSite(), smallSiteStreams(), seed);
+        std::size_t losses = 0;
+        for (int step = 0; step < 30; ++step) {
+            load.run(std::chrono::milliseconds(200 + random() % 1500));
+            const double share = std::array {0.0, 0.3, 1.0, 1.0}.at(random() % 4);
+            switch (random() % 6) {
+            case 0:
+            case 1:
+                load.turnAway(random() % 9, share, std::chrono::milliseconds(600 + random() % 5000));
+                break;
+            case 2:
+                load.sayLeaving(random() % 4, true);
+                break;
+            case 3:
+                if (++losses <= 3) {
+                    load.loseDispatchers(std::chrono::milliseconds(random() % 1500));
+                }
+                break;
+            case 4:
+                load.freeze(load.someDispatcher(random()), std::chrono::milliseconds(random() % 3000));
+                break;
+            default:
+                load.setSwallowed(random() % 3 == 0);
+                break;
+            }
+        }
+        const FleetLoadCounts &counts = load.counts();
+        if (counts.sentToLeaving > 0 || counts.mostInRest > 2) {
+            fmt::print("seed {}: {} to engines that leave, {} in one rest\n", seed, counts.sentToLeaving, counts.mostInRest);
+        }
+        sentToLeaving += counts.sentToLeaving;
+        mostInRest = std::max(mostInRest, counts.mostInRest);
+        turnedAway += counts.turnedAway;
+        told += counts.toldLeaving;
+    }
+    fmt::print(
+        "random mixes, seeds 1 to {}: {} turned away, {} told of leaving; {} sent to engines that leave, most in one rest {}\n",
+        seeds, turnedAway, told, sentToLeaving, mostInRest);
+    CHECK_TRUE(turnedAway > 0 && told > 0);
+    CHECK_EQUAL(0U, sentToLeaving);
+    CHECK_TRUE(mostInRest <= 2);
+}
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -606,7 +606,7 @@
 /// Guards against a home and a dispatcher of an older version that pass one grant back and forth without end.
 TEST(HomeAvailability, aDispatcherThatGrantsTheSameAgainIsAskedLaterAndForAnother)
 {
-    learn(0, {.leaves = true});
+    learn(0, {.rest = std::chrono::seconds(30)});
     home.takeActions();
     start(2, "alert", 0.1);
     for (int turn = 0; turn < 3; ++turn) {
@@ -646,3 +646,11 @@
     home.receive(at(1), "h2", Peer::Grant {lastAsk().id, other, at(3), 0, endpoint});
     CHECK_EQUAL(0U, actions<StartRun>().front().keeper);
 }
+
+TEST(HomeAvailability, whatRestedIsUsedWhenItsRestHasEnded)
+{
+    learn(0, {.rest = std::chrono::seconds(3)});
+    home.takeActions();
+    granted(2, 3);
+    CHECK_EQUAL(1U, actions<StartRun>().size());
+}
