Shard: An endpoint that turns all away without naming a time draws little

Cause: the same, elsewhere: a refusal counts for nothing at the dispatcher, and an engine that refuses at once is the emptiest. Why it works: after three refusals in a row that name no time a rest is assumed, of 250 ms, doubled with each further refusal up to 2 s; a run that is taken ends it. One refusal or two change nothing, so that an engine that is merely full gets more.

--- a/Source/Dispatch/rests.cpp
+++ b/Source/Dispatch/rests.cpp
@@ -13,6 +13,16 @@
 
 /// Requests turned away in a row. One that turns away two of five takes three fifths of what it is sent by others meanwhile.
 constexpr std::uint32_t fullAfter = 3;
+/// Of an endpoint that turns requests away and names no time; doubled with each further one.
+constexpr Base::Duration firstAssumedRest = std::chrono::milliseconds(250);
+constexpr Base::Duration longestAssumedRest = std::chrono::seconds(2);
+
+/// After @p turnedAway requests in a row.
+Base::Duration assumedRest(std::uint32_t turnedAway)
+{
+    constexpr std::uint32_t enoughDoublings = 3;
+    return std::min(firstAssumedRest * (1U << std::min(turnedAway - fullAfter, enoughDoublings)), longestAssumedRest);
+}
 
 } // namespace
 
@@ -22,12 +32,15 @@
     end = std::max(end, until);
 }
 
-void Rests::turnedAway(std::uint64_t home)
+void Rests::turnedAway(Instant now, std::uint64_t home)
 {
     ++m_turnedAway;
-    if (areOfAll()) {
-        m_endOfAll = std::max(m_endOfAll, end(home));
+    if (!areOfAll()) {
+        return;
     }
+    const auto entry = m_ends.find(home);
+    const bool isNamed = entry != m_ends.end() && entry->second > now;
+    m_endOfAll = std::max(m_endOfAll, isNamed ? entry->second : now + assumedRest(m_turnedAway));
 }
 
 void Rests::accepted()
--- a/Source/Dispatch/rests.h
+++ b/Source/Dispatch/rests.h
@@ -24,8 +24,8 @@
     /// The endpoint takes no request of @p home until @p until.
     void asked(std::uint64_t home, Base::Instant until);
 
-    /// A run of @p home was turned away.
-    void turnedAway(std::uint64_t home);
+    /// A run of @p home was turned away. Where no rest was named one is assumed, if it is not the first in a row.
+    void turnedAway(Base::Instant now, std::uint64_t home);
 
     /// A run was not turned away.
     void accepted();
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -459,7 +459,7 @@
         ejectBad(now);
     }
     if (release.result == RunResult::Refused) {
-        noteTurnedAway(home, release.endpoint);
+        noteTurnedAway(now, home, release.endpoint);
     }
     if (release.result == RunResult::Gone) {
         markGone(release.endpoint);
@@ -467,10 +467,10 @@
     pump(now, mostPassedOverAtEvent);
 }
 
-void Shard::noteTurnedAway(const Home &home, std::uint32_t endpoint)
+void Shard::noteTurnedAway(Instant now, const Home &home, std::uint32_t endpoint)
 {
     if (const auto entry = m_endpoints.find(endpoint); entry != m_endpoints.end()) {
-        entry->second.rests.turnedAway(home.incarnation);
+        entry->second.rests.turnedAway(now, home.incarnation);
     }
 }
 
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -143,7 +143,7 @@
     void hearRate(Base::Instant now, const Home &home, const Peer::EndpointNews &news, EndpointState &state);
     void hearLeaving(Base::Instant now, const Home &home, const Peer::EndpointNews &news, EndpointState &state);
     void hearRest(Base::Instant now, const Home &home, const Peer::EndpointNews &news, EndpointState &state);
-    void noteTurnedAway(const Home &home, std::uint32_t endpoint);
+    void noteTurnedAway(Base::Instant now, const Home &home, std::uint32_t endpoint);
     void endRests(Base::Instant now);
     bool isAllowed(Base::Instant now, const QueuedAsk &ask, std::uint32_t endpoint) const;
     Base::Duration expectedFirstToken() const;
--- a/Tests/Dispatch/reststest.cpp
+++ b/Tests/Dispatch/reststest.cpp
@@ -20,7 +20,7 @@
     {
         for (std::uint64_t home = 1; home <= homes; ++home) {
             rests.asked(home, at(3));
-            rests.turnedAway(home);
+            rests.turnedAway(at(0), home);
         }
     }
 };
@@ -52,6 +52,24 @@
     CHECK_TRUE(rests.end(9) == at(3));
 }
 
+/// Guards against an endpoint that turns away all without a time, and by having nothing to do draws all.
+TEST(Rests, whoTurnsAwayAllAndNamesNoTimeGetsOneThatGrows)
+{
+    rests.turnedAway(at(0), 1);
+    rests.turnedAway(at(0), 2);
+    CHECK_TRUE(rests.allow(at(0), 1));
+    rests.turnedAway(at(0), 3);
+    CHECK_FALSE(rests.allow(at(0.24), 9));
+    CHECK_TRUE(rests.allow(at(0.25), 9));
+    rests.turnedAway(at(0.25), 9);
+    CHECK_FALSE(rests.allow(at(0.74), 9));
+    for (int turn = 0; turn < 100; ++turn) {
+        rests.turnedAway(at(1), 9);
+    }
+    CHECK_FALSE(rests.allow(at(2.9), 9));
+    CHECK_TRUE(rests.allow(at(3), 9));
+}
+
 TEST(Rests, aRunThatIsTakenEndsTheRow)
 {
     turnAway(2);
@@ -69,7 +87,7 @@
     CHECK_FALSE(rests.allow(at(3.05), 9));
     CHECK_TRUE(rests.allow(at(3.1), 9));
     rests.asked(9, at(6));
-    rests.turnedAway(9);
+    rests.turnedAway(at(3.1), 9);
     CHECK_FALSE(rests.allow(at(5.9), 8));
     rests.granted(at(6));
     rests.accepted();
--- a/Tests/Request/fleetloadtest.cpp
+++ b/Tests/Request/fleetloadtest.cpp
@@ -423,6 +423,27 @@
     CHECK_TRUE(got * 9 * 2 >= load.counts().arrivals - all);
 }
 
+/// Guards against engines that turn all away and name no time: having nothing to do, they drew more than before.
+///
+/// The pattern: as before, without the rest.
+TEST(FleetLoad, enginesThatTurnAllAwayDrawLittle)
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        FleetLoad load(smallSite(), smallSiteStreams(), seed);
+        load.run(std::chrono::seconds(4));
+        for (std::size_t engine = 0; engine < 3; ++engine) {
+            load.turnAway(engine, 1.0, {});
+        }
+        load.run(std::chrono::seconds(9));
+        const FleetLoadCounts &counts = load.counts();
+        print("three of nine engines turn all away", seed, counts);
+        fmt::print("  turned away {}\n", counts.turnedAway);
+        // Their share of what comes to nine engines.
+        CHECK_TRUE(counts.turnedAway * 3 <= counts.arrivals);
+        CHECK_TRUE((counts.refused + counts.failed) * 10 <= counts.offered);
+    }
+}
+
 /// The pattern: three of nine engines turn two requests of five away and ask for 3 s of rest each time. What they would take of
 /// other hosts' requests is used all the same.
 TEST(FleetLoad, enginesThatTurnAwaySomeServeTheRest)
