Settings: Lines of any length are read

Cause: the library that reads the settings keeps a line in a buffer of 200 bytes, and the rest of the line was lost. Why it works: of a longer line the library gets the key alone, and the value is taken from the line itself; comments are cut as the library does. A long line that is no key = value is refused with its number.

--- a/Source/Base/ini.cpp
+++ b/Source/Base/ini.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <cmath>
 #include <fstream>
+#include <optional>
 #include <ranges>
 #include <sstream>
 
@@ -24,10 +25,48 @@
 {
     std::string_view rest;
     int line = 0;
-    bool truncated = false;
+    std::optional<std::string> longValue; ///< of the present line, if inih's buffer cannot hold it
+    int unreadableLine = 0; ///< the first that is too long and is no `key = value`; 0: none
     std::vector<IniEntry> entries;
 };
 
+constexpr std::string_view commentStarts = ";#";
+constexpr std::string_view delimiters = "=:";
+
+bool isComment(std::string_view line)
+{
+    const std::string_view text = trimmed(line);
+    return !text.empty() && commentStarts.find(text.front()) != std::string_view::npos;
+}
+
+/// As inih does: a semicolon after white space begins a comment.
+std::string_view withoutComment(std::string_view value)
+{
+    for (std::size_t index = 1; index < value.size(); ++index) {
+        if (value[index] == ';' && absl::ascii_isspace(static_cast<unsigned char>(value[index - 1]))) {
+            return value.substr(0, index);
+        }
+    }
+    return value;
+}
+
+/// What inih gets of a line that its buffer, of @p room bytes, cannot hold: the key, with a value in place of the long one.
+std::string shortened(std::string_view line, std::size_t room, ReadState &state)
+{
+    if (isComment(line)) {
+        return std::string(line.substr(0, room));
+    }
+    const std::size_t delimiter = line.find_first_of(delimiters);
+    const bool isContinuation = absl::ascii_isspace(static_cast<unsigned char>(line.front()));
+    constexpr std::string_view standIn = "= x\n";
+    if (isContinuation || delimiter == std::string_view::npos || delimiter + standIn.size() > room) {
+        state.unreadableLine = state.unreadableLine == 0 ? state.line + 1 : state.unreadableLine;
+        return "\n";
+    }
+    state.longValue = trimmed(withoutComment(line.substr(delimiter + 1)));
+    return std::string(line.substr(0, delimiter)).append(standIn);
+}
+
 char *readLine(char *buffer, int size, void *stream)
 {
     auto &state = *static_cast<ReadState *>(stream);
@@ -37,10 +76,11 @@
     const std::size_t end = state.rest.find('\n');
     const std::size_t length = end == std::string_view::npos ? state.rest.size() : end + 1;
     const std::size_t room = static_cast<std::size_t>(size) - 1;
-    state.truncated = state.truncated || length > room;
-    const std::size_t copied = std::min(length, room);
-    std::ranges::copy(state.rest.substr(0, copied), buffer);
-    buffer[copied] = '\0';
+    const std::string_view whole = state.rest.substr(0, length);
+    state.longValue.reset();
+    const std::string line = length > room ? shortened(whole, room, state) : std::string(whole);
+    std::ranges::copy(line, buffer);
+    buffer[line.size()] = '\0';
     state.rest.remove_prefix(length);
     ++state.line;
     return buffer;
@@ -49,7 +89,7 @@
 int storeEntry(void *user, const char *section, const char *key, const char *value)
 {
     auto &state = *static_cast<ReadState *>(user);
-    state.entries.push_back({section, key, value, state.line});
+    state.entries.push_back({section, key, state.longValue.value_or(value), state.line});
     return 1;
 }
 
@@ -63,8 +103,10 @@
         return makeError(ErrorKind::InvalidSettings,
                          fmt::format("{}:{}: expected [section], key = value, or a comment", file, badLine));
     }
-    if (state.truncated) {
-        return makeError(ErrorKind::InvalidSettings, fmt::format("{}: a line is longer than {} bytes", file, INI_MAX_LINE - 2));
+    if (state.unreadableLine != 0) {
+        return makeError(
+            ErrorKind::InvalidSettings,
+            fmt::format("{}:{}: a line of over {} bytes has to be key = value", file, state.unreadableLine, INI_MAX_LINE - 2));
     }
     IniFile ini;
     ini.m_file = std::move(file);
--- a/Tests/Base/initest.cpp
+++ b/Tests/Base/initest.cpp
@@ -36,6 +36,30 @@
     CHECK_TRUE(ini->finish().ok());
 }
 
+/// Guards against a start that ends since a line of the settings is long, as one of ten seeds with full names is.
+TEST(Ini, linesOfAnyLengthAreRead)
+{
+    for (const std::size_t length : {190U, 196U, 197U, 198U, 199U, 200U, 201U, 5000U}) {
+        const std::string value(length, 'v');
+        auto ini = IniFile::parse("[a]\nlong = " + value + " ; a comment\nn = 5\n; " + value + "\n[b]\nm:" + value, "file.ini");
+        CHECK_TRUE(ini.ok());
+        STRCMP_EQUAL(value.c_str(), ini->text("a", "long", "").c_str());
+        CHECK_EQUAL(5, ini->number("a", "n", 1, 0, 10));
+        STRCMP_EQUAL(value.c_str(), ini->text("b", "m", "").c_str());
+        CHECK_TRUE(ini->finish().ok());
+    }
+}
+
+TEST(Ini, aLongLineThatIsNoKeyAndValueIsRefusedWithItsNumber)
+{
+    const std::string tooLong(300, 'x');
+    for (const std::string &line : {tooLong, "[" + tooLong + "]", tooLong + " = 1", "  " + tooLong}) {
+        const auto ini = IniFile::parse("[a]\nn = 5\n" + line + "\n", "file.ini");
+        CHECK_FALSE(ini.ok());
+        STRCMP_CONTAINS("file.ini:3: ", messageOf(ini.status()).c_str());
+    }
+}
+
 TEST(Ini, wrongValueNamesFileLineKeyAndWhatWasExpected)
 {
     const std::string message = failureOf("[a]\n\nn = x\n", [](IniFile &ini) { ini.number("a", "n", 1, 0, 10); });
