--- a/Tests/Integration/recordsplatform.py
+++ b/Tests/Integration/recordsplatform.py
@@ -217,7 +217,8 @@
 
 
 class Runner(Server):
-    """An endpoint. Streams five events; `cut_after`: breaks a new stream off, within the event after so many."""
+    """An endpoint. Streams five events; `cut_after`: breaks a new stream off, within the event after so many. `refuse`: turns all away, and
+    asks for `rest` if that is set; `leaving`: says in all its answers that it leaves."""
 
     def __init__(self, name):
         self.name = name
@@ -225,6 +226,9 @@
         self.arrivals = []  # names of requests, and when they came
         self.cut_after = None
         self.refuse = False
+        self.rest = None
+        self.leaving = False
+        self.refused = 0
         self.unsigned = False
         super().__init__()
 
@@ -235,13 +239,15 @@
         if handler.headers["X-Expect-Instance"] != self.name:
             send(handler, 421, {"X-Instance-Id": self.name})
             return
+        said = {"Server-Leaving": "1"} if self.leaving else {}
         if self.refuse:
-            send(handler, 503, {"X-Not-Executed": "1"})
+            self.refused += 1
+            send(handler, 503, {"X-Not-Executed": "1", **said, **({"Retry-After": self.rest} if self.rest else {})})
             return
         headers = {name.lower(): value for name, value in handler.headers.items()}
         self.runs.append((handler.command, handler.path, headers, handler.body))
         self.arrivals.append((headers["x-request-id"], time.monotonic()))
-        head = {"X-Request-Id": handler.headers["X-Request-Id"], "X-Response-Signature": "signed-by-" + self.name}
+        head = {"X-Request-Id": handler.headers["X-Request-Id"], "X-Response-Signature": "signed-by-" + self.name, **said}
         if self.unsigned:
             del head["X-Response-Signature"]
         if handler.path.startswith("/stream/"):
--- a/Tests/Integration/test_availability.py
+++ b/Tests/Integration/test_availability.py
@@ -8,7 +8,8 @@
 import threading
 import time
 
-from fleet import Fleet, run_tests, wait_until
+from fleet import Fleet, parse_bin, run_tests, wait_until
+from recordsplatform import CONFIGURATION, Hosts, Runner, Store
 
 REST = 3
 UNCOUNTED = 0.5  # of a rest, after the refusal
@@ -98,5 +99,52 @@
         assert not logged(fleet, "endpoint-leaves")
 
 
+def send_to_both(hosts, count):
+    """The statuses of @p count requests to each host in turn; no request has the name of another."""
+    send_to_both.sent = getattr(send_to_both, "sent", 0) + count
+    return [hosts.send(index, "GET", "/stream/x", f"{send_to_both.sent}-{number}-{index}").status
+            for number in range(count) for index in range(2)]
+
+
+def test_hosts_on_a_platform_of_records_go_by_what_its_endpoints_say_while_its_store_is_away():
+    store = Store()
+    models = [Runner("i-m1"), Runner("i-m2")]
+    hosts = Hosts(parse_bin().bin, [store.address, store.address])
+    try:
+        store.put("op", "config", CONFIGURATION)
+        for runner in models:
+            store.put("servers", runner.name, runner.row("model"))
+        hosts.wait_ready()
+        wait_until(lambda: all(status == 200 for status in send_to_both(hosts, 3)), "all to be served")
+        store.down = True
+        models[0].leaving = True
+        models[1].refuse = True  # so that requests go to the one that leaves
+        wait_until(lambda: any(entry["event"] == "endpoint-leaves" for index in range(2) for entry in hosts.log(index))
+                   or not send_to_both(hosts, 1), "a host to be told")
+        models[1].refuse = False
+        before = len(models[0].runs)
+        wait_until(lambda: all(status == 200 for status in send_to_both(hosts, 3)), "the other to serve all")
+        assert len(models[0].runs) == before
+        models[1].refuse, models[1].rest = True, "7"  # longer than any of these callers waits
+        wait_until(lambda: any(entry["event"] == "endpoint-rests" for index in range(2) for entry in hosts.log(index))
+                   or not send_to_both(hosts, 1), "a host to be asked for rest")
+        refused = models[1].refused
+        began = time.monotonic()
+        statuses = send_to_both(hosts, 4)
+        assert set(statuses) == {503} and time.monotonic() < began + 2, (statuses, time.monotonic() - began)
+        told = float(hosts.send(0, "GET", "/stream/x", "told").headers["retry-after"])
+        assert 4 < told < 8, told
+        # Each host may ask once before it is told.
+        assert models[1].refused <= refused + 2, (models[1].refused, refused)
+        models[1].refuse = False
+        wait_until(lambda: all(status == 200 for status in send_to_both(hosts, 3)), "all to be served after the rest")
+        assert len(models[0].runs) == before
+        assert hosts.stop() == [0, 0]
+    finally:
+        store.ended.set()
+        for process in hosts.processes:
+            process.kill()
+
+
 if __name__ == "__main__":
     run_tests(globals())
