--- a/Tests/Base/initest.cpp
+++ b/Tests/Base/initest.cpp
@@ -6,6 +6,8 @@
 #include "Base/error.h"
 #include "Base/text.h"
 
+#include <fmt/format.h>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace Yokepond::Base;
@@ -41,7 +43,8 @@
 {
     for (const std::size_t length : {190U, 196U, 197U, 198U, 199U, 200U, 201U, 5000U}) {
         const std::string value(length, 'v');
-        auto ini = IniFile::parse("[a]\nlong = " + value + " ; a comment\nn = 5\n; " + value + "\n[b]\nm:" + value, "file.ini");
+        const std::string text = fmt::format("[a]\nlong = {0} ; a comment\nn = 5\n; {0}\n[b]\nm:{0}", value);
+        auto ini = IniFile::parse(text, "file.ini");
         CHECK_TRUE(ini.ok());
         STRCMP_EQUAL(value.c_str(), ini->text("a", "long", "").c_str());
         CHECK_EQUAL(5, ini->number("a", "n", 1, 0, 10));
