Shard: A run that ends soon shows that its endpoint takes requests

What callers would have seen: a plain service that turned three requests away gets one run each 100 ms from then on, for good. Found on reading, before it landed. Cause: a run counted as taken once its permit was 100 ms old; those of a service end sooner, so that nothing ended the row of refusals. Evidence: ShardAvailability.aRunThatEndsSoonEndsTheRowOfRefusals failed before. Why it works: a run that has ended as anything but turned away or not begun has been taken, whenever it ended.

--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -448,6 +448,9 @@
         const ClassTerms &terms = permit->second.terms;
         const bool failed = release.result == RunResult::Failed || release.result == RunResult::Unreachable;
         const bool answeredError = release.result == RunResult::AnsweredError;
+        if (answeredError || release.result == RunResult::Failed || release.result == RunResult::Completed) {
+            state.rests.accepted();
+        }
         const Observation observation {release.firstToken, release.gap, poolTerms().tightestFirstToken(),
                                        terms.tokenGap,     failed,      permit->second.windowWasFull,
                                        answeredError};
--- a/Tests/Dispatch/shardtest.cpp
+++ b/Tests/Dispatch/shardtest.cpp
@@ -583,3 +583,18 @@
     }
     CHECK_FALSE(granted().contains(endpoint("e1")));
 }
+
+/// Guards against an endpoint of short runs that is held for full for good: its runs end before a refusal would have come.
+TEST(ShardAvailability, aRunThatEndsSoonEndsTheRowOfRefusals)
+{
+    turnAway("e1", 0, std::chrono::seconds(1), other);
+    turnAway("e1", 0, std::chrono::seconds(1), other);
+    while (shard->queued() == 0) {
+        ask("alert", 0);
+    }
+    for (const Peer::Grant &grant : replies<Peer::Grant>()) {
+        release(grant, 0.03);
+    }
+    turnAway("e1", 0.1, std::chrono::seconds(1), other);
+    CHECK_TRUE(std::ranges::none_of(shard->endpoints(), &EndpointView::rests));
+}
