--- a/Tests/Node/linkedfleet.h
+++ b/Tests/Node/linkedfleet.h
@@ -90,6 +90,12 @@
         m_apart = some;
     }
 
+    /// The connections from the first to the second host of each of @p pairs carry nothing, and nobody is told.
+    void silence(const std::set<std::pair<std::size_t, std::size_t>> &pairs)
+    {
+        m_silent = pairs;
+    }
+
     /// The process of host @p index stands still; what comes for it waits.
     void freeze(std::size_t index)
     {
@@ -295,7 +301,8 @@
         while (!m_sent.empty() && m_sent.top().arrives <= m_now) {
             const Sent next = m_sent.top();
             m_sent.pop();
-            if (m_cut.contains(next.from) || m_cut.contains(next.to) || isApart(next.from, next.to)) {
+            const bool silent = m_silent.contains({next.from, next.to});
+            if (silent || m_cut.contains(next.from) || m_cut.contains(next.to) || isApart(next.from, next.to)) {
                 continue;
             }
             if (m_frozen.contains(next.to)) {
@@ -319,6 +326,7 @@
     std::priority_queue<Sent> m_sent;
     std::set<std::size_t> m_cut;
     std::set<std::size_t> m_apart;
+    std::set<std::pair<std::size_t, std::size_t>> m_silent;
     std::set<std::size_t> m_frozen;
     double m_bytesPerSecond;
     std::uint64_t m_seed;
--- a/Tests/Node/simulatedstore.h
+++ b/Tests/Node/simulatedstore.h
@@ -37,11 +37,23 @@
         m_records[{record.kind, record.key}].version = m_version;
         for (Call &call : m_calls) {
             if (call.kind == record.kind && !call.swallowed) {
-                call.due = std::min(call.due, now + travel);
+                call.due = std::min(call.due, now + travel + m_more);
             }
         }
     }
 
+    /// All answers come so much later from now on.
+    void setSlow(Base::Duration more)
+    {
+        m_more = more;
+    }
+
+    /// Of each ten calls so many get no answer from now on.
+    void setLost(std::size_t ofTen)
+    {
+        m_lostOfTen = ofTen;
+    }
+
     std::uint64_t version() const
     {
         return m_version;
@@ -70,8 +82,9 @@
     {
         ++m_asked;
         const bool answeredAtOnce = m_doors[host] == Door::Refusing || !changed(kind, since).empty();
-        m_calls.push_back({host, kind, since, answeredAtOnce ? now + travel : now + wait + travel, now + wait + callTimeout,
-                           m_doors[host] == Door::Silent, std::move(handler)});
+        const bool lost = m_asked % 10 < m_lostOfTen;
+        m_calls.push_back({host, kind, since, answeredAtOnce ? now + travel + m_more : now + wait + travel + m_more,
+                           now + wait + callTimeout, m_doors[host] == Door::Silent || lost, std::move(handler)});
     }
 
     /// Ends the calls that are due. @p runs tells whether a host's process runs; what comes for one that does not waits.
@@ -130,6 +143,8 @@
     std::map<std::size_t, Door> m_doors;
     std::list<Call> m_calls;
     std::size_t m_asked = 0;
+    Base::Duration m_more {};
+    std::size_t m_lostOfTen = 0;
 };
 
 /// One host's way to the store.
--- a/Tests/Node/storefollowertest.cpp
+++ b/Tests/Node/storefollowertest.cpp
@@ -13,6 +13,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <array>
+#include <functional>
 #include <random>
 
 using namespace Yokepond;
@@ -247,3 +249,75 @@
         CHECK_EQUAL_TEXT(0U, behind, fmt::format("seed {}", seed).c_str());
     }
 }
+
+namespace {
+
+/// Brings a trouble about, and ends it: with none of the fleet's hosts excused.
+struct Trouble
+{
+    const char *name;
+    std::function<void(LinkedFleet &, std::mt19937_64 &)> begin;
+    std::function<void(LinkedFleet &)> end;
+};
+
+/// A quarter of all pairs of hosts do not hear each other, in both directions or in one.
+void silencePairs(LinkedFleet &fleet, std::mt19937_64 &random, bool bothWays)
+{
+    std::set<std::pair<std::size_t, std::size_t>> pairs;
+    while (pairs.size() < hosts * hosts / 4) {
+        const std::pair pair {random() % hosts, random() % hosts};
+        pairs.insert(pair);
+        if (bothWays) {
+            pairs.emplace(pair.second, pair.first);
+        }
+    }
+    fleet.silence(pairs);
+}
+
+/// The most hosts that were seen behind a change for longer than allowed, during a trouble or after it.
+std::size_t mostBehindDuring(const Trouble &trouble, std::uint64_t seed, const std::string &padding)
+{
+    std::mt19937_64 random(seed);
+    Settled settled(seed);
+    std::size_t most = 0;
+    const auto change = [&] {
+        settled.change(configuration(std::to_string(random()) + padding));
+        settled.fleet.run(milliseconds(random() % 900));
+        settled.change(endpoint(std::to_string(random())));
+        settled.fleet.run(allowed);
+        most = std::max({most, settled.behind(RecordKind::Configuration).size(), settled.behind(RecordKind::Endpoint).size()});
+    };
+    trouble.begin(settled.fleet, random);
+    change();
+    change();
+    trouble.end(settled.fleet);
+    change();
+    return most;
+}
+
+} // namespace
+
+/// Guards against hosts that learn late, or never again, where connections between hosts are silent or the store is slow or loses
+/// answers, also where the configuration takes long on narrow links.
+TEST(StoreFollower, changesAreInForceWhereConnectionsAreSilentAndWhereTheStoreIsSlow)
+{
+    const auto hear = [](LinkedFleet &fleet) { fleet.silence({}); };
+    const std::array troubles {
+        Trouble {"silent pairs", [](LinkedFleet &fleet, std::mt19937_64 &random) { silencePairs(fleet, random, true); }, hear},
+        Trouble {"silent one way", [](LinkedFleet &fleet, std::mt19937_64 &random) { silencePairs(fleet, random, false); }, hear},
+        Trouble {"a slow store", [](LinkedFleet &fleet, std::mt19937_64 &) { fleet.store().setSlow(milliseconds(250)); },
+                 [](LinkedFleet &fleet) { fleet.store().setSlow({}); }},
+        Trouble {"lost answers", [](LinkedFleet &fleet, std::mt19937_64 &) { fleet.store().setLost(3); },
+                 [](LinkedFleet &fleet) { fleet.store().setLost(0); }},
+    };
+    // Random, so that it stays as large when it is compressed.
+    std::string large;
+    std::mt19937_64 random(1);
+    std::generate_n(std::back_inserter(large), 100'000, [&] { return static_cast<char>('0' + random() % 64); });
+    for (const Trouble &trouble : troubles) {
+        for (const std::string &padding : {std::string(), large}) {
+            const std::size_t behind = mostBehindDuring(trouble, 1, padding);
+            CHECK_EQUAL_TEXT(0U, behind, fmt::format("{}, {} bytes", trouble.name, padding.size()).c_str());
+        }
+    }
+}
