--- a/Tests/Platform/requestprotocoltest.cpp
+++ b/Tests/Platform/requestprotocoltest.cpp
@@ -76,7 +76,9 @@
 
 TEST(RequestProtocol, whatAnEndpointSaysOfLeavingAndRestIsTypedOnce)
 {
-    const auto stated = [&](int status, Http::Headers headers) { return protocol.statement({}, {status, std::move(headers)}).availability; };
+    const auto stated = [&](int status, Http::Headers headers) {
+        return protocol.statement({}, {status, std::move(headers)}).availability;
+    };
     const Http::Header leaving {std::string(Names::leaving), "1"};
     const Http::Header rest {std::string(Names::retryAfter), "3"};
     const Http::Header notRun {std::string(Names::notRun), "1"};
