--- a/Tests/Dispatch/shardtest.cpp
+++ b/Tests/Dispatch/shardtest.cpp
@@ -598,3 +598,18 @@
     turnAway("e1", 0.1, std::chrono::seconds(1), other);
     CHECK_TRUE(std::ranges::none_of(shard->endpoints(), &EndpointView::rests));
 }
+
+/// Guards against an ask that waits for a rest to end though the endpoint of its failed try would take it.
+TEST(ShardAvailability, theEndpointOfAFailedTryIsUsedWhereAllOthersRest)
+{
+    turnAway("e2", 0, std::chrono::seconds(3), home);
+    Peer::Ask again;
+    again.id = {next++, 2};
+    again.shard = 1;
+    again.requestClass = Tests::numberOf(objects, Kind::Class, "alert");
+    again.organisation = Tests::numberOf(objects, Kind::Organisation, "small");
+    again.remaining = std::chrono::seconds(20);
+    again.avoid = endpoint("e1");
+    shard->ask(at(0.1), home, again);
+    CHECK_TRUE(granted().contains(endpoint("e1")));
+}
