Configuration, Node, Language: Follow evacuations of data centres

The hosts read the row of the configuration only and dropped the rows of evacuations, which lie in the same table.

An evacuation is now a record of its own kind, whose key is the data centre. It is read by the same calls as the configuration, shares its revision and goes from host to host with it, so that a host that the store turns away, that was cut off or that starts learns it like a change of the configuration. After a full read, evacuations that are not listed have ended, also those that a host knows from other hosts only. The endpoints of an evacuated data centre count as drained: dispatchers grant none, homes without a dispatcher choose none, and a home that is granted one gives it back before it starts the run. A pool whose data centres are all evacuated refuses at once with Retry-After.

Since the revision of the configuration now also grows with evacuations, a copy is compressed against the configuration that the receiver has at its revision, not only against one with just that version; otherwise each host would have got a full copy after an evacuation.

Operators: `evacuate data-centre`, `resume data-centre`, `show data-centres`; `why endpoint` and the error of a refused request name the evacuation.

--- a/Source/Configuration/catalogue.cpp
+++ b/Source/Configuration/catalogue.cpp
@@ -164,6 +164,11 @@
     for (const Object *object : objects.all(Kind::Endpoint)) {
         parts.endpoints.push_back(parseEndpoint(objects, *object));
     }
+    for (const Object *object : objects.all(Kind::DataCentre)) {
+        if (flag(*object, "evacuated")) {
+            parts.evacuatedDataCentres.insert(object->name);
+        }
+    }
     return assemble(std::move(parts));
 }
 
@@ -171,6 +176,9 @@
 {
     auto catalogue = std::make_shared<Catalogue>();
     catalogue->m_parts = std::move(parts);
+    for (Endpoint &endpoint : catalogue->m_parts.endpoints) {
+        endpoint.drained = endpoint.drained || catalogue->isEvacuated(endpoint.dataCentre);
+    }
     const CatalogueParts &kept = catalogue->m_parts;
     for (std::size_t index = 0; index < kept.organisations.size(); ++index) {
         catalogue->m_organisationByNumber.emplace(kept.organisations[index].number, index);
@@ -194,6 +202,16 @@
     return m_parts.policies;
 }
 
+const std::set<std::string> &Catalogue::evacuatedDataCentres() const
+{
+    return m_parts.evacuatedDataCentres;
+}
+
+bool Catalogue::isEvacuated(const std::string &dataCentre) const
+{
+    return m_parts.evacuatedDataCentres.contains(dataCentre);
+}
+
 const std::vector<RequestClass> &Catalogue::classes() const
 {
     return m_parts.classes;
--- a/Source/Configuration/catalogue.h
+++ b/Source/Configuration/catalogue.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -90,7 +91,7 @@
     std::string dataCentre;
     std::uint32_t slots = 0;
     bool checksFence = false; ///< verifies the fencing token that it gets with each request
-    bool drained = false; ///< gets no new requests
+    bool drained = false; ///< gets no new requests, also because its data centre is evacuated
     std::uint64_t kvCacheTokens = 0; ///< capacity for prompts and responses in progress; 0 if unknown
     double transferTokensPerMs = 0; ///< rate at which it fetches a cached prompt from another engine; 0 if it cannot
     bool preemptible = false; ///< the platform may withdraw all preemptible endpoints of a data centre together
@@ -175,6 +176,7 @@
     std::vector<Endpoint> endpoints;
     std::vector<Route> routes;
     std::vector<RejectedRecord> rejected; ///< endpoint records that cannot be used
+    std::set<std::string> evacuatedDataCentres; ///< their endpoints get no new requests
 };
 
 /// A setting that operators can create: its name and the schema of its value.
@@ -206,6 +208,10 @@
     const std::vector<Endpoint> &endpoints() const;
     const std::vector<Route> &routes() const;
 
+    /// Returns the data centres whose endpoints get no new requests, and whether @p dataCentre is one of them.
+    const std::set<std::string> &evacuatedDataCentres() const;
+    bool isEvacuated(const std::string &dataCentre) const;
+
     /// Returns the route of @p host with the longest prefix that @p path begins with, or null.
     const Route *routeFor(std::string_view host, std::string_view path) const;
 
--- a/Source/Configuration/changescodec.cpp
+++ b/Source/Configuration/changescodec.cpp
@@ -39,7 +39,7 @@
 
 absl::StatusOr<PackedChanges> ChangesCodec::pack(const SiteRecords &records, const RecordRevisions &since, RecordKind kind)
 {
-    if (kind == RecordKind::Configuration) {
+    if (kind != RecordKind::Endpoint) {
         return packConfiguration(records, since);
     }
     return packAgainst(records.changesSince(since, kind), nullptr, 0);
@@ -56,9 +56,9 @@
     if (cached != m_cache.end()) {
         return cached->second;
     }
-    const Record *baseRecord = records.configurationAt(since.configuration);
-    auto packed = packAgainst(records.changesSince(since, RecordKind::Configuration), baseRecord,
-                              baseRecord == nullptr ? 0 : since.configuration);
+    const std::uint64_t base = records.configurationVersionAt(since.configuration);
+    auto packed = packAgainst(records.changesSince(since, RecordKind::Configuration),
+                              base == 0 ? nullptr : records.configurationAt(base), base);
     if (packed.ok()) {
         m_cache[since.configuration] = *packed;
     }
--- a/Source/Configuration/schema.cpp
+++ b/Source/Configuration/schema.cpp
@@ -56,6 +56,10 @@
     FieldSchema {.name = "drained", .type = FieldType::Flag, .fallback = "no"},
 };
 
+constexpr std::array dataCentreFields = {
+    FieldSchema {.name = "evacuated", .type = FieldType::Flag, .fallback = "no"},
+};
+
 constexpr std::array settingFields = {
     FieldSchema {.name = "value", .type = FieldType::Text, .required = true},
 };
@@ -116,6 +120,8 @@
         return endpointFields;
     case Kind::Setting:
         return settingFields;
+    case Kind::DataCentre:
+        return dataCentreFields;
     }
     return {};
 }
--- a/Source/Configuration/schema.h
+++ b/Source/Configuration/schema.h
@@ -17,15 +17,16 @@
 
 namespace Yokepond::Configuration {
 
-enum class Kind { Tier, Class, Organisation, Pool, Endpoint, Setting };
+enum class Kind { Tier, Class, Organisation, Pool, Endpoint, Setting, DataCentre };
 
-inline constexpr Base::NameTable<Kind, 6> kindNames = {{
+inline constexpr Base::NameTable<Kind, 7> kindNames = {{
     {Kind::Tier, "tier"},
     {Kind::Class, "class"},
     {Kind::Organisation, "organisation"},
     {Kind::Pool, "pool"},
     {Kind::Endpoint, "endpoint"},
     {Kind::Setting, "setting"},
+    {Kind::DataCentre, "data-centre"},
 }};
 
 enum class FieldType {
--- a/Source/Configuration/siterecords.cpp
+++ b/Source/Configuration/siterecords.cpp
@@ -80,12 +80,12 @@
 
 std::uint64_t &RecordRevisions::forKind(RecordKind kind)
 {
-    return kind == RecordKind::Configuration ? configuration : endpoints;
+    return kind == RecordKind::Endpoint ? endpoints : configuration;
 }
 
 std::uint64_t RecordRevisions::forKind(RecordKind kind) const
 {
-    return kind == RecordKind::Configuration ? configuration : endpoints;
+    return kind == RecordKind::Endpoint ? endpoints : configuration;
 }
 
 bool SiteRecords::merge(const Record &record)
@@ -171,8 +171,10 @@
 std::vector<const Record *> SiteRecords::present(RecordKind kind) const
 {
     std::vector<const Record *> found;
-    for (const Entry &stored : m_records | std::views::values) {
-        if (stored.record.kind == kind && !stored.record.removed && stored.record.version > 0) {
+    const auto ofKind = std::ranges::subrange(m_records.lower_bound({kind, {}}), m_records.end())
+        | std::views::take_while([kind](const auto &entry) { return entry.first.first == kind; });
+    for (const Entry &stored : ofKind | std::views::values) {
+        if (!stored.record.removed && stored.record.version > 0) {
             found.push_back(&stored.record);
         }
     }
@@ -202,19 +204,38 @@
     changes.since.forKind(kind) = since.forKind(kind);
     changes.revisions.forKind(kind) = revisions().forKind(kind);
     for (const Entry &stored : m_records | std::views::values) {
-        if (stored.record.kind == kind && stored.changedAt > since.forKind(kind)) {
+        const bool counts = (stored.record.kind == RecordKind::Endpoint) == (kind == RecordKind::Endpoint);
+        if (counts && stored.changedAt > since.forKind(kind)) {
             changes.records.push_back(stored.record);
         }
     }
     return changes;
 }
 
+const SiteRecords::Entry *SiteRecords::currentConfiguration() const
+{
+    // The records are sorted by kind, and the configuration is the first.
+    const auto first = m_records.begin();
+    const bool found = first != m_records.end() && first->second.record.kind == RecordKind::Configuration;
+    return found ? &first->second : nullptr;
+}
+
+std::uint64_t SiteRecords::configurationVersionAt(std::uint64_t revision) const
+{
+    const Entry *current = currentConfiguration();
+    if (current != nullptr && current->changedAt <= revision) {
+        return current->changedAt;
+    }
+    const auto previous
+        = std::ranges::find_if(m_previous, [revision](const Entry &entry) { return entry.changedAt <= revision; });
+    return previous == m_previous.end() ? 0 : previous->changedAt;
+}
+
 const Record *SiteRecords::configurationAt(std::uint64_t changedAt) const
 {
-    for (const Entry &stored : m_records | std::views::values) {
-        if (stored.record.kind == RecordKind::Configuration && stored.changedAt == changedAt) {
-            return &stored.record;
-        }
+    const Entry *current = currentConfiguration();
+    if (current != nullptr && current->changedAt == changedAt) {
+        return &current->record;
     }
     const auto previous = std::ranges::find(m_previous, changedAt, &Entry::changedAt);
     return previous == m_previous.end() ? nullptr : &previous->record;
--- a/Source/Configuration/siterecords.h
+++ b/Source/Configuration/siterecords.h
@@ -20,11 +20,14 @@
 
 namespace Yokepond::Configuration {
 
-enum class RecordKind { Configuration, Endpoint };
+/// An Evacuation record exists while no endpoint of a data centre, which is its key, may get new requests. Records of this kind
+/// are read together with the configuration and count towards its revision.
+enum class RecordKind { Configuration, Endpoint, Evacuation };
 
-inline constexpr Base::NameTable<RecordKind, 2> recordKindNames = {{
+inline constexpr Base::NameTable<RecordKind, 3> recordKindNames = {{
     {RecordKind::Configuration, "configuration"},
     {RecordKind::Endpoint, "endpoint"},
+    {RecordKind::Evacuation, "evacuation"},
 }};
 
 /// One state of a record. The platform assigns the versions of all records from one counter.
@@ -39,13 +42,14 @@
     bool operator==(const Record &) const = default;
 };
 
-/// The revisions of a copy, one for each kind: the highest version at which the state of a record of that kind changed.
+/// The revisions of a copy: the highest version at which the state of a record changed. The endpoints have one, and the
+/// configuration and the evacuations have one together.
 struct RecordRevisions
 {
     std::uint64_t configuration = 0;
     std::uint64_t endpoints = 0;
 
-    /// Returns the revision of @p kind.
+    /// Returns the revision to which the records of @p kind count.
     std::uint64_t &forKind(RecordKind kind);
     std::uint64_t forKind(RecordKind kind) const;
 
@@ -100,13 +104,18 @@
     /// Returns the records whose state changed after @p since, including removed ones.
     RecordChanges changesSince(const RecordRevisions &since) const;
 
-    /// Returns the changes of @p kind only. The result contains no information about the other kind.
+    /// Returns the changes of the records that count towards the revision of @p kind. The result contains no information about
+    /// the others.
     RecordChanges changesSince(const RecordRevisions &since, RecordKind kind) const;
 
     /// Returns the state that the configuration record reached at version @p changedAt, or null if that is neither its current
     /// state nor one of the previous states that are kept.
     const Record *configurationAt(std::uint64_t changedAt) const;
 
+    /// Returns the version at which the configuration record reached the state that it has in a copy at @p revision, as far as
+    /// this copy knows; 0 if that state is not kept. A copy that missed a version of the record may be wrong about it.
+    std::uint64_t configurationVersionAt(std::uint64_t revision) const;
+
 private:
     struct Entry
     {
@@ -117,6 +126,8 @@
     using Key = std::pair<RecordKind, std::string>;
 
     bool apply(const Record &record);
+    /// Returns the present state of the configuration record, or null if there is none.
+    const Entry *currentConfiguration() const;
     void keepPrevious(Entry stored);
 
     std::map<Key, Entry> m_records;
--- a/Source/Language/plan.cpp
+++ b/Source/Language/plan.cpp
@@ -104,6 +104,14 @@
         return (*this)(Set {Kind::Endpoint, command.endpoint, {{"drained", command.drained ? "yes" : "no"}}});
     }
 
+    absl::Status operator()(const Evacuate &command)
+    {
+        const std::vector<FieldValue> fields = {{"evacuated", command.evacuated ? "yes" : "no"}};
+        const bool exists = m_objects.find(Kind::DataCentre, command.dataCentre) != nullptr;
+        return exists || !command.evacuated ? (*this)(Set {Kind::DataCentre, command.dataCentre, fields})
+                                            : (*this)(Create {Kind::DataCentre, command.dataCentre, fields});
+    }
+
     absl::Status operator()(const CancelRequest &)
     {
         return makeError(ErrorKind::InvalidValue,
@@ -181,6 +189,7 @@
         case Kind::Class:
         case Kind::Pool:
         case Kind::Setting:
+        case Kind::DataCentre:
             return {};
         }
         return {};
--- a/Source/Language/statement.cpp
+++ b/Source/Language/statement.cpp
@@ -253,21 +253,30 @@
     return fields;
 }
 
-enum class Verb { Create, Set, Delete, Drain, Resume, Cancel, Release };
+enum class Verb { Create, Set, Delete, Drain, Evacuate, Resume, Cancel, Release };
 
-constexpr Base::NameTable<Verb, 7> verbNames = {{
+constexpr Base::NameTable<Verb, 8> verbNames = {{
     {Verb::Create, "create"},
     {Verb::Set, "set"},
     {Verb::Delete, "delete"},
     {Verb::Drain, "drain"},
+    {Verb::Evacuate, "evacuate"},
     {Verb::Resume, "resume"},
     {Verb::Cancel, "cancel"},
     {Verb::Release, "release"},
 }};
 
+constexpr std::string_view dataCentreWord = "data-centre";
+
 Command readCommand(TokenReader &reader)
 {
     const Verb verb = reader.consumeEnum(verbNames, "a command");
+    if (verb == Verb::Evacuate || (verb == Verb::Resume && reader.consumeIf(dataCentreWord))) {
+        if (verb == Verb::Evacuate) {
+            reader.require(dataCentreWord);
+        }
+        return Evacuate {reader.consumeName("the name of a data centre"), verb == Verb::Evacuate};
+    }
     if (verb == Verb::Drain || verb == Verb::Resume) {
         reader.require("endpoint");
         return Drain {reader.consumeName("the name of an endpoint"), verb == Verb::Drain};
--- a/Source/Language/statement.h
+++ b/Source/Language/statement.h
@@ -47,6 +47,14 @@
     bool drained = true;
 };
 
+/// The commands `evacuate data-centre` (evacuated is true) and `resume data-centre` (evacuated is false). The endpoints of an
+/// evacuated data centre get no new requests.
+struct Evacuate
+{
+    std::string dataCentre;
+    bool evacuated = true;
+};
+
 /// Cancels a request that is in progress. This takes effect immediately and does not change the configuration.
 struct CancelRequest
 {
@@ -60,7 +68,7 @@
     std::string work; ///< hash of the content of the requests, as `show quarantine` lists it
 };
 
-using Command = std::variant<Create, Set, Delete, Drain, CancelRequest, ReleaseWork>;
+using Command = std::variant<Create, Set, Delete, Drain, Evacuate, CancelRequest, ReleaseWork>;
 
 // Queries
 
@@ -71,6 +79,7 @@
     Organisations,
     Pools,
     Endpoints,
+    DataCentres,
     Hosts,
     Dispatchers,
     Duties,
@@ -79,13 +88,14 @@
     Settings
 };
 
-inline constexpr Base::NameTable<Subject, 12> subjectNames = {{
+inline constexpr Base::NameTable<Subject, 13> subjectNames = {{
     {Subject::Requests, "requests"},
     {Subject::Classes, "classes"},
     {Subject::Tiers, "tiers"},
     {Subject::Organisations, "organisations"},
     {Subject::Pools, "pools"},
     {Subject::Endpoints, "endpoints"},
+    {Subject::DataCentres, "data-centres"},
     {Subject::Hosts, "hosts"},
     {Subject::Dispatchers, "dispatchers"},
     {Subject::Duties, "duties"},
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -427,10 +427,10 @@
     }
 }
 
-std::vector<Configuration::Record> Fleet::endpointRecords() const
+std::vector<Configuration::Record> Fleet::presentRecords(Configuration::RecordKind kind) const
 {
     std::vector<Configuration::Record> found;
-    std::ranges::transform(m_records.present(Configuration::RecordKind::Endpoint), std::back_inserter(found),
+    std::ranges::transform(m_records.present(kind), std::back_inserter(found),
                            [](const Configuration::Record *record) { return *record; });
     return found;
 }
@@ -475,6 +475,7 @@
                    {"configuration-version", m_activeConfiguration.version},
                    {"configuration-from", m_activeConfiguration.from},
                    {"endpoints-version", m_records.revisions().endpoints},
+                   {"evacuated", m_recordCatalogue->evacuatedDataCentres()},
                    {"routes", m_recordCatalogue->routes().size()},
                    {"endpoints", m_recordCatalogue->endpoints().size()}});
         rebuild();
--- a/Source/Node/fleet.h
+++ b/Source/Node/fleet.h
@@ -91,8 +91,8 @@
     /// Merges @p records, which this host read from the store, into its copy.
     void mergeRecords(const std::vector<Configuration::Record> &records);
 
-    /// Returns the records of all present endpoints, read by this host or received from others.
-    std::vector<Configuration::Record> endpointRecords() const;
+    /// Returns the records of @p kind that are not removed, read by this host or received from others.
+    std::vector<Configuration::Record> presentRecords(Configuration::RecordKind kind) const;
 
     /// Notes that the store has a newer state of a record, such as a deferred removal, that is not merged yet. Until a state with
     /// at least that version is merged, the revisions of this copy do not include it.
--- a/Source/Node/queries.cpp
+++ b/Source/Node/queries.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <ranges>
 
 namespace Yokepond::Node {
@@ -153,6 +154,8 @@
         return requests(now);
     case Subject::Endpoints:
         return endpoints();
+    case Subject::DataCentres:
+        return dataCentres();
     case Subject::Hosts:
         return hosts();
     case Subject::Dispatchers:
@@ -185,6 +188,33 @@
     return object == nullptr ? (number == 0 ? "" : fmt::format("#{}", number)) : object->name;
 }
 
+QueryResult Queries::dataCentres() const
+{
+    struct Row
+    {
+        std::size_t endpoints = 0;
+        std::size_t accepting = 0; ///< neither drained nor evacuated
+    };
+    const auto catalogue = m_fleet.catalogue();
+    std::map<std::string, Row> rows;
+    for (const std::string &evacuated : catalogue->evacuatedDataCentres()) {
+        rows.try_emplace(evacuated);
+    }
+    for (const Configuration::Endpoint &endpoint : catalogue->endpoints()) {
+        Row &row = rows[endpoint.dataCentre];
+        ++row.endpoints;
+        row.accepting += endpoint.drained ? 0 : 1;
+    }
+    QueryResult result {{"name", "evacuated", "endpoints", "accepting"}, {}, {}};
+    for (const auto &[name, row] : rows) {
+        result.rows.push_back({{"name", name},
+                               {"evacuated", catalogue->isEvacuated(name) ? "yes" : "no"},
+                               {"endpoints", row.endpoints},
+                               {"accepting", row.accepting}});
+    }
+    return result;
+}
+
 QueryResult Queries::requests(Base::Instant now) const
 {
     QueryResult result {{"id", "class", "organisation", "state", "age-ms", "attempt", "endpoint", "dispatcher", "home"}, {}, {}};
@@ -436,7 +466,10 @@
                 continue;
             }
             const bool full = view.running >= view.window;
-            const std::string reason = view.drained ? "drained"
+            const auto *endpoint = m_fleet.catalogue()->endpointByNumber(view.endpoint);
+            const bool evacuated = endpoint != nullptr && m_fleet.catalogue()->isEvacuated(endpoint->dataCentre);
+            const std::string reason = evacuated ? "data-centre-evacuated"
+                : view.drained                   ? "drained"
                 : view.health != Dispatch::HealthState::Healthy
                 ? std::string(Base::nameOf(Dispatch::healthStateNames, view.health))
                 : full                ? "window-full"
--- a/Source/Node/queries.h
+++ b/Source/Node/queries.h
@@ -62,6 +62,7 @@
 private:
     QueryResult show(Language::Subject subject, Base::Instant now) const;
     QueryResult why(const Language::Why &why, Base::Instant now) const;
+    QueryResult dataCentres() const;
     QueryResult requests(Base::Instant now) const;
     QueryResult objects(Configuration::Kind kind) const;
     static std::string_view displayState(const Dispatch::EndpointView &view);
--- a/Source/Node/recordwatcher.h
+++ b/Source/Node/recordwatcher.h
@@ -21,6 +21,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Yokepond::Node {
@@ -84,11 +85,12 @@
     /// Gets a removal that will be passed to recordsRead later.
     std::function<void(const Configuration::Record &record)> removalDeferred;
     std::function<void(const StoreUpdate &update)> storeStateChanged; ///< the store began or ceased to respond
-    /// Returns the endpoints known to this host, from the store or from other hosts.
-    std::function<std::vector<Configuration::Record>()> knownEndpoints;
+    /// Returns the records of a kind that this host has, from the store or from other hosts.
+    std::function<std::vector<Configuration::Record>(Configuration::RecordKind kind)> knownRecords;
 };
 
-/// Watches the records of both kinds by one call each: a full read first, then held calls for changes. Passes all records that it
+/// Watches the configuration, together with the evacuations, and the endpoints by one call each: a full read first, then held
+/// calls for changes. Passes all records that it
 /// reads to RecordWatcherCallbacks::recordsRead, also those that this host has already; the receiver skips them by their version.
 template<Platform::Feed F>
 class RecordWatcher
@@ -100,9 +102,9 @@
         , m_random(seed)
         , m_callbacks(std::move(callbacks))
     {
-        m_states[0].kind = Configuration::RecordKind::Configuration;
+        m_states[0].kind = RecordKind::Configuration;
         m_states[0].pause = m_options.configurationPause;
-        m_states[1].kind = Configuration::RecordKind::Endpoint;
+        m_states[1].kind = RecordKind::Endpoint;
         m_states[1].pause = m_options.endpointPause;
     }
 
@@ -163,11 +165,13 @@
 
 private:
     using Record = Configuration::Record;
+    using RecordKind = Configuration::RecordKind;
+    using RecordKey = std::pair<RecordKind, std::string>;
 
-    /// State of the calls for one kind of record.
+    /// State of the calls for the configuration and the evacuations, or for the endpoints.
     struct KindState
     {
-        Configuration::RecordKind kind {};
+        RecordKind kind {}; ///< RecordKind::Configuration stands for both kinds that its calls return
         Base::Duration pause {};
         bool needsFullRead = true; ///< the next call reads all records
         std::uint64_t since = 0; ///< version up to which the records are known
@@ -178,7 +182,7 @@
         unsigned int failures = 0; ///< consecutive failed calls
         bool retriedImmediately = false; ///< a failed call was retried without delay since the last response
         Base::Instant nextCallAt {};
-        std::map<std::string, std::uint64_t> knownVersions; ///< versions of the present records, by key
+        std::map<RecordKey, std::uint64_t> knownVersions; ///< versions of the present records
     };
 
     /// The removal of an endpoint whose report is deferred.
@@ -288,26 +292,24 @@
         }
     }
 
-    /// Adds removals of the known records that a full read does not list, with the version of the read. Endpoints that this host
-    /// knows only from other hosts are included: after the read, this copy is advertised as complete up to the version of the
-    /// read, so no host would learn of their removal otherwise.
+    /// Adds removals of the known records that a full read does not list, with the version of the read. Endpoints and evacuations
+    /// that this host knows only from other hosts are included: after the read, this copy is advertised as complete up to the
+    /// version of the read, so no host would learn of their removal otherwise.
     void addRemovals(const KindState &state, Platform::FeedPage &page) const
     {
-        std::map<std::string, std::uint64_t> previous = state.knownVersions;
-        if (state.kind == Configuration::RecordKind::Endpoint) {
-            for (const Record &record : m_callbacks.knownEndpoints()) {
-                if (record.version <= page.version) {
-                    previous.try_emplace(record.key, record.version);
-                }
+        std::map<RecordKey, std::uint64_t> missing = state.knownVersions;
+        const RecordKind known = state.kind == RecordKind::Endpoint ? RecordKind::Endpoint : RecordKind::Evacuation;
+        for (const Record &record : m_callbacks.knownRecords(known)) {
+            if (record.version <= page.version) {
+                missing.try_emplace({record.kind, record.key}, record.version);
             }
         }
-        std::vector<Record> missing;
-        for (const auto &[key, version] : previous) {
-            if (std::ranges::find(page.records, key, &Record::key) == page.records.end()) {
-                missing.push_back({state.kind, key, std::max(version + 1, page.version), true, {}});
-            }
+        for (const Record &listed : page.records) {
+            missing.erase({listed.kind, listed.key});
+        }
+        for (const auto &[key, version] : missing) {
+            page.records.push_back({key.first, key.second, std::max(version + 1, page.version), true, {}});
         }
-        std::ranges::move(missing, std::back_inserter(page.records));
     }
 
     /// Passes the records of a response on, except removals of endpoints shortly after a failed call, which are deferred.
@@ -316,13 +318,15 @@
         std::vector<Record> reported;
         for (Record &record : records) {
             if (record.removed) {
-                state.knownVersions.erase(record.key);
+                state.knownVersions.erase({record.kind, record.key});
             } else {
-                state.knownVersions[record.key] = record.version;
-                m_removals.erase(record.key);
+                state.knownVersions[{record.kind, record.key}] = record.version;
+                if (record.kind == RecordKind::Endpoint) {
+                    m_removals.erase(record.key);
+                }
             }
             const bool afterOutage = m_lastFailure != Base::Instant {} && now - m_lastFailure < m_options.removalDelay;
-            if (record.removed && record.kind == Configuration::RecordKind::Endpoint && afterOutage) {
+            if (record.removed && record.kind == RecordKind::Endpoint && afterOutage) {
                 m_callbacks.removalDeferred(record);
                 const std::string key = record.key;
                 m_removals[key] = {std::move(record), m_lastFailure + m_options.removalDelay};
@@ -357,7 +361,7 @@
     std::mt19937_64 m_random;
     RecordWatcherCallbacks m_callbacks;
     std::array<KindState, 2> m_states;
-    std::map<std::string, Removal> m_removals; ///< deferred removals, by key
+    std::map<std::string, Removal> m_removals; ///< deferred removals of endpoints, by key
     Base::Instant m_lastResponse {};
     Base::Instant m_lastFailure {};
     bool m_responds = false;
--- a/Source/Node/storefollower.h
+++ b/Source/Node/storefollower.h
@@ -47,7 +47,7 @@
                   .recordsRead = [this](const std::vector<Configuration::Record> &records) { m_fleet.mergeRecords(records); },
                   .removalDeferred = [this](const Configuration::Record &record) { m_fleet.markRecordUnconfirmed(record); },
                   .storeStateChanged = [this](const StoreUpdate &update) { storeStateChanged(update); },
-                  .knownEndpoints = [this] { return m_fleet.endpointRecords(); }})
+                  .knownRecords = [this](Configuration::RecordKind kind) { return m_fleet.presentRecords(kind); }})
         , m_delegation(DelegationOptions {}, m_options.seed)
     {
     }
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -8,9 +8,11 @@
 #include "Dispatch/preference.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <ranges>
+#include <set>
 
 namespace Yokepond::Request {
 
@@ -183,6 +185,19 @@
     requestEndpoint(now, pending);
 }
 
+/// Names the evacuated data centres of the pool, since they may be the reason.
+std::string Home::noEndpointMessage(std::uint32_t pool) const
+{
+    std::set<std::string> evacuated;
+    for (const Configuration::Endpoint &endpoint : m_catalogue->endpoints()) {
+        if (endpoint.pool == pool && m_catalogue->isEvacuated(endpoint.dataCentre)) {
+            evacuated.insert(endpoint.dataCentre);
+        }
+    }
+    const std::string message = "the pool of this class has no endpoint that accepts requests";
+    return evacuated.empty() ? message : fmt::format("{}; evacuated data centres: {}", message, fmt::join(evacuated, ", "));
+}
+
 void Home::requestEndpoint(Instant now, Pending &pending)
 {
     const ShardInfo *shard
@@ -192,7 +207,7 @@
         return;
     }
     if (shard == nullptr) {
-        fail(now, pending, makeError(ErrorKind::NoEndpoint, "the pool of this class has no endpoint that accepts requests"),
+        fail(now, pending, makeError(ErrorKind::NoEndpoint, noEndpointMessage(pending.classSettings.pool)),
              std::chrono::seconds(1));
         return;
     }
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -156,6 +156,7 @@
         std::vector<TraceEntry> trace;
     };
 
+    std::string noEndpointMessage(std::uint32_t pool) const;
     void requestEndpoint(Base::Instant now, Pending &pending);
     void sendAsk(Base::Instant now, Pending &pending);
     void bypassDispatcher(Base::Instant now, Pending &pending);
--- a/Source/Tool/completion.cpp
+++ b/Source/Tool/completion.cpp
@@ -32,7 +32,7 @@
     case "$before" in
     yokepond) COMPREPLY=($(compgen -W "query command apply watch dump completion" -- "$word")) ;;
     query|watch) COMPREPLY=($(compgen -W "show why" -- "$word")) ;;
-    command) COMPREPLY=($(compgen -W "create set delete drain resume cancel" -- "$word")) ;;
+    command) COMPREPLY=($(compgen -W "create set delete drain evacuate resume cancel release" -- "$word")) ;;
     show) COMPREPLY=($(compgen -W "{}" -- "$word")) ;;
     why) COMPREPLY=($(compgen -W "{}" -- "$word")) ;;
     create|set|delete) COMPREPLY=($(compgen -W "{}" -- "$word")) ;;
--- a/Tests/Configuration/changescodectest.cpp
+++ b/Tests/Configuration/changescodectest.cpp
@@ -139,3 +139,15 @@
         CHECK_FALSE(ChangesCodec::unpack(receiver, bad).ok());
     }
 }
+
+// Guards against a full copy of the configuration to each host after an evacuation, whose version no configuration has.
+TEST(ChangesCodec, aReceiverWithAnEvacuationGetsTheDifference)
+{
+    const std::string large = routes(500, 1);
+    set(10, large);
+    sender.merge({RecordKind::Evacuation, "east", 12, false, "{}"});
+    transferChanges();
+    set(14, large + "x");
+    CHECK_EQUAL(10U, pack().base);
+    CHECK_TRUE(transferChanges() < 1000);
+}
--- a/Tests/Configuration/siterecordstest.cpp
+++ b/Tests/Configuration/siterecordstest.cpp
@@ -148,3 +148,28 @@
         CHECK_FALSE(changesFromText(text).ok());
     }
 }
+
+// Guards against an evacuation that a host with the newest configuration never learns from another host.
+TEST(SiteRecords, anEvacuationIsAChangeOfTheConfiguration)
+{
+    records.merge({RecordKind::Configuration, "config", 3, false, "whole"});
+    SiteRecords other;
+    other.merge(records.changesSince({}));
+    records.merge({RecordKind::Evacuation, "east", 4, false, "{}"});
+    CHECK_TRUE(records.digest() != other.digest());
+    other.merge(records.changesSince(other.revisions(), RecordKind::Configuration));
+    CHECK_EQUAL(1U, other.present(RecordKind::Evacuation).size());
+    CHECK_EQUAL(1U, other.present(RecordKind::Configuration).size());
+    CHECK_TRUE(records.changesSince({}, RecordKind::Endpoint).records.empty());
+    CHECK_EQUAL(records.digest(), other.digest());
+}
+
+// Guards against an evacuation that an outdated host brings back.
+TEST(SiteRecords, anEvacuationThatEndedIsNotRestoredByAnOutdatedPeer)
+{
+    const Record evacuation {RecordKind::Evacuation, "east", 4, false, "{}"};
+    records.merge(evacuation);
+    records.merge({RecordKind::Evacuation, "east", 6, true, ""});
+    CHECK_FALSE(records.merge(evacuation));
+    CHECK_TRUE(records.present(RecordKind::Evacuation).empty());
+}
--- a/Tests/Language/plantest.cpp
+++ b/Tests/Language/plantest.cpp
@@ -4,6 +4,7 @@
 #include "Language/plan.h"
 
 #include "Base/error.h"
+#include "Configuration/catalogue.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -76,3 +77,14 @@
     CHECK_TRUE(Base::errorKind(execute("create setting order value random")) == ErrorKind::InvalidValue);
     CHECK_TRUE(execute("create setting order value fifo").ok());
 }
+
+TEST(Plan, aDataCentreIsEvacuatedAndResumedWithoutBeingCreatedBefore)
+{
+    CHECK_TRUE(execute("create endpoint e1 pool main address 10.0.0.1:80 data-centre east").ok());
+    CHECK_TRUE(execute("evacuate data-centre east").ok());
+    CHECK_TRUE(Configuration::Catalogue::build(objects)->endpoints().front().drained);
+    CHECK_TRUE(execute("resume data-centre east").ok());
+    CHECK_FALSE(Configuration::Catalogue::build(objects)->endpoints().front().drained);
+    CHECK_TRUE(execute("evacuate data-centre east").ok());
+    CHECK_TRUE(Base::errorKind(execute("resume data-centre esat")) == ErrorKind::UnknownName);
+}
--- a/Tests/Language/statementtest.cpp
+++ b/Tests/Language/statementtest.cpp
@@ -68,3 +68,13 @@
     const auto commands = parseCommands("# a comment\ncreate tier a rank 1; create tier b rank 2\n\ncreate teir c rank 3\n");
     STRCMP_CONTAINS("line 4, column 8", Base::messageOf(commands.status()).c_str());
 }
+
+TEST(Statement, evacuateAndResumeNameADataCentre)
+{
+    const auto evacuate = parseCommand("evacuate data-centre east");
+    STRCMP_EQUAL("east", std::get<Evacuate>(*evacuate).dataCentre.c_str());
+    CHECK_TRUE(std::get<Evacuate>(*evacuate).evacuated);
+    CHECK_FALSE(std::get<Evacuate>(*parseCommand("resume data-centre east")).evacuated);
+    CHECK_FALSE(std::get<Drain>(*parseCommand("resume endpoint e1")).drained);
+    CHECK_TRUE(Base::errorKind(parseCommand("evacuate endpoint e1").status()) == Base::ErrorKind::Syntax);
+}
--- a/Tests/Node/recordwatchertest.cpp
+++ b/Tests/Node/recordwatchertest.cpp
@@ -58,7 +58,7 @@
     std::vector<Record> reported;
     std::vector<Record> removalDeferred;
     std::vector<bool> responds;
-    std::vector<Record> peerEndpoints; ///< endpoints that this host knows from other hosts
+    std::vector<Record> peerRecords; ///< records that this host knows from other hosts
     Node::RecordWatcher<FakeFeed> watcher {
         feed,
         {},
@@ -66,7 +66,15 @@
         {.recordsRead = [this](std::vector<Record> records) { std::ranges::move(records, std::back_inserter(reported)); },
          .removalDeferred = [this](const Record &record) { removalDeferred.push_back(record); },
          .storeStateChanged = [this](const Node::StoreUpdate &update) { responds.push_back(update.responds); },
-         .knownEndpoints = [this] { return peerEndpoints; }}};
+         .knownRecords = [this](RecordKind kind) { return recordsOf(kind); }}};
+
+    std::vector<Record> recordsOf(RecordKind kind) const
+    {
+        std::vector<Record> found;
+        std::ranges::copy_if(peerRecords, std::back_inserter(found),
+                             [kind](const Record &record) { return record.kind == kind; });
+        return found;
+    }
 
     void tickAfter(Base::Duration delay)
     {
@@ -134,7 +142,7 @@
 /// endpoints.
 TEST(RecordWatcher, theFirstFullReadReportsRemovalsOfEndpointsFromOtherHosts)
 {
-    peerEndpoints = {live("e1", 3), live("e2", 4), live("e3", 30)};
+    peerRecords = {live("e1", 3), live("e2", 4), live("e3", 30)};
     tickAfter({});
     answer(Platform::FeedPage {{live("e1", 3)}, 20});
     CHECK_EQUAL(2U, reported.size());
@@ -144,7 +152,7 @@
 /// As above, but after an outage, in which the platform may have dropped records of endpoints that still run.
 TEST(RecordWatcher, removalsOfEndpointsFromOtherHostsAreDeferredAfterAnOutage)
 {
-    peerEndpoints = {live("e2", 4)};
+    peerRecords = {live("e2", 4)};
     tickAfter({});
     fail(Base::ErrorKind::StoreUnavailable);
     tickAfter(std::chrono::seconds(1));
@@ -302,3 +310,35 @@
     tickAfter(std::chrono::milliseconds(50));
     CHECK_FALSE(feed.calls[configuration].has_value());
 }
+
+// Guards against an evacuation that ended while the store forgot its history, and that no host ever takes back.
+TEST(RecordWatcher, afterAFullReadEvacuationsKnownFromOtherHostsAreRemovedToo)
+{
+    peerRecords = {{RecordKind::Evacuation, "east", 5, false, "{}"}, {RecordKind::Evacuation, "west", 9, false, "{}"}};
+    tickAfter({});
+    auto call = std::exchange(feed.calls[RecordKind::Configuration], std::nullopt);
+    call->handler(Platform::FeedPage {{{RecordKind::Configuration, "config", 3, false, "whole"}}, 7});
+    CHECK_EQUAL(2U, reported.size());
+    // The evacuation of the west is newer than the read.
+    CHECK_TRUE(reported.back() == (Record {RecordKind::Evacuation, "east", 7, true, ""}));
+}
+
+// Guards against a data centre called as the configuration's record, whose evacuation would hide that record.
+TEST(RecordWatcher, recordsOfDifferentKindsMayHaveTheSameKey)
+{
+    tickAfter({});
+    const auto answerRead = [this](std::vector<Record> records, std::uint64_t version) {
+        auto call = std::exchange(feed.calls[RecordKind::Configuration], std::nullopt);
+        call->handler(Platform::FeedPage {std::move(records), version});
+    };
+    const Record configuration {RecordKind::Configuration, "config", 3, false, "whole"};
+    answerRead({configuration, {RecordKind::Evacuation, "config", 4, false, "{}"}}, 4);
+    tickAfter(std::chrono::seconds(1));
+    auto call = std::exchange(feed.calls[RecordKind::Configuration], std::nullopt);
+    call->handler(Base::makeError(Base::ErrorKind::HistoryCompacted, "test"));
+    tickAfter(std::chrono::seconds(2));
+    reported.clear();
+    answerRead({configuration}, 8);
+    CHECK_EQUAL(2U, reported.size());
+    CHECK_TRUE(reported.back() == (Record {RecordKind::Evacuation, "config", 8, true, ""}));
+}
--- a/Tests/Platform/siteformtest.cpp
+++ b/Tests/Platform/siteformtest.cpp
@@ -145,3 +145,16 @@
     CHECK_FALSE(parts->endpoints.front().preemptible);
     CHECK_TRUE(parts->endpoints.back().preemptible);
 }
+
+// Guards against requests to the endpoints of a data centre that operators have evacuated.
+TEST(SiteForm, endpointsOfAnEvacuatedDataCentreAreDrained)
+{
+    endpoint("i-2", 9, R"({"service":"llm","address":"10.0.0.8:80","zone":"b","slots":64,"state":"ready"})");
+    records.merge({RecordKind::Evacuation, "a", 10, false, "{}"});
+    const auto evacuated = Catalogue::assemble(*Platform::decodeSite(records));
+    CHECK_TRUE(evacuated->endpoints()[0].drained);
+    CHECK_FALSE(evacuated->endpoints()[1].drained);
+    CHECK_TRUE(evacuated->isEvacuated("a"));
+    records.merge({RecordKind::Evacuation, "a", 11, true, ""});
+    CHECK_FALSE(Catalogue::assemble(*Platform::decodeSite(records))->endpoints()[0].drained);
+}
