Rate, Configuration: Limit the requests to cold endpoints over all hosts

What could happen: an endpoint that has just started, or that says that it is cold, bears a few requests a second and falls over well above that.

The remaining time that a row tells becomes an end when the row is read; the row does not say when it was written, so that the end errs on the late side, and later rows only bring it forward. It is sent between hosts as a remaining time, and neither a heartbeat nor the passing of time is a change. Together with the rate that the pool's configuration names for cold endpoints, it is a second source for the limiter that enforces advertised rates: one bucket, the lower rate applies, with half of it while another dispatcher may still grant. Homes without a dispatcher leave cold endpoints to the warm ones, and use them by random turns where all are cold. Estimates of waiting times count the limit, so that requests are refused early where only cold endpoints are left.

--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 50> eventNames = {{
+constexpr NameTable<LogEvent, 51> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -34,6 +34,7 @@
     {LogEvent::EndpointEjected, "endpoint-ejected"},
     {LogEvent::EndpointReplaced, "endpoint-gone"},
     {LogEvent::EndpointReturned, "endpoint-returned"},
+    {LogEvent::EndpointCold, "endpoint-cold"},
     {LogEvent::EndpointRate, "endpoint-rate"},
     {LogEvent::RateUnreadable, "rate-unreadable"},
     {LogEvent::EndpointLeaving, "endpoint-leaves"},
--- a/Source/Base/log.h
+++ b/Source/Base/log.h
@@ -40,6 +40,7 @@
     EndpointEjected,
     EndpointReplaced,
     EndpointReturned,
+    EndpointCold,
     EndpointRate,
     RateUnreadable,
     EndpointLeaving,
--- a/Source/Configuration/catalogue.h
+++ b/Source/Configuration/catalogue.h
@@ -82,6 +82,20 @@
     std::optional<ScalingParameters> scaling; ///< nothing if yokepond does not set the number of endpoints
 };
 
+/// A period in which an endpoint accepts requests only at a low rate, usually after its start.
+struct ColdPeriod
+{
+    Base::Instant until {};
+    double perSecond = 0; ///< requests per second from all hosts together; 0 if the endpoint needs no such limit
+
+    bool isActive(Base::Instant now) const
+    {
+        return perSecond > 0 && now < until;
+    }
+
+    bool operator==(const ColdPeriod &) const = default;
+};
+
 struct Endpoint
 {
     std::uint32_t number = 0;
@@ -94,6 +108,7 @@
     bool drained = false; ///< gets no new requests, also because its data centre is evacuated
     std::uint64_t kvCacheTokens = 0; ///< capacity for prompts and responses in progress; 0 if unknown
     double transferTokensPerMs = 0; ///< rate at which it fetches a cached prompt from another engine; 0 if it cannot
+    ColdPeriod cold;
     bool preemptible = false; ///< the platform may withdraw all preemptible endpoints of a data centre together
 };
 
--- a/Source/Configuration/changescodec.cpp
+++ b/Source/Configuration/changescodec.cpp
@@ -28,7 +28,7 @@
 
 absl::StatusOr<PackedChanges> packAgainst(const RecordChanges &changes, const Record *configuration, std::uint64_t base)
 {
-    auto bytes = Base::compress(changesToText(changes), dictionaryOf(configuration));
+    auto bytes = Base::compress(changesToText(changes, Base::now()), dictionaryOf(configuration));
     if (!bytes.ok()) {
         return bytes.status();
     }
@@ -77,7 +77,7 @@
     if (!text.ok()) {
         return text.status();
     }
-    return changesFromText(*text);
+    return changesFromText(*text, Base::now());
 }
 
 } // namespace Yokepond::Configuration
--- a/Source/Configuration/siterecords.cpp
+++ b/Source/Configuration/siterecords.cpp
@@ -19,13 +19,23 @@
 constexpr std::size_t maxPrevious = 8;
 constexpr std::size_t maxPreviousBytes = std::size_t {1} << 20U; ///< a small part of the 128 MB of memory that a host may use
 
-nlohmann::json recordToJson(const Record &record)
+/// A record whose cold period ends later than that of the previous record by more than this tells of a new one. Each host learns
+/// a remaining time with a delay, so that the end of the same period seems to move. Longer remaining times are reduced to this
+/// one.
+constexpr std::chrono::milliseconds longestColdPeriod = std::chrono::hours(1);
+constexpr Base::Duration coldPeriodTolerance = std::chrono::seconds(1);
+
+nlohmann::json recordToJson(const Record &record, Base::Instant now)
 {
-    return {{"kind", Base::nameOf(recordKindNames, record.kind)},
-            {"key", record.key},
-            {"version", record.version},
-            {"removed", record.removed},
-            {"value", record.value}};
+    nlohmann::json json = {{"kind", Base::nameOf(recordKindNames, record.kind)},
+                           {"key", record.key},
+                           {"version", record.version},
+                           {"removed", record.removed},
+                           {"value", record.value}};
+    if (record.coldUntil > now) {
+        json["cold-ms"] = std::chrono::ceil<std::chrono::milliseconds>(record.coldUntil - now).count();
+    }
+    return json;
 }
 
 absl::Status malformed(std::string_view what)
@@ -33,7 +43,7 @@
     return makeError(Base::ErrorKind::InvalidValue, what);
 }
 
-absl::StatusOr<Record> recordFromJson(const nlohmann::json &json)
+absl::StatusOr<Record> recordFromJson(const nlohmann::json &json, Base::Instant now)
 {
     if (!json.is_object()) {
         return malformed("a record is not a JSON object");
@@ -48,7 +58,13 @@
     if (!kind || version == json.end() || !version->is_number_unsigned() || removed == json.end() || !removed->is_boolean()) {
         return malformed("a record lacks its kind, its version or the flag `removed`");
     }
-    return Record {*kind, text("key"), version->get<std::uint64_t>(), removed->get<bool>(), text("value")};
+    Record record {*kind, text("key"), version->get<std::uint64_t>(), removed->get<bool>(), text("value")};
+    const auto cold = json.find("cold-ms");
+    if (cold != json.end() && cold->is_number_unsigned()) {
+        const auto remaining = std::min<std::uint64_t>(cold->get<std::uint64_t>(), longestColdPeriod.count());
+        record.coldUntil = now + std::chrono::milliseconds(remaining);
+    }
+    return record;
 }
 
 nlohmann::json revisionsToJson(const RecordRevisions &revisions)
@@ -118,9 +134,12 @@
     }
     const bool isNew = stored.record.version == 0;
     Entry before = record.kind == RecordKind::Configuration ? stored : Entry {};
+    const bool coldAgain = record.coldUntil > stored.record.coldUntil + coldPeriodTolerance;
     const bool changed
-        = isNew ? !record.removed : (stored.record.removed != record.removed || stored.record.value != record.value);
+        = isNew ? !record.removed : (stored.record.removed != record.removed || stored.record.value != record.value || coldAgain);
+    const Base::Instant coldUntil = coldAgain ? record.coldUntil : std::min(record.coldUntil, stored.record.coldUntil);
     stored.record = record;
+    stored.record.coldUntil = isNew ? record.coldUntil : coldUntil;
     if (changed) {
         stored.changedAt = record.version;
     }
@@ -253,16 +272,17 @@
     m_previous.resize(std::min(kept, maxPrevious));
 }
 
-std::string changesToText(const RecordChanges &changes)
+std::string changesToText(const RecordChanges &changes, Base::Instant now)
 {
     nlohmann::json list = nlohmann::json::array();
-    std::ranges::transform(changes.records, std::back_inserter(list), recordToJson);
+    std::ranges::transform(changes.records, std::back_inserter(list),
+                           [now](const Record &record) { return recordToJson(record, now); });
     const nlohmann::json whole
         = {{"since", revisionsToJson(changes.since)}, {"revisions", revisionsToJson(changes.revisions)}, {"records", list}};
     return whole.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-absl::StatusOr<RecordChanges> changesFromText(std::string_view text)
+absl::StatusOr<RecordChanges> changesFromText(std::string_view text, Base::Instant now)
 {
     const nlohmann::json whole = nlohmann::json::parse(text, nullptr, false);
     const bool complete
@@ -277,7 +297,7 @@
     }
     RecordChanges changes {*since, *revisions, {}};
     for (const nlohmann::json &entry : whole["records"]) {
-        auto record = recordFromJson(entry);
+        auto record = recordFromJson(entry, now);
         if (!record.ok()) {
             return record.status();
         }
--- a/Source/Configuration/siterecords.h
+++ b/Source/Configuration/siterecords.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "Base/names.h"
+#include "Base/time.h"
 
 #include <absl/status/statusor.h>
 #include <nlohmann/json.hpp>
@@ -38,6 +39,8 @@
     std::uint64_t version = 0;
     bool removed = false;
     std::string value; ///< in the platform's format, without fields that change with every heartbeat; empty if removed
+    /// End of the period in which the endpoint is cold, as this host knows it; in the past if it is not cold.
+    Base::Instant coldUntil {};
 
     bool operator==(const Record &) const = default;
 };
@@ -136,10 +139,10 @@
     RecordRevisions m_revisions; ///< does not take unconfirmed records into account
 };
 
-/// Returns @p changes as JSON text for peers.
-std::string changesToText(const RecordChanges &changes);
+/// Returns @p changes as JSON text for peers. Cold periods are sent as the time that remains of them at @p now.
+std::string changesToText(const RecordChanges &changes, Base::Instant now);
 
-/// Parses the format that changesToText() returns. Fails with ErrorKind::InvalidValue.
-absl::StatusOr<RecordChanges> changesFromText(std::string_view text);
+/// Parses the format that changesToText() returns, received at @p now. Fails with ErrorKind::InvalidValue.
+absl::StatusOr<RecordChanges> changesFromText(std::string_view text, Base::Instant now);
 
 } // namespace Yokepond::Configuration
--- a/Source/Dispatch/endpointstates.cpp
+++ b/Source/Dispatch/endpointstates.cpp
@@ -67,7 +67,7 @@
         }
         // An endpoint that limits its rate counts with the runs that it starts in a second, since it cannot fill all its slots.
         const double startsPerSecond
-            = state.rateLimiter.isLimited() ? std::ceil(Rate::enforcedRate(state.rateLimiter.rate())) : state.windowSize();
+            = state.rateLimiter.rate().isLimited() ? std::ceil(Rate::enforcedRate(state.rateLimiter.rate())) : state.windowSize();
         return std::size_t {std::min(state.windowSize(), static_cast<std::uint32_t>(startsPerSecond))};
     });
 }
@@ -150,11 +150,12 @@
         if (!state.acceptsWork()) {
             continue;
         }
-        if (!state.rateLimiter.isLimited()) {
+        const auto limit = state.rateLimiter.limit(now);
+        if (!limit) {
             return std::nullopt;
         }
         pooled.left += state.rateLimiter.left(now);
-        pooled.perSecond += Rate::enforcedRate(state.rateLimiter.rate());
+        pooled.perSecond += *limit;
     }
     return pooled.perSecond > 0 ? std::optional(pooled) : std::nullopt;
 }
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -158,6 +158,12 @@
             state.window = makeWindow(endpoint->slots);
         }
         state.drained = endpoint->drained;
+        if (state.rateLimiter.setColdPeriod(now, endpoint->cold)) {
+            Base::log(Base::LogLevel::Info, Base::LogEvent::EndpointCold,
+                      {{"endpoint", number},
+                       {"for-ms", std::max(0.0, Base::milliseconds(endpoint->cold.until - now))},
+                       {"per-second", endpoint->cold.perSecond}});
+        }
         state.kvCacheTokens = endpoint->kvCacheTokens;
         state.transferTokensPerMs = endpoint->transferTokensPerMs;
     }
--- a/Source/Node/queries.cpp
+++ b/Source/Node/queries.cpp
@@ -255,7 +255,7 @@
 }
 
 /// Returns the state of an endpoint that matters most to an operator.
-std::string_view Queries::displayState(const Dispatch::EndpointView &view)
+std::string_view Queries::displayState(const Dispatch::EndpointView &view, bool cold)
 {
     if (view.announcedLeaving) {
         return "leaving";
@@ -263,6 +263,9 @@
     if (view.drained) {
         return "drained";
     }
+    if (cold && view.health == Dispatch::HealthState::Healthy) {
+        return "cold";
+    }
     return view.coolingDown ? "resting" : Base::nameOf(Dispatch::healthStateNames, view.health);
 }
 
@@ -283,7 +286,7 @@
                                    {"pool", pool == nullptr ? "" : pool->name},
                                    {"address", endpoint->address.text()},
                                    {"data-centre", endpoint->dataCentre},
-                                   {"state", displayState(view)},
+                                   {"state", displayState(view, endpoint->cold.isActive(Base::now()))},
                                    {"running", view.running},
                                    {"window", view.window},
                                    {"slots", endpoint->slots},
--- a/Source/Node/queries.h
+++ b/Source/Node/queries.h
@@ -65,7 +65,7 @@
     QueryResult dataCentres() const;
     QueryResult requests(Base::Instant now) const;
     QueryResult objects(Configuration::Kind kind) const;
-    static std::string_view displayState(const Dispatch::EndpointView &view);
+    static std::string_view displayState(const Dispatch::EndpointView &view, bool cold);
     QueryResult endpoints() const;
     QueryResult hosts() const;
     QueryResult dispatchers() const;
--- a/Source/Rate/endpointrates.cpp
+++ b/Source/Rate/endpointrates.cpp
@@ -11,10 +11,17 @@
 
 namespace Yokepond::Rate {
 
-void EndpointRates::updateView(const Configuration::Catalogue &catalogue)
+void EndpointRates::updateView(Base::Instant now, const Configuration::Catalogue &catalogue)
 {
+    m_coldPeriods.clear();
+    for (const Configuration::Endpoint &endpoint : catalogue.endpoints()) {
+        if (endpoint.cold.isActive(now)) {
+            m_coldPeriods.emplace(endpoint.number, endpoint.cold);
+        }
+    }
     std::erase_if(m_rates, [&](const auto &entry) { return catalogue.endpointByNumber(entry.first) == nullptr; });
-    std::erase_if(m_turns, [&](const auto &entry) { return !stateOf(entry.first).isLimited(); });
+    std::erase_if(m_turns,
+                  [&](const auto &entry) { return !enforcedLimit(stateOf(entry.first), coldPeriodOf(entry.first), now); });
     std::erase_if(m_unreadable, [&](std::uint32_t endpoint) { return catalogue.endpointByNumber(endpoint) == nullptr; });
 }
 
@@ -49,9 +56,13 @@
                                                                     const std::vector<std::uint32_t> &endpoints,
                                                                     std::size_t hosts, std::mt19937_64 &random)
 {
+    const bool allCold
+        = std::ranges::all_of(endpoints, [&](std::uint32_t endpoint) { return coldPeriodOf(endpoint).isActive(now); });
     std::set<std::uint32_t> unavailable;
     std::ranges::copy_if(endpoints, std::inserter(unavailable, unavailable.end()), [&](std::uint32_t endpoint) {
-        return stateOf(endpoint).isLimited() && !drawTurn(now, endpoint, hosts, random);
+        const Configuration::ColdPeriod cold = coldPeriodOf(endpoint);
+        const bool limited = enforcedLimit(stateOf(endpoint), cold, now).has_value();
+        return (cold.isActive(now) && !allCold) || (limited && !drawTurn(now, endpoint, hosts, random));
     });
     return unavailable;
 }
@@ -60,7 +71,8 @@
 {
     Turn &turn = m_turns[endpoint];
     if (now >= turn.validUntil) {
-        const std::chrono::duration<double> turnLength(1.0 / enforcedRate(stateOf(endpoint)));
+        const std::chrono::duration<double> turnLength(
+            1.0 / enforcedLimit(stateOf(endpoint), coldPeriodOf(endpoint), now).value_or(largestRate));
         turn = {now + std::chrono::duration_cast<Base::Duration>(turnLength), random() % std::max<std::size_t>(1, hosts) == 0};
     }
     return turn.hasTurn;
@@ -73,6 +85,12 @@
     }
 }
 
+Configuration::ColdPeriod EndpointRates::coldPeriodOf(std::uint32_t endpoint) const
+{
+    const auto entry = m_coldPeriods.find(endpoint);
+    return entry == m_coldPeriods.end() ? Configuration::ColdPeriod {} : entry->second;
+}
+
 RateState EndpointRates::stateOf(std::uint32_t endpoint) const
 {
     const auto entry = m_rates.find(endpoint);
--- a/Source/Rate/endpointrates.h
+++ b/Source/Rate/endpointrates.h
@@ -21,8 +21,8 @@
 class EndpointRates
 {
 public:
-    /// Removes endpoints that are no longer configured.
-    void updateView(const Configuration::Catalogue &catalogue);
+    /// Adopts the cold periods of the configured endpoints, and removes endpoints that are no longer configured.
+    void updateView(Base::Instant now, const Configuration::Catalogue &catalogue);
 
     /// Applies what a response of @p endpoint advertises and logs changes. An unreadable header changes nothing.
     void applyAdvertisement(Base::Instant now, std::uint32_t endpoint, const AdvertisedRate &advertised);
@@ -35,7 +35,7 @@
 
     /// Returns those of @p endpoints at which this host must not start a run that no dispatcher counts. At a limited endpoint,
     /// each of @p hosts draws at random whether it has the turn, for the time in which the endpoint accepts one run: a fixed
-    /// share of its rate would be less than one run in a large fleet.
+    /// share of its rate would be less than one run in a large fleet. Cold endpoints are used only if all are cold.
     std::set<std::uint32_t> unavailableWithoutDispatcher(Base::Instant now, const std::vector<std::uint32_t> &endpoints,
                                                          std::size_t hosts, std::mt19937_64 &random);
 
@@ -51,9 +51,12 @@
     };
 
     bool drawTurn(Base::Instant now, std::uint32_t endpoint, std::size_t hosts, std::mt19937_64 &random);
+    /// Returns the period of @p endpoint, an inactive one if it is not cold.
+    Configuration::ColdPeriod coldPeriodOf(std::uint32_t endpoint) const;
 
     std::map<std::uint32_t, RateState> m_rates; ///< by endpoint; RateKind::Unknown is not stored
     std::map<std::uint32_t, Turn> m_turns; ///< by limited endpoint
+    std::map<std::uint32_t, Configuration::ColdPeriod> m_coldPeriods; ///< by endpoint; ended periods are not stored
     std::set<std::uint32_t> m_unreadable; ///< endpoints whose last header was unreadable
 };
 
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -125,7 +125,7 @@
     const auto previousShards = std::exchange(m_shards, std::move(shards));
     m_catalogue = std::move(catalogue);
     m_hosts = members.size();
-    m_rates.updateView(*m_catalogue);
+    m_rates.updateView(now, *m_catalogue);
     m_availabilities.updateView(*m_catalogue);
     m_quarantine.updateView(now, members, m_catalogue->policies().maxCrashes);
     m_unreachable.clear();
--- a/Tests/Configuration/siterecordstest.cpp
+++ b/Tests/Configuration/siterecordstest.cpp
@@ -5,11 +5,13 @@
 
 #include <CppUTest/TestHarness.h>
 
+using namespace Yokepond;
 using namespace Yokepond::Configuration;
 
 TEST_GROUP(SiteRecords)
 {
     SiteRecords records;
+    const Base::Instant now = Base::now();
 
     bool set(const std::string &key, std::uint64_t version, const std::string &value)
     {
@@ -133,7 +135,7 @@
     set("e1", 5, "value");
     remove("e1", 6);
     set("e2", 7, "value");
-    const auto read = changesFromText(changesToText(records.changesSince({})));
+    const auto read = changesFromText(changesToText(records.changesSince({}), now), now);
     CHECK_TRUE(read.ok());
     CHECK_TRUE(read->records == records.all());
     CHECK_TRUE(read->revisions == records.revisions());
@@ -145,7 +147,7 @@
          {"", "[]", "{}", R"({"since":{},"revisions":{},"records":[]})",
           R"({"since":{"configuration":0,"endpoints":0},"revisions":{"configuration":1,"endpoints":1},"records":[{}]})",
           R"({"since":{"configuration":0,"endpoints":"0"},"revisions":{"configuration":1,"endpoints":1},"records":[]})"}) {
-        CHECK_FALSE(changesFromText(text).ok());
+        CHECK_FALSE(changesFromText(text, now).ok());
     }
 }
 
@@ -173,3 +175,26 @@
     CHECK_FALSE(records.merge(evacuation));
     CHECK_TRUE(records.present(RecordKind::Evacuation).empty());
 }
+
+// Guards against a host that takes the heartbeats of a cold endpoint for changes, or its end for a later one with each heartbeat.
+TEST(SiteRecords, theEndOfAColdPeriodDoesNotMoveWithHeartbeats)
+{
+    const Base::Instant end = now + std::chrono::seconds(3);
+    records.merge({RecordKind::Endpoint, "e1", 5, false, "value", end});
+    CHECK_FALSE(records.merge({RecordKind::Endpoint, "e1", 6, false, "value", end + std::chrono::milliseconds(400)}));
+    CHECK_TRUE(records.present(RecordKind::Endpoint).front()->coldUntil == end);
+    CHECK_FALSE(records.merge({RecordKind::Endpoint, "e1", 7, false, "value"}));
+    CHECK_TRUE(records.merge({RecordKind::Endpoint, "e1", 8, false, "value", end + std::chrono::seconds(9)}));
+    CHECK_EQUAL(8U, records.revisions().endpoints);
+}
+
+// Guards against a remaining time that starts anew at each host that hears of it.
+TEST(SiteRecords, aColdPeriodIsSentAsItsRemainingTime)
+{
+    records.merge({RecordKind::Endpoint, "e1", 5, false, "value", now + std::chrono::seconds(3)});
+    const Base::Instant sent = now + std::chrono::seconds(2);
+    const auto changes = changesFromText(changesToText(records.changesSince({}), sent), sent);
+    CHECK_TRUE(changes->records.front().coldUntil == now + std::chrono::seconds(3));
+    const auto later = changesFromText(changesToText(records.changesSince({}), now + std::chrono::seconds(4)), now);
+    CHECK_TRUE(later->records.front().coldUntil == Base::Instant {});
+}
--- a/Tests/Fuzz/fuzzjson.cpp
+++ b/Tests/Fuzz/fuzzjson.cpp
@@ -32,7 +32,7 @@
     (void)Configuration::headFromText(text);
     (void)Request::recordFromText(text);
     (void)Platform::parseHostList(text);
-    (void)Configuration::changesFromText(text);
+    (void)Configuration::changesFromText(text, Base::now());
     Configuration::SiteRecords records;
     (void)Configuration::ChangesCodec::unpack(records, {text, 0});
     records.merge({Configuration::RecordKind::Configuration, "config", 1, false, text});
--- a/Tests/Platform/siteformtest.cpp
+++ b/Tests/Platform/siteformtest.cpp
@@ -158,3 +158,14 @@
     records.merge({RecordKind::Evacuation, "a", 11, true, ""});
     CHECK_FALSE(Catalogue::assemble(*Platform::decodeSite(records))->endpoints()[0].drained);
 }
+
+// Guards against a cold endpoint that gets requests as fast as a warm one.
+TEST(SiteForm, aColdEndpointHasTheRateOfItsService)
+{
+    records.merge({RecordKind::Configuration, "config", 9, false,
+                   R"({"routes":[],"services":[{"name":"llm","cold_start_s":3.0,"cold_per_s":9.1}]})"});
+    const Base::Instant until = Base::now() + std::chrono::seconds(3);
+    records.merge({RecordKind::Endpoint, "i-1", 10, false,
+                   R"({"service":"llm","address":"10.0.0.9:80","zone":"a","slots":64,"state":"ready"})", until});
+    CHECK_TRUE(Platform::decodeSite(records)->endpoints.front().cold == (ColdPeriod {until, 9.1}));
+}
--- a/Tests/Rate/ratelimitertest.cpp
+++ b/Tests/Rate/ratelimitertest.cpp
@@ -149,3 +149,54 @@
         }
     }
 }
+
+// Guards against a burst at an endpoint that has just started.
+TEST(RateLimiter, aColdEndpointGetsItsRateOnlyUntilItsPeriodEnds)
+{
+    limiter.setColdPeriod(at(0), {at(3), 10});
+    CHECK_EQUAL(0U, limiter.left(at(0)));
+    const std::uint32_t started = countRuns(0, 2.99);
+    CHECK_TRUE(started >= 28 && started <= 31);
+    CHECK_TRUE(limiter.left(at(3)) > 1'000'000);
+}
+
+// Guards against a cold period that lifts the rate that the endpoint itself advertises.
+TEST(RateLimiter, theLowerOneOfBothRatesApplies)
+{
+    limit(0, 2);
+    limiter.setColdPeriod(at(0), {at(10), 10});
+    CHECK_TRUE(countRuns(0, 5) <= 10);
+    limiter.setColdPeriod(at(5), {at(10), 0.5});
+    CHECK_TRUE(countRuns(5, 10) <= 3);
+    CHECK_TRUE(countRuns(10, 15) >= 9);
+}
+
+// Guards against two dispatchers that both send a cold endpoint its whole rate while it moves from one to the other.
+TEST(RateLimiter, aNewDispatcherStartsAColdEndpointWithHalfOfItsRate)
+{
+    RateLimiter moved(at(4));
+    moved.setColdPeriod(at(0), {at(8), 10});
+    std::uint32_t started = 0;
+    for (double now = 0; now < 4; now += 0.01) {
+        for (; moved.left(at(now)) > 0; ++started) {
+            moved.spend(at(now));
+        }
+    }
+    CHECK_TRUE(started >= 18 && started <= 21);
+}
+
+// Guards against homes without a dispatcher that each send to an endpoint that has just started.
+TEST(RateLimiter, homesWithoutADispatcherLeaveColdEndpointsToTheWarmOnes)
+{
+    Configuration::CatalogueParts parts;
+    parts.endpoints = {{.number = 1, .cold = {at(5), 10}}, {.number = 2}};
+    EndpointRates rates;
+    rates.updateView(at(0), *Configuration::Catalogue::assemble(parts));
+    std::mt19937_64 random(1);
+    const std::vector<std::uint32_t> endpoints = {1, 2};
+    CHECK_TRUE(rates.unavailableWithoutDispatcher(at(1), endpoints, 1, random) == (std::set<std::uint32_t> {1}));
+    CHECK_TRUE(rates.unavailableWithoutDispatcher(at(5), endpoints, 1, random).empty());
+    CHECK_TRUE(rates.unavailableWithoutDispatcher(at(1), {1}, 1, random).empty());
+    rates.runStartedWithoutDispatcher(1);
+    CHECK_FALSE(rates.unavailableWithoutDispatcher(at(1), {1}, 1, random).empty());
+}
--- a/Tests/Rate/ratestatetest.cpp
+++ b/Tests/Rate/ratestatetest.cpp
@@ -98,8 +98,8 @@
 TEST(EndpointRates, removedEndpointsAreForgotten)
 {
     applyAdvertisement(1, "0.5");
-    rates.updateView(*catalogue);
+    rates.updateView(at(2), *catalogue);
     CHECK_TRUE(rates.stateOf(endpoint).isLimited());
-    rates.updateView(*Configuration::Catalogue::build({}));
+    rates.updateView(at(2), *Configuration::Catalogue::build({}));
     CHECK_TRUE(rates.stateOf(endpoint).kind == RateKind::Unknown);
 }
