Dispatch, Request: Serve requests in the regions of their class and organisation only

What callers could see: a route or an organisation may name the regions in which alone it is served. The hosts did not read the field, knew no regions, and ran such requests anywhere.

The region of a data centre comes from the settings ([regions], filled in by the deploy template) or, with a table, from the object of the data centre. A dispatcher passes over endpoints of other regions; a home asks only shards that have an endpoint of the region, checks once more before it starts a run, and fetches no cached prompt from outside. Where none is left, the request is refused at once; that refusal does not mark the shard as empty for others. Asks whose region is full do not hold up those of other regions.

Evidence: the tests of ShardRegions and HomeRegions; `SiteForm, routesAndOrganisationsNameTheirRegions`. Without the change the fields do not exist.

--- a/Source/Configuration/catalogue.cpp
+++ b/Source/Configuration/catalogue.cpp
@@ -52,6 +52,18 @@
     return object == nullptr ? 0 : object->number;
 }
 
+/// Returns the words of a field that are separated by spaces.
+std::vector<std::string> words(const Object &object, std::string_view field)
+{
+    std::vector<std::string> found;
+    for (const std::string_view word : Base::split(object.value(field), ' ')) {
+        if (!word.empty()) {
+            found.emplace_back(word);
+        }
+    }
+    return found;
+}
+
 RequestClass parseClass(const Objects &objects, const Object &object)
 {
     const Object *tier = objects.find(Kind::Tier, object.value("tier"));
@@ -64,7 +76,8 @@
             .firstToken = duration(object, "first-token"),
             .tokenGap = duration(object, "token-gap"),
             .deadline = duration(object, "deadline"),
-            .starvationBound = duration(object, "starvation-bound")};
+            .starvationBound = duration(object, "starvation-bound"),
+            .regions = words(object, "regions")};
 }
 
 Organisation parseOrganisation(const Object &object)
@@ -73,7 +86,8 @@
             .name = object.name,
             .keyDigests = {std::string(object.value("key"))},
             .weight = static_cast<std::uint32_t>(integer(object, "weight")),
-            .defaultClass = std::string(object.value("default-class"))};
+            .defaultClass = std::string(object.value("default-class")),
+            .regions = words(object, "regions")};
 }
 
 Pool parsePool(const Object &object)
@@ -168,6 +182,9 @@
         if (flag(*object, "evacuated")) {
             parts.evacuatedDataCentres.insert(object->name);
         }
+        if (const std::string_view region = object->value("region"); !region.empty()) {
+            parts.regions.emplace(object->name, region);
+        }
     }
     return assemble(std::move(parts));
 }
@@ -178,8 +195,13 @@
     catalogue->m_parts = std::move(parts);
     for (Endpoint &endpoint : catalogue->m_parts.endpoints) {
         endpoint.drained = endpoint.drained || catalogue->isEvacuated(endpoint.dataCentre);
+        const auto region = catalogue->m_parts.regions.find(endpoint.dataCentre);
+        endpoint.region = region == catalogue->m_parts.regions.end() ? std::string() : region->second;
     }
     const CatalogueParts &kept = catalogue->m_parts;
+    for (std::size_t index = 0; index < kept.classes.size(); ++index) {
+        catalogue->m_classByNumber.emplace(kept.classes[index].number, index);
+    }
     for (std::size_t index = 0; index < kept.organisations.size(); ++index) {
         catalogue->m_organisationByNumber.emplace(kept.organisations[index].number, index);
         for (const std::string &digest : kept.organisations[index].keyDigests) {
@@ -256,7 +278,7 @@
 
 const RequestClass *Catalogue::classByNumber(std::uint32_t number) const
 {
-    return findBy(m_parts.classes, &RequestClass::number, number);
+    return findIndexed(m_parts.classes, m_classByNumber, number);
 }
 
 const Organisation *Catalogue::organisationByNumber(std::uint32_t number) const
@@ -287,4 +309,23 @@
     return equal ? &m_parts.organisations[entry->second] : nullptr;
 }
 
+bool Catalogue::isBoundToRegions(const RequestOwner &owner) const
+{
+    const RequestClass *requestClass = classByNumber(owner.requestClass);
+    const Organisation *organisation = organisationByNumber(owner.organisation);
+    return (requestClass != nullptr && !requestClass->regions.empty())
+        || (organisation != nullptr && !organisation->regions.empty());
+}
+
+bool Catalogue::mayServe(const Endpoint &endpoint, const RequestOwner &owner) const
+{
+    const auto allows = [&endpoint](const std::vector<std::string> &regions) {
+        return regions.empty() || std::ranges::find(regions, endpoint.region) != regions.end();
+    };
+    const RequestClass *requestClass = classByNumber(owner.requestClass);
+    const Organisation *organisation = organisationByNumber(owner.organisation);
+    return (requestClass == nullptr || allows(requestClass->regions))
+        && (organisation == nullptr || allows(organisation->regions));
+}
+
 } // namespace Yokepond::Configuration
--- a/Source/Configuration/catalogue.h
+++ b/Source/Configuration/catalogue.h
@@ -12,6 +12,7 @@
 #include "Configuration/objects.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -40,6 +41,7 @@
     bool resumable = false; ///< an interrupted stream may continue at another endpoint after its last event
     bool deadlineEndsRun = false; ///< a run ends at the deadline; if false, the deadline only limits when it may start
     std::uint32_t maxRuns = 8; ///< maximum number of endpoints that one request may be sent to
+    std::vector<std::string> regions; ///< the only regions whose endpoints may serve its requests; empty: all
 };
 
 struct Organisation
@@ -50,6 +52,7 @@
     std::uint32_t weight = 1; ///< share of the endpoints relative to other organisations
     std::string defaultClass; ///< class of requests that do not name one
     std::optional<int> rank; ///< overrides the rank of the tier for all of its requests
+    std::vector<std::string> regions; ///< the only regions whose endpoints may serve its requests; empty: all
 };
 
 /// Price of one second of an endpoint in one data centre, as a fraction of the platform's usual price.
@@ -103,6 +106,7 @@
     std::uint32_t pool = 0;
     Base::Address address;
     std::string dataCentre;
+    std::string region; ///< region of the data centre; empty if it is not configured
     std::uint32_t slots = 0;
     bool checksFence = false; ///< verifies the fencing token that it gets with each request
     bool drained = false; ///< gets no new requests, also because its data centre is evacuated
@@ -192,6 +196,14 @@
     std::vector<Route> routes;
     std::vector<RejectedRecord> rejected; ///< endpoint records that cannot be used
     std::set<std::string> evacuatedDataCentres; ///< their endpoints get no new requests
+    std::map<std::string, std::string> regions; ///< region of each data centre
+};
+
+/// The class and the organisation of a request, by number.
+struct RequestOwner
+{
+    std::uint32_t requestClass = 0;
+    std::uint32_t organisation = 0;
 };
 
 /// A setting that operators can create: its name and the schema of its value.
@@ -238,12 +250,20 @@
     const Pool *poolByNumber(std::uint32_t number) const;
     const Endpoint *endpointByNumber(std::uint32_t number) const;
 
+    /// Returns whether the class or the organisation of @p owner names regions in which alone it is served.
+    bool isBoundToRegions(const RequestOwner &owner) const;
+
+    /// Returns whether @p endpoint is in a region that both the class and the organisation of @p owner allow. An endpoint whose
+    /// region is not configured is in none.
+    bool mayServe(const Endpoint &endpoint, const RequestOwner &owner) const;
+
     /// Returns the organisation that has a key with @p digest, or null. The time of the comparison does not depend on how much of
     /// the digest matches.
     const Organisation *organisationByKey(std::string_view digest) const;
 
 private:
     CatalogueParts m_parts;
+    std::unordered_map<std::uint32_t, std::size_t> m_classByNumber;
     std::unordered_map<std::uint32_t, std::size_t> m_organisationByNumber;
     std::unordered_map<std::uint32_t, std::size_t> m_endpointByNumber;
     std::unordered_map<std::string, std::size_t> m_organisationByKey;
--- a/Source/Configuration/schema.cpp
+++ b/Source/Configuration/schema.cpp
@@ -34,12 +34,14 @@
     FieldSchema {.name = "deadline", .type = FieldType::Milliseconds, .fallback = "60000", .minimum = 10, .maximum = 24 * hourMs},
     FieldSchema {
         .name = "starvation-bound", .type = FieldType::Milliseconds, .fallback = "15000", .minimum = 10, .maximum = 24 * hourMs},
+    FieldSchema {.name = "regions", .type = FieldType::Text, .fallback = ""},
 };
 
 constexpr std::array organisationFields = {
     FieldSchema {.name = "key", .type = FieldType::Digest, .required = true},
     FieldSchema {.name = "weight", .type = FieldType::Integer, .fallback = "1", .minimum = 1, .maximum = 1000},
     FieldSchema {.name = "default-class", .type = FieldType::Reference, .fallback = "", .reference = Kind::Class},
+    FieldSchema {.name = "regions", .type = FieldType::Text, .fallback = ""},
 };
 
 constexpr std::array poolFields = {
@@ -58,6 +60,7 @@
 
 constexpr std::array dataCentreFields = {
     FieldSchema {.name = "evacuated", .type = FieldType::Flag, .fallback = "no"},
+    FieldSchema {.name = "region", .type = FieldType::Text, .fallback = ""},
 };
 
 constexpr std::array settingFields = {
--- a/Source/Dispatch/queuedask.h
+++ b/Source/Dispatch/queuedask.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "Base/time.h"
+#include "Configuration/catalogue.h"
 #include "Peer/message.h"
 
 #include <cstdint>
@@ -56,6 +57,13 @@
     Base::Instant received {}; ///< when the ask reached the dispatcher
     Base::Instant arrival {}; ///< when the caller's request reached the home
     Base::Instant deadline {}; ///< deadline of the request
+    bool boundToRegions = false; ///< its class or organisation is served in some regions only
+
+    /// Returns the class and the organisation of the request.
+    Configuration::RequestOwner owner() const
+    {
+        return {ask.requestClass, ask.organisation};
+    }
 
     /// Returns the time by which the first token must arrive to meet the target.
     Base::Instant target() const
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -57,6 +57,9 @@
 /// dispatcher of 90 engines used up its processor time on evaluations in a burst of long prompts, and many requests were late.
 constexpr std::size_t maxSkippedPerEvent = 3;
 constexpr std::size_t maxSkippedPerTick = 64;
+/// Asks that are skipped because only endpoints in other regions have free slots, for each ask that is evaluated and skipped.
+/// They need no evaluation. Without a limit of their own, a full region would hold up requests for the others.
+constexpr std::size_t skippedOfOtherRegions = 16;
 constexpr std::size_t maxEjectedDivisor = 3; ///< at most a third of the endpoints are ejected because the others are better
 /// A permit is kept this long after the deadline of its request, since the release may still be on its way.
 constexpr Duration expiryGrace = std::chrono::milliseconds(500);
@@ -128,6 +131,7 @@
         if (const RequestClass *requestClass = m_catalogue->classByNumber(ask.ask.requestClass)) {
             ask.parameters = poolParameters().forClass(*requestClass, ask.ask.rank);
         }
+        ask.boundToRegions = m_catalogue->isBoundToRegions(ask.owner());
         enqueue(ask);
     }
 }
@@ -196,7 +200,7 @@
     Base::log(Base::LogLevel::Warning, Base::LogEvent::EndpointReplaced,
               {{"endpoint", endpoint}, {"permits", entry->second.running}});
     markUnusableUnreliable();
-    refuseAllIfNoEndpoint();
+    refuseIfNoEndpoint();
 }
 
 void Shard::configure(const ShardInfo &info, std::shared_ptr<const Catalogue> catalogue, Instant now)
@@ -208,7 +212,7 @@
         buildPolicies();
     }
     configureEndpoints(now);
-    refuseAllIfNoEndpoint();
+    refuseIfNoEndpoint();
     dispatchQueued(now, maxSkippedPerEvent);
 }
 
@@ -250,7 +254,8 @@
         return;
     }
     queued.parameters = poolParameters().forClass(*requestClass, message.rank);
-    if (const auto reason = reasonForNoEndpoint()) {
+    queued.boundToRegions = m_catalogue->isBoundToRegions(queued.owner());
+    if (const auto reason = reasonForNoEndpoint(queued)) {
         refuse(queued, *reason);
         return;
     }
@@ -392,10 +397,27 @@
     return allDown ? std::optional(RefusalReason::EndpointsDown) : std::nullopt;
 }
 
-void Shard::refuseAllIfNoEndpoint()
+std::optional<RefusalReason> Shard::reasonForNoEndpoint(const QueuedAsk &ask) const
 {
     const auto reason = reasonForNoEndpoint();
-    if (!reason || queued() == 0) {
+    if (reason || !ask.boundToRegions) {
+        return reason;
+    }
+    const bool any = std::ranges::any_of(m_endpoints, [&](const auto &entry) {
+        const Endpoint *endpoint = m_catalogue->endpointByNumber(entry.first);
+        return entry.second.acceptsWork() && endpoint != nullptr && m_catalogue->mayServe(*endpoint, ask.owner());
+    });
+    return any ? std::nullopt : std::optional(RefusalReason::NoEndpoint);
+}
+
+void Shard::refuseIfNoEndpoint()
+{
+    if (queued() == 0) {
+        return;
+    }
+    const auto reason = reasonForNoEndpoint();
+    if (!reason) {
+        refuseBoundWithoutEndpoint();
         return;
     }
     for (const QueuedAsk *ask : queuedAsks()) {
@@ -404,6 +426,22 @@
     m_queue = makeQueue(m_catalogue->policies());
 }
 
+void Shard::refuseBoundWithoutEndpoint()
+{
+    std::vector<QueuedAsk> bound;
+    for (const QueuedAsk *ask : queuedAsks()) {
+        if (ask->boundToRegions) {
+            bound.push_back(*ask);
+        }
+    }
+    for (const QueuedAsk &ask : bound) {
+        if (const auto reason = reasonForNoEndpoint(ask)) {
+            std::visit([&](auto &queue) { queue.remove(ask.key); }, m_queue);
+            refuse(ask, *reason);
+        }
+    }
+}
+
 /// Returns when a late ask may be retried. While all endpoints are in cooldown this is the end of the first cooldown, plus a
 /// jitter so that the refused asks do not all return at once.
 Duration Shard::retryAfterLate(const QueuedAsk &ask, const WaitEstimate &estimate)
@@ -551,7 +589,7 @@
         Base::log(Base::LogLevel::Info, Base::LogEvent::EndpointLeaving,
                   {{"endpoint", endpointUpdate.endpoint}, {"source", home.name}});
         markUnusableUnreliable();
-        refuseAllIfNoEndpoint();
+        refuseIfNoEndpoint();
     }
 }
 
@@ -585,6 +623,12 @@
 
 bool Shard::isAllowed(Instant now, const QueuedAsk &ask, std::uint32_t endpoint) const
 {
+    if (ask.boundToRegions) {
+        const Endpoint *configured = m_catalogue->endpointByNumber(endpoint);
+        if (configured == nullptr || !m_catalogue->mayServe(*configured, ask.owner())) {
+            return false;
+        }
+    }
     return !m_coolingDown.contains(endpoint) || m_endpoints.at(endpoint).cooldowns.allows(now, ask.home.incarnation);
 }
 
@@ -617,7 +661,7 @@
         state.leaving = std::ranges::find(endpoints, number) != endpoints.end();
     }
     markUnusableUnreliable();
-    refuseAllIfNoEndpoint();
+    refuseIfNoEndpoint();
     dispatchQueued(now, maxSkippedPerEvent);
 }
 
@@ -690,7 +734,7 @@
                    {"failures", state.health.failures()},
                    {"pace-ms", Base::milliseconds(state.health.interTokenLatency().value_or(Duration::zero()))}});
     }
-    refuseAllIfNoEndpoint();
+    refuseIfNoEndpoint();
 }
 
 std::uint32_t Shard::freeSlots(const EndpointState &state, Instant now) const
@@ -739,12 +783,16 @@
     std::vector<Candidate> withFreeSlots = candidates(now);
     // An ask that no endpoint can take now, because of its size or the prefill backlog, does not block the asks behind it.
     std::vector<QueuedAsk> skipped;
-    while (queued() > 0 && skipped.size() < maxSkipped && !withFreeSlots.empty()) {
+    std::size_t evaluated = 0;
+    while (queued() > 0 && evaluated < maxSkipped && skipped.size() < maxSkipped * skippedOfOtherRegions
+           && !withFreeSlots.empty()) {
         const auto key = std::visit([&](auto &queue) { return queue.next(now, expected); }, m_queue);
         const QueuedAsk waiting = *std::visit([&](const auto &queue) { return queue.find(*key); }, m_queue);
-        if (tryGrant(now, waiting, withFreeSlots)) {
+        const GrantAttempt attempt = tryGrant(now, waiting, withFreeSlots);
+        if (attempt == GrantAttempt::Granted) {
             withFreeSlots = candidates(now);
         } else {
+            evaluated += attempt == GrantAttempt::NotNow ? 1 : 0;
             skipped.push_back(waiting);
             std::visit([&](auto &queue) { queue.remove(waiting.key); }, m_queue);
         }
@@ -752,31 +800,30 @@
     std::ranges::for_each(skipped, [this](const QueuedAsk &ask) { enqueue(ask); });
 }
 
-/// Grants @p waiting if one of the endpoints in @p withFreeSlots can take it now. Returns whether it did.
-bool Shard::tryGrant(Instant now, const QueuedAsk &waiting, const std::vector<Candidate> &withFreeSlots)
+Shard::GrantAttempt Shard::tryGrant(Instant now, const QueuedAsk &waiting, const std::vector<Candidate> &withFreeSlots)
 {
     ++m_counters.evaluations;
     std::vector<Candidate> others;
     // The endpoint of a failed attempt is used again only if it is the only one with free slots.
     const bool avoids = waiting.ask.avoid != 0 && withFreeSlots.size() > 1;
-    const bool filters = avoids || !m_coolingDown.empty();
+    const bool filters = avoids || waiting.boundToRegions || !m_coolingDown.empty();
     if (filters) {
         std::ranges::copy_if(withFreeSlots, std::back_inserter(others), [&](const Candidate &candidate) {
             const bool avoided = avoids && candidate.endpoint == waiting.ask.avoid;
             return !avoided && isAllowed(now, waiting, candidate.endpoint);
         });
         if (others.empty()) {
-            return false;
+            return waiting.boundToRegions ? GrantAttempt::OtherRegions : GrantAttempt::NotNow;
         }
     }
     const std::vector<Candidate> &found = filters ? others : withFreeSlots;
     const auto endpoint = std::visit([&](const auto &placement) { return placement.choose(waiting, found, now); }, m_placement);
     if (!endpoint) {
-        return false;
+        return GrantAttempt::NotNow;
     }
     const auto ask = std::visit([&](auto &queue) { return queue.serve(waiting.key); }, m_queue);
     grant(now, *ask, *endpoint);
-    return true;
+    return GrantAttempt::Granted;
 }
 
 void Shard::grant(Instant now, const QueuedAsk &ask, std::uint32_t endpoint)
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -110,6 +110,12 @@
 private:
     using Queue = std::variant<FifoOrder, TieredOrder>;
 
+    enum class GrantAttempt {
+        Granted,
+        NotNow, ///< none of the endpoints that have a free slot can take it now
+        OtherRegions, ///< all endpoints that have a free slot are in regions where it is not served
+    };
+
     /// A grant that has not been released yet.
     struct Permit
     {
@@ -143,9 +149,11 @@
     bool willMissDeadline(Base::Instant now, const QueuedAsk &ask) const;
     void refuse(const QueuedAsk &ask, Peer::RefusalReason reason);
     void refuse(const QueuedAsk &ask, Peer::RefusalReason reason, Base::Duration retryAfter);
-    /// Grants queued asks while slots are free. Stops after @p maxSkipped asks that no endpoint can take now.
+    /// Grants queued asks while slots are free. Stops after @p maxSkipped asks that were evaluated and that no endpoint can take
+    /// now.
     void dispatchQueued(Base::Instant now, std::size_t maxSkipped);
-    bool tryGrant(Base::Instant now, const QueuedAsk &waiting, const std::vector<Candidate> &withFreeSlots);
+    /// Grants @p waiting if one of the endpoints in @p withFreeSlots can take it now.
+    GrantAttempt tryGrant(Base::Instant now, const QueuedAsk &waiting, const std::vector<Candidate> &withFreeSlots);
     std::vector<Candidate> candidates(Base::Instant now) const;
     /// Returns the free slots in the window of an endpoint.
     std::uint32_t freeSlots(const EndpointState &state, Base::Instant now) const;
@@ -169,7 +177,7 @@
     void recordRejectedRun(Base::Instant now, const Home &home, std::uint32_t endpoint);
     /// Removes the cooldowns and announcements of leaving that have ended.
     void expireAnnouncements(Base::Instant now);
-    /// Returns whether no cooldown of @p endpoint prevents a run of the ask's home.
+    /// Returns whether @p endpoint is in a region that the ask allows, and no cooldown of it prevents a run of the ask's home.
     bool isAllowed(Base::Instant now, const QueuedAsk &ask, std::uint32_t endpoint) const;
     /// Returns the expected time from a grant to the first token; zero without observations.
     Base::Duration expectedFirstToken() const;
@@ -180,8 +188,11 @@
     std::uint32_t pressure() const;
     /// Returns why no endpoint can accept work, or nothing if one can.
     std::optional<Peer::RefusalReason> reasonForNoEndpoint() const;
-    /// Refuses all queued asks if no endpoint can accept work.
-    void refuseAllIfNoEndpoint();
+    /// Returns why no endpoint can accept @p ask, or nothing if one can.
+    std::optional<Peer::RefusalReason> reasonForNoEndpoint(const QueuedAsk &ask) const;
+    /// Refuses the queued asks that no endpoint can accept.
+    void refuseIfNoEndpoint();
+    void refuseBoundWithoutEndpoint();
     /// Checks the invariant that the endpoints' run counts add up to the permits.
     void checkPermits() const;
 
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -464,6 +464,7 @@
     auto parts = m_decode(m_records);
     if (parts.ok()) {
         parts->policies = m_settings.policies;
+        parts->regions = m_settings.regions;
         logRejected(std::move(parts->rejected));
         m_recordCatalogue = Configuration::Catalogue::assemble(std::move(*parts));
         m_endpointsEverKnown = m_endpointsEverKnown || !m_recordCatalogue->endpoints().empty();
--- a/Source/Node/frontend.cpp
+++ b/Source/Node/frontend.cpp
@@ -499,8 +499,12 @@
     const auto entry = m_admitted.find(run.id.request);
     const auto catalogue = m_fleet.catalogue();
     const Configuration::Endpoint *endpoint = catalogue->endpointByNumber(run.endpoint);
-    // The dispatcher may not know yet that the endpoint is leaving or was removed.
-    if (entry == m_admitted.end() || endpoint == nullptr || endpoint->drained) {
+    // The dispatcher may not know yet that the endpoint is leaving or was removed, or in which regions the request is served.
+    const auto mayUse = [&](const Configuration::Endpoint *candidate) {
+        return candidate != nullptr && !candidate->drained
+            && catalogue->mayServe(*candidate, {entry->second.requestClass.number, entry->second.organisation});
+    };
+    if (entry == m_admitted.end() || !mayUse(endpoint)) {
         m_home.runEnded(Base::now(), {.id = run.id, .stage = Request::RunStage::Stale});
         return;
     }
@@ -517,7 +521,7 @@
     command.address = endpoint->address.text();
     // The keeper is an endpoint that has a part of the prompt in its cache. The run would wait for one that is leaving or was
     // removed.
-    if (const auto *keeper = catalogue->endpointByNumber(run.keeper); keeper != nullptr && !keeper->drained) {
+    if (const auto *keeper = catalogue->endpointByNumber(run.keeper); mayUse(keeper)) {
         command.keeper = keeper->address.text();
     }
     command.path = admitted.path;
--- a/Source/Node/settings.cpp
+++ b/Source/Node/settings.cpp
@@ -224,6 +224,9 @@
         ini.reject("log", "level", "debug, info, warning or error");
     }
     settings.logLevel = level.value_or(Base::LogLevel::Info);
+    for (const Base::IniEntry &entry : ini.entries("regions")) {
+        settings.regions[entry.key] = ini.requiredText("regions", entry.key);
+    }
     for (const std::string &section : ini.sections()) {
         if (section.starts_with(operatorPrefix)) {
             settings.operators.push_back(parseOperator(ini, section));
--- a/Source/Node/settings.h
+++ b/Source/Node/settings.h
@@ -17,6 +17,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -89,6 +90,7 @@
     std::string ticketSecret;
     Base::Duration balancerLag {}; ///< how long connections are still accepted after a planned stop has begun
     Base::Duration stopLimit {}; ///< maximum duration of a planned stop; zero: unlimited
+    std::map<std::string, std::string> regions; ///< region of each data centre; with PlatformForm::Records
     Configuration::Policies policies; ///< policies for which the platform's records have no values
     std::vector<OperatorAccount> operators;
     Base::LogLevel logLevel = Base::LogLevel::Info;
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -11,6 +11,7 @@
 #include <fmt/ranges.h>
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
 #include <set>
 
@@ -198,10 +199,28 @@
     return evacuated.empty() ? message : fmt::format("{}; evacuated data centres: {}", message, fmt::join(evacuated, ", "));
 }
 
+Configuration::RequestOwner Home::ownerOf(const Pending &pending)
+{
+    return {pending.request.requestClass, pending.request.organisation};
+}
+
+std::vector<const ShardInfo *> Home::shardsFor(const Pending &pending) const
+{
+    std::vector<const ShardInfo *> shards = m_shards->ofPool(pending.classSettings.pool);
+    if (m_catalogue->isBoundToRegions(ownerOf(pending))) {
+        std::erase_if(shards, [&](const ShardInfo *shard) {
+            return std::ranges::none_of(shard->endpoints, [&](std::uint32_t number) {
+                const Configuration::Endpoint *endpoint = m_catalogue->endpointByNumber(number);
+                return endpoint != nullptr && !endpoint->drained && m_catalogue->mayServe(*endpoint, ownerOf(pending));
+            });
+        });
+    }
+    return shards;
+}
+
 void Home::requestEndpoint(Instant now, Pending &pending)
 {
-    const ShardInfo *shard
-        = m_shardChoice.choose(now, *m_shards, pending.classSettings.pool, pending.request, pending.avoid, m_random);
+    const ShardInfo *shard = m_shardChoice.choose(now, shardsFor(pending), pending.request, pending.avoid, m_random);
     if (shard == nullptr && m_shardChoice.anyShardIsDown(now, *m_shards, pending.classSettings.pool)) {
         backOff(now, pending, endpointsDownBackoff);
         return;
@@ -263,6 +282,12 @@
     std::set<std::uint32_t> unavailable
         = m_rates.unavailableWithoutDispatcher(now, shard->endpoints, std::max(m_hosts, minSharingHosts), m_random);
     unavailable.merge(m_availabilities.unavailableEndpoints(now));
+    if (m_catalogue->isBoundToRegions(ownerOf(pending))) {
+        std::ranges::copy_if(shard->endpoints, std::inserter(unavailable, unavailable.end()), [&](std::uint32_t number) {
+            const Configuration::Endpoint *candidate = m_catalogue->endpointByNumber(number);
+            return candidate == nullptr || !m_catalogue->mayServe(*candidate, ownerOf(pending));
+        });
+    }
     const auto endpoint = m_localWindow.choose(*shard, *m_catalogue, m_hosts, prefixHash, unavailable);
     if (!endpoint) {
         return;
@@ -429,6 +454,12 @@
         break;
     case RefusalReason::NoEndpoint:
     case RefusalReason::EndpointsDown:
+        if (m_catalogue->isBoundToRegions(ownerOf(*pending)) && refusal.reason == RefusalReason::NoEndpoint) {
+            // The shard may have endpoints in other regions, which other requests may use.
+            fail(now, *pending, makeError(ErrorKind::NoEndpoint, noEndpointMessage(pending->classSettings.pool)),
+                 refusal.retryAfter);
+            break;
+        }
         // Another shard of the pool may have usable endpoints.
         m_shardChoice.markWithoutEndpoint(now, pending->shard, refusal.reason == RefusalReason::EndpointsDown);
         requestEndpoint(now, *pending);
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -157,6 +157,9 @@
     };
 
     std::string noEndpointMessage(std::uint32_t pool) const;
+    /// Returns the shards of the pool with an endpoint that may serve the request.
+    std::vector<const Dispatch::ShardInfo *> shardsFor(const Pending &pending) const;
+    static Configuration::RequestOwner ownerOf(const Pending &pending);
     void requestEndpoint(Base::Instant now, Pending &pending);
     void sendAsk(Base::Instant now, Pending &pending);
     void bypassDispatcher(Base::Instant now, Pending &pending);
--- a/Source/Request/shardchoice.cpp
+++ b/Source/Request/shardchoice.cpp
@@ -36,10 +36,9 @@
 
 } // namespace
 
-const ShardInfo *ShardChoice::choose(Instant now, const Dispatch::ShardMap &map, std::uint32_t pool, const NewRequest &request,
+const ShardInfo *ShardChoice::choose(Instant now, std::vector<const ShardInfo *> shards, const NewRequest &request,
                                      std::uint32_t avoid, std::mt19937_64 &random) const
 {
-    std::vector<const ShardInfo *> shards = map.ofPool(pool);
     std::erase_if(shards, [&](const ShardInfo *shard) { return isAvoided(now, shard->id) || shard->dispatcher.empty(); });
     if (shards.empty()) {
         return nullptr;
--- a/Source/Request/shardchoice.h
+++ b/Source/Request/shardchoice.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <random>
 #include <unordered_map>
+#include <vector>
 
 namespace Yokepond::Request {
 
@@ -19,9 +20,9 @@
 class ShardChoice
 {
 public:
-    /// Returns the shard of @p pool to ask for an endpoint for @p request, or null if none is usable. A shard whose only endpoint
+    /// Returns the one of @p shards to ask for an endpoint for @p request, or null if none is usable. A shard whose only endpoint
     /// is @p avoid is returned only if there is no other.
-    const Dispatch::ShardInfo *choose(Base::Instant now, const Dispatch::ShardMap &shards, std::uint32_t pool,
+    const Dispatch::ShardInfo *choose(Base::Instant now, std::vector<const Dispatch::ShardInfo *> shards,
                                       const NewRequest &request, std::uint32_t avoid, std::mt19937_64 &random) const;
 
     /// Returns whether a shard of @p pool recently had no usable endpoint because all had failed.
--- a/Tests/Dispatch/fixtures.h
+++ b/Tests/Dispatch/fixtures.h
@@ -29,6 +29,16 @@
 create endpoint e2 pool main address 127.0.0.1:2 slots 2
 )";
 
+/// Statements that put each of the two endpoints into a region of its own and bind a class and an organisation to one of them.
+inline constexpr std::string_view twoRegions = R"(
+create data-centre a region north
+create data-centre b region south
+set endpoint e1 data-centre a
+set endpoint e2 data-centre b
+set class alert regions north
+set organisation large regions south
+)";
+
 /// Returns the configuration objects that @p statements create.
 inline Configuration::Objects objectsOf(const std::string &statements)
 {
--- a/Tests/Dispatch/shardtest.cpp
+++ b/Tests/Dispatch/shardtest.cpp
@@ -616,3 +616,61 @@
     shard->ask(at(0.1), home, again);
     CHECK_TRUE(granted().contains(endpoint("e1")));
 }
+
+TEST_GROUP_BASE(ShardRegions, TEST_GROUP_CppUTestGroupShard) {void setup() override {build(std::string(Tests::twoRegions));
+}
+
+void askAs(std::string_view organisation, std::string_view name, double now)
+{
+    Peer::Ask made;
+    made.id = {next++, 1};
+    made.shard = 1;
+    made.requestClass = Tests::numberOf(objects, Kind::Class, name);
+    made.organisation = Tests::numberOf(objects, Kind::Organisation, organisation);
+    made.remaining = std::chrono::seconds(20);
+    made.sentAt = at(now);
+    shard->ask(at(now), home, made);
+}
+
+std::set<std::uint32_t> grantedEndpoints()
+{
+    std::set<std::uint32_t> found;
+    for (const Peer::Grant &grant : replies<Peer::Grant>()) {
+        found.insert(grant.endpoint);
+    }
+    return found;
+}
+}
+;
+
+/// Guards against requests that leave the regions of their class or of their organisation.
+TEST(ShardRegions, aRequestIsServedInItsRegionsOnly)
+{
+    for (int index = 0; index < 6; ++index) {
+        askAs("small", "alert", 0);
+    }
+    CHECK_TRUE(grantedEndpoints() == (std::set<std::uint32_t> {endpoint("e1")}));
+    CHECK_EQUAL(4U, shard->queued());
+    askAs("large", "desk", 0);
+    CHECK_TRUE(grantedEndpoints() == (std::set<std::uint32_t> {endpoint("e2")}));
+}
+
+/// Guards against a request that waits for a region that both its class and its organisation exclude.
+TEST(ShardRegions, aRequestWithoutACommonRegionIsRefusedAtOnce)
+{
+    askAs("large", "alert", 0);
+    CHECK_EQUAL(1U, replies<Peer::Refusal>().size());
+    CHECK_EQUAL(0U, shard->queued());
+}
+
+/// Guards against requests that wait in vain once the endpoints of their region have gone.
+TEST(ShardRegions, queuedRequestsAreRefusedWhenTheirRegionHasNoEndpointLeft)
+{
+    for (int index = 0; index < 4; ++index) {
+        askAs("small", "alert", 0);
+    }
+    replies<Peer::Grant>();
+    shard->setLeaving(at(1), {endpoint("e1")});
+    CHECK_EQUAL(2U, replies<Peer::Refusal>().size());
+    CHECK_EQUAL(0U, shard->queued());
+}
--- a/Tests/Node/settingstest.cpp
+++ b/Tests/Node/settingstest.cpp
@@ -95,3 +95,9 @@
     STRCMP_CONTAINS("[usage] quiet-ms",
                     errorOf(std::string(validText) + "[usage]\naddress = 127.0.0.1:1\nquiet-ms = 1400\n").c_str());
 }
+
+TEST(Settings, regionsNameADataCentreEach)
+{
+    STRCMP_EQUAL("", errorOf(std::string(validText) + "[regions]\nlisbon-a = lisbon\nporto-a = north\n").c_str());
+    STRCMP_CONTAINS("[regions] porto-a", errorOf(std::string(validText) + "[regions]\nporto-a =\n").c_str());
+}
--- a/Tests/Platform/siteformtest.cpp
+++ b/Tests/Platform/siteformtest.cpp
@@ -169,3 +169,23 @@
                    R"({"service":"llm","address":"10.0.0.9:80","zone":"a","slots":64,"state":"ready"})", until});
     CHECK_TRUE(Platform::decodeSite(records)->endpoints.front().cold == (ColdPeriod {until, 9.1}));
 }
+
+// Guards against requests and bodies that leave the regions that a route and an organisation name.
+TEST(SiteForm, routesAndOrganisationsNameTheirRegions)
+{
+    records.merge(
+        {RecordKind::Configuration, "config", 9, false,
+         R"({"routes":[{"name":"r","host":"h","path_prefix":"/","type":"idempotent","service":"llm","allowed_regions":["north"]}],
+                       "services":[{"name":"llm"}],"tenants":[{"name":"town","api_keys":[],"allowed_regions":["north","south"]}]})"});
+    CatalogueParts parts = *Platform::decodeSite(records);
+    CHECK_TRUE(parts.classes.front().regions == (std::vector<std::string> {"north"}));
+    CHECK_TRUE(parts.organisations.front().regions == (std::vector<std::string> {"north", "south"}));
+    const RequestOwner owner {parts.classes.front().number, parts.organisations.front().number};
+    parts.regions = {{"a", "south"}};
+    const auto catalogue = Catalogue::assemble(parts);
+    CHECK_TRUE(catalogue->isBoundToRegions(owner));
+    CHECK_FALSE(catalogue->mayServe(catalogue->endpoints().front(), owner));
+    parts.regions = {{"a", "north"}};
+    const auto moved = Catalogue::assemble(parts);
+    CHECK_TRUE(moved->mayServe(moved->endpoints().front(), owner));
+}
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -654,3 +654,33 @@
     granted(2, 3);
     CHECK_EQUAL(1U, actions<StartRun>().size());
 }
+
+TEST_GROUP_BASE(HomeRegions, TEST_GROUP_CppUTestGroupHome) {
+    void setup() override {objects = Tests::objectsOf(std::string(Tests::threeTiers) + std::string(Tests::twoRegions));
+catalogue = Configuration::Catalogue::build(objects);
+view(0);
+}
+}
+;
+
+/// Guards against a home that asks a dispatcher whose endpoints are all in other regions.
+TEST(HomeRegions, onlyShardsInTheRegionsOfTheRequestAreAsked)
+{
+    const Dispatch::ShardMap shards(*catalogue, members);
+    for (std::uint64_t id = 1; id <= 20; ++id) {
+        start(id, "alert");
+        const auto *shard = shards.find(lastAsk().shard);
+        CHECK_TRUE(shard->endpoints == (std::vector<std::uint32_t> {Tests::numberOf(objects, Kind::Endpoint, "e1")}));
+    }
+}
+
+/// Guards against one request that keeps a home from asking for others of the same pool.
+TEST(HomeRegions, aRefusalBecauseOfRegionsDoesNotMarkTheShard)
+{
+    start(1, "alert");
+    const Peer::Ask ask = lastAsk();
+    home.receive(at(0.1), "h2", Peer::Refusal {ask.id, Peer::RefusalReason::NoEndpoint, std::chrono::seconds(1), 0});
+    CHECK_EQUAL(1U, actions<Fail>().size());
+    start(2, "alert", 0.2);
+    CHECK_TRUE(lastAsk().id.request == 2);
+}
