Dispatch: Use the endpoint of a failed attempt where all others rest

What callers saw: an ask for a further attempt waited for the end of the others' cooldowns, though the endpoint that it avoids would have taken it. Cause: the endpoint was avoided where another had a free slot, whether the ask could use that one or not. Now the endpoints that the ask may use are found first, and the avoided one is left out of these only if another remains.

--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -803,20 +803,20 @@
 Shard::GrantAttempt Shard::tryGrant(Instant now, const QueuedAsk &waiting, const std::vector<Candidate> &withFreeSlots)
 {
     ++m_counters.evaluations;
-    std::vector<Candidate> others;
-    // The endpoint of a failed attempt is used again only if it is the only one with free slots.
-    const bool avoids = waiting.ask.avoid != 0 && withFreeSlots.size() > 1;
-    const bool filters = avoids || waiting.boundToRegions || !m_coolingDown.empty();
+    std::vector<Candidate> allowed;
+    const bool filters = waiting.ask.avoid != 0 || waiting.boundToRegions || !m_coolingDown.empty();
     if (filters) {
-        std::ranges::copy_if(withFreeSlots, std::back_inserter(others), [&](const Candidate &candidate) {
-            const bool avoided = avoids && candidate.endpoint == waiting.ask.avoid;
-            return !avoided && isAllowed(now, waiting, candidate.endpoint);
-        });
-        if (others.empty()) {
+        std::ranges::copy_if(withFreeSlots, std::back_inserter(allowed),
+                             [&](const Candidate &candidate) { return isAllowed(now, waiting, candidate.endpoint); });
+        if (allowed.empty()) {
             return waiting.boundToRegions ? GrantAttempt::OtherRegions : GrantAttempt::NotNow;
         }
+        // The endpoint of a failed attempt is used again only if it is the only one that the ask may use now.
+        if (allowed.size() > 1) {
+            std::erase_if(allowed, [&](const Candidate &candidate) { return candidate.endpoint == waiting.ask.avoid; });
+        }
     }
-    const std::vector<Candidate> &found = filters ? others : withFreeSlots;
+    const std::vector<Candidate> &found = filters ? allowed : withFreeSlots;
     const auto endpoint = std::visit([&](const auto &placement) { return placement.choose(waiting, found, now); }, m_placement);
     if (!endpoint) {
         return GrantAttempt::NotNow;
