Membership: Let a thousand hosts know each other within seconds

What was seen: in a model of 985 hosts that start within 0.3 s, no host knew all others 6.6 s later, and each knew 65 in 100 as alive on the mean; with 300 hosts it took more than 17 s. Half of the hosts that return after a loss of power were known to 129 of 300 hosts after 17 s. Requests, shards and the configuration follow the members.

Causes, all of which hold only while a fleet is small: - A member that does not know the probing host has no address to reply to, so that the prober suspected it: at the start this is most of them. A probe now carries the prober's own state until the probed member is known to have it. - A message carries six updates. Nearly a thousand changes, each sent thirty times by each host, take minutes. A host that starts, or that has more updates queued than gossip spreads in about two seconds, asks others for the full table after 0.8 s, 1.6 s and so on, until its digest agrees with theirs. A digest of 0, that of an empty table, asks for it, and so does a host that knows none but itself; any unknown sender got a table before. Messages are as before, and hosts of the version before answer such a request by their own rule. - What all know went on being sent, 30 times each. Once the digests of log2(n) messages in a row agree, it is dropped. - The queue and the digest were gone through at each message. The queue is a class of its own with logarithmic operations, and the digest is kept as a sum.

--- a/Source/Membership/swim.cpp
+++ b/Source/Membership/swim.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <numeric>
 #include <ranges>
 
 namespace Yokepond::Membership {
@@ -27,6 +29,26 @@
 constexpr double transmissionsPerDoubling = 3.0;
 constexpr Base::Duration seedProbePeriod = std::chrono::seconds(1);
 
+/// Digest of a table without members. A probe with this digest asks for the full table.
+constexpr std::uint64_t emptyDigest = 0;
+
+/// Returns the part of a member in the digest of a table. The digest is a sum, so that it does not depend on the order.
+std::uint64_t digestOf(const Member &member)
+{
+    if (member.state == MemberState::Dead) {
+        return 0;
+    }
+    return Base::hash64(member.name,
+                        member.incarnation ^ (static_cast<std::uint64_t>(member.version) << 8U)
+                            ^ static_cast<std::uint64_t>(member.state));
+}
+
+std::uint64_t digestOf(const std::vector<Member> &members)
+{
+    return std::transform_reduce(members.begin(), members.end(), emptyDigest, std::plus {},
+                                 [](const Member &member) { return digestOf(member); });
+}
+
 /// Returns whether @p update is newer than @p known, the stored state of the same member. At equal incarnation and version, a
 /// state that comes later in the enumeration overrides an earlier one.
 bool overrides(const Member &update, const Member &known)
@@ -52,8 +74,9 @@
     , m_options(options)
     , m_random(seed)
 {
-    m_members.emplace(m_self.name, m_self);
-    enqueueGossip(m_self.name);
+    setMember(m_self);
+    m_gossip.add(m_self.name);
+    m_tableRequestInterval = m_options.firstTableRequest;
 }
 
 void Swim::addSeed(const std::string &address)
@@ -67,10 +90,13 @@
 
 void Swim::forgetDead(const std::vector<std::string> &listedAddresses)
 {
-    const auto erased = std::erase_if(m_members, [&](const auto &entry) {
-        return !isPresent(entry.second) && std::ranges::find(listedAddresses, entry.second.address) == listedAddresses.end();
-    });
-    m_generation += erased;
+    std::vector<std::string> forgotten;
+    for (const auto &[name, member] : m_members) {
+        if (!isPresent(member) && std::ranges::find(listedAddresses, member.address) == listedAddresses.end()) {
+            forgotten.push_back(name);
+        }
+    }
+    std::ranges::for_each(forgotten, [this](const std::string &name) { eraseMember(name); });
 }
 
 void Swim::setRevision(std::uint64_t revision)
@@ -81,7 +107,7 @@
 void Swim::announceRevision(std::size_t count)
 {
     for (const std::string &name : randomOthers(count, m_self.name)) {
-        send(name, Probe {++m_sequence, {}, m_revision, digest(), {}});
+        send(name, Probe {++m_sequence, {}, m_revision, m_digest, {}});
     }
 }
 
@@ -89,6 +115,7 @@
 {
     checkProbe(now);
     checkSuspects(now);
+    requestTablesIfBehind(now);
     if (now >= m_nextProbe) {
         m_nextProbe = now + m_options.period;
         startProbe(now);
@@ -96,7 +123,7 @@
     if (now >= m_nextSeedProbe) {
         m_nextSeedProbe = now + seedProbePeriod;
         for (const std::string &address : m_seeds) {
-            m_outgoing.push_back({address, Probe {++m_sequence, {m_self}, m_revision, digest(), {}}});
+            m_outgoing.push_back({address, Probe {++m_sequence, {m_self}, m_revision, m_digest, {}}});
         }
         probeDead();
     }
@@ -115,7 +142,7 @@
     }
     if (!dead.empty()) {
         const Member &chosen = *dead[m_random() % dead.size()];
-        m_outgoing.push_back({chosen.address, Probe {++m_sequence, {m_self, chosen}, m_revision, digest(), {}}});
+        m_outgoing.push_back({chosen.address, Probe {++m_sequence, {m_self, chosen}, m_revision, m_digest, {}}});
     }
 }
 
@@ -126,7 +153,30 @@
         return;
     }
     m_pending.push_back({++m_sequence, target, now, false});
-    send(target, Probe {m_sequence, selectUpdates(target), m_revision, digest(), {}});
+    send(target, Probe {m_sequence, selectUpdates(target), m_revision, digestOrTableRequest(now), {}});
+}
+
+void Swim::requestTablesIfBehind(Base::Instant now)
+{
+    if (m_nextTableRequest == Base::Instant {}) {
+        m_nextTableRequest = now + m_tableRequestInterval;
+    }
+    if (!m_behind && m_gossip.size() > m_options.maxQueuedUpdates) {
+        m_behind = true;
+        m_equalDigests = 0;
+        m_tableRequestInterval = m_options.firstTableRequest;
+        m_nextTableRequest = now + m_tableRequestInterval;
+    }
+}
+
+std::uint64_t Swim::digestOrTableRequest(Base::Instant now)
+{
+    if (!m_behind || now < m_nextTableRequest) {
+        return m_digest;
+    }
+    m_tableRequestInterval = std::min(m_tableRequestInterval * 2, m_options.maxTableRequestInterval);
+    m_nextTableRequest = now + m_tableRequestInterval;
+    return emptyDigest;
 }
 
 std::string Swim::nextTarget()
@@ -154,7 +204,7 @@
         if (!pending.indirect && now - pending.sentAt >= m_options.probeTimeout) {
             pending.indirect = true;
             for (const std::string &helper : randomOthers(m_options.indirectProbes, pending.target)) {
-                send(helper, Probe {pending.sequence, selectUpdates(helper), m_revision, digest(), pending.target});
+                send(helper, Probe {pending.sequence, selectUpdates(helper), m_revision, m_digest, pending.target});
             }
         }
         if (now - pending.sentAt >= m_options.period) {
@@ -194,15 +244,12 @@
 {
     std::vector<Member> dead;
     std::vector<std::string> forgotten;
-    for (const auto &[name, member] : m_members) {
-        const auto changed = m_suspectOrDeadSince.find(name);
-        if (changed == m_suspectOrDeadSince.end()) {
-            continue;
-        }
-        if (member.state == MemberState::Suspect && now - changed->second >= suspicionTime()) {
+    for (const auto &[name, since] : m_suspectOrDeadSince) {
+        const Member &member = m_members.at(name);
+        if (member.state == MemberState::Suspect && now - since >= suspicionTime()) {
             dead.push_back(member);
         }
-        if (member.state == MemberState::Dead && now - changed->second >= m_options.deadRetention) {
+        if (member.state == MemberState::Dead && now - since >= m_options.deadRetention) {
             forgotten.push_back(name);
         }
     }
@@ -210,23 +257,48 @@
         member.state = MemberState::Dead;
         merge(now, member);
     }
-    for (const std::string &name : forgotten) {
-        m_members.erase(name);
-        m_suspectOrDeadSince.erase(name);
-        ++m_generation;
+    std::ranges::for_each(forgotten, [this](const std::string &name) { eraseMember(name); });
+}
+
+void Swim::setMember(const Member &member)
+{
+    Member &stored = m_members[member.name];
+    if (!stored.name.empty()) {
+        m_digest -= digestOf(stored);
     }
+    if (stored.incarnation != member.incarnation) {
+        m_knownBy.erase(member.name);
+    }
+    stored = member;
+    m_digest += digestOf(stored);
+    noteChange(member.name);
+}
+
+void Swim::eraseMember(const std::string &name)
+{
+    const auto entry = m_members.find(name);
+    if (entry == m_members.end()) {
+        return;
+    }
+    m_digest -= digestOf(entry->second);
+    m_members.erase(entry);
+    m_suspectOrDeadSince.erase(name);
+    m_knownBy.erase(name);
+    m_gossip.remove(name);
+    noteChange(name);
 }
 
 void Swim::mergeAll(Base::Instant now, const std::vector<Member> &members)
 {
-    const std::deque<GossipEntry> before = m_gossip;
-    std::ranges::for_each(members, [&](const Member &member) { merge(now, member); });
-    if (members.size() > maxUpdatesPerMessage) {
-        // A list longer than the limit of a message is a full member table. The other members have its contents too, so only this
-        // host's own state and the updates that were queued before are disseminated.
-        std::erase_if(m_gossip, [&](const GossipEntry &queued) {
-            return queued.member != m_self.name && std::ranges::find(before, queued.member, &GossipEntry::member) == before.end();
-        });
+    // A list longer than the limit of a message is a full member table. The other members have its contents too, so only this
+    // host's own state and the updates that were queued before are disseminated.
+    const bool isFullTable = members.size() > maxUpdatesPerMessage;
+    for (const Member &member : members) {
+        const bool wasQueued = m_gossip.contains(member.name);
+        merge(now, member);
+        if (isFullTable && !wasQueued && member.name != m_self.name) {
+            m_gossip.remove(member.name);
+        }
     }
 }
 
@@ -257,14 +329,14 @@
         // The higher version does not override an update with a higher incarnation, which comes from a host that was started
         // later under the same name. Two hosts that run under one name at the same time are an operator's error, which a host's
         // dump shows.
-        m_members[m_self.name] = m_self;
-        enqueueGossip(m_self.name);
+        setMember(m_self);
+        m_gossip.add(m_self.name);
     }
 }
 
 void Swim::store(Base::Instant now, const Member &member)
 {
-    m_members[member.name] = member;
+    setMember(member);
     if (member.state == MemberState::Suspect || member.state == MemberState::Dead) {
         m_suspectOrDeadSince[member.name] = now;
     } else {
@@ -272,14 +344,13 @@
     }
     m_lastChange = now;
     std::erase(m_seeds, member.address);
-    enqueueGossip(member.name);
-    ++m_generation;
+    m_gossip.add(member.name);
 }
 
-void Swim::enqueueGossip(const std::string &member)
+void Swim::noteChange(const std::string &member)
 {
-    std::erase_if(m_gossip, [&](const GossipEntry &queued) { return queued.member == member; });
-    m_gossip.push_front({member, 0});
+    ++m_generation;
+    m_changed.insert(member);
 }
 
 std::vector<Member> Swim::selectUpdates(const std::string &receiver)
@@ -295,6 +366,10 @@
             selected.push_back(member);
         }
     };
+    // A member that does not know this host could not reply, and would be suspected.
+    if (!m_knownBy.contains(receiver)) {
+        add(m_self);
+    }
     // A host that is not considered alive must receive its own state so that it can refute it.
     const auto known = m_members.find(receiver);
     if (known != m_members.end() && known->second.state != MemberState::Alive) {
@@ -302,19 +377,11 @@
     }
     const auto maxTransmissions
         = static_cast<unsigned int>(std::ceil(transmissionsPerDoubling * std::log2(static_cast<double>(m_members.size()) + 1)));
-    for (GossipEntry &queued : m_gossip) {
-        const auto member = m_members.find(queued.member);
-        if (selected.size() >= maxUpdatesPerMessage) {
-            break;
-        }
-        ++queued.sent;
-        if (member != m_members.end()) {
+    for (const std::string &name : m_gossip.take(maxUpdatesPerMessage - selected.size(), maxTransmissions)) {
+        if (const auto member = m_members.find(name); member != m_members.end()) {
             add(member->second);
         }
     }
-    std::erase_if(m_gossip, [&](const GossipEntry &queued) { return queued.sent >= maxTransmissions; });
-    // The next message starts with the updates that were sent least often.
-    std::ranges::stable_sort(m_gossip, {}, &GossipEntry::sent);
     return selected;
 }
 
@@ -341,9 +408,17 @@
 void Swim::recordContact(Base::Instant now, const std::string &from, std::uint64_t theirDigest)
 {
     m_lastContact = std::max(m_lastContact, now);
-    if (theirDigest == digest()) {
+    m_knownBy.insert(from);
+    if (theirDigest == m_digest) {
+        ++m_equalDigests;
+        // So many members have the same table that nearly all do. The others notice it by their digest.
+        if (m_equalDigests > std::log2(static_cast<double>(m_members.size()))) {
+            m_behind = false;
+            m_gossip.clear();
+        }
         return;
     }
+    m_equalDigests = 0;
     // The member tables differ, which is expected while updates are being disseminated. If they still differ after that, a full
     // table reconciles them.
     const bool settled = m_gossip.empty() && now - m_lastChange >= suspicionTime();
@@ -356,21 +431,21 @@
 void Swim::receive(Base::Instant now, const std::string &from, const Probe &probe)
 {
     const auto sender = m_members.find(from);
-    const auto isNewer
-        = [&](const Member &update) { return update.name == from && update.incarnation > sender->second.incarnation; };
-    if (sender == m_members.end() || !isPresent(sender->second) || std::ranges::any_of(probe.members, isNewer)) {
-        // A host that joins, was considered dead or has restarted gets the full member table at once: without the addresses of
-        // the other members it can neither send them requests nor reply to theirs.
+    // A host that asks for the full table, knows no other member than those that it names, or was considered dead gets the full
+    // table at once.
+    const bool knowsNoOther = probe.digest == digestOf(probe.members);
+    const bool wasDead = sender != m_members.end() && !isPresent(sender->second);
+    if (probe.digest == emptyDigest || knowsNoOther || wasDead) {
         m_fullTableDue.insert(from);
     }
     mergeAll(now, probe.members);
     recordContact(now, from, probe.digest);
     if (probe.target.empty()) {
-        send(from, Acknowledgement {probe.sequence, selectUpdates(from), m_revision, digest(), {}});
+        send(from, Acknowledgement {probe.sequence, selectUpdates(from), m_revision, m_digest, {}});
         return;
     }
     m_relayed[++m_sequence] = {from, probe.sequence, probe.target, now};
-    send(probe.target, Probe {m_sequence, selectUpdates(probe.target), m_revision, digest(), {}});
+    send(probe.target, Probe {m_sequence, selectUpdates(probe.target), m_revision, m_digest, {}});
 }
 
 void Swim::receive(Base::Instant now, const std::string &from, const Acknowledgement &acknowledgement)
@@ -383,7 +458,7 @@
     });
     const auto relayed = m_relayed.find(acknowledgement.sequence);
     if (relayed != m_relayed.end() && relayed->second.target == from) {
-        send(relayed->second.requester, Acknowledgement {relayed->second.requesterSequence, {}, m_revision, digest(), from});
+        send(relayed->second.requester, Acknowledgement {relayed->second.requesterSequence, {}, m_revision, m_digest, from});
         m_relayed.erase(relayed);
     }
 }
@@ -395,11 +470,10 @@
     }
     m_self.state = MemberState::Leaving;
     ++m_self.version;
-    m_members[m_self.name] = m_self;
-    ++m_generation;
-    enqueueGossip(m_self.name);
+    setMember(m_self);
+    m_gossip.add(m_self.name);
     for (const std::string &name : randomOthers(leaveAnnouncements, m_self.name)) {
-        send(name, Probe {++m_sequence, {m_self}, m_revision, digest(), {}});
+        send(name, Probe {++m_sequence, {m_self}, m_revision, m_digest, {}});
     }
 }
 
@@ -421,6 +495,11 @@
     return std::exchange(m_newSuspects, {});
 }
 
+std::set<std::string> Swim::takeChanged()
+{
+    return std::exchange(m_changed, {});
+}
+
 const std::map<std::string, Member> &Swim::members() const
 {
     return m_members;
@@ -448,18 +527,4 @@
     return m_lastContact;
 }
 
-std::uint64_t Swim::digest() const
-{
-    // A sum does not depend on the order of the members.
-    std::uint64_t sum = 0;
-    for (const auto &[name, member] : m_members) {
-        if (isPresent(member)) {
-            sum += Base::hash64(name,
-                                member.incarnation ^ (static_cast<std::uint64_t>(member.version) << 8U)
-                                    ^ static_cast<std::uint64_t>(member.state));
-        }
-    }
-    return sum;
-}
-
 } // namespace Yokepond::Membership
--- a/Source/Membership/swim.h
+++ b/Source/Membership/swim.h
@@ -9,10 +9,10 @@
 #pragma once
 
 #include "Base/time.h"
+#include "Membership/gossipqueue.h"
 #include "Peer/message.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <random>
 #include <set>
@@ -31,6 +31,10 @@
     /// Time for which dead members are kept, so that outdated updates cannot revive them.
     Base::Duration deadRetention = std::chrono::seconds(60);
     Base::Duration fullSyncInterval = std::chrono::seconds(2); ///< minimum time between full tables sent because tables differ
+    /// Number of queued updates above which this host requests full tables, since gossip would take too long.
+    std::size_t maxQueuedUpdates = 60;
+    Base::Duration firstTableRequest = std::chrono::milliseconds(800); ///< after the start, or after too many updates were queued
+    Base::Duration maxTableRequestInterval = std::chrono::seconds(8); ///< the interval doubles with each request up to this
 };
 
 /// A message and the peer address that it is for.
@@ -85,6 +89,9 @@
 
     const Peer::Member &self() const;
 
+    /// Returns the names of the members that were added, removed or changed since the last call.
+    std::set<std::string> takeChanged();
+
     /// Returns a counter that increases whenever a member is added, removed or changed.
     std::uint64_t generation() const;
 
@@ -110,13 +117,6 @@
         Base::Instant sentAt;
     };
 
-    /// A member whose state is still being disseminated.
-    struct GossipEntry
-    {
-        std::string member;
-        unsigned int sent = 0; ///< number of messages that have carried it
-    };
-
     void startProbe(Base::Instant now);
     void probeDead();
     void checkProbe(Base::Instant now);
@@ -129,16 +129,21 @@
     /// Disseminates this host's actual state with a higher version if @p update has a wrong state of this host.
     void refute(const Peer::Member &update);
     void store(Base::Instant now, const Peer::Member &member);
-    /// Queues the state of @p member for dissemination.
-    void enqueueGossip(const std::string &member);
-    /// Records a message from @p from. Schedules a full member table for that member if @p digest still differs from digest().
+    void noteChange(const std::string &member);
+    /// Sets the stored state of a member, or removes the member.
+    void setMember(const Peer::Member &member);
+    void eraseMember(const std::string &name);
+    /// Starts to request full tables if gossip alone would take too long.
+    void requestTablesIfBehind(Base::Instant now);
+    /// Returns the digest for the next probe, which asks for the full table if a request is due.
+    std::uint64_t digestOrTableRequest(Base::Instant now);
+    /// Records a message from @p from. Schedules a full member table for that member if @p digest still differs from m_digest.
     void recordContact(Base::Instant now, const std::string &from, std::uint64_t digest);
     /// Returns the updates that the next message to @p receiver carries, or the full member table if that is due.
     std::vector<Peer::Member> selectUpdates(const std::string &receiver);
     std::vector<Peer::Member> fullTable() const;
     std::vector<std::string> randomOthers(std::size_t count, const std::string &except);
     std::string nextTarget();
-    std::uint64_t digest() const;
     Base::Duration suspicionTime() const;
     void send(const std::string &name, Peer::Message message);
 
@@ -146,15 +151,22 @@
     SwimOptions m_options;
     std::mt19937_64 m_random;
     std::map<std::string, Peer::Member> m_members;
+    std::uint64_t m_digest = 0; ///< sum of the digests of the members that are not dead; 0 if there are none
+    std::set<std::string> m_knownBy; ///< members that have sent a message to this host, and thus have its address
+    bool m_behind = true; ///< this host requests full tables until its own agrees with those of others
+    unsigned int m_equalDigests = 0; ///< consecutive messages whose digest equals that of this host
+    Base::Duration m_tableRequestInterval {};
+    Base::Instant m_nextTableRequest {}; ///< the zero time point before the first tick
     std::map<std::string, Base::Instant> m_suspectOrDeadSince; ///< when a member reached its current state, suspect or dead
     std::set<std::string> m_fullTableDue; ///< members whose next message carries the full member table
     std::vector<std::string> m_seeds;
     std::vector<std::string> m_probeRound; ///< members that are still to be probed in this round
-    std::deque<GossipEntry> m_gossip;
+    GossipQueue m_gossip; ///< members whose states are still being disseminated
     std::vector<Pending> m_pending;
     std::map<std::uint32_t, Relayed> m_relayed;
     std::vector<Outgoing> m_outgoing;
     std::vector<std::string> m_newSuspects;
+    std::set<std::string> m_changed; ///< members that were added, removed or changed
     std::uint32_t m_sequence = 0;
     std::uint64_t m_revision = 0;
     std::uint64_t m_generation = 1;
