--- a/Tests/Platform/siteformtest.cpp
+++ b/Tests/Platform/siteformtest.cpp
@@ -252,3 +252,18 @@
         previous = changed;
     }
 }
+
+// Guards against an endpoint that has restarted under its name and is avoided, or preferred, for what it said or kept before.
+TEST(SiteForm, anEndpointThatHasRestartedUnderItsNameIsANewOne)
+{
+    const auto numberWith = [this](std::uint64_t version, std::string_view born) {
+        endpoint("i-1", version,
+                 fmt::format(R"({{"service":"llm","address":"10.0.0.9:80","slots":64,"state":"ready"{}}})", born));
+        const auto parts = Platform::decodeSite(records);
+        return parts->endpoints.empty() ? 0 : parts->endpoints.front().number;
+    };
+    const std::uint32_t first = numberWith(9, R"(,"born":1764778260000)");
+    CHECK_TRUE(first == numberWith(10, R"(,"born":1764778260000,"version":"v2")"));
+    CHECK_TRUE(first != numberWith(11, R"(,"born":1764778290000)"));
+    CHECK_EQUAL(0U, numberWith(12, R"(,"born":"yesterday")"));
+}
