Request: Let hosts whose share of the retries is below one draw lots for them

What callers saw: in a fleet with more hosts than 0.4 of the slack no failed run was ever tried again, although the class allows it and the budget of all hosts was untouched: a share of 1,040 retries for 985 hosts is 0.42, and a retry takes a whole one. Now a host whose share is below one stakes all of it, and gets the retry with that probability. All hosts together spend what they have on the mean, as in one bucket; a bound of their own is the share that each stakes.

`TokenBucket, manySmallSharesAreSpentTogether` fails without the change, with which not one of 3,000 tokens is spent.

--- a/Source/Base/tokenbucket.h
+++ b/Source/Base/tokenbucket.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <algorithm>
+#include <utility>
 
 namespace Yokepond::Base {
 
@@ -36,6 +37,17 @@
         return true;
     }
 
+    /// Removes one token. If less than one is left, removes what is left and succeeds with that probability; @p draw is a random
+    /// number from 0 to 1. Many buckets that share a budget thus spend all of it together, however small their shares are.
+    /// Returns false if it fails.
+    bool spendOrStake(double draw)
+    {
+        if (m_left >= 1.0) {
+            return spend();
+        }
+        return draw < std::exchange(m_left, 0.0);
+    }
+
     double left() const
     {
         return m_left;
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -594,10 +594,8 @@
 {
     // A run that was not sent because its grant was stale takes nothing from the retry budget.
     const bool withoutCharge = report.stage == RunStage::Stale;
-    const bool withinBudget = withoutCharge || retryBudget(pending).left() >= 1.0;
-    if (mayRetry(pending, report) && now < pending.deadline && withinBudget) {
+    if (mayRetry(pending, report) && now < pending.deadline && (withoutCharge || takeRetry(pending))) {
         if (!withoutCharge) {
-            retryBudget(pending).spend();
             pending.avoid = pending.endpoint;
         }
         ++m_counters.retried;
@@ -622,6 +620,15 @@
          Duration::zero());
 }
 
+bool Home::takeRetry(const Pending &pending)
+{
+    Base::TokenBucket &budget = retryBudget(pending);
+    if (!m_catalogue->policies().retryBudgetIsShared) {
+        return budget.spend();
+    }
+    return budget.spendOrStake(std::uniform_real_distribution(0.0, 1.0)(m_random));
+}
+
 Base::TokenBucket &Home::retryBudget(const Pending &pending)
 {
     const Configuration::Policies &policies = m_catalogue->policies();
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -175,6 +175,9 @@
     bool mayRetry(const Pending &pending, const RunReport &report) const;
     void expire(Base::Instant now, Pending &pending);
     /// Returns the retry budget of the request's pool. First attempts fill it, so that retries cannot multiply an overload.
+    /// Takes a retry from the budget. Returns false if it has none for this request. In a large fleet the share of each host in
+    /// the common budget is less than one retry, so hosts draw lots.
+    bool takeRetry(const Pending &pending);
     Base::TokenBucket &retryBudget(const Pending &pending);
     void cancelRun(Pending &pending);
     void stopRequest(Base::Instant now, Pending &pending, const absl::Status &error);
