Configuration: Pack the endpoints once for the hosts that ask for the same

Packed changes of endpoints are now kept as those of the configuration are, for the same revisions and half a second, since they tell how long endpoints are still cold. `ChangesCodec, equalRequestsForEndpointsArePackedOnceInHalfASecond`; a codec without the cache sends another remaining time after 0.4 s and fails it.

--- a/Source/Configuration/changescodec.cpp
+++ b/Source/Configuration/changescodec.cpp
@@ -14,8 +14,10 @@
 
 /// Twenty times the size of configuration that this is designed for, and an eighth of the memory that a host may use.
 constexpr std::size_t maxUnpackedBytes = std::size_t {16} << 20U;
-/// Maximum number of cached configuration changes: one for each version that receivers still have.
+/// Maximum number of cached changes: one for each version that receivers still have.
 constexpr std::size_t maxCached = 8;
+/// Changes of endpoints tell how long these are still cold, so that they must not be sent much later.
+constexpr Base::Duration maxCacheAge = std::chrono::milliseconds(500);
 
 /// Returns the value of @p configuration as it appears in the text of changes, so that the compressor finds equal parts; empty if
 /// there is no configuration.
@@ -26,9 +28,10 @@
         : nlohmann::json(configuration->value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-absl::StatusOr<PackedChanges> packAgainst(const RecordChanges &changes, const Record *configuration, std::uint64_t base)
+absl::StatusOr<PackedChanges> packAgainst(const RecordChanges &changes, Base::Instant now, const Record *configuration,
+                                          std::uint64_t base)
 {
-    auto bytes = Base::compress(changesToText(changes, Base::now()), dictionaryOf(configuration));
+    auto bytes = Base::compress(changesToText(changes, now), dictionaryOf(configuration));
     if (!bytes.ok()) {
         return bytes.status();
     }
@@ -37,34 +40,42 @@
 
 } // namespace
 
-absl::StatusOr<PackedChanges> ChangesCodec::pack(const SiteRecords &records, const RecordRevisions &since, RecordKind kind)
+ChangesCodec::ChangesCodec(std::function<Base::Instant()> clock)
+    : m_clock(std::move(clock))
 {
-    if (kind != RecordKind::Endpoint) {
-        return packConfiguration(records, since);
-    }
-    return packAgainst(records.changesSince(since, kind), nullptr, 0);
 }
 
-absl::StatusOr<PackedChanges> ChangesCodec::packConfiguration(const SiteRecords &records, const RecordRevisions &since)
+void ChangesCodec::Cache::prune(std::uint64_t current, Base::Instant now)
 {
-    const std::uint64_t revision = records.revisions().configuration;
-    if (revision != m_cachedRevision || m_cache.size() >= maxCached) {
-        m_cache.clear();
-        m_cachedRevision = revision;
+    if (revision != current || bySince.size() >= maxCached || now - begun >= maxCacheAge) {
+        bySince.clear();
+        revision = current;
+        begun = now;
     }
-    const auto cached = m_cache.find(since.configuration);
-    if (cached != m_cache.end()) {
+}
+
+absl::StatusOr<PackedChanges> ChangesCodec::pack(const SiteRecords &records, const RecordRevisions &since, RecordKind kind)
+{
+    Cache &cache = kind == RecordKind::Endpoint ? m_endpoints : m_configurations;
+    cache.prune(records.revisions().forKind(kind), m_clock());
+    if (const auto cached = cache.bySince.find(since.forKind(kind)); cached != cache.bySince.end()) {
         return cached->second;
     }
-    const std::uint64_t base = records.configurationVersionAt(since.configuration);
-    auto packed = packAgainst(records.changesSince(since, RecordKind::Configuration),
-                              base == 0 ? nullptr : records.configurationAt(base), base);
+    auto packed = kind == RecordKind::Endpoint ? packAgainst(records.changesSince(since, kind), m_clock(), nullptr, 0)
+                                               : packConfiguration(records, since);
     if (packed.ok()) {
-        m_cache[since.configuration] = *packed;
+        cache.bySince[since.forKind(kind)] = *packed;
     }
     return packed;
 }
 
+absl::StatusOr<PackedChanges> ChangesCodec::packConfiguration(const SiteRecords &records, const RecordRevisions &since) const
+{
+    const std::uint64_t base = records.configurationVersionAt(since.configuration);
+    return packAgainst(records.changesSince(since, RecordKind::Configuration), m_clock(),
+                       base == 0 ? nullptr : records.configurationAt(base), base);
+}
+
 absl::StatusOr<RecordChanges> ChangesCodec::unpack(const SiteRecords &records, const PackedChanges &packed)
 {
     const Record *base = packed.base == 0 ? nullptr : records.configurationAt(packed.base);
--- a/Source/Configuration/changescodec.h
+++ b/Source/Configuration/changescodec.h
@@ -12,6 +12,7 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -32,6 +33,9 @@
 class ChangesCodec
 {
 public:
+    /// @p clock returns the current time.
+    explicit ChangesCodec(std::function<Base::Instant()> clock = Base::now);
+
     /// Packs the changes of @p kind in @p records after @p since, for a host whose copy is at @p since. Fails with
     /// ErrorKind::Internal.
     absl::StatusOr<PackedChanges> pack(const SiteRecords &records, const RecordRevisions &since, RecordKind kind);
@@ -41,11 +45,22 @@
     static absl::StatusOr<RecordChanges> unpack(const SiteRecords &records, const PackedChanges &packed);
 
 private:
-    absl::StatusOr<PackedChanges> packConfiguration(const SiteRecords &records, const RecordRevisions &since);
+    /// Packed changes by the revision that the receiver has. Many hosts request the same changes.
+    struct Cache
+    {
+        std::map<std::uint64_t, PackedChanges> bySince;
+        std::uint64_t revision = 0; ///< revision that the cached changes lead to
+        Base::Instant begun {}; ///< when the first of them was packed
+
+        /// Removes changes that lead to another revision than @p current, are too old, or too many.
+        void prune(std::uint64_t current, Base::Instant now);
+    };
+
+    absl::StatusOr<PackedChanges> packConfiguration(const SiteRecords &records, const RecordRevisions &since) const;
 
-    /// Packed configuration changes by the version that the receiver has. Many hosts request the same changes.
-    std::map<std::uint64_t, PackedChanges> m_cache;
-    std::uint64_t m_cachedRevision = 0; ///< version of the configuration that the cached changes lead to
+    std::function<Base::Instant()> m_clock;
+    Cache m_configurations;
+    Cache m_endpoints;
 };
 
 } // namespace Yokepond::Configuration
--- a/Tests/Configuration/changescodectest.cpp
+++ b/Tests/Configuration/changescodectest.cpp
@@ -151,3 +151,20 @@
     CHECK_EQUAL(10U, pack().base);
     CHECK_TRUE(transferChanges() < 1000);
 }
+
+// Guards against hosts that pack thousands of endpoints anew for each of the hosts that start at the same time, and against a
+// remaining time that is sent long after it was true.
+TEST(ChangesCodec, equalRequestsForEndpointsArePackedOnceInHalfASecond)
+{
+    Base::Instant now = Base::now();
+    ChangesCodec timed([&now] { return now; });
+    sender.merge({RecordKind::Endpoint, "e1", 1, false, "value", now + std::chrono::seconds(9)});
+    const std::string first = timed.pack(sender, {}, RecordKind::Endpoint)->bytes;
+    now += std::chrono::milliseconds(400);
+    CHECK_TRUE(first == timed.pack(sender, {}, RecordKind::Endpoint)->bytes);
+    now += std::chrono::milliseconds(100);
+    CHECK_FALSE(first == timed.pack(sender, {}, RecordKind::Endpoint)->bytes);
+    sender.merge({RecordKind::Endpoint, "e2", 2, false, "value"});
+    CHECK_EQUAL(2U, ChangesCodec::unpack(receiver, *timed.pack(sender, {}, RecordKind::Endpoint))->records.size());
+    CHECK_EQUAL(1U, ChangesCodec::unpack(receiver, *timed.pack(sender, {0, 1}, RecordKind::Endpoint))->records.size());
+}
