Scaling, Membership: Order nothing for an evacuated data centre; send no table that the asker has

In a small fleet a probe may carry the whole member table; it does not ask for one if both tables agree.

--- a/Source/Configuration/siterecords.cpp
+++ b/Source/Configuration/siterecords.cpp
@@ -19,10 +19,10 @@
 constexpr std::size_t maxPrevious = 8;
 constexpr std::size_t maxPreviousBytes = std::size_t {1} << 20U; ///< a small part of the 128 MB of memory that a host may use
 
-/// A record whose cold period ends later than that of the previous record by more than this tells of a new one. Each host learns
-/// a remaining time with a delay, so that the end of the same period seems to move. Longer remaining times are reduced to this
-/// one.
+/// Longer cold periods in messages are reduced to this one.
 constexpr std::chrono::milliseconds longestColdPeriod = std::chrono::hours(1);
+/// A record whose cold period ends later than that of the previous record by more than this tells of a new one. Each host learns
+/// a remaining time with a delay, so that the end of the same period seems to move.
 constexpr Base::Duration coldPeriodTolerance = std::chrono::seconds(1);
 
 nlohmann::json recordToJson(const Record &record, Base::Instant now)
--- a/Source/Membership/swim.cpp
+++ b/Source/Membership/swim.cpp
@@ -435,10 +435,10 @@
     // table at once.
     const bool knowsNoOther = probe.digest == digestOf(probe.members);
     const bool wasDead = sender != m_members.end() && !isPresent(sender->second);
-    if (probe.digest == emptyDigest || knowsNoOther || wasDead) {
+    mergeAll(now, probe.members);
+    if ((probe.digest == emptyDigest || knowsNoOther || wasDead) && probe.digest != m_digest) {
         m_fullTableDue.insert(from);
     }
-    mergeAll(now, probe.members);
     recordContact(now, from, probe.digest);
     if (probe.target.empty()) {
         send(from, Acknowledgement {probe.sequence, selectUpdates(from), m_revision, m_digest, {}});
--- a/Source/Scaling/scalingplan.cpp
+++ b/Source/Scaling/scalingplan.cpp
@@ -37,7 +37,7 @@
         }
         ScaledPool found {pool.name, *pool.scaling, {}};
         for (const Configuration::DataCentrePrice &price : pool.scaling->prices) {
-            DataCentreCounts counts {price.dataCentre, 0, 0};
+            DataCentreCounts counts {price.dataCentre, 0, 0, catalogue.isEvacuated(price.dataCentre)};
             for (const Configuration::Endpoint &endpoint : catalogue.endpoints()) {
                 if (endpoint.pool == pool.number && endpoint.dataCentre == price.dataCentre && endpoint.acceptsRequests()) {
                     ++(endpoint.preemptible ? counts.preemptible : counts.regular);
@@ -80,6 +80,9 @@
     const bool tooFew = static_cast<double>(totalOf(pool)) < minServingShare * baseline;
     std::vector<Order> orders;
     for (const DataCentreCounts &counts : pool.counts) {
+        if (counts.evacuated) {
+            continue;
+        }
         orders.push_back({pool.pool, counts.dataCentre, true, preemptible});
         if (tooFew) {
             orders.push_back({pool.pool, counts.dataCentre, false, divideRoundingUp(baseline, dataCentres)});
--- a/Source/Scaling/scalingplan.h
+++ b/Source/Scaling/scalingplan.h
@@ -20,6 +20,7 @@
     std::string dataCentre;
     std::uint32_t regular = 0;
     std::uint32_t preemptible = 0;
+    bool evacuated = false; ///< its endpoints get no requests, so nothing is ordered for it
 
     bool operator==(const DataCentreCounts &) const = default;
 };
--- a/Tests/Scaling/scalertest.cpp
+++ b/Tests/Scaling/scalertest.cpp
@@ -49,6 +49,15 @@
 
 TEST_GROUP(ScalingPlan) {};
 
+/// Guards against orders for a data centre that operators have evacuated, and against giving up the engines that return with it.
+TEST(ScalingPlan, nothingIsOrderedForAnEvacuatedDataCentre)
+{
+    const auto orders = planOrders(pool({{"a", 0, 0, true}, {"b", 30, 45}, {"c", 30, 45}}), baseline);
+    CHECK_EQUAL(-1, countOrdered(orders, "a", true));
+    CHECK_EQUAL(-1, countOrdered(orders, "a", false));
+    CHECK_EQUAL(45, countOrdered(orders, "b", true));
+}
+
 /// When all preemptible engines of one data centre are withdrawn, the remaining ones are as many as the operators provided.
 TEST(ScalingPlan, keepsTheCapacityWhenOneDataCentreLosesItsPreemptibleEngines)
 {
