Test: The tests of regions use the groups of shards and homes

Cause: two groups of tests derived from others by a macro that the formatter cannot read, so that their bodies stood without indentation, and one repeated `ask` and the list of granted endpoints. Change: the tests are in the groups Shard and Home; `ask` takes an organisation. Nothing is asserted otherwise.

--- a/Tests/Dispatch/shardtest.cpp
+++ b/Tests/Dispatch/shardtest.cpp
@@ -45,13 +45,22 @@
         return Tests::numberOf(objects, Kind::Endpoint, name);
     }
 
-    Peer::AttemptId ask(std::string_view name, double now, double age = 0)
+    std::set<std::uint32_t> grantedEndpoints()
+    {
+        std::set<std::uint32_t> found;
+        for (const Peer::Grant &grant : replies<Peer::Grant>()) {
+            found.insert(grant.endpoint);
+        }
+        return found;
+    }
+
+    Peer::AttemptId ask(std::string_view name, double now, double age = 0, std::string_view organisation = "small")
     {
         Peer::Ask made;
         made.id = {next++, 1};
         made.shard = 1;
         made.requestClass = Tests::numberOf(objects, Kind::Class, name);
-        made.organisation = Tests::numberOf(objects, Kind::Organisation, "small");
+        made.organisation = Tests::numberOf(objects, Kind::Organisation, organisation);
         made.age = std::chrono::milliseconds(static_cast<int>(age * 1000));
         made.remaining = std::chrono::seconds(20);
         made.sentAt = at(now);
@@ -617,57 +626,34 @@
     CHECK_TRUE(granted().contains(endpoint("e1")));
 }
 
-TEST_GROUP_BASE(ShardRegions, TEST_GROUP_CppUTestGroupShard) {void setup() override {build(std::string(Tests::twoRegions));
-}
-
-void askAs(std::string_view organisation, std::string_view name, double now)
-{
-    Peer::Ask made;
-    made.id = {next++, 1};
-    made.shard = 1;
-    made.requestClass = Tests::numberOf(objects, Kind::Class, name);
-    made.organisation = Tests::numberOf(objects, Kind::Organisation, organisation);
-    made.remaining = std::chrono::seconds(20);
-    made.sentAt = at(now);
-    shard->ask(at(now), home, made);
-}
-
-std::set<std::uint32_t> grantedEndpoints()
-{
-    std::set<std::uint32_t> found;
-    for (const Peer::Grant &grant : replies<Peer::Grant>()) {
-        found.insert(grant.endpoint);
-    }
-    return found;
-}
-}
-;
-
 /// Guards against requests that leave the regions of their class or of their organisation.
-TEST(ShardRegions, aRequestIsServedInItsRegionsOnly)
+TEST(Shard, aRequestIsServedInItsRegionsOnly)
 {
+    build(std::string(Tests::twoRegions));
     for (int index = 0; index < 6; ++index) {
-        askAs("small", "alert", 0);
+        ask("alert", 0);
     }
     CHECK_TRUE(grantedEndpoints() == (std::set<std::uint32_t> {endpoint("e1")}));
     CHECK_EQUAL(4U, shard->queued());
-    askAs("large", "desk", 0);
+    ask("desk", 0, 0, "large");
     CHECK_TRUE(grantedEndpoints() == (std::set<std::uint32_t> {endpoint("e2")}));
 }
 
 /// Guards against a request that waits for a region that both its class and its organisation exclude.
-TEST(ShardRegions, aRequestWithoutACommonRegionIsRefusedAtOnce)
+TEST(Shard, aRequestWithoutACommonRegionIsRefusedAtOnce)
 {
-    askAs("large", "alert", 0);
+    build(std::string(Tests::twoRegions));
+    ask("alert", 0, 0, "large");
     CHECK_EQUAL(1U, replies<Peer::Refusal>().size());
     CHECK_EQUAL(0U, shard->queued());
 }
 
 /// Guards against requests that wait in vain once the endpoints of their region have gone.
-TEST(ShardRegions, queuedRequestsAreRefusedWhenTheirRegionHasNoEndpointLeft)
+TEST(Shard, queuedRequestsAreRefusedWhenTheirRegionHasNoEndpointLeft)
 {
+    build(std::string(Tests::twoRegions));
     for (int index = 0; index < 4; ++index) {
-        askAs("small", "alert", 0);
+        ask("alert", 0);
     }
     replies<Peer::Grant>();
     shard->setLeaving(at(1), {endpoint("e1")});
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -34,6 +34,13 @@
         view(0);
     }
 
+    void useTwoRegions()
+    {
+        objects = Tests::objectsOf(std::string(Tests::threeTiers) + std::string(Tests::twoRegions));
+        catalogue = Configuration::Catalogue::build(objects);
+        view(0);
+    }
+
     void view(double now)
     {
         home.updateView(at(now), catalogue, std::make_shared<Dispatch::ShardMap>(*catalogue, members), members);
@@ -655,17 +662,10 @@
     CHECK_EQUAL(1U, actions<StartRun>().size());
 }
 
-TEST_GROUP_BASE(HomeRegions, TEST_GROUP_CppUTestGroupHome) {
-    void setup() override {objects = Tests::objectsOf(std::string(Tests::threeTiers) + std::string(Tests::twoRegions));
-catalogue = Configuration::Catalogue::build(objects);
-view(0);
-}
-}
-;
-
 /// Guards against a home that asks a dispatcher whose endpoints are all in other regions.
-TEST(HomeRegions, onlyShardsInTheRegionsOfTheRequestAreAsked)
+TEST(Home, onlyShardsInTheRegionsOfTheRequestAreAsked)
 {
+    useTwoRegions();
     const Dispatch::ShardMap shards(*catalogue, members);
     for (std::uint64_t id = 1; id <= 20; ++id) {
         start(id, "alert");
@@ -675,8 +675,9 @@
 }
 
 /// Guards against one request that keeps a home from asking for others of the same pool.
-TEST(HomeRegions, aRefusalBecauseOfRegionsDoesNotMarkTheShard)
+TEST(Home, aRefusalBecauseOfRegionsDoesNotMarkTheShard)
 {
+    useTwoRegions();
     start(1, "alert");
     const Peer::Ask ask = lastAsk();
     home.receive(at(0.1), "h2", Peer::Refusal {ask.id, Peer::RefusalReason::NoEndpoint, std::chrono::seconds(1), 0});
