--- /dev/null
+++ b/Source/Dispatch/askqueue.cpp
@@ -0,0 +1,136 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+#include "Dispatch/askqueue.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace Yokepond::Dispatch {
+
+namespace {
+
+std::variant<FifoOrder, TieredOrder> makeOrder(const Configuration::Policies &policies)
+{
+    constexpr double percent = 100.0;
+    if (policies.order == Configuration::OrderPolicy::Fifo) {
+        return FifoOrder();
+    }
+    return TieredOrder(policies.guaranteedPercent / percent);
+}
+
+} // namespace
+
+AskQueue::AskQueue(const Configuration::Policies &policies)
+    : m_order(makeOrder(policies))
+{
+}
+
+void AskQueue::insert(const QueuedAsk &ask)
+{
+    std::visit([&](auto &order) { order.insert(ask); }, m_order);
+}
+
+std::optional<QueuedAsk> AskQueue::remove(const AskKey &key)
+{
+    if (const auto held = m_held.find(key); held != m_held.end()) {
+        std::optional<QueuedAsk> ask(std::move(held->second.ask));
+        m_held.erase(held);
+        return ask;
+    }
+    return std::visit([&](auto &order) { return order.remove(key); }, m_order);
+}
+
+std::optional<AskKey> AskQueue::next(Base::Instant now, Base::Duration expected)
+{
+    return std::visit([&](auto &order) { return order.next(now, expected); }, m_order);
+}
+
+std::optional<QueuedAsk> AskQueue::serve(const AskKey &key)
+{
+    return std::visit([&](auto &order) { return order.serve(key); }, m_order);
+}
+
+void AskQueue::hold(const AskKey &key, std::uint64_t hash, Base::Instant until)
+{
+    if (auto ask = std::visit([&](auto &order) { return order.remove(key); }, m_order)) {
+        m_held.emplace(key, Held {std::move(*ask), hash, until});
+    }
+}
+
+template<typename Predicate>
+void AskQueue::returnIf(Predicate predicate)
+{
+    std::erase_if(m_held, [&](const auto &entry) {
+        const bool returns = predicate(entry.second);
+        if (returns) {
+            insert(entry.second.ask);
+        }
+        return returns;
+    });
+}
+
+void AskQueue::returnDue(Base::Instant now)
+{
+    returnIf([&](const Held &held) { return held.until <= now; });
+}
+
+void AskQueue::returnFor(std::span<const std::uint64_t> hashes)
+{
+    returnIf([&](const Held &held) { return std::ranges::find(hashes, held.hash) != hashes.end(); });
+}
+
+AskKey AskQueue::evictionCandidate(const QueuedAsk &newAsk)
+{
+    returnIf([](const Held &) { return true; });
+    return std::visit([&](const auto &order) { return order.evictionCandidate(newAsk); }, m_order);
+}
+
+const QueuedAsk *AskQueue::find(const AskKey &key) const
+{
+    const auto held = m_held.find(key);
+    return held != m_held.end() ? &held->second.ask
+                                : std::visit([&](const auto &order) { return order.find(key); }, m_order);
+}
+
+std::size_t AskQueue::size() const
+{
+    return m_held.size() + std::visit([](const auto &order) { return order.size(); }, m_order);
+}
+
+std::size_t AskQueue::held() const
+{
+    return m_held.size();
+}
+
+std::size_t AskQueue::countInTierOrAbove(int rank) const
+{
+    const auto inTierOrAbove = [&](const Held &held) { return held.ask.parameters.rank <= rank; };
+    return static_cast<std::size_t>(std::ranges::count_if(m_held | std::views::values, inTierOrAbove))
+        + std::visit([&](const auto &order) { return order.countInTierOrAbove(rank); }, m_order);
+}
+
+std::vector<AskKey> AskQueue::expired(Base::Instant now) const
+{
+    std::vector<AskKey> keys = std::visit([&](const auto &order) { return order.expired(now); }, m_order);
+    for (const auto &[key, held] : m_held) {
+        if (held.ask.deadline <= now) {
+            keys.push_back(key);
+        }
+    }
+    return keys;
+}
+
+std::vector<const QueuedAsk *> AskQueue::all() const
+{
+    std::vector<const QueuedAsk *> asks = std::visit([](const auto &order) { return order.all(); }, m_order);
+    std::ranges::transform(m_held | std::views::values, std::back_inserter(asks), [](const Held &held) { return &held.ask; });
+    return asks;
+}
+
+bool AskQueue::isTiered() const
+{
+    return std::holds_alternative<TieredOrder>(m_order);
+}
+
+} // namespace Yokepond::Dispatch
--- a/Source/Dispatch/dispatcher.cpp
+++ b/Source/Dispatch/dispatcher.cpp
@@ -75,6 +75,13 @@
     }
 }
 
+void Dispatcher::receive(Base::Instant now, const Home &home, const Peer::PrefillEnded &ended)
+{
+    if (const auto shard = m_shards.find(ended.shard); shard != m_shards.end()) {
+        shard->second.prefillEnded(now, home, ended);
+    }
+}
+
 void Dispatcher::removeHome(Base::Instant now, const std::string &name, std::uint64_t keep)
 {
     for (Shard &shard : m_shards | std::views::values) {
--- a/Source/Dispatch/dispatcher.h
+++ b/Source/Dispatch/dispatcher.h
@@ -29,6 +29,7 @@
     void receive(Base::Instant now, const Home &home, const Peer::Release &release);
     void receive(Base::Instant now, const Home &home, const Peer::RunningReport &report);
     void receive(Base::Instant now, const Home &home, const Peer::EndpointUpdate &endpointUpdate);
+    void receive(Base::Instant now, const Home &home, const Peer::PrefillEnded &ended);
 
     /// Drops all asks and permits of the home called @p name, except those of its incarnation @p keep (0: drops all).
     void removeHome(Base::Instant now, const std::string &name, std::uint64_t keep);
--- a/Source/Dispatch/placement.h
+++ b/Source/Dispatch/placement.h
@@ -8,6 +8,7 @@
 
 #include "Dispatch/prefillpauses.h"
 #include "Dispatch/queuedask.h"
+#include "EngineModel/pendingprefixes.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -43,10 +44,11 @@
     std::uint32_t endpoint = 0;
     std::uint64_t kvTokens = 0; ///< KV-cache tokens that the run may need
     std::uint32_t prefillTokens = 0; ///< tokens of its prompt that were not cached
-    int rank = 0; ///< priority of the prefill at the endpoint
-    Base::Duration effectivePrefillTime {}; ///< time of the prefill, slowed by the tokens of other runs
-    Base::Duration expectedFirstToken {}; ///< expected time from the placement to the first token
-    bool wasOnlyPrefill = false; ///< the endpoint had no other prompt to prefill
+    std::uint64_t prefill = 0; ///< number of its prefill at the endpoint; 0 if it is too short to matter
+    bool prefillReported = false; ///< the home is to report the end of the prefill
+    std::uint64_t home = 0; ///< incarnation of the home
+    std::vector<std::uint64_t> prefix; ///< hashes of the prompt's prefixes
+    Base::Instant expectedPrefillEnd {};
     std::uint32_t keeper = 0; ///< endpoint from which a cached prefix is fetched, 0 for none
     std::uint32_t reliabilityEpoch = 0; ///< epoch of the endpoint when the run was placed
     Base::Duration allowedPause {}; ///< longest pause between events that the class allows
@@ -91,10 +93,16 @@
     {
         constant.expectedPrefillTime(ask)
     } -> std::same_as<Base::Duration>;
+    /// Returns the prefix of the prompt that an engine is prefilling, if it is better to wait for it than to prefill it elsewhere.
+    {
+        constant.prefixToAwait(ask, now)
+    } -> std::same_as<std::optional<EngineModel::PendingPrefix>>;
     {
         placement.recordPlacement(ask, candidate, now)
     } -> std::same_as<PlacedRun>;
-    placement.recordEnd(run, seen);
+    /// Records that the first token of a run came, which its home reported.
+    placement.recordPrefillEnd(run, now);
+    placement.recordEnd(run, seen, now);
     /// Marks an endpoint that fails or leaves: other endpoints can no longer rely on the prompts in its cache.
     placement.markUnreliable(endpoint);
     /// Removes an endpoint permanently.
@@ -121,7 +129,14 @@
     {
         return {};
     }
-    void recordEnd(const PlacedRun &, const ObservedTokens &)
+    std::optional<EngineModel::PendingPrefix> prefixToAwait(const QueuedAsk &, Base::Instant) const
+    {
+        return std::nullopt;
+    }
+    void recordPrefillEnd(const PlacedRun &, Base::Instant)
+    {
+    }
+    void recordEnd(const PlacedRun &, const ObservedTokens &, Base::Instant)
     {
     }
     void markUnreliable(std::uint32_t)
--- a/Source/Dispatch/promptcache.cpp
+++ b/Source/Dispatch/promptcache.cpp
@@ -49,6 +49,15 @@
     }
 }
 
+void PromptCache::setRead(std::span<const std::uint64_t> prefix, Base::Instant readAt)
+{
+    for (const std::uint64_t hash : prefix) {
+        if (const auto part = m_parts.find(hash); part != m_parts.end()) {
+            part->second.readAt = std::min(part->second.readAt, readAt);
+        }
+    }
+}
+
 void PromptCache::shrink(std::uint64_t tokens)
 {
     while (m_tokens > tokens && !m_byUse.empty()) {
--- a/Source/Dispatch/promptcache.h
+++ b/Source/Dispatch/promptcache.h
@@ -33,9 +33,12 @@
     /// Returns the length in tokens of the prefix of @p chain whose prefill is complete at @p now.
     std::uint32_t cachedTokensBy(const PromptChain &chain, Base::Instant now) const;
 
-    /// Adds all parts of @p chain, whose prefill will be complete at @p readAt.
+    /// Adds all parts of @p chain. The prefill of those that are new will be complete at @p readAt.
     void insert(const PromptChain &chain, Base::Instant readAt);
 
+    /// Records that the prefill of the parts with these hashes was complete at @p readAt, unless it was before.
+    void setRead(std::span<const std::uint64_t> prefix, Base::Instant readAt);
+
     /// Evicts the least recently used parts until at most @p tokens are left.
     void shrink(std::uint64_t tokens);
 
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -61,6 +61,8 @@
 /// They need no evaluation. Without a limit of their own, a full region would hold up requests for the others.
 constexpr std::size_t skippedOfOtherRegions = 16;
 constexpr std::size_t maxEjectedDivisor = 3; ///< at most a third of the endpoints are ejected because the others are better
+/// A prefill that takes longer than expected is looked at again after this time.
+constexpr Duration minHold = std::chrono::milliseconds(20);
 /// A permit is kept this long after the deadline of its request, since the release may still be on its way.
 constexpr Duration expiryGrace = std::chrono::milliseconds(500);
 
@@ -76,21 +78,13 @@
     : m_info(info)
     , m_catalogue(std::move(catalogue))
     , m_takeoverAt(now)
+    , m_queue(m_catalogue->policies())
     , m_periodBegan(now)
 {
     buildPolicies();
     configureEndpoints(now);
 }
 
-Shard::Queue Shard::makeQueue(const Policies &policies)
-{
-    constexpr double percent = 100.0;
-    if (policies.order == Configuration::OrderPolicy::Fifo) {
-        return FifoOrder();
-    }
-    return TieredOrder(policies.guaranteedPercent / percent);
-}
-
 Placement Shard::makePlacement(const Policies &policies)
 {
     switch (policies.placement) {
@@ -120,7 +114,7 @@
     for (const QueuedAsk *ask : queuedAsks()) {
         waiting.push_back(*ask);
     }
-    m_queue = makeQueue(m_catalogue->policies());
+    m_queue = AskQueue(m_catalogue->policies());
     if (m_catalogue->policies().placement != m_placementPolicy || m_endpoints.empty()) {
         // The placement keeps what it has learned unless the policy itself changes.
         m_placementPolicy = m_catalogue->policies().placement;
@@ -228,7 +222,7 @@
 
 void Shard::enqueue(const QueuedAsk &ask)
 {
-    std::visit([&](auto &queue) { queue.insert(ask); }, m_queue);
+    m_queue.insert(ask);
 }
 
 void Shard::ask(Instant now, const Home &home, const Peer::Ask &message)
@@ -239,7 +233,7 @@
         m_replies.push_back({home, permit->second.grant});
         return;
     }
-    if (std::visit([&](const auto &queue) { return queue.find(key); }, m_queue) != nullptr) {
+    if (m_queue.find(key) != nullptr) {
         m_replies.push_back({home, Peer::Queued {message.id}});
         return;
     }
@@ -278,7 +272,7 @@
     enqueue(queued);
     dispatchQueued(now, maxSkippedPerEvent);
     shedOverLimit(queued);
-    if (std::visit([&](const auto &queue) { return queue.find(key); }, m_queue) != nullptr) {
+    if (m_queue.find(key) != nullptr) {
         m_replies.push_back({home, Peer::Queued {message.id}});
     }
 }
@@ -288,8 +282,8 @@
     if (queued() <= m_catalogue->policies().queueLimit) {
         return;
     }
-    const AskKey evictionCandidate = std::visit([&](const auto &queue) { return queue.evictionCandidate(newAsk); }, m_queue);
-    if (auto shed = std::visit([&](auto &queue) { return queue.remove(evictionCandidate); }, m_queue)) {
+    const AskKey evictionCandidate = m_queue.evictionCandidate(newAsk);
+    if (auto shed = m_queue.remove(evictionCandidate)) {
         ++m_counters.shed;
         refuse(*shed, RefusalReason::QueueFull);
     }
@@ -304,7 +298,7 @@
         return false;
     }
     const std::size_t ahead
-        = std::visit([&](const auto &queue) { return queue.countInTierOrAbove(ask.parameters.rank); }, m_queue);
+        = m_queue.countInTierOrAbove(ask.parameters.rank);
     return static_cast<double>(ahead) / m_grantsPerSecond > Base::seconds(ask.deadline - now);
 }
 
@@ -355,7 +349,7 @@
     }
     for (const auto &[ask, estimate] : late) {
         if (tryLateRefusal(ask, estimate)) {
-            std::visit([&](auto &queue) { queue.remove(ask.key); }, m_queue);
+            m_queue.remove(ask.key);
             refuse(ask, RefusalReason::TooLate, retryAfterLate(ask, estimate));
         }
     }
@@ -363,8 +357,8 @@
 
 void Shard::refuse(const QueuedAsk &ask, RefusalReason reason)
 {
-    if (reason == RefusalReason::QueueFull && std::holds_alternative<TieredOrder>(m_queue)) {
-        const std::size_t ofTierOrAbove = std::get<TieredOrder>(m_queue).countInTierOrAbove(ask.parameters.rank);
+    if (reason == RefusalReason::QueueFull && m_queue.isTiered()) {
+        const std::size_t ofTierOrAbove = m_queue.countInTierOrAbove(ask.parameters.rank);
         Base::checkInvariant(ofTierOrAbove == queued(), Base::Invariant::HigherTierKept);
     }
     refuse(ask, reason, retryAfter());
@@ -428,7 +422,7 @@
     for (const QueuedAsk *ask : queuedAsks()) {
         refuse(*ask, *reason);
     }
-    m_queue = makeQueue(m_catalogue->policies());
+    m_queue = AskQueue(m_catalogue->policies());
 }
 
 void Shard::refuseBoundWithoutEndpoint()
@@ -441,7 +435,7 @@
     }
     for (const QueuedAsk &ask : bound) {
         if (const auto reason = reasonForNoEndpoint(ask)) {
-            std::visit([&](auto &queue) { queue.remove(ask.key); }, m_queue);
+            m_queue.remove(ask.key);
             refuse(ask, *reason);
         }
     }
@@ -472,23 +466,24 @@
 void Shard::withdraw(Instant now, const Home &home, const Peer::Withdrawal &withdrawal)
 {
     const AskKey key {home.incarnation, withdrawal.id};
-    if (std::visit([&](auto &queue) { return queue.remove(key); }, m_queue)) {
+    if (m_queue.remove(key)) {
         ++m_counters.withdrawn;
     } else {
         // The grant was sent before the withdrawal arrived; the home will not use it.
-        dropPermit(key);
+        dropPermit(now, key);
     }
     dispatchQueued(now, maxSkippedPerEvent);
 }
 
-void Shard::dropPermit(const AskKey &key, const ObservedTokens &seen)
+void Shard::dropPermit(Instant now, const AskKey &key, const ObservedTokens &seen)
 {
     const auto permit = m_permits.find(key);
     if (permit == m_permits.end()) {
         return;
     }
     const auto endpoint = m_endpoints.find(permit->second.endpoint);
-    std::visit([&](auto &placement) { placement.recordEnd(permit->second.placed, seen); }, m_placement);
+    std::visit([&](auto &placement) { placement.recordEnd(permit->second.placed, seen, now); }, m_placement);
+    m_queue.returnFor(permit->second.placed.prefix);
     m_permits.erase(permit);
     if (endpoint == m_endpoints.end()) {
         return;
@@ -517,7 +512,7 @@
             std::visit([&](auto &window) { window.observe(observation, now); }, state.window);
             state.health.observe(observation);
         }
-        dropPermit(key, {release.firstToken, {release.gap, release.longestGap}});
+        dropPermit(now, key, {release.firstToken, {release.gap, release.longestGap}});
         ejectUnhealthy(now);
     }
     if (release.result == RunResult::Rejected) {
@@ -529,6 +524,17 @@
     dispatchQueued(now, maxSkippedPerEvent);
 }
 
+void Shard::prefillEnded(Instant now, const Home &home, const Peer::PrefillEnded &ended)
+{
+    const auto permit = m_permits.find({home.incarnation, ended.id});
+    if (permit == m_permits.end()) {
+        return;
+    }
+    std::visit([&](auto &placement) { placement.recordPrefillEnd(permit->second.placed, now); }, m_placement);
+    m_queue.returnFor(permit->second.placed.prefix);
+    dispatchQueued(now, maxSkippedPerEvent);
+}
+
 void Shard::recordRejectedRun(Instant now, const Home &home, std::uint32_t endpoint)
 {
     if (const auto entry = m_endpoints.find(endpoint); entry != m_endpoints.end()) {
@@ -546,7 +552,7 @@
             missing.push_back(key);
         }
     }
-    std::ranges::for_each(missing, [this](const AskKey &key) { dropPermit(key); });
+    std::ranges::for_each(missing, [&](const AskKey &key) { dropPermit(now, key); });
     for (const Peer::RunningPermit &entry : report.permits) {
         const AskKey key {home.incarnation, entry.id};
         const auto endpoint = m_endpoints.find(entry.endpoint);
@@ -646,7 +652,7 @@
             keys.push_back(key);
         }
     }
-    std::ranges::for_each(keys, [this](const AskKey &key) { dropPermit(key); });
+    std::ranges::for_each(keys, [&](const AskKey &key) { dropPermit(now, key); });
     keys.clear();
     for (const QueuedAsk *ask : queuedAsks()) {
         if (isRemoved(ask->home)) {
@@ -654,7 +660,7 @@
         }
     }
     for (const AskKey &key : keys) {
-        std::visit([&](auto &queue) { queue.remove(key); }, m_queue);
+        m_queue.remove(key);
         ++m_counters.withdrawn;
     }
     dispatchQueued(now, maxSkippedPerEvent);
@@ -687,7 +693,7 @@
     for (const AskKey &key : expired) {
         Base::log(Base::LogLevel::Warning, Base::LogEvent::PermitExpired,
                   {{"request", requestName(m_permits.at(key).home, key)}, {"endpoint", m_permits.at(key).endpoint}});
-        dropPermit(key);
+        dropPermit(now, key);
     }
 }
 
@@ -702,8 +708,8 @@
         m_periodBegan = now;
         m_saturated = queued() > 0;
     }
-    for (const AskKey &key : std::visit([&](const auto &queue) { return queue.expired(now); }, m_queue)) {
-        if (const auto ask = std::visit([&](auto &queue) { return queue.remove(key); }, m_queue)) {
+    for (const AskKey &key : m_queue.expired(now)) {
+        if (const auto ask = m_queue.remove(key)) {
             refuse(*ask, RefusalReason::DeadlinePassed);
         }
     }
@@ -784,27 +790,46 @@
     if (queued() == 0) {
         return;
     }
+    m_queue.returnDue(now);
     const Duration expected = expectedFirstToken();
     std::vector<Candidate> withFreeSlots = candidates(now);
     // An ask that no endpoint can take now, because of its size or the prefill backlog, does not block the asks behind it.
     std::vector<QueuedAsk> skipped;
     std::size_t evaluated = 0;
-    while (queued() > 0 && evaluated < maxSkipped && skipped.size() < maxSkipped * skippedOfOtherRegions
-           && !withFreeSlots.empty()) {
-        const auto key = std::visit([&](auto &queue) { return queue.next(now, expected); }, m_queue);
-        const QueuedAsk waiting = *std::visit([&](const auto &queue) { return queue.find(*key); }, m_queue);
+    while (evaluated < maxSkipped && skipped.size() < maxSkipped * skippedOfOtherRegions && !withFreeSlots.empty()) {
+        const auto key = m_queue.next(now, expected);
+        if (!key) {
+            break;
+        }
+        const QueuedAsk waiting = *m_queue.find(*key);
+        if (holdForPrefix(now, waiting)) {
+            continue;
+        }
         const GrantAttempt attempt = tryGrant(now, waiting, withFreeSlots);
         if (attempt == GrantAttempt::Granted) {
             withFreeSlots = candidates(now);
         } else {
             evaluated += attempt == GrantAttempt::NotNow ? 1 : 0;
             skipped.push_back(waiting);
-            std::visit([&](auto &queue) { queue.remove(waiting.key); }, m_queue);
+            m_queue.remove(waiting.key);
         }
     }
     std::ranges::for_each(skipped, [this](const QueuedAsk &ask) { enqueue(ask); });
 }
 
+/// Puts @p waiting on hold if an engine prefills a prefix of its prompt, so that no other engine does the same.
+bool Shard::holdForPrefix(Instant now, const QueuedAsk &waiting)
+{
+    const auto pending
+        = std::visit([&](const auto &placement) { return placement.prefixToAwait(waiting, now); }, m_placement);
+    if (!pending) {
+        return false;
+    }
+    ++m_counters.held;
+    m_queue.hold(waiting.key, pending->hash, std::max(pending->expectedEnd, now + minHold));
+    return true;
+}
+
 Shard::GrantAttempt Shard::tryGrant(Instant now, const QueuedAsk &waiting, const std::vector<Candidate> &withFreeSlots)
 {
     ++m_counters.evaluations;
@@ -826,7 +851,7 @@
     if (!endpoint) {
         return GrantAttempt::NotNow;
     }
-    const auto ask = std::visit([&](auto &queue) { return queue.serve(waiting.key); }, m_queue);
+    const auto ask = m_queue.serve(waiting.key);
     grant(now, *ask, *endpoint);
     return GrantAttempt::Granted;
 }
@@ -851,7 +876,7 @@
                    endpoint,
                    ask.parameters,
                    now,
-                   {ask.key.id, endpoint, startBy, pressure(), placed.keeper, rate},
+                   {ask.key.id, endpoint, startBy, pressure(), placed.keeper, rate, placed.prefillReported},
                    freeSlots(state, now) == 0,
                    placed};
     const RequestClass *requestClass = m_catalogue->classByNumber(ask.ask.requestClass);
@@ -874,7 +899,7 @@
     for (const QueuedAsk *ask : queuedAsks()) {
         m_replies.push_back({ask->home, Peer::Refusal {ask->key.id, RefusalReason::NotDispatcher, Duration::zero(), 0}});
     }
-    m_queue = makeQueue(m_catalogue->policies());
+    m_queue = AskQueue(m_catalogue->policies());
 }
 
 std::vector<Reply> Shard::takeReplies()
@@ -894,7 +919,7 @@
 
 std::size_t Shard::queued() const
 {
-    return std::visit([](const auto &queue) { return queue.size(); }, m_queue);
+    return m_queue.size();
 }
 
 std::size_t Shard::permits() const
@@ -911,10 +936,10 @@
 {
     AskView view;
     view.total = queued();
-    if (const QueuedAsk *ask = std::visit([&](const auto &queue) { return queue.find(key); }, m_queue)) {
+    if (const QueuedAsk *ask = m_queue.find(key)) {
         view.queued = true;
         view.inTierOrAbove
-            = std::visit([&](const auto &queue) { return queue.countInTierOrAbove(ask->parameters.rank); }, m_queue);
+            = m_queue.countInTierOrAbove(ask->parameters.rank);
     }
     if (const auto permit = m_permits.find(key); permit != m_permits.end()) {
         view.endpoint = permit->second.endpoint;
@@ -924,7 +949,7 @@
 
 std::vector<const QueuedAsk *> Shard::queuedAsks() const
 {
-    return std::visit([](const auto &queue) { return queue.all(); }, m_queue);
+    return m_queue.all();
 }
 
 } // namespace Yokepond::Dispatch
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -9,9 +9,9 @@
 #pragma once
 
 #include "Configuration/catalogue.h"
+#include "Dispatch/askqueue.h"
 #include "Dispatch/endpointstates.h"
 #include "Dispatch/laterefusals.h"
-#include "Dispatch/order.h"
 #include "Dispatch/placement.h"
 #include "Dispatch/poolparameters.h"
 #include "Dispatch/queuedask.h"
@@ -46,6 +46,7 @@
     std::uint64_t withdrawn = 0; ///< withdrawn by their home, or removed with it
     std::uint64_t released = 0;
     std::uint64_t ejections = 0;
+    std::uint64_t held = 0; ///< times that an ask was put on hold while an engine prefilled a prefix of its prompt
     std::uint64_t evaluations = 0; ///< asks that were evaluated against the endpoints, granted or not
 };
 
@@ -80,6 +81,9 @@
     /// Returns a permit and records the result of its run.
     void release(Base::Instant now, const Home &home, const Peer::Release &release);
 
+    /// Records that the first token of a run came.
+    void prefillEnded(Base::Instant now, const Home &home, const Peer::PrefillEnded &ended);
+
     /// Synchronises the permits of @p home with its report: adds permits that are unknown here, and drops those that it does not
     /// list.
     void report(Base::Instant now, const Home &home, const Peer::RunningReport &report);
@@ -111,8 +115,6 @@
     std::vector<const QueuedAsk *> queuedAsks() const;
 
 private:
-    using Queue = std::variant<FifoOrder, TieredOrder>;
-
     enum class GrantAttempt {
         Granted,
         NotNow, ///< none of the endpoints that have a free slot can take it now
@@ -133,7 +135,6 @@
         bool accepted = false; ///< no rejection arrived in time, so the endpoint accepted the run
     };
 
-    static Queue makeQueue(const Configuration::Policies &policies);
     static Placement makePlacement(const Configuration::Policies &policies);
     Window makeWindow(std::uint32_t slots) const;
 
@@ -155,13 +156,14 @@
     /// Grants queued asks while slots are free. Stops after @p maxSkipped asks that were evaluated and that no endpoint can take
     /// now.
     void dispatchQueued(Base::Instant now, std::size_t maxSkipped);
+    bool holdForPrefix(Base::Instant now, const QueuedAsk &waiting);
     /// Grants @p waiting if one of the endpoints in @p withFreeSlots can take it now.
     GrantAttempt tryGrant(Base::Instant now, const QueuedAsk &waiting, const std::vector<Candidate> &withFreeSlots);
     std::vector<Candidate> candidates(Base::Instant now) const;
     /// Returns the free slots in the window of an endpoint.
     std::uint32_t freeSlots(const EndpointState &state, Base::Instant now) const;
     void grant(Base::Instant now, const QueuedAsk &ask, std::uint32_t endpoint);
-    void dropPermit(const AskKey &key, const ObservedTokens &seen = {});
+    void dropPermit(Base::Instant now, const AskKey &key, const ObservedTokens &seen = {});
     /// Returns whether a late ask is to be refused. A refusal because of its target uses up one of those that LateRefusals allows
     /// its tier.
     bool tryLateRefusal(const QueuedAsk &ask, const WaitEstimate &estimate);
@@ -203,7 +205,7 @@
     std::shared_ptr<const Configuration::Catalogue> m_catalogue;
     Base::Instant m_takeoverAt; ///< when this host became the dispatcher
     Configuration::PlacementPolicy m_placementPolicy {};
-    Queue m_queue;
+    AskQueue m_queue;
     Placement m_placement;
     EndpointStates m_endpoints;
     std::unordered_map<AskKey, Permit, AskKeyHash> m_permits; ///< outstanding permits
--- a/Source/Dispatch/soonestfirsttoken.cpp
+++ b/Source/Dispatch/soonestfirsttoken.cpp
@@ -43,12 +43,6 @@
 constexpr double lateRunMs = 300.0;
 /// Share of the prefill time that is added to the cost for each active run, since these runs wait during a prefill.
 constexpr double interferenceFactor = 0.1;
-/// Weight of the latest observation in the moving average of the prefill speed. A run that was faster than expected shows what
-/// the engine can do; one that was slower may have been delayed by work that the model does not know.
-constexpr double latestWeightIfFaster = 0.3;
-constexpr double latestWeightIfSlower = 0.02;
-/// Weight of one engine's speed in the moving average for the pool, which is used for engines without an observation.
-constexpr double poolWeightOfOneEngine = 0.1;
 /// Factor on the expected prefill time, after which other engines may fetch the prompt.
 constexpr double prefillMargin = 1.5;
 /// Time before the first byte of a transfer: a round trip to the keeper and the connection setup.
@@ -57,12 +51,12 @@
 constexpr double minTransferGain = 2.0;
 /// Additional cost of a transfer, as a share of the prefill time that it saves, because the prompt then takes up memory twice.
 constexpr double transferCostFactor = 0.6;
-/// The prefill speed is learned only from runs with at least this many tokens to prefill.
-constexpr std::uint32_t minTokensToLearn = 4000;
+/// Rank of the highest tier, whose prompts need not wait while an engine rests from prefill.
+constexpr int mostUrgentRank = 1;
+/// A shorter prefill takes less than one step of the engine and is not tracked.
+constexpr std::uint32_t minTrackedTokens = 512;
 /// An estimate is logged again when it has changed by this share of the value logged last.
 constexpr double minLoggedChange = 0.2;
-constexpr double minTokensPerMs = 4.0;
-constexpr double maxTokensPerMs = 400.0;
 /// Time from the grant to the first token apart from the prefill: the network delay to the engine and the first decoding step.
 constexpr Base::Duration overhead = std::chrono::milliseconds(30);
 
@@ -133,29 +127,23 @@
 
 Base::Duration SoonestFirstToken::timeToPrefill(std::uint32_t tokens) const
 {
-    return fromMs(static_cast<double>(tokens) / m_tokensPerMs);
+    return fromMs(static_cast<double>(tokens) / m_poolSpeed.tokensPerMs());
 }
 
 Base::Duration SoonestFirstToken::timeToPrefill(const Engine *engine, std::uint32_t tokens) const
 {
-    const bool known = engine != nullptr && engine->tokensPerMs > 0;
-    return known ? fromMs(tokens / engine->tokensPerMs) : timeToPrefill(tokens);
+    return engine == nullptr ? timeToPrefill(tokens) : fromMs(tokens / engine->speed.tokensPerMs());
 }
 
-/// Returns the prefill time that comes before a new prompt of @p rank.
 Base::Duration SoonestFirstToken::backlogOf(const Engine &engine, int rank, Base::Instant now)
 {
-    Base::Duration before {};
-    for (const auto &[pendingRank, time] : engine.pendingPrefill) {
-        before += pendingRank <= rank ? time : Base::Duration::zero();
-    }
-    const Base::Duration passed = now - engine.updatedAt;
-    return before > passed ? before - passed : Base::Duration::zero();
+    const Base::Duration rest = rank > mostUrgentRank ? std::max(Base::Duration::zero(), engine.restUntil - now) : Base::Duration::zero();
+    return engine.prefills.backlog(rank, engine.speed.tokensPerMs(), now) + rest;
 }
 
 Base::Duration SoonestFirstToken::backlogOf(const Engine &engine, Base::Instant now)
 {
-    return backlogOf(engine, std::numeric_limits<int>::max(), now);
+    return engine.prefills.backlog(engine.speed.tokensPerMs(), now);
 }
 
 /// Returns the expected number of streams with pauses longer than allowed if @p engine also prefills @p ask for @p prefillTime.
@@ -177,18 +165,6 @@
     return engine == nullptr ? Base::Duration::zero() : backlogOf(*engine, rank, now);
 }
 
-/// Subtracts the prefill that the engine has done by @p now.
-void SoonestFirstToken::advance(Engine &engine, Base::Instant now)
-{
-    Base::Duration passed = now - engine.updatedAt;
-    engine.updatedAt = now;
-    for (Base::Duration &time : engine.pendingPrefill | std::views::values) {
-        const Base::Duration done = std::min(time, passed);
-        time -= done;
-        passed -= done;
-    }
-}
-
 /// Returns the prefill time of half of the prompt. Much of a queued prompt is cached by some engine or soon will be.
 Base::Duration SoonestFirstToken::expectedPrefillTime(const QueuedAsk &ask) const
 {
@@ -345,36 +321,64 @@
     return earliest;
 }
 
+std::optional<EngineModel::PendingPrefix> SoonestFirstToken::prefixToAwait(const QueuedAsk &ask, Base::Instant now) const
+{
+    const auto pending = m_pendingPrefixes.longest(ask.ask.prefix);
+    if (!pending) {
+        return std::nullopt;
+    }
+    // Waiting is better than another prefill unless it takes longer. A prefill that is late by its whole time may never end.
+    const Base::Duration ownPrefill = timeToPrefill(pending->tokens);
+    const bool worthwhile = pending->expectedEnd < now + ownPrefill && now < pending->expectedEnd + ownPrefill;
+    return worthwhile ? pending : std::nullopt;
+}
+
+/// Records the prefixes that the prefill of @p run adds to the cache of its engine.
+void SoonestFirstToken::addPendingPrefixes(const QueuedAsk &ask, const PlacedRun &run, Base::Instant expectedEnd)
+{
+    const std::uint32_t cachedTokens = ask.ask.promptTokens - run.prefillTokens;
+    const std::size_t parts = std::min(ask.ask.prefix.size(), ask.ask.prefixTokens.size());
+    for (std::size_t index = 0; index < parts; ++index) {
+        if (ask.ask.prefixTokens[index] >= cachedTokens + minTrackedTokens) {
+            m_pendingPrefixes.add({ask.ask.prefix[index], ask.ask.prefixTokens[index], expectedEnd, run.prefill});
+        }
+    }
+}
+
 PlacedRun SoonestFirstToken::recordPlacement(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now)
 {
     const PrefillPlan plan = prefillPlanAt(ask, candidate, keeperOf(ask, now));
     if (const auto keeper = m_engines.find(plan.keeper); keeper != m_engines.end()) {
         keeper->second.transfersUntil = now + plan.transferTime;
     }
-    Engine &engine = m_engines.try_emplace(candidate.endpoint, m_longestPause).first->second;
+    Engine &engine
+        = m_engines.try_emplace(candidate.endpoint, m_longestPause, m_poolSpeed.tokensPerMs()).first->second;
+    engine.prefills.removeOverdue(engine.speed.tokensPerMs(), now);
     PlacedRun run;
     run.endpoint = candidate.endpoint;
     run.keeper = plan.keeper;
     run.reliabilityEpoch = engine.reliabilityEpoch;
     run.kvTokens = kvTokensFor(ask, plan);
     run.prefillTokens = ask.ask.promptTokens - plan.cachedTokens;
-    advance(engine, now);
-    const Base::Duration backlog = backlogOf(engine, ask.parameters.rank, now);
-    const Base::Duration prefillTime = plan.prefillTime;
-    run.wasOnlyPrefill = std::ranges::all_of(engine.pendingPrefill | std::views::values,
-                                             [](Base::Duration time) { return time == Base::Duration::zero(); });
-    run.expectedFirstToken = backlog + plan.transferTime + prefillTime;
-    run.rank = ask.parameters.rank;
-    run.effectivePrefillTime = scaled(prefillTime, 1.0 / prefillShare);
+    run.home = ask.home.incarnation;
+    run.prefix = ask.ask.prefix;
     run.placedAt = now;
     run.allowedPause = ask.parameters.tokenGap;
+    const Base::Duration backlog = backlogOf(engine, ask.parameters.rank, now);
     const Base::Duration burst = backlogOf(engine, now);
-    engine.pauses.recordPrefill(now, burst, burst + run.effectivePrefillTime);
+    engine.pauses.recordPrefill(now, burst, burst + plan.prefillTime);
     engine.pauses.addStream(run.allowedPause);
-    engine.pendingPrefill[run.rank] += run.effectivePrefillTime;
-    engine.prefillOfActiveRuns[run.rank] += run.effectivePrefillTime;
+    run.expectedPrefillEnd = now + scaled(backlog + plan.transferTime + plan.prefillTime, prefillMargin);
+    if (run.prefillTokens >= minTrackedTokens) {
+        run.prefill = ++m_lastPrefill;
+        run.prefillReported = true;
+        engine.prefills.add({run.prefill, ask.parameters.rank, static_cast<double>(run.prefillTokens), now + plan.transferTime,
+                             reportsPrefills(run)});
+        addPendingPrefixes(ask, run, now + backlog + plan.transferTime + plan.prefillTime);
+    }
     engine.runningTokens += run.kvTokens;
-    engine.cache.insert(chainOf(ask), now + scaled(backlog + plan.transferTime + run.effectivePrefillTime, prefillMargin));
+    const bool endIsReported = run.prefillReported && reportsPrefills(run);
+    engine.cache.insert(chainOf(ask), endIsReported ? Base::Instant::max() : run.expectedPrefillEnd);
     if (candidate.kvCacheTokens > 0) {
         // Active runs and cached prompts share the memory, and active runs are not evicted.
         engine.cache.shrink(candidate.kvCacheTokens - std::min(candidate.kvCacheTokens, engine.runningTokens));
@@ -382,28 +386,55 @@
     return run;
 }
 
-void SoonestFirstToken::recordEnd(const PlacedRun &run, const ObservedTokens &seen)
+/// Returns whether the home of @p run reports the ends of prefills. Hosts of earlier versions do not.
+bool SoonestFirstToken::reportsPrefills(const PlacedRun &run) const
+{
+    return !m_homesWithoutReports.contains(run.home);
+}
+
+void SoonestFirstToken::recordPrefillEnd(const PlacedRun &run, Base::Instant now)
+{
+    m_homesWithoutReports.erase(run.home);
+    endPrefill(run, now);
+}
+
+void SoonestFirstToken::endPrefill(const PlacedRun &run, Base::Instant now)
 {
     const auto engine = m_engines.find(run.endpoint);
     if (engine == m_engines.end()) {
         return;
     }
+    engine->second.cache.setRead(run.prefix, now);
+    m_pendingPrefixes.remove(run.prefix, run.prefill);
+    if (const auto completed = engine->second.prefills.complete(run.prefill, now)) {
+        updatePrefillSpeed(engine->second, run, *completed);
+        // Between two prompts the engine produces tokens without the delay of a prefill, so that its runs end in time.
+        engine->second.restUntil
+            = std::max(engine->second.restUntil, now) + scaled(completed->duration, (1.0 - prefillShare) / prefillShare);
+    }
+}
+
+void SoonestFirstToken::recordEnd(const PlacedRun &run, const ObservedTokens &seen, Base::Instant now)
+{
+    m_pendingPrefixes.remove(run.prefix, run.prefill);
+    const auto engine = m_engines.find(run.endpoint);
+    if (engine == m_engines.end()) {
+        return;
+    }
+    const bool hadFirstToken = seen.first > Base::Duration::zero();
+    const bool wasNotReported = run.prefill != 0 && engine->second.prefills.contains(run.prefill);
+    if (wasNotReported && hadFirstToken) {
+        m_homesWithoutReports.insert(run.home);
+        endPrefill(run, run.placedAt + seen.first);
+    }
+    engine->second.prefills.remove(run.prefill, now);
+    engine->second.cache.setRead(run.prefix, run.expectedPrefillEnd);
     engine->second.runningTokens -= std::min(engine->second.runningTokens, run.kvTokens);
     engine->second.pauses.removeStream(run.allowedPause, run.placedAt + seen.first, seen.pauses);
     logLongestPause(run, seen);
-    if (seen.first > Base::Duration::zero() && run.reliabilityEpoch == engine->second.reliabilityEpoch) {
+    if (hadFirstToken && run.reliabilityEpoch == engine->second.reliabilityEpoch) {
         engine->second.allowsTransfers = true;
     }
-    // An engine drops the remaining prefill of a run that has ended, so the pending prefill cannot exceed that of the active
-    // runs.
-    Base::Duration &prefillOfActiveRuns = engine->second.prefillOfActiveRuns[run.rank];
-    prefillOfActiveRuns = std::max(Base::Duration::zero(), prefillOfActiveRuns - run.effectivePrefillTime);
-    Base::Duration &pendingPrefill = engine->second.pendingPrefill[run.rank];
-    pendingPrefill = std::min(pendingPrefill, prefillOfActiveRuns);
-    // If the run waited for other prompts, its time shows errors of the model rather than the speed of the engine.
-    if (run.wasOnlyPrefill && seen.first > Base::Duration::zero() && run.prefillTokens >= minTokensToLearn) {
-        updatePrefillSpeed(engine->second, run, seen.first);
-    }
 }
 
 void SoonestFirstToken::logLongestPause(const PlacedRun &run, const ObservedTokens &seen)
@@ -420,26 +451,20 @@
     }
 }
 
-void SoonestFirstToken::updatePrefillSpeed(Engine &engine, const PlacedRun &run, Base::Duration firstToken)
-{
-    const Base::Duration prefillTime = std::max(firstToken - overhead, firstToken / 2);
-    const double ratio = std::clamp(Base::milliseconds(run.expectedFirstToken) / Base::milliseconds(prefillTime), 0.5, 2.0);
-    // The expected time was computed with the speed estimated when the run was placed, which is close to the current estimate.
-    const auto learned = [&](double estimated) {
-        const double change = estimated * ratio - estimated;
-        const double share = change > 0 ? latestWeightIfFaster : latestWeightIfSlower;
-        return std::clamp(estimated + share * change, minTokensPerMs, maxTokensPerMs);
-    };
-    engine.tokensPerMs = learned(engine.tokensPerMs > 0 ? engine.tokensPerMs : m_tokensPerMs);
-    m_tokensPerMs += poolWeightOfOneEngine * (engine.tokensPerMs - m_tokensPerMs);
-    if (std::abs(m_tokensPerMs - m_loggedTokensPerMs) > minLoggedChange * m_loggedTokensPerMs) {
-        m_loggedTokensPerMs = m_tokensPerMs;
+void SoonestFirstToken::updatePrefillSpeed(Engine &engine, const PlacedRun &run,
+                                           const EngineModel::CompletedPrefill &completed)
+{
+    engine.speed.add(completed);
+    m_poolSpeed.add(completed);
+    const double poolTokensPerMs = m_poolSpeed.tokensPerMs();
+    if (std::abs(poolTokensPerMs - m_loggedTokensPerMs) > minLoggedChange * m_loggedTokensPerMs) {
+        m_loggedTokensPerMs = poolTokensPerMs;
         Base::log(Base::LogLevel::Info, Base::LogEvent::PrefillSpeedLearned,
-                  {{"tokens-per-ms", m_tokensPerMs},
+                  {{"tokens-per-ms", poolTokensPerMs},
                    {"endpoint", run.endpoint},
+                   {"endpoint-tokens-per-ms", engine.speed.tokensPerMs()},
                    {"unread", run.prefillTokens},
-                   {"expected-ms", Base::milliseconds(run.expectedFirstToken)},
-                   {"first-token-ms", Base::milliseconds(firstToken)}});
+                   {"prefill-ms", Base::milliseconds(completed.duration)}});
     }
 }
 
--- a/Source/Dispatch/soonestfirsttoken.h
+++ b/Source/Dispatch/soonestfirsttoken.h
@@ -8,11 +8,15 @@
 
 #include "Dispatch/placement.h"
 #include "Dispatch/promptcache.h"
+#include "EngineModel/pendingprefixes.h"
+#include "EngineModel/prefillqueue.h"
+#include "EngineModel/prefillspeed.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <utility>
 
@@ -31,16 +35,19 @@
     MinBacklog minBacklog(int rank, std::span<const Candidate> candidates, Base::Instant now) const;
     Base::Duration firstTokenUpperBound(const QueuedAsk &ask, const MinBacklog &shortest) const;
     Base::Duration expectedPrefillTime(const QueuedAsk &ask) const;
+    std::optional<EngineModel::PendingPrefix> prefixToAwait(const QueuedAsk &ask, Base::Instant now) const;
     PlacedRun recordPlacement(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now);
-    void recordEnd(const PlacedRun &run, const ObservedTokens &seen);
+    void recordPrefillEnd(const PlacedRun &run, Base::Instant now);
+    void recordEnd(const PlacedRun &run, const ObservedTokens &seen, Base::Instant now);
     void markUnreliable(std::uint32_t endpoint);
     void removeEndpoint(std::uint32_t endpoint);
 
 private:
     struct Engine
     {
-        explicit Engine(std::shared_ptr<LongestPause> poolLongestPause)
+        Engine(std::shared_ptr<LongestPause> poolLongestPause, double poolTokensPerMs)
             : pauses(std::move(poolLongestPause))
+            , speed(EngineModel::enginePrefillSpeed(poolTokensPerMs))
         {
         }
 
@@ -49,13 +56,11 @@
         std::uint32_t reliabilityEpoch
             = 0; ///< grows each time that the engine is marked unreliable; only runs placed later can make it reliable again
         Base::Instant transfersUntil {}; ///< expected end of the transfers from this engine
-        std::map<int, Base::Duration>
-            pendingPrefill; ///< by rank: prefill time not yet done; the engine prefills the most urgent rank first
-        std::map<int, Base::Duration> prefillOfActiveRuns; ///< by rank: prefill times of all active runs, done or not
-        Base::Instant updatedAt {}; ///< time point for which pendingPrefill is valid
+        EngineModel::PrefillQueue prefills;
+        Base::Instant restUntil {}; ///< until then it is left to the tokens of its runs, after it did nothing but prefill
         std::uint64_t runningTokens = 0; ///< KV-cache tokens of its active runs
         PrefillPauses pauses;
-        double tokensPerMs = 0; ///< learned prefill speed, 0 before the first usable observation
+        EngineModel::PrefillSpeed speed;
     };
 
     /// The keeper of a prompt: the engine from which others can now fetch the longest cached prefix.
@@ -100,23 +105,27 @@
     /// Returns the prefill time at the average speed of the pool.
     Base::Duration timeToPrefill(std::uint32_t tokens) const;
     Base::Duration timeToPrefill(const Engine *engine, std::uint32_t tokens) const;
+    /// Returns the time before the engine begins a new prefill of @p rank.
     static Base::Duration backlogOf(const Engine &engine, int rank, Base::Instant now);
     /// Returns the time until the engine has prefilled all prompts sent to it.
     static Base::Duration backlogOf(const Engine &engine, Base::Instant now);
     double expectedLateRuns(const QueuedAsk &ask, const Engine *engine, Base::Duration prefillTime, Base::Instant now) const;
     Base::Duration backlogAt(std::uint32_t endpoint, int rank, Base::Instant now) const;
-    static void advance(Engine &engine, Base::Instant now);
-
+    void addPendingPrefixes(const QueuedAsk &ask, const PlacedRun &run, Base::Instant expectedEnd);
+    bool reportsPrefills(const PlacedRun &run) const;
+    void endPrefill(const PlacedRun &run, Base::Instant now);
     void logLongestPause(const PlacedRun &run, const ObservedTokens &seen);
-    void updatePrefillSpeed(Engine &engine, const PlacedRun &run, Base::Duration firstToken);
+    void updatePrefillSpeed(Engine &engine, const PlacedRun &run, const EngineModel::CompletedPrefill &completed);
 
     std::map<std::uint32_t, Engine> m_engines;
     std::shared_ptr<LongestPause> m_longestPause = std::make_shared<LongestPause>();
-    /// Prefill speed of engines whose own speed is not known yet, learned from all engines of the pool. The initial value is that
-    /// of a large model on one accelerator.
-    double m_tokensPerMs = 30.0;
+    /// Prefill speed of engines whose own speed is not known yet, learned from all engines of the pool.
+    EngineModel::PrefillSpeed m_poolSpeed = EngineModel::poolPrefillSpeed();
+    std::set<std::uint64_t> m_homesWithoutReports; ///< incarnations of homes that do not report the end of prefills
+    EngineModel::PendingPrefixes m_pendingPrefixes;
+    std::uint64_t m_lastPrefill = 0; ///< number of the latest prefill
     Base::Duration m_loggedLongestPause {};
-    double m_loggedTokensPerMs = m_tokensPerMs;
+    double m_loggedTokensPerMs = m_poolSpeed.tokensPerMs();
 };
 
 static_assert(PlacementPolicy<SoonestFirstToken>);
--- /dev/null
+++ b/Source/EngineModel/prefillqueue.cpp
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+#include "EngineModel/prefillqueue.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Yokepond::EngineModel {
+
+namespace {
+
+using Base::Duration;
+using Base::Instant;
+
+Duration prefillTime(double tokens, double tokensPerMs)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(tokens / tokensPerMs));
+}
+
+} // namespace
+
+std::vector<QueuedPrefill>::iterator PrefillQueue::find(std::uint64_t number)
+{
+    return std::ranges::find(m_queue, number, &QueuedPrefill::number);
+}
+
+bool PrefillQueue::contains(std::uint64_t number) const
+{
+    return std::ranges::find(m_queue, number, &QueuedPrefill::number) != m_queue.end();
+}
+
+bool PrefillQueue::empty() const
+{
+    return m_queue.empty();
+}
+
+void PrefillQueue::add(const QueuedPrefill &prefill)
+{
+    m_busySince = m_queue.empty() ? prefill.begins : std::min(m_busySince, prefill.begins);
+    const auto behind
+        = std::ranges::find_if(m_queue, [&](const QueuedPrefill &queued) { return queued.rank > prefill.rank; });
+    m_queue.insert(behind, prefill);
+}
+
+Duration PrefillQueue::spent(Instant now) const
+{
+    return std::max(Duration::zero(), now - m_busySince);
+}
+
+void PrefillQueue::erase(std::vector<QueuedPrefill>::iterator entry, Instant now)
+{
+    m_queue.erase(entry);
+    m_busySince = now;
+    if (!m_queue.empty()) {
+        m_busySince = std::max(now, std::ranges::min(m_queue, {}, &QueuedPrefill::begins).begins);
+    }
+}
+
+std::optional<CompletedPrefill> PrefillQueue::complete(std::uint64_t number, Instant now)
+{
+    const auto entry = find(number);
+    if (entry == m_queue.end()) {
+        return std::nullopt;
+    }
+    const CompletedPrefill completed {entry->tokens, spent(now)};
+    erase(entry, now);
+    return completed;
+}
+
+void PrefillQueue::remove(std::uint64_t number, Instant now)
+{
+    if (const auto entry = find(number); entry != m_queue.end()) {
+        erase(entry, now);
+    }
+}
+
+void PrefillQueue::removeOverdue(double tokensPerMs, Instant now)
+{
+    while (!m_queue.empty() && !m_queue.front().reported) {
+        const Duration expected = prefillTime(m_queue.front().tokens, tokensPerMs);
+        if (spent(now) < expected) {
+            return;
+        }
+        erase(m_queue.begin(), m_busySince + expected);
+    }
+}
+
+Duration PrefillQueue::backlog(int rank, double tokensPerMs, Instant now) const
+{
+    double tokens = 0;
+    for (const QueuedPrefill &queued : m_queue) {
+        tokens += queued.rank <= rank ? queued.tokens : 0;
+    }
+    if (tokens <= 0) {
+        return Duration::zero();
+    }
+    // However long the first prefill takes, it does no work of the others.
+    const Duration first = prefillTime(m_queue.front().tokens, tokensPerMs);
+    return prefillTime(tokens, tokensPerMs) - std::min(first, spent(now));
+}
+
+Duration PrefillQueue::backlog(double tokensPerMs, Instant now) const
+{
+    return backlog(std::numeric_limits<int>::max(), tokensPerMs, now);
+}
+
+} // namespace Yokepond::EngineModel
--- /dev/null
+++ b/Source/EngineModel/prefillqueue.h
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+/// @file
+/// The prompts that an engine has been given and has not prefilled yet.
+
+#pragma once
+
+#include "Base/time.h"
+#include "EngineModel/prefillspeed.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace Yokepond::EngineModel {
+
+/// A prompt sent to an engine.
+struct QueuedPrefill
+{
+    std::uint64_t number = 0; ///< unique for the engine
+    int rank = 0; ///< the engine prefills the most urgent rank first; 1 is the most urgent
+    double tokens = 0; ///< prompt tokens that are not cached
+    Base::Instant begins {}; ///< when the prompt and the parts of it that are transferred have arrived at the engine
+    bool reported = true; ///< whether the end of the prefill will be reported
+};
+
+/// Tracks the prefill queue of one engine. The end of a prefill is known from the first token of its run, which the run's home
+/// reports. So a queue that is longer than assumed stays visible: an engine that is slower than its estimate, or that stopped, gets
+/// no further prompts. A prefill whose end is not reported counts as ended when its estimated time has passed.
+class PrefillQueue
+{
+public:
+    void add(const QueuedPrefill &prefill);
+
+    /// Records that the first token of the run came. Returns the prefill if it shows the speed of the engine.
+    std::optional<CompletedPrefill> complete(std::uint64_t number, Base::Instant now);
+
+    /// Removes a prefill whose run has ended.
+    void remove(std::uint64_t number, Base::Instant now);
+
+    /// Returns the prefill time before a new prompt of @p rank, at @p tokensPerMs.
+    Base::Duration backlog(int rank, double tokensPerMs, Base::Instant now) const;
+
+    /// Returns the time until the queue is empty.
+    Base::Duration backlog(double tokensPerMs, Base::Instant now) const;
+
+    bool contains(std::uint64_t number) const;
+
+    /// Removes the prefills without a report whose estimated time has passed.
+    void removeOverdue(double tokensPerMs, Base::Instant now);
+
+    bool empty() const;
+
+private:
+    std::vector<QueuedPrefill>::iterator find(std::uint64_t number);
+    void erase(std::vector<QueuedPrefill>::iterator entry, Base::Instant now);
+    /// Returns the time that the engine has spent on the queue since its latest end of a prefill.
+    Base::Duration spent(Base::Instant now) const;
+
+    std::vector<QueuedPrefill> m_queue; ///< in the order in which the engine works on them
+    Base::Instant m_busySince {}; ///< when the engine ended its latest prefill, or began the first one after it had been idle
+};
+
+} // namespace Yokepond::EngineModel
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -309,6 +309,7 @@
     struct Handler
     {
         Frontend &frontend;
+        Request::Home &home;
         UsageDuty<Platform::DutyClient> *usage;
 
         void operator()(const Relay::RunStarted &began) const
@@ -325,6 +326,10 @@
         {
             frontend.callerDisconnected(left.id);
         }
+        void operator()(const Relay::FirstTokenReceived &received) const
+        {
+            home.firstTokenReceived(received.id);
+        }
         void operator()(const Relay::EndpointAdvertised &advertised) const
         {
             frontend.endpointAdvertised(advertised);
@@ -338,7 +343,7 @@
             frontend.forwarder().sendAdoptedResponse(answer);
         }
     };
-    std::visit(Handler {*m_frontend, m_usage.get()}, event);
+    std::visit(Handler {*m_frontend, m_home, m_usage.get()}, event);
 }
 
 void Daemon::sendToMember(const std::string &member, Peer::Message message)
--- a/Source/Node/frontend.cpp
+++ b/Source/Node/frontend.cpp
@@ -529,6 +529,7 @@
     command.priority = admitted.rank == 0 ? admitted.requestClass.rank : admitted.rank;
     command.repeatable = admitted.requestClass.repeatable;
     command.reportRate = run.reportRate;
+    command.reportFirstToken = run.reportFirstToken;
     command.reportResponse = !admitted.operationKey.empty();
     command.operationKey = admitted.operationKey;
     command.fence
--- a/Source/Peer/codec.cpp
+++ b/Source/Peer/codec.cpp
@@ -179,11 +179,19 @@
         builder.setStartByUs(toMicroseconds(grant.startBy));
         builder.setPressure(grant.pressure);
         builder.setKeeper(grant.keeper);
+        builder.setReportPrefill(grant.reportPrefill);
         if (grant.rate.kind != Rate::RateKind::Unknown) {
             encodeRate(grant.rate, builder.initRate());
         }
     }
 
+    void operator()(const PrefillEnded &ended)
+    {
+        auto builder = message.initPrefillEnded();
+        encodeId(ended.id, builder);
+        builder.setShard(ended.shard);
+    }
+
     void operator()(const EndpointUpdate &update)
     {
         auto builder = message.initEndpointNews();
@@ -521,9 +529,16 @@
         return decodeAsk(reader.getAsk());
     case Wire::Message::GRANT: {
         const auto grant = reader.getGrant();
-        return Grant {decodeId(grant),     grant.getEndpoint(), fromMicroseconds(grant.getStartByUs()),
-                      grant.getPressure(), grant.getKeeper(),   decodeRate(grant.getRate())};
-    }
+        return Grant {decodeId(grant),
+                      grant.getEndpoint(),
+                      fromMicroseconds(grant.getStartByUs()),
+                      grant.getPressure(),
+                      grant.getKeeper(),
+                      decodeRate(grant.getRate()),
+                      grant.getReportPrefill()};
+    }
+    case Wire::Message::PREFILL_ENDED:
+        return PrefillEnded {decodeId(reader.getPrefillEnded()), reader.getPrefillEnded().getShard()};
     case Wire::Message::REFUSAL:
         return decodeRefusal(reader.getRefusal());
     case Wire::Message::WITHDRAWAL:
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -61,6 +61,14 @@
     std::uint32_t pressure = 0; ///< load of the shard: asks queued and running per thousand slots of its endpoints
     std::uint32_t keeper = 0; ///< endpoint from which the granted one fetches the cached part of the prompt; 0 for none
     Rate::RateInfo rate; ///< request rate that the dispatcher assumes for the endpoint
+    bool reportPrefill = false; ///< whether the home is to send PrefillEnded
+};
+
+/// Reports that the first token of a run came, so that its endpoint has prefilled the prompt. Sent if the grant asks for it.
+struct PrefillEnded
+{
+    AttemptId id;
+    std::uint32_t shard = 0;
 };
 
 /// Reports to a dispatcher what a home has learned about an endpoint from the endpoint's own responses.
@@ -330,7 +338,7 @@
 
 using Message = std::variant<Ask, Grant, Refusal, Withdrawal, Release, RunningReport, Probe, Acknowledgement, ChangesRequest,
                              Changes, Gather, Gathered, Forward, Forwarded, Queued, UsageCounts, UsageReceived, RunBroke,
-                             QuarantineUpdate, EndpointUpdate, FollowStore, FollowAnswer>;
+                             QuarantineUpdate, EndpointUpdate, FollowStore, FollowAnswer, PrefillEnded>;
 
 /// Category of a message. Messages and bytes are counted for each category.
 enum class Traffic { Dispatch, Membership, Configuration, Query, Forwarding, Usage };
--- a/Source/Peer/peer.capnp
+++ b/Source/Peer/peer.capnp
@@ -40,6 +40,13 @@
   pressure @4 :UInt32;         # load of the shard: asks queued and running per thousand slots of its endpoints
   keeper @5 :UInt32;           # endpoint from which the granted one fetches the cached part of the prompt; 0 for none
   rate @6 :RateWord;           # absent if no rate is known
+  reportPrefill @7 :Bool;      # whether the home is to send PrefillEnded
+}
+
+struct PrefillEnded {
+  request @0 :UInt64;
+  attempt @1 :UInt8;
+  shard @2 :UInt32;
 }
 
 struct Refusal {
@@ -231,6 +238,7 @@
     endpointNews @19 :EndpointNews;
     followStore @20 :FollowStore;
     followAnswer @21 :FollowAnswer;
+    prefillEnded @22 :PrefillEnded;
   }
 }
 
--- a/Source/Peer/peer.capnp.h
+++ b/Source/Peer/peer.capnp.h
@@ -22,6 +22,7 @@
 CAPNP_DECLARE_SCHEMA(d03db3b423ce76fc);
 CAPNP_DECLARE_SCHEMA(b04f3f0ce5304b62);
 CAPNP_DECLARE_SCHEMA(9408c88ff33eb71d);
+CAPNP_DECLARE_SCHEMA(9bc0f48fe0a6a8a3);
 CAPNP_DECLARE_SCHEMA(863a767f6e0507fc);
 CAPNP_DECLARE_SCHEMA(d060a6cad9309426);
 CAPNP_DECLARE_SCHEMA(abe75f955f81e674);
@@ -107,6 +108,21 @@
   };
 };
 
+struct PrefillEnded {
+  PrefillEnded() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9bc0f48fe0a6a8a3, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Refusal {
   Refusal() = delete;
 
@@ -511,6 +527,7 @@
     ENDPOINT_NEWS,
     FOLLOW_STORE,
     FOLLOW_ANSWER,
+    PREFILL_ENDED,
   };
 
   struct _capnpPrivate {
@@ -892,6 +909,8 @@
   inline bool hasRate() const;
   inline  ::Yokepond::Peer::Wire::RateWord::Reader getRate() const;
 
+  inline bool getReportPrefill() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -945,6 +964,9 @@
   inline void adoptRate(::capnp::Orphan< ::Yokepond::Peer::Wire::RateWord>&& value);
   inline ::capnp::Orphan< ::Yokepond::Peer::Wire::RateWord> disownRate();
 
+  inline bool getReportPrefill();
+  inline void setReportPrefill(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -972,6 +994,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class PrefillEnded::Reader {
+public:
+  typedef PrefillEnded Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest() const;
+
+  inline  ::uint8_t getAttempt() const;
+
+  inline  ::uint32_t getShard() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PrefillEnded::Builder {
+public:
+  typedef PrefillEnded Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline  ::uint8_t getAttempt();
+  inline void setAttempt( ::uint8_t value);
+
+  inline  ::uint32_t getShard();
+  inline void setShard( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PrefillEnded::Pipeline {
+public:
+  typedef PrefillEnded Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Refusal::Reader {
 public:
   typedef Refusal Reads;
@@ -3440,6 +3548,10 @@
   inline bool hasFollowAnswer() const;
   inline  ::Yokepond::Peer::Wire::FollowAnswer::Reader getFollowAnswer() const;
 
+  inline bool isPrefillEnded() const;
+  inline bool hasPrefillEnded() const;
+  inline  ::Yokepond::Peer::Wire::PrefillEnded::Reader getPrefillEnded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3645,6 +3757,14 @@
   inline void adoptFollowAnswer(::capnp::Orphan< ::Yokepond::Peer::Wire::FollowAnswer>&& value);
   inline ::capnp::Orphan< ::Yokepond::Peer::Wire::FollowAnswer> disownFollowAnswer();
 
+  inline bool isPrefillEnded();
+  inline bool hasPrefillEnded();
+  inline  ::Yokepond::Peer::Wire::PrefillEnded::Builder getPrefillEnded();
+  inline void setPrefillEnded( ::Yokepond::Peer::Wire::PrefillEnded::Reader value);
+  inline  ::Yokepond::Peer::Wire::PrefillEnded::Builder initPrefillEnded();
+  inline void adoptPrefillEnded(::capnp::Orphan< ::Yokepond::Peer::Wire::PrefillEnded>&& value);
+  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::PrefillEnded> disownPrefillEnded();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4547,6 +4667,62 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Grant::Reader::getReportPrefill() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+
+inline bool Grant::Builder::getReportPrefill() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+inline void Grant::Builder::setReportPrefill(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PrefillEnded::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PrefillEnded::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PrefillEnded::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t PrefillEnded::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t PrefillEnded::Builder::getAttempt() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void PrefillEnded::Builder::setAttempt( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PrefillEnded::Reader::getShard() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PrefillEnded::Builder::getShard() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PrefillEnded::Builder::setShard( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Refusal::Reader::getRequest() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7553,6 +7729,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isPrefillEnded() const {
+  return which() == Message::PREFILL_ENDED;
+}
+inline bool Message::Builder::isPrefillEnded() {
+  return which() == Message::PREFILL_ENDED;
+}
+inline bool Message::Reader::hasPrefillEnded() const {
+  if (which() != Message::PREFILL_ENDED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasPrefillEnded() {
+  if (which() != Message::PREFILL_ENDED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Yokepond::Peer::Wire::PrefillEnded::Reader Message::Reader::getPrefillEnded() const {
+  KJ_IREQUIRE((which() == Message::PREFILL_ENDED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::PrefillEnded>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Yokepond::Peer::Wire::PrefillEnded::Builder Message::Builder::getPrefillEnded() {
+  KJ_IREQUIRE((which() == Message::PREFILL_ENDED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::PrefillEnded>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setPrefillEnded( ::Yokepond::Peer::Wire::PrefillEnded::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::PREFILL_ENDED);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::PrefillEnded>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Yokepond::Peer::Wire::PrefillEnded::Builder Message::Builder::initPrefillEnded() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::PREFILL_ENDED);
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::PrefillEnded>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptPrefillEnded(
+    ::capnp::Orphan< ::Yokepond::Peer::Wire::PrefillEnded>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::PREFILL_ENDED);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::PrefillEnded>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Yokepond::Peer::Wire::PrefillEnded> Message::Builder::disownPrefillEnded() {
+  KJ_IREQUIRE((which() == Message::PREFILL_ENDED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::PrefillEnded>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Session::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/Source/Relay/call.h
+++ b/Source/Relay/call.h
@@ -76,6 +76,12 @@
     Base::Instant at {};
 };
 
+/// Reports the first token of a run, if Run::reportFirstToken is set.
+struct FirstTokenReceived
+{
+    Peer::AttemptId id;
+};
+
 /// Reports what the head of an endpoint's response advertises about the endpoint.
 ///
 /// It is also sent for a response without a rate if Run::reportRate is set.
@@ -93,7 +99,7 @@
     Http::Response response;
 };
 
-using Event = std::variant<CallArrived, CallerDisconnected, RunEnded, RunStarted, EndpointAdvertised, AdoptedResponse>;
+using Event = std::variant<CallArrived, CallerDisconnected, RunEnded, RunStarted, FirstTokenReceived, EndpointAdvertised, AdoptedResponse>;
 
 // --- Commands to the relay
 
@@ -114,6 +120,7 @@
     int priority = 0; ///< rank of the request's tier (1 is the highest), for the engine's own queue
     bool repeatable = true; ///< whether the request may run more than once
     bool reportRate = false; ///< whether to send EndpointAdvertised also if the response advertises no rate
+    bool reportFirstToken = false; ///< whether to send FirstTokenReceived
     bool reportResponse = false; ///< whether to report the complete response, for later requests with the same idempotency key
     std::string operationKey; ///< the caller's idempotency key, sent to the endpoint; may be empty
     std::string fence; ///< fencing token for endpoints that check the order of runs, may be empty
--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -430,11 +430,14 @@
     }
 
     /// Updates the token count and the longest gap between tokens; every event with data counts as one token.
-    static void recordToken(Call &call)
+    void recordToken(Call &call)
     {
         const Base::Instant now = Base::now();
         if (call.tokens++ == 0) {
             call.firstTokenAt = now;
+            if (call.run.reportFirstToken) {
+                m_handler(FirstTokenReceived {call.run.id});
+            }
         } else {
             call.longestGap = std::max(call.longestGap, now - call.lastTokenAt);
         }
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -306,9 +306,10 @@
     beginRun(now, pending, *endpoint, now + std::chrono::seconds(1));
 }
 
-/// Starts a run at @p endpoint. @p keeper is an endpoint that has a prefix of the prompt in its cache, 0 for none.
-void Home::beginRun(Instant now, Pending &pending, std::uint32_t endpoint, Instant startBy, std::uint32_t keeper)
+/// Starts a run at @p endpoint. @p grant is the dispatcher's; a run without a dispatcher has none.
+void Home::beginRun(Instant now, Pending &pending, std::uint32_t endpoint, Instant startBy, const Peer::Grant &grant)
 {
+    std::uint32_t keeper = grant.keeper;
     Base::checkInvariant(pending.classSettings.repeatable || !pending.mayHaveRun, Base::Invariant::RunOnce);
     pending.phase = Phase::Running;
     pending.endpoint = endpoint;
@@ -327,7 +328,8 @@
     addTraceEntry(pending, now, Step::Started, fmt::format("endpoint {}{}", nameOf(endpoint), transferNote));
     // A dispatcher that enforces a limit must be informed when the limit ends.
     const bool reportRate = pending.grantedRate.isLimited() || m_rates.stateOf(endpoint).isLimited();
-    m_actions.emplace_back(StartRun {{pending.request.id, pending.attempt}, endpoint, startBy, reportRate, keeper});
+    m_actions.emplace_back(StartRun {
+        {pending.request.id, pending.attempt}, endpoint, startBy, reportRate, keeper, grant.reportPrefill});
 }
 
 void Home::receive(Instant, const std::string &from, const Peer::Queued &queued)
@@ -388,7 +390,7 @@
     }
     pending->grantedRate = Rate::rateStateFrom(grant.rate, now);
     addTraceEntry(*pending, now, Step::Granted, fmt::format("by {}, pressure {}/1000", from, grant.pressure));
-    beginRun(now, *pending, grant.endpoint, grant.startBy, grant.keeper);
+    beginRun(now, *pending, grant.endpoint, grant.startBy, grant);
 }
 
 /// Returns a grant that the dispatcher gave with outdated information, and asks again. If the dispatcher repeats its mistake, the
@@ -513,6 +515,14 @@
     }
 }
 
+void Home::firstTokenReceived(const Peer::AttemptId &id)
+{
+    const Pending *pending = find(id.request);
+    if (pending != nullptr && pending->phase == Phase::Running && pending->attempt == id.attempt) {
+        m_actions.emplace_back(SendToMember {pending->dispatcher, Peer::PrefillEnded {id, pending->shard}});
+    }
+}
+
 void Home::runEnded(Instant now, const RunReport &report)
 {
     Pending *pending = find(report.id.request);
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -97,6 +97,9 @@
     void endpointAdvertised(Base::Instant now, const Peer::AttemptId &id, std::uint32_t endpoint,
                             const EndpointAdvertisement &advertised);
 
+    /// Informs the dispatcher of the first token of a run.
+    void firstTokenReceived(const Peer::AttemptId &id);
+
     /// Handles the end of a run: finishes, retries or fails the request.
     void runEnded(Base::Instant now, const RunReport &report);
 
@@ -167,7 +170,8 @@
     void returnGrant(Base::Instant now, Pending &pending, const Peer::Grant &grant, std::string reason);
     bool correctDispatcherRate(Base::Instant now, const Pending &pending, const Peer::Grant &grant);
     void sendEndpointUpdate(Base::Instant now, const Pending &pending, std::uint32_t endpoint);
-    void beginRun(Base::Instant now, Pending &pending, std::uint32_t endpoint, Base::Instant startBy, std::uint32_t keeper = 0);
+    void beginRun(Base::Instant now, Pending &pending, std::uint32_t endpoint, Base::Instant startBy,
+                  const Peer::Grant &grant = {});
     void release(const Pending &pending, const RunReport &report, Peer::RunResult result);
     void updateQuarantine(Base::Instant now, const Pending &pending, const RunReport &report);
     void enforceQuarantine(Base::Instant now);
--- a/Source/Request/types.h
+++ b/Source/Request/types.h
@@ -93,6 +93,7 @@
     Base::Instant startBy {}; ///< the run must not start later
     bool reportRate = false; ///< report whether the response advertises a rate, even if it does not
     std::uint32_t keeper = 0; ///< endpoint with a cached prefix of the prompt that @p endpoint is to transfer, 0 for none
+    bool reportFirstToken = false; ///< whether to call Home::firstTokenReceived()
 };
 
 /// Cancels the current run of a request.
