EngineModel, Dispatch: Set engines aside for tight streams while these end late

Cause: a long prompt that is prefilled makes all tight streams of its engine pause, and long prompts were prefilled at every engine.

Change: StreamEngines sets as many engines aside as the active tight streams need, while they end late; other prompts do not use them.

--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 51> eventNames = {{
+constexpr NameTable<LogEvent, 52> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -42,6 +42,7 @@
     {LogEvent::AvailabilityUnreadable, "availability-unreadable"},
     {LogEvent::PrefillSpeedLearned, "reading-speed-learned"},
     {LogEvent::LongestPauseLearned, "longest-pause-learned"},
+    {LogEvent::StreamEnginesChanged, "stream-engines-changed"},
     {LogEvent::MemberChanged, "member-changed"},
     {LogEvent::PeerConnected, "peer-connected"},
     {LogEvent::PeerLost, "peer-lost"},
--- a/Source/Base/log.h
+++ b/Source/Base/log.h
@@ -48,6 +48,7 @@
     AvailabilityUnreadable,
     PrefillSpeedLearned,
     LongestPauseLearned,
+    StreamEnginesChanged,
     MemberChanged,
     PeerConnected,
     PeerLost,
--- a/Source/Dispatch/placement.h
+++ b/Source/Dispatch/placement.h
@@ -52,6 +52,7 @@
     std::uint32_t keeper = 0; ///< endpoint from which a cached prefix is fetched, 0 for none
     std::uint32_t reliabilityEpoch = 0; ///< epoch of the endpoint when the run was placed
     Base::Duration allowedPause {}; ///< longest pause between events that the class allows
+    bool tightStream = false; ///< no class of the pool allows much shorter pauses
     Base::Instant placedAt {};
 };
 
@@ -81,9 +82,9 @@
     {
         constant.expectedFirstToken(ask, candidates, now)
     } -> std::same_as<Base::Duration>;
-    /// Returns the candidate with the shortest backlog for prompts of a rank.
+    /// Returns the candidate with the shortest backlog for prompts of the rank of @p ask.
     {
-        constant.minBacklog(1, candidates, now)
+        constant.minBacklog(ask, candidates, now)
     } -> std::same_as<MinBacklog>;
     /// Returns an upper bound of expectedFirstToken() for the candidates from which @p shortest was found, in constant time.
     {
@@ -103,6 +104,8 @@
     /// Records that the first token of a run came, which its home reported.
     placement.recordPrefillEnd(run, now);
     placement.recordEnd(run, seen, now);
+    /// Adjusts what depends on the load; to be called regularly with all endpoints that accept work.
+    placement.adjust(candidates, now);
     /// Marks an endpoint that fails or leaves: other endpoints can no longer rely on the prompts in its cache.
     placement.markUnreliable(endpoint);
     /// Removes an endpoint permanently.
@@ -117,7 +120,7 @@
     {
         return {};
     }
-    MinBacklog minBacklog(int, std::span<const Candidate>, Base::Instant) const
+    MinBacklog minBacklog(const QueuedAsk &, std::span<const Candidate>, Base::Instant) const
     {
         return {};
     }
@@ -136,6 +139,9 @@
     void recordPrefillEnd(const PlacedRun &, Base::Instant)
     {
     }
+    void adjust(std::span<const Candidate>, Base::Instant)
+    {
+    }
     void recordEnd(const PlacedRun &, const ObservedTokens &, Base::Instant)
     {
     }
--- a/Source/Dispatch/poolparameters.cpp
+++ b/Source/Dispatch/poolparameters.cpp
@@ -46,7 +46,22 @@
 {
     const int effective = rank == 0 ? requestClass.rank : rank;
     return {requestClass.number,     effective, requestClass.firstToken, requestClass.tokenGap, requestClass.starvationBound,
-            tightestAbove(effective)};
+            tightestAbove(effective), hasTightestGap(requestClass)};
+}
+
+bool PoolParameters::hasTightestGap(const RequestClass &requestClass) const
+{
+    Duration tightest = Duration::max();
+    Duration widest {};
+    for (const RequestClass *other : classes()) {
+        if (other->tokenGap > Duration::zero()) {
+            tightest = std::min(tightest, other->tokenGap);
+            widest = std::max(widest, other->tokenGap);
+        }
+    }
+    // Classes whose targets differ by less than a fifth are treated alike.
+    const auto isTight = [&](Duration gap) { return gap > Duration::zero() && gap / 6 * 5 <= tightest; };
+    return isTight(requestClass.tokenGap) && !isTight(widest);
 }
 
 int PoolParameters::lowestRank() const
--- a/Source/Dispatch/poolparameters.h
+++ b/Source/Dispatch/poolparameters.h
@@ -38,6 +38,7 @@
     std::vector<const Configuration::RequestClass *> classes() const;
     /// Returns the shortest first-token target of the classes more urgent than @p rank; zero if there are none.
     Base::Duration tightestAbove(int rank) const;
+    bool hasTightestGap(const Configuration::RequestClass &requestClass) const;
 
     std::shared_ptr<const Configuration::Catalogue> m_catalogue;
     std::uint32_t m_pool;
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -61,6 +61,8 @@
 /// They need no evaluation. Without a limit of their own, a full region would hold up requests for the others.
 constexpr std::size_t skippedOfOtherRegions = 16;
 constexpr std::size_t maxEjectedDivisor = 3; ///< at most a third of the endpoints are ejected because the others are better
+/// Period with which the placement adjusts to the load. It is short beside the time in which the load changes.
+constexpr Duration adjustmentPeriod = std::chrono::milliseconds(200);
 /// A prefill that takes longer than expected is looked at again after this time.
 constexpr Duration minHold = std::chrono::milliseconds(20);
 /// A permit is kept this long after the deadline of its request, since the release may still be on its way.
@@ -718,6 +720,10 @@
         state.health.tick(now);
     }
     ejectUnhealthy(now);
+    if (now - m_lastAdjustment >= adjustmentPeriod) {
+        m_lastAdjustment = now;
+        std::visit([&](auto &placement) { placement.adjust(usableCandidates(m_endpoints, now), now); }, m_placement);
+    }
     dispatchQueued(now, maxSkippedPerTick);
 }
 
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -214,6 +214,7 @@
     double m_grantsPerSecond = 0; ///< moving average
     std::uint64_t m_grantsInPeriod = 0;
     Base::Instant m_periodBegan {};
+    Base::Instant m_lastAdjustment {};
     LateRefusals m_lateRefusals;
     std::set<std::uint32_t> m_coolingDown; ///< endpoints that have a cooldown for at least one home
     bool m_saturated = false; ///< asks were queued at the end of the last rate period
--- a/Source/Dispatch/soonestfirsttoken.cpp
+++ b/Source/Dispatch/soonestfirsttoken.cpp
@@ -248,8 +248,37 @@
     return engine->runningTokens + kvTokens <= maxRunningTokens;
 }
 
+bool SoonestFirstToken::isOnSideOf(const QueuedAsk &ask, std::uint32_t endpoint) const
+{
+    return m_streamEngines.contains(endpoint) == ask.parameters.hasTightestGap;
+}
+
+std::vector<Candidate> SoonestFirstToken::sideOf(const QueuedAsk &ask, std::span<const Candidate> candidates) const
+{
+    std::vector<Candidate> side;
+    std::ranges::copy_if(candidates, std::back_inserter(side),
+                         [&](const Candidate &candidate) { return isOnSideOf(ask, candidate.endpoint); });
+    return side.empty() ? std::vector<Candidate>(candidates.begin(), candidates.end()) : side;
+}
+
 std::optional<std::uint32_t> SoonestFirstToken::choose(const QueuedAsk &ask, std::span<const Candidate> candidates,
                                                        Base::Instant now) const
+{
+    if (m_streamEngines.empty()) {
+        return chooseFrom(ask, candidates, now);
+    }
+    const std::vector<Candidate> side = sideOf(ask, candidates);
+    if (ask.parameters.hasTightestGap) {
+        const auto endpoint = chooseFrom(ask, side, now);
+        // A tight stream may be on time beside other prompts as well, and would be late if it waited.
+        return endpoint ? endpoint : chooseFrom(ask, candidates, now);
+    }
+    // Other prompts do not use the engines for streams while those have streams, also if all others are busy.
+    return isOnSideOf(ask, side.front().endpoint) ? chooseFrom(ask, side, now) : std::nullopt;
+}
+
+std::optional<std::uint32_t> SoonestFirstToken::chooseFrom(const QueuedAsk &ask, std::span<const Candidate> candidates,
+                                                           Base::Instant now) const
 {
     std::optional<std::uint32_t> best;
     double lowestCost = 0;
@@ -282,11 +311,11 @@
     return best;
 }
 
-MinBacklog SoonestFirstToken::minBacklog(int rank, std::span<const Candidate> candidates, Base::Instant now) const
+MinBacklog SoonestFirstToken::minBacklog(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const
 {
     MinBacklog shortest {0, Base::Duration::max()};
-    for (const Candidate &candidate : candidates) {
-        if (const Base::Duration backlog = backlogAt(candidate.endpoint, rank, now); backlog < shortest.time) {
+    for (const Candidate &candidate : sideOf(ask, candidates)) {
+        if (const Base::Duration backlog = backlogAt(candidate.endpoint, ask.parameters.rank, now); backlog < shortest.time) {
             shortest = {candidate.endpoint, backlog};
         }
     }
@@ -315,7 +344,7 @@
 {
     Base::Duration earliest = Base::Duration::max();
     const Keeper keeper = keeperOf(ask, now);
-    for (const Candidate &candidate : candidates) {
+    for (const Candidate &candidate : sideOf(ask, candidates)) {
         earliest = std::min(earliest, timeToFirstToken(ask, candidate, keeper, now));
     }
     return earliest;
@@ -368,6 +397,10 @@
     const Base::Duration burst = backlogOf(engine, now);
     engine.pauses.recordPrefill(now, burst, burst + plan.prefillTime);
     engine.pauses.addStream(run.allowedPause);
+    run.tightStream = ask.parameters.hasTightestGap;
+    if (run.tightStream) {
+        m_streamEngines.streamStarted();
+    }
     run.expectedPrefillEnd = now + scaled(backlog + plan.transferTime + plan.prefillTime, prefillMargin);
     if (run.prefillTokens >= minTrackedTokens) {
         run.prefill = ++m_lastPrefill;
@@ -417,6 +450,9 @@
 void SoonestFirstToken::recordEnd(const PlacedRun &run, const ObservedTokens &seen, Base::Instant now)
 {
     m_pendingPrefixes.remove(run.prefix, run.prefill);
+    if (run.tightStream) {
+        m_streamEngines.streamEnded(seen.pauses.longest > run.allowedPause, now);
+    }
     const auto engine = m_engines.find(run.endpoint);
     if (engine == m_engines.end()) {
         return;
@@ -468,6 +504,26 @@
     }
 }
 
+void SoonestFirstToken::adjust(std::span<const Candidate> candidates, Base::Instant now)
+{
+    std::vector<EngineModel::StreamEngineCandidate> engines;
+    for (const Candidate &candidate : candidates) {
+        const Engine *engine = engineOf(candidate.endpoint);
+        const double speed = engine == nullptr ? m_poolSpeed.tokensPerMs() : engine->speed.tokensPerMs();
+        const Base::Duration backlog = engine == nullptr ? Base::Duration::zero() : backlogOf(*engine, now);
+        engines.push_back({candidate.endpoint, candidate.window, speed, backlog});
+    }
+    const std::size_t before = m_streamEngines.size();
+    if (m_streamEngines.update(engines, now) != EngineModel::StreamEnginesChange::None) {
+        Base::log(Base::LogLevel::Info, Base::LogEvent::StreamEnginesChanged,
+                  {{"engines", m_streamEngines.size()},
+                   {"before", before},
+                   {"of", engines.size()},
+                   {"streams", m_streamEngines.activeStreams()},
+                   {"late-share", m_streamEngines.lateShare()}});
+    }
+}
+
 /// Stops transfers from the engine, but keeps the estimate of its cache: an engine that fails some runs still has its prompts. An
 /// engine that restarts becomes a new endpoint where the platform reports restarts. Elsewhere, higher first-token times of its
 /// next runs show that it has lost its cache.
--- a/Source/Dispatch/soonestfirsttoken.h
+++ b/Source/Dispatch/soonestfirsttoken.h
@@ -11,6 +11,7 @@
 #include "EngineModel/pendingprefixes.h"
 #include "EngineModel/prefillqueue.h"
 #include "EngineModel/prefillspeed.h"
+#include "EngineModel/streamengines.h"
 
 #include <cstdint>
 #include <map>
@@ -19,6 +20,7 @@
 #include <set>
 #include <span>
 #include <utility>
+#include <vector>
 
 namespace Yokepond::Dispatch {
 
@@ -32,13 +34,14 @@
 public:
     std::optional<std::uint32_t> choose(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
     Base::Duration expectedFirstToken(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
-    MinBacklog minBacklog(int rank, std::span<const Candidate> candidates, Base::Instant now) const;
+    MinBacklog minBacklog(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
     Base::Duration firstTokenUpperBound(const QueuedAsk &ask, const MinBacklog &shortest) const;
     Base::Duration expectedPrefillTime(const QueuedAsk &ask) const;
     std::optional<EngineModel::PendingPrefix> prefixToAwait(const QueuedAsk &ask, Base::Instant now) const;
     PlacedRun recordPlacement(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now);
     void recordPrefillEnd(const PlacedRun &run, Base::Instant now);
     void recordEnd(const PlacedRun &run, const ObservedTokens &seen, Base::Instant now);
+    void adjust(std::span<const Candidate> candidates, Base::Instant now);
     void markUnreliable(std::uint32_t endpoint);
     void removeEndpoint(std::uint32_t endpoint);
 
@@ -93,6 +96,11 @@
         double baseMs = 0; ///< cost in milliseconds, without late streams
     };
 
+    /// Returns whether @p endpoint is on the side of the ask: the engines for tight streams, or the others.
+    bool isOnSideOf(const QueuedAsk &ask, std::uint32_t endpoint) const;
+    /// Returns the candidates on the side of the ask, or all if there are none.
+    std::vector<Candidate> sideOf(const QueuedAsk &ask, std::span<const Candidate> candidates) const;
+    std::optional<std::uint32_t> chooseFrom(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
     const Engine *engineOf(std::uint32_t endpoint) const;
     static std::uint32_t cachedTokensAt(const Engine &engine, const QueuedAsk &ask);
     Keeper keeperOf(const QueuedAsk &ask, Base::Instant now) const;
@@ -123,6 +131,7 @@
     EngineModel::PrefillSpeed m_poolSpeed = EngineModel::poolPrefillSpeed();
     std::set<std::uint64_t> m_homesWithoutReports; ///< incarnations of homes that do not report the end of prefills
     EngineModel::PendingPrefixes m_pendingPrefixes;
+    EngineModel::StreamEngines m_streamEngines;
     std::uint64_t m_lastPrefill = 0; ///< number of the latest prefill
     Base::Duration m_loggedLongestPause {};
     double m_loggedTokensPerMs = m_poolSpeed.tokensPerMs();
--- a/Source/Dispatch/waitestimates.cpp
+++ b/Source/Dispatch/waitestimates.cpp
@@ -61,9 +61,9 @@
     const Instant start = m_now + std::max(advertisedWait, prefillWait);
     return std::visit(
         [&](const auto &placement) {
-            const auto [entry, added] = m_minBacklogs.try_emplace(ask.parameters.rank);
+            const auto [entry, added] = m_minBacklogs.try_emplace({ask.parameters.rank, ask.parameters.hasTightestGap});
             if (added) {
-                entry->second = placement.minBacklog(ask.parameters.rank, m_usable, m_now);
+                entry->second = placement.minBacklog(ask, m_usable, m_now);
             }
             const Duration upperBound = placement.firstTokenUpperBound(ask, entry->second);
             if (upperBound < Duration::max() && start + upperBound <= ask.target()) {
--- a/Source/Dispatch/waitestimates.h
+++ b/Source/Dispatch/waitestimates.h
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <optional>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -62,7 +63,7 @@
     std::vector<Candidate> m_usable;
     std::optional<bool> m_allHaveCooldowns; ///< for at least one home
     std::map<std::uint64_t, Base::Duration> m_cooldowns; ///< by home
-    std::map<int, MinBacklog> m_minBacklogs; ///< by rank
+    std::map<std::pair<int, bool>, MinBacklog> m_minBacklogs; ///< by rank, and whether the class has the tightest gap
     std::optional<std::optional<PooledRate>> m_rate;
 };
 
--- /dev/null
+++ b/Source/EngineModel/streamengines.cpp
@@ -0,0 +1,132 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+#include "EngineModel/streamengines.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <vector>
+
+namespace Yokepond::EngineModel {
+
+namespace {
+
+using Base::Duration;
+using Base::Instant;
+
+/// More late streams than this are more than callers notice; the value is the share of one late stream in fifty and half of
+/// another.
+constexpr double tolerableLateShare = 0.03;
+/// Weight of the latest stream in the share of late ones.
+constexpr double latestWeight = 0.02;
+/// Engines stay set aside for this time after the last late streams, which is longer than most streams last. They are then
+/// offered to all prompts again, to find out whether the streams still need them.
+constexpr Duration retention = std::chrono::seconds(20);
+/// Share of an engine's slots that tight streams use when they have the engine to themselves. The others are for bursts, and each
+/// further stream makes all tokens slower.
+constexpr double usedSlots = 0.4;
+/// At most this share of the engines is set aside, so that the other classes are served too.
+constexpr double maxShare = 0.5;
+/// Engines return to the other classes one by one with this time between them, since the number of streams varies.
+constexpr Duration shrinkPeriod = std::chrono::seconds(1);
+
+} // namespace
+
+void StreamEngines::streamStarted()
+{
+    ++m_active;
+}
+
+void StreamEngines::streamEnded(bool late, Instant now)
+{
+    m_active -= std::min(m_active, 1U);
+    m_lateShare += latestWeight * ((late ? 1.0 : 0.0) - m_lateShare);
+    if (m_lateShare > tolerableLateShare) {
+        m_lastLate = now;
+    }
+}
+
+std::size_t StreamEngines::neededFor(std::span<const StreamEngineCandidate> engines) const
+{
+    double slots = 0;
+    for (const StreamEngineCandidate &engine : engines) {
+        slots += engine.slots;
+    }
+    if (slots <= 0) {
+        return 0;
+    }
+    const double perEngine = usedSlots * slots / static_cast<double>(engines.size());
+    const auto needed = static_cast<std::size_t>(std::ceil(m_active / perEngine));
+    return std::min(needed, static_cast<std::size_t>(maxShare * static_cast<double>(engines.size())));
+}
+
+void StreamEngines::grow(std::span<const StreamEngineCandidate> engines, std::size_t needed)
+{
+    std::vector<StreamEngineCandidate> others;
+    std::ranges::copy_if(engines, std::back_inserter(others),
+                         [this](const StreamEngineCandidate &engine) { return !m_engines.contains(engine.endpoint); });
+    // Fast engines have the shortest pauses. Those with little to prefill are free for streams at once.
+    const auto order = [](const StreamEngineCandidate &engine) {
+        return std::tuple(engine.backlog > Duration::zero(), -engine.tokensPerMs, engine.endpoint);
+    };
+    std::ranges::sort(others, {}, order);
+    for (const StreamEngineCandidate &engine : others) {
+        if (m_engines.size() >= needed) {
+            return;
+        }
+        m_engines.insert(engine.endpoint);
+    }
+}
+
+StreamEnginesChange StreamEngines::update(std::span<const StreamEngineCandidate> engines, Instant now)
+{
+    std::erase_if(m_engines, [&](std::uint32_t endpoint) {
+        return std::ranges::find(engines, endpoint, &StreamEngineCandidate::endpoint) == engines.end();
+    });
+    if (!m_lastLate || now - *m_lastLate > retention) {
+        const bool any = !m_engines.empty();
+        m_engines.clear();
+        return any ? StreamEnginesChange::Ended : StreamEnginesChange::None;
+    }
+    const std::size_t needed = neededFor(engines);
+    if (needed > m_engines.size()) {
+        grow(engines, needed);
+        m_lastShrink = now;
+        return StreamEnginesChange::Grew;
+    }
+    // One engine more than needed is kept, so that the number does not change with each stream.
+    if (needed + 1 < m_engines.size() && now - m_lastShrink >= shrinkPeriod) {
+        m_engines.erase(std::prev(m_engines.end()));
+        m_lastShrink = now;
+        return StreamEnginesChange::Shrank;
+    }
+    return StreamEnginesChange::None;
+}
+
+bool StreamEngines::contains(std::uint32_t endpoint) const
+{
+    return m_engines.contains(endpoint);
+}
+
+bool StreamEngines::empty() const
+{
+    return m_engines.empty();
+}
+
+std::size_t StreamEngines::size() const
+{
+    return m_engines.size();
+}
+
+std::uint32_t StreamEngines::activeStreams() const
+{
+    return m_active;
+}
+
+double StreamEngines::lateShare() const
+{
+    return m_lateShare;
+}
+
+} // namespace Yokepond::EngineModel
