EngineModel, Dispatch: Late asks wait for room; asks that cannot end before their deadlines are refused at once

Callers saw: requests that began at once and were cut at their deadline.

Cause: an ask past its target went to any engine, however long its backlog, and made everything there late. Nothing looked at whether a response could end.

Change: late asks wait as others do. Lengths of responses are learned by class and organisation, and by how well hints predict; an ask whose response could not end even at half its expected length is refused with TooLate.

--- a/Source/Dispatch/placement.h
+++ b/Source/Dispatch/placement.h
@@ -47,6 +47,9 @@
     std::uint64_t prefill = 0; ///< number of its prefill at the endpoint; 0 if it is too short to matter
     bool prefillReported = false; ///< the home is to report the end of the prefill
     std::uint64_t home = 0; ///< incarnation of the home
+    std::uint32_t requestClass = 0; ///< number of the class
+    std::uint32_t organisation = 0; ///< number of the organisation
+    std::uint32_t expectedTokens = 0; ///< the caller's hint of the length of the response; 0 for none
     std::vector<std::uint64_t> prefix; ///< hashes of the prompt's prefixes
     Base::Instant expectedPrefillEnd {};
     std::uint32_t keeper = 0; ///< endpoint from which a cached prefix is fetched, 0 for none
@@ -61,6 +64,7 @@
 {
     Base::Duration first {}; ///< time from the start of the run to the first token
     ObservedPauses pauses;
+    std::uint32_t completedEvents = 0; ///< number of events; 0 if the response is not complete
 };
 
 /// The endpoint with the shortest prefill backlog before a prompt of some rank.
@@ -90,6 +94,10 @@
     {
         constant.firstTokenUpperBound(ask, shortest)
     } -> std::same_as<Base::Duration>;
+    /// Returns how long the response takes from its first token; zero if the policy has no estimate.
+    {
+        constant.expectedResponseTime(ask)
+    } -> std::same_as<Base::Duration>;
     /// Returns for how long the prompt of @p ask occupies an endpoint; zero if the policy has no model of engines.
     {
         constant.expectedPrefillTime(ask)
@@ -132,6 +140,10 @@
     {
         return {};
     }
+    Base::Duration expectedResponseTime(const QueuedAsk &) const
+    {
+        return {};
+    }
     std::optional<EngineModel::PendingPrefix> prefixToAwait(const QueuedAsk &, Base::Instant) const
     {
         return std::nullopt;
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -514,7 +514,8 @@
             std::visit([&](auto &window) { window.observe(observation, now); }, state.window);
             state.health.observe(observation);
         }
-        dropPermit(now, key, {release.firstToken, {release.gap, release.longestGap}});
+        const std::uint32_t completedEvents = release.result == RunResult::Completed ? release.tokens : 0;
+        dropPermit(now, key, {release.firstToken, {release.gap, release.longestGap}, completedEvents});
         ejectUnhealthy(now);
     }
     if (release.result == RunResult::Rejected) {
--- a/Source/Dispatch/soonestfirsttoken.cpp
+++ b/Source/Dispatch/soonestfirsttoken.cpp
@@ -53,6 +53,8 @@
 constexpr double transferCostFactor = 0.6;
 /// Rank of the highest tier, whose prompts need not wait while an engine rests from prefill.
 constexpr int mostUrgentRank = 1;
+/// Weight of the latest run in the moving average of the time between events.
+constexpr double latestIntervalWeight = 0.02;
 /// A shorter prefill takes less than one step of the engine and is not tracked.
 constexpr std::uint32_t minTrackedTokens = 512;
 /// An estimate is logged again when it has changed by this share of the value logged last.
@@ -171,6 +173,13 @@
     return timeToPrefill(ask.ask.promptTokens) / 2;
 }
 
+Base::Duration SoonestFirstToken::expectedResponseTime(const QueuedAsk &ask) const
+{
+    const double events
+        = m_lengths.expectedEvents(ask.ask.requestClass, ask.ask.organisation, ask.ask.expectedTokens);
+    return scaled(m_eventInterval, events);
+}
+
 SoonestFirstToken::Keeper SoonestFirstToken::keeperOf(const QueuedAsk &ask, Base::Instant now) const
 {
     Keeper best;
@@ -282,9 +291,9 @@
 {
     std::optional<std::uint32_t> best;
     double lowestCost = 0;
-    // Further waiting does not help an ask that has already missed its target.
-    const bool mayWait = now < ask.target();
     const Base::Duration longest = longestBacklogOfClass(ask);
+    // An ask that has missed its target waits as well: at an engine with a long backlog it would delay all others there.
+    const bool mayWait = now + longest < ask.deadline;
     std::optional<std::uint32_t> preferred;
     std::optional<Keeper> keeper;
     for (const Candidate &candidate : candidates) {
@@ -390,6 +399,9 @@
     run.kvTokens = kvTokensFor(ask, plan);
     run.prefillTokens = ask.ask.promptTokens - plan.cachedTokens;
     run.home = ask.home.incarnation;
+    run.requestClass = ask.ask.requestClass;
+    run.organisation = ask.ask.organisation;
+    run.expectedTokens = ask.ask.expectedTokens;
     run.prefix = ask.ask.prefix;
     run.placedAt = now;
     run.allowedPause = ask.parameters.tokenGap;
@@ -453,6 +465,7 @@
     if (run.tightStream) {
         m_streamEngines.streamEnded(seen.pauses.longest > run.allowedPause, now);
     }
+    observeLength(run, seen);
     const auto engine = m_engines.find(run.endpoint);
     if (engine == m_engines.end()) {
         return;
@@ -473,6 +486,15 @@
     }
 }
 
+void SoonestFirstToken::observeLength(const PlacedRun &run, const ObservedTokens &seen)
+{
+    m_lengths.add(run.requestClass, run.organisation, run.expectedTokens, seen.completedEvents);
+    if (seen.pauses.mean > Base::Duration::zero()) {
+        const Base::Duration change = seen.pauses.mean - m_eventInterval;
+        m_eventInterval += m_eventInterval == Base::Duration::zero() ? change : scaled(change, latestIntervalWeight);
+    }
+}
+
 void SoonestFirstToken::logLongestPause(const PlacedRun &run, const ObservedTokens &seen)
 {
     const double estimated = Base::milliseconds(m_longestPause->value());
--- a/Source/Dispatch/soonestfirsttoken.h
+++ b/Source/Dispatch/soonestfirsttoken.h
@@ -11,6 +11,7 @@
 #include "EngineModel/pendingprefixes.h"
 #include "EngineModel/prefillqueue.h"
 #include "EngineModel/prefillspeed.h"
+#include "EngineModel/responselengths.h"
 #include "EngineModel/streamengines.h"
 
 #include <cstdint>
@@ -37,6 +38,7 @@
     MinBacklog minBacklog(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
     Base::Duration firstTokenUpperBound(const QueuedAsk &ask, const MinBacklog &shortest) const;
     Base::Duration expectedPrefillTime(const QueuedAsk &ask) const;
+    Base::Duration expectedResponseTime(const QueuedAsk &ask) const;
     std::optional<EngineModel::PendingPrefix> prefixToAwait(const QueuedAsk &ask, Base::Instant now) const;
     PlacedRun recordPlacement(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now);
     void recordPrefillEnd(const PlacedRun &run, Base::Instant now);
@@ -122,6 +124,7 @@
     void addPendingPrefixes(const QueuedAsk &ask, const PlacedRun &run, Base::Instant expectedEnd);
     bool reportsPrefills(const PlacedRun &run) const;
     void endPrefill(const PlacedRun &run, Base::Instant now);
+    void observeLength(const PlacedRun &run, const ObservedTokens &seen);
     void logLongestPause(const PlacedRun &run, const ObservedTokens &seen);
     void updatePrefillSpeed(Engine &engine, const PlacedRun &run, const EngineModel::CompletedPrefill &completed);
 
@@ -132,6 +135,8 @@
     std::set<std::uint64_t> m_homesWithoutReports; ///< incarnations of homes that do not report the end of prefills
     EngineModel::PendingPrefixes m_pendingPrefixes;
     EngineModel::StreamEngines m_streamEngines;
+    EngineModel::ResponseLengths m_lengths;
+    Base::Duration m_eventInterval {}; ///< moving average of the time between the events of a stream
     std::uint64_t m_lastPrefill = 0; ///< number of the latest prefill
     Base::Duration m_loggedLongestPause {};
     double m_loggedTokensPerMs = m_poolSpeed.tokensPerMs();
--- a/Source/Dispatch/waitestimates.cpp
+++ b/Source/Dispatch/waitestimates.cpp
@@ -12,6 +12,9 @@
 using Base::Duration;
 using Base::Instant;
 
+/// A request is given up only if not even a response of this share of the expected length could end before its deadline.
+constexpr double leastShareOfResponse = 0.5;
+
 } // namespace
 
 WaitEstimates::WaitEstimates(Instant now, const EndpointStates &endpoints, const Placement &placement, bool refuseLate)
@@ -31,11 +34,35 @@
 {
     const Duration late = latenessOf(ask, ahead);
     const Duration cooldown = remainingCooldown(ask.home.incarnation);
-    const Instant start = m_now + std::max(rateLimitWait(ahead.asks), cooldown);
-    const bool missesDeadline = start >= ask.deadline;
+    const Instant start = m_now + std::max({rateLimitWait(ahead.asks), cooldown, prefillWait(ask, ahead)});
+    const bool missesDeadline = start + leastResponseTime(ask) >= ask.deadline;
     return {missesDeadline ? std::max(late, start - ask.target()) : late, missesDeadline, cooldown};
 }
 
+/// Returns the time that the engines need to prefill the prompts ahead of @p ask.
+Duration WaitEstimates::prefillWait(const QueuedAsk &ask, const QueueAhead &ahead)
+{
+    const bool wouldWasteARun = ask.key.id.attempt > 1;
+    if (!m_refuseLate || wouldWasteARun) {
+        return Duration::zero();
+    }
+    if (m_usable.empty()) {
+        m_usable = usableCandidates(m_endpoints, m_now);
+    }
+    return ahead.prefillTime / std::max<std::int64_t>(1, static_cast<std::int64_t>(m_usable.size()));
+}
+
+/// Returns how long the run of @p ask takes at least, if its response is much shorter than expected.
+Duration WaitEstimates::leastResponseTime(const QueuedAsk &ask) const
+{
+    if (!m_refuseLate) {
+        return Duration::zero();
+    }
+    const Duration expected
+        = std::visit([&](const auto &placement) { return placement.expectedResponseTime(ask); }, m_placement);
+    return std::chrono::duration_cast<Duration>(expected * leastShareOfResponse);
+}
+
 /// Returns the time by which the first token is expected to miss its target; zero if it can be on time.
 Duration WaitEstimates::latenessOf(const QueuedAsk &ask, const QueueAhead &ahead)
 {
@@ -54,11 +81,7 @@
         return advertisedWait > Duration::zero() ? std::max(Duration::zero(), m_now + advertisedWait - ask.target())
                                                  : Duration::zero();
     }
-    if (m_usable.empty()) {
-        m_usable = usableCandidates(m_endpoints, m_now);
-    }
-    const Duration prefillWait = ahead.prefillTime / std::max<std::int64_t>(1, static_cast<std::int64_t>(m_usable.size()));
-    const Instant start = m_now + std::max(advertisedWait, prefillWait);
+    const Instant start = m_now + std::max(advertisedWait, prefillWait(ask, ahead));
     return std::visit(
         [&](const auto &placement) {
             const auto [entry, added] = m_minBacklogs.try_emplace({ask.parameters.rank, ask.parameters.hasTightestGap});
