Dispatch: Find the endpoints of wait estimates in one place

Cause: a later attempt whose endpoints are all in cooldown could be estimated before the list of endpoints was made.

Change: one accessor makes it. No behaviour measured apart; found on reading.

--- a/Source/Dispatch/waitestimates.cpp
+++ b/Source/Dispatch/waitestimates.cpp
@@ -42,20 +42,25 @@
 /// Returns the time that the engines need to prefill the prompts ahead of @p ask.
 Duration WaitEstimates::prefillWait(const QueuedAsk &ask, const QueueAhead &ahead)
 {
-    const bool wouldWasteARun = ask.key.id.attempt > 1;
-    if (!m_refuseLate || wouldWasteARun) {
+    if (!m_refuseLate || ask.key.id.attempt > 1) {
         return Duration::zero();
     }
+    return ahead.prefillTime / std::max<std::int64_t>(1, static_cast<std::int64_t>(usable().size()));
+}
+
+const std::vector<Candidate> &WaitEstimates::usable()
+{
     if (m_usable.empty()) {
         m_usable = usableCandidates(m_endpoints, m_now);
     }
-    return ahead.prefillTime / std::max<std::int64_t>(1, static_cast<std::int64_t>(m_usable.size()));
+    return m_usable;
 }
 
 /// Returns how long the run of @p ask takes at least, if its response is much shorter than expected.
 Duration WaitEstimates::leastResponseTime(const QueuedAsk &ask) const
 {
-    if (!m_refuseLate) {
+    // A later attempt may continue the stream of an earlier one.
+    if (!m_refuseLate || ask.key.id.attempt > 1) {
         return Duration::zero();
     }
     const Duration expected
@@ -86,13 +91,13 @@
         [&](const auto &placement) {
             const auto [entry, added] = m_minBacklogs.try_emplace({ask.parameters.rank, ask.parameters.hasTightestGap});
             if (added) {
-                entry->second = placement.minBacklog(ask, m_usable, m_now);
+                entry->second = placement.minBacklog(ask, usable(), m_now);
             }
             const Duration upperBound = placement.firstTokenUpperBound(ask, entry->second);
             if (upperBound < Duration::max() && start + upperBound <= ask.target()) {
                 return Duration::zero();
             }
-            return std::max(Duration::zero(), start + placement.expectedFirstToken(ask, m_usable, m_now) - ask.target());
+            return std::max(Duration::zero(), start + placement.expectedFirstToken(ask, usable(), m_now) - ask.target());
         },
         m_placement);
 }
--- a/Source/Dispatch/waitestimates.h
+++ b/Source/Dispatch/waitestimates.h
@@ -51,6 +51,7 @@
 private:
     Base::Duration latenessOf(const QueuedAsk &ask, const QueueAhead &ahead);
     Base::Duration prefillWait(const QueuedAsk &ask, const QueueAhead &ahead);
+    const std::vector<Candidate> &usable();
     Base::Duration leastResponseTime(const QueuedAsk &ask) const;
     const std::optional<PooledRate> &rate();
     /// Returns how long the rate limits of the endpoints delay an ask behind @p asks others; zero if an endpoint has no limit.
