--- a/Source/Dispatch/soonestfirsttoken.cpp
+++ b/Source/Dispatch/soonestfirsttoken.cpp
@@ -411,7 +411,7 @@
     engine.pauses.addStream(run.allowedPause);
     run.tightStream = ask.parameters.hasTightestGap;
     if (run.tightStream) {
-        m_streamEngines.streamStarted();
+        m_streamEngines.streamStarted(plan.prefillTime);
     }
     run.expectedPrefillEnd = now + scaled(backlog + plan.transferTime + plan.prefillTime, prefillMargin);
     if (run.prefillTokens >= minTrackedTokens) {
--- a/Source/EngineModel/streamengines.cpp
+++ b/Source/EngineModel/streamengines.cpp
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace Yokepond::EngineModel {
@@ -26,16 +28,25 @@
 /// Share of an engine's slots that tight streams use when they have the engine to themselves. The others are for bursts, and each
 /// further stream makes all tokens slower.
 constexpr double usedSlots = 0.4;
+/// Share of an engine's time for the prefill of tight streams. Each of these prompts takes a step of the engine at most, so the
+/// pauses stay short.
+constexpr double prefillTimeShare = 0.35;
+/// Period of the moving average of the prefill of tight streams.
+constexpr Duration loadPeriod = std::chrono::milliseconds(500);
+/// An engine whose speed is below this share of the mean is slowed down by a fault, and its pauses are long as well.
+constexpr double leastUsualSpeed = 0.6;
 /// At most this share of the engines is set aside, so that the other classes are served too.
 constexpr double maxShare = 0.5;
-/// Engines return to the other classes one by one with this time between them, since the number of streams varies.
+/// A part of the engines that are not needed returns to the other classes after each such time, since the number of streams varies.
 constexpr Duration shrinkPeriod = std::chrono::seconds(1);
+constexpr std::size_t shrinkDivisor = 3;
 
 } // namespace
 
-void StreamEngines::streamStarted()
+void StreamEngines::streamStarted(Duration prefillTime)
 {
     ++m_active;
+    m_prefillSinceUpdate += prefillTime;
 }
 
 void StreamEngines::streamEnded(bool late, Instant now)
@@ -47,6 +58,14 @@
     }
 }
 
+void StreamEngines::measurePrefillLoad(Instant now)
+{
+    const double passed = Base::seconds(now - std::exchange(m_lastUpdate, now));
+    const double load = Base::seconds(std::exchange(m_prefillSinceUpdate, Duration::zero())) / std::max(passed, 1e-3);
+    const double weight = std::min(1.0, passed / Base::seconds(loadPeriod));
+    m_prefillLoad += weight * (load - m_prefillLoad);
+}
+
 std::size_t StreamEngines::neededFor(std::span<const StreamEngineCandidate> engines) const
 {
     double slots = 0;
@@ -57,7 +76,7 @@
         return 0;
     }
     const double perEngine = usedSlots * slots / static_cast<double>(engines.size());
-    const auto needed = static_cast<std::size_t>(std::ceil(m_active / perEngine));
+    const auto needed = static_cast<std::size_t>(std::ceil(std::max(m_active / perEngine, m_prefillLoad / prefillTimeShare)));
     return std::min(needed, static_cast<std::size_t>(maxShare * static_cast<double>(engines.size())));
 }
 
@@ -66,9 +85,14 @@
     std::vector<StreamEngineCandidate> others;
     std::ranges::copy_if(engines, std::back_inserter(others),
                          [this](const StreamEngineCandidate &engine) { return !m_engines.contains(engine.endpoint); });
-    // Fast engines have the shortest pauses. Those with little to prefill are free for streams at once.
-    const auto order = [](const StreamEngineCandidate &engine) {
-        return std::tuple(engine.backlog > Duration::zero(), -engine.tokensPerMs, engine.endpoint);
+    double meanSpeed = 0;
+    for (const StreamEngineCandidate &engine : engines) {
+        meanSpeed += engine.tokensPerMs / static_cast<double>(engines.size());
+    }
+    // Engines with nothing to prefill are free for streams at once.
+    const auto order = [meanSpeed](const StreamEngineCandidate &engine) {
+        return std::tuple(engine.tokensPerMs < leastUsualSpeed * meanSpeed, engine.backlog > Duration::zero(), engine.tokensPerMs,
+                          engine.endpoint);
     };
     std::ranges::sort(others, {}, order);
     for (const StreamEngineCandidate &engine : others) {
@@ -79,8 +103,16 @@
     }
 }
 
+void StreamEngines::shrink(std::size_t excess)
+{
+    for (std::size_t count = (excess + shrinkDivisor - 1) / shrinkDivisor; count > 0; --count) {
+        m_engines.erase(std::prev(m_engines.end()));
+    }
+}
+
 StreamEnginesChange StreamEngines::update(std::span<const StreamEngineCandidate> engines, Instant now)
 {
+    measurePrefillLoad(now);
     std::erase_if(m_engines, [&](std::uint32_t endpoint) {
         return std::ranges::find(engines, endpoint, &StreamEngineCandidate::endpoint) == engines.end();
     });
@@ -97,7 +129,7 @@
     }
     // One engine more than needed is kept, so that the number does not change with each stream.
     if (needed + 1 < m_engines.size() && now - m_lastShrink >= shrinkPeriod) {
-        m_engines.erase(std::prev(m_engines.end()));
+        shrink(m_engines.size() - needed - 1);
         m_lastShrink = now;
         return StreamEnginesChange::Shrank;
     }
--- a/Source/EngineModel/streamengines.h
+++ b/Source/EngineModel/streamengines.h
@@ -30,12 +30,14 @@
 
 /// Sets engines aside for tight streams: those of the class of a pool that allows the shortest pauses between events. A long
 /// prefill makes all tight streams of an engine late, whichever engine it is placed at. So while tight streams end late, some
-/// engines take tight streams and no other prompts. Their number follows the number of tight streams; an engine that has become
-/// one stays one for a while, and the fastest engines come first. Without late streams no engine is set aside.
+/// engines take tight streams and no other prompts. Their number follows the number of tight streams and the prefill of their
+/// prompts. Engines that prefill slowly come first, since the other classes lose least by them. Without late streams no engine is
+/// set aside.
 class StreamEngines
 {
 public:
-    void streamStarted();
+    /// Records the start of a tight stream whose prompt takes @p prefillTime to prefill.
+    void streamStarted(Base::Duration prefillTime);
 
     /// Records the end of a tight stream, and whether a pause of it was longer than allowed.
     void streamEnded(bool late, Base::Instant now);
@@ -50,11 +52,16 @@
     double lateShare() const;
 
 private:
+    void measurePrefillLoad(Base::Instant now);
     std::size_t neededFor(std::span<const StreamEngineCandidate> engines) const;
     void grow(std::span<const StreamEngineCandidate> engines, std::size_t needed);
+    void shrink(std::size_t excess);
 
     std::set<std::uint32_t> m_engines;
     std::uint32_t m_active = 0; ///< active tight streams, at any engine
+    Base::Duration m_prefillSinceUpdate {}; ///< prefill time of the tight streams that started since the last update
+    double m_prefillLoad = 0; ///< moving average of the engines that the prefill of tight streams keeps busy
+    Base::Instant m_lastUpdate {};
     double m_lateShare = 0; ///< moving average over the tight streams that ended
     std::optional<Base::Instant> m_lastLate; ///< when the share of late streams was last too high
     Base::Instant m_lastShrink {};
