--- a/Source/Configuration/catalogue.cpp
+++ b/Source/Configuration/catalogue.cpp
@@ -22,6 +22,8 @@
     SettingSchema {"eject-slow", {.name = "value", .type = FieldType::Flag}},
     SettingSchema {"hopeless-shedding", {.name = "value", .type = FieldType::Flag}},
     SettingSchema {"refuse-late", {.name = "value", .type = FieldType::Flag}},
+    SettingSchema {"share-prefills", {.name = "value", .type = FieldType::Flag}},
+    SettingSchema {"stream-engines", {.name = "value", .type = FieldType::Flag}},
     SettingSchema {"queue-limit", {.name = "value", .type = FieldType::Integer, .minimum = 1, .maximum = 1'000'000}},
     SettingSchema {"shard-size", {.name = "value", .type = FieldType::Integer, .minimum = 1, .maximum = 1024}},
     SettingSchema {"guaranteed-percent", {.name = "value", .type = FieldType::Integer, .minimum = 1, .maximum = 50}},
@@ -128,6 +130,8 @@
     policies.ejectSlow = value("eject-slow") != "no";
     policies.hopelessShedding = value("hopeless-shedding") != "no";
     policies.refuseLate = value("refuse-late") == "yes";
+    policies.sharePrefills = value("share-prefills") != "no";
+    policies.streamEngines = value("stream-engines") != "no";
     policies.queueLimit = count("queue-limit", policies.queueLimit);
     policies.shardSize = count("shard-size", policies.shardSize);
     policies.guaranteedPercent = count("guaranteed-percent", policies.guaranteedPercent);
--- a/Source/Configuration/catalogue.h
+++ b/Source/Configuration/catalogue.h
@@ -192,6 +192,8 @@
     bool ejectSlow = true; ///< take endpoints out of use that are much slower than the median of their shard
     bool hopelessShedding = true; ///< refuse asks at once that can no longer start before their deadline
     bool refuseLate = false; ///< refuse asks at once that are estimated to miss their target
+    bool sharePrefills = true; ///< let asks wait while an engine prefills a prefix of their prompt (SoonestFirstToken)
+    bool streamEngines = true; ///< set engines aside for tight streams while these end late (SoonestFirstToken)
     std::uint32_t queueLimit = 4096; ///< maximum number of queued asks of one shard
     std::uint32_t shardSize = 0; ///< endpoints per shard; 0 for as many as the largest hosts can dispatch
     std::uint32_t guaranteedPercent = 5; ///< percentage of grants that are reserved for classes past their starvation bound
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -122,6 +122,9 @@
         m_placementPolicy = m_catalogue->policies().placement;
         m_placement = makePlacement(m_catalogue->policies());
     }
+    if (auto *placement = std::get_if<SoonestFirstToken>(&m_placement)) {
+        placement->setOptions({m_catalogue->policies().sharePrefills, m_catalogue->policies().streamEngines});
+    }
     for (QueuedAsk &ask : waiting) {
         // Asks of a class that has been deleted keep their last parameters.
         if (const RequestClass *requestClass = m_catalogue->classByNumber(ask.ask.requestClass)) {
@@ -929,6 +932,17 @@
     return m_queue.size();
 }
 
+std::size_t Shard::held() const
+{
+    return m_queue.held();
+}
+
+std::size_t Shard::streamEngines() const
+{
+    const auto *placement = std::get_if<SoonestFirstToken>(&m_placement);
+    return placement == nullptr ? 0 : placement->streamEngines().size();
+}
+
 std::size_t Shard::permits() const
 {
     return m_permits.size();
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -109,6 +109,10 @@
     const ShardInfo &info() const;
     const ShardCounters &counters() const;
     std::size_t queued() const;
+    /// Returns the number of queued asks that are on hold while an engine prefills a prefix of their prompt.
+    std::size_t held() const;
+    /// Returns the number of engines that are set aside for tight streams.
+    std::size_t streamEngines() const;
     std::size_t permits() const;
     std::vector<EndpointView> endpoints() const;
     AskView find(const AskKey &key) const;
--- a/Source/Dispatch/soonestfirsttoken.cpp
+++ b/Source/Dispatch/soonestfirsttoken.cpp
@@ -114,6 +114,19 @@
 
 } // namespace
 
+void SoonestFirstToken::setOptions(Options options)
+{
+    m_options = options;
+    if (!options.streamEngines) {
+        m_streamEngines.clear();
+    }
+}
+
+const EngineModel::StreamEngines &SoonestFirstToken::streamEngines() const
+{
+    return m_streamEngines;
+}
+
 const SoonestFirstToken::Engine *SoonestFirstToken::engineOf(std::uint32_t endpoint) const
 {
     const auto engine = m_engines.find(endpoint);
@@ -362,7 +375,7 @@
 std::optional<EngineModel::PendingPrefix> SoonestFirstToken::prefixToAwait(const QueuedAsk &ask, Base::Instant now) const
 {
     const auto pending = m_pendingPrefixes.longest(ask.ask.prefix);
-    if (!pending) {
+    if (!pending || !m_options.sharePrefills) {
         return std::nullopt;
     }
     // Waiting is better than another prefill unless it takes longer. A prefill that is late by its whole time may never end.
@@ -528,6 +541,9 @@
 
 void SoonestFirstToken::adjust(std::span<const Candidate> candidates, Base::Instant now)
 {
+    if (!m_options.streamEngines) {
+        return;
+    }
     std::vector<EngineModel::StreamEngineCandidate> engines;
     for (const Candidate &candidate : candidates) {
         const Engine *engine = engineOf(candidate.endpoint);
--- a/Source/Dispatch/soonestfirsttoken.h
+++ b/Source/Dispatch/soonestfirsttoken.h
@@ -33,6 +33,18 @@
 class SoonestFirstToken
 {
 public:
+    /// What the configuration can switch off.
+    struct Options
+    {
+        bool sharePrefills = true;
+        bool streamEngines = true;
+    };
+
+    void setOptions(Options options);
+
+    /// Returns the engines that are set aside for tight streams.
+    const EngineModel::StreamEngines &streamEngines() const;
+
     std::optional<std::uint32_t> choose(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
     Base::Duration expectedFirstToken(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
     MinBacklog minBacklog(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
@@ -128,6 +140,7 @@
     void logLongestPause(const PlacedRun &run, const ObservedTokens &seen);
     void updatePrefillSpeed(Engine &engine, const PlacedRun &run, const EngineModel::CompletedPrefill &completed);
 
+    Options m_options;
     std::map<std::uint32_t, Engine> m_engines;
     std::shared_ptr<LongestPause> m_longestPause = std::make_shared<LongestPause>();
     /// Prefill speed of engines whose own speed is not known yet, learned from all engines of the pool.
--- a/Source/EngineModel/streamengines.cpp
+++ b/Source/EngineModel/streamengines.cpp
@@ -136,6 +136,11 @@
     return StreamEnginesChange::None;
 }
 
+void StreamEngines::clear()
+{
+    m_engines.clear();
+}
+
 bool StreamEngines::contains(std::uint32_t endpoint) const
 {
     return m_engines.contains(endpoint);
--- a/Source/EngineModel/streamengines.h
+++ b/Source/EngineModel/streamengines.h
@@ -45,6 +45,9 @@
     /// Adjusts the engines to the number of active tight streams; to be called regularly with all engines that accept work.
     StreamEnginesChange update(std::span<const StreamEngineCandidate> engines, Base::Instant now);
 
+    /// Returns all engines to the other classes.
+    void clear();
+
     bool contains(std::uint32_t endpoint) const;
     bool empty() const;
     std::size_t size() const;
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -17,6 +17,7 @@
 #include <fmt/format.h>
 
 #include <ctime>
+#include <ranges>
 
 namespace Yokepond::Node {
 
@@ -556,6 +557,27 @@
     return Base::Duration(used.tv_sec * 1'000'000 + used.tv_nsec / 1'000);
 }
 
+void Daemon::updateDispatcherMetrics()
+{
+    std::uint64_t granted = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t held = 0;
+    std::size_t onHold = 0;
+    std::size_t streamEngines = 0;
+    for (const Dispatch::Shard &shard : m_dispatcher.shards() | std::views::values) {
+        granted += shard.counters().granted;
+        refused += shard.counters().refused;
+        held += shard.counters().held;
+        onHold += shard.held();
+        streamEngines += shard.streamEngines();
+    }
+    m_metrics.set("yokepond_asks_granted", "", static_cast<double>(granted));
+    m_metrics.set("yokepond_asks_refused", "", static_cast<double>(refused));
+    m_metrics.set("yokepond_asks_held", "", static_cast<double>(held));
+    m_metrics.set("yokepond_asks_on_hold", "", static_cast<double>(onHold));
+    m_metrics.set("yokepond_stream_engines", "", static_cast<double>(streamEngines));
+}
+
 std::string Daemon::metricsText()
 {
     const auto label = [](std::string_view name, std::string_view value) { return fmt::format("{}=\"{}\"", name, value); };
@@ -582,6 +604,7 @@
     m_metrics.set("yokepond_streams_resumed_total", "", static_cast<double>(m_relay->counters().resumes));
     m_metrics.set("yokepond_open_calls", "", static_cast<double>(m_relay->counters().open));
     m_metrics.set("yokepond_retries_total", "", static_cast<double>(m_home.counters().retried));
+    updateDispatcherMetrics();
     m_metrics.set("yokepond_local_runs_total", "", static_cast<double>(m_home.counters().localRuns));
     m_metrics.set("yokepond_stale_grants_total", "", static_cast<double>(m_home.counters().staleGrants));
     m_metrics.set("yokepond_returned_grants_total", "", static_cast<double>(m_home.counters().returnedGrants));
--- a/Source/Node/daemon.h
+++ b/Source/Node/daemon.h
@@ -80,6 +80,7 @@
     /// Ends the event loop. @p drained: no request was interrupted.
     void finishStop(bool drained);
     absl::Status readiness() const;
+    void updateDispatcherMetrics();
     std::string metricsText();
     nlohmann::json dump() const;
     /// Returns the processor time of the calling thread.
--- a/Source/Node/queries.cpp
+++ b/Source/Node/queries.cpp
@@ -318,7 +318,10 @@
 QueryResult Queries::dispatchers() const
 {
     QueryResult result {
-        {"shard", "pool", "data-centre", "host", "endpoints", "waiting", "running", "granted", "refused", "shed"}, {}, {}};
+        {"shard", "pool", "data-centre", "host", "endpoints", "waiting", "running", "granted", "refused", "shed",
+         "on-hold", "held", "stream-engines"},
+        {},
+        {}};
     for (const auto &[id, shard] : m_dispatcher.shards()) {
         const auto *pool = m_fleet.catalogue()->poolByNumber(shard.info().pool);
         result.rows.push_back({{"shard", fmt::format("{:08x}", id)},
@@ -330,7 +333,10 @@
                                {"running", shard.permits()},
                                {"granted", shard.counters().granted},
                                {"refused", shard.counters().refused},
-                               {"shed", shard.counters().shed}});
+                               {"shed", shard.counters().shed},
+                               {"on-hold", shard.held()},
+                               {"held", shard.counters().held},
+                               {"stream-engines", shard.streamEngines()}});
     }
     return result;
 }
--- a/Source/Node/settings.cpp
+++ b/Source/Node/settings.cpp
@@ -139,6 +139,8 @@
     policies.window = window.value_or(policies.window);
     policies.ejectSlow = ini.flag("dispatch", "eject-slow", true);
     policies.refuseLate = ini.flag("dispatch", "refuse-late", false);
+    policies.sharePrefills = ini.flag("dispatch", "share-prefills", true);
+    policies.streamEngines = ini.flag("dispatch", "stream-engines", true);
     policies.wholePoolShards = ini.flag("dispatch", "whole-pool-shards", false);
     return policies;
 }
