--- a/Source/Dispatch/askqueue.cpp
+++ b/Source/Dispatch/askqueue.cpp
@@ -4,7 +4,9 @@
 #include "Dispatch/askqueue.h"
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
+#include <utility>
 
 namespace Yokepond::Dispatch {
 
@@ -19,6 +21,12 @@
     return TieredOrder(policies.guaranteedPercent / percent);
 }
 
+/// Returns whether @p ask is of a lower tier than @p other, or of the same tier and has the nearer deadline.
+bool isEvictedBefore(const QueuedAsk &ask, const QueuedAsk &other)
+{
+    return std::pair(-ask.parameters.rank, ask.deadline) < std::pair(-other.parameters.rank, other.deadline);
+}
+
 } // namespace
 
 AskQueue::AskQueue(const Configuration::Policies &policies)
@@ -80,17 +88,30 @@
     returnIf([&](const Held &held) { return std::ranges::find(hashes, held.hash) != hashes.end(); });
 }
 
-AskKey AskQueue::evictionCandidate(const QueuedAsk &newAsk)
+AskKey AskQueue::evictionCandidate(const QueuedAsk &newAsk) const
+{
+    const AskKey ofOrder = std::visit([&](const auto &order) { return order.evictionCandidate(newAsk); }, m_order);
+    if (!isTiered()) {
+        return ofOrder;
+    }
+    const QueuedAsk *candidate = ofOrder == newAsk.key ? &newAsk : find(ofOrder);
+    for (const Held &held : m_held | std::views::values) {
+        if (isEvictedBefore(held.ask, *candidate)) {
+            candidate = &held.ask;
+        }
+    }
+    return candidate->key;
+}
+
+bool AskQueue::isHeld(const AskKey &key) const
 {
-    returnIf([](const Held &) { return true; });
-    return std::visit([&](const auto &order) { return order.evictionCandidate(newAsk); }, m_order);
+    return m_held.contains(key);
 }
 
 const QueuedAsk *AskQueue::find(const AskKey &key) const
 {
     const auto held = m_held.find(key);
-    return held != m_held.end() ? &held->second.ask
-                                : std::visit([&](const auto &order) { return order.find(key); }, m_order);
+    return held != m_held.end() ? &held->second.ask : std::visit([&](const auto &order) { return order.find(key); }, m_order);
 }
 
 std::size_t AskQueue::size() const
--- a/Source/Dispatch/askqueue.h
+++ b/Source/Dispatch/askqueue.h
@@ -18,8 +18,8 @@
 
 namespace Yokepond::Dispatch {
 
-/// Asks in the order of the configured policy, and asks on hold. An ask is on hold while an engine prefills a prefix of its prompt,
-/// so that the others behind it can be granted. It then returns to its place in the order.
+/// Asks in the order of the configured policy, and asks on hold. An ask is on hold while an engine prefills a prefix of its
+/// prompt, so that the others behind it can be granted. It then returns to its place in the order.
 class AskQueue
 {
 public:
@@ -43,12 +43,14 @@
     /// Returns the asks to the order that are on hold for one of the prefixes @p hashes.
     void returnFor(std::span<const std::uint64_t> hashes);
 
-    /// Returns the ask to evict, see OrderPolicy. Asks on hold count, and return to the order.
-    AskKey evictionCandidate(const QueuedAsk &newAsk);
+    /// Returns the ask to evict, see OrderPolicy. It may be on hold.
+    AskKey evictionCandidate(const QueuedAsk &newAsk) const;
 
     const QueuedAsk *find(const AskKey &key) const;
     std::size_t size() const;
 
+    bool isHeld(const AskKey &key) const;
+
     /// Returns the number of asks on hold.
     std::size_t held() const;
     std::size_t countInTierOrAbove(int rank) const;
--- a/Source/Dispatch/placement.h
+++ b/Source/Dispatch/placement.h
@@ -46,7 +46,6 @@
     std::uint32_t prefillTokens = 0; ///< tokens of its prompt that were not cached
     std::uint64_t prefill = 0; ///< number of its prefill at the endpoint; 0 if it is too short to matter
     bool prefillReported = false; ///< the home is to report the end of the prefill
-    std::uint64_t home = 0; ///< incarnation of the home
     std::uint32_t requestClass = 0; ///< number of the class
     std::uint32_t organisation = 0; ///< number of the organisation
     std::uint32_t expectedTokens = 0; ///< the caller's hint of the length of the response; 0 for none
@@ -82,6 +81,10 @@
     {
         constant.choose(ask, candidates, now)
     } -> std::same_as<std::optional<std::uint32_t>>;
+    /// Returns whether one of @p candidates is not set aside for other asks.
+    {
+        constant.mayUseAny(ask, candidates)
+    } -> std::same_as<bool>;
     /// Returns the expected time to the first token if the best of @p candidates is used now; zero if the policy has no estimate.
     {
         constant.expectedFirstToken(ask, candidates, now)
@@ -102,7 +105,8 @@
     {
         constant.expectedPrefillTime(ask)
     } -> std::same_as<Base::Duration>;
-    /// Returns the prefix of the prompt that an engine is prefilling, if it is better to wait for it than to prefill it elsewhere.
+    /// Returns the prefix of the prompt that an engine is prefilling, if it is better to wait for it than to prefill it
+    /// elsewhere.
     {
         constant.prefixToAwait(ask, now)
     } -> std::same_as<std::optional<EngineModel::PendingPrefix>>;
@@ -124,6 +128,10 @@
 class ModelFreePlacement
 {
 public:
+    bool mayUseAny(const QueuedAsk &, std::span<const Candidate>) const
+    {
+        return true;
+    }
     Base::Duration expectedFirstToken(const QueuedAsk &, std::span<const Candidate>, Base::Instant) const
     {
         return {};
--- a/Source/Dispatch/queuedask.h
+++ b/Source/Dispatch/queuedask.h
@@ -44,6 +44,7 @@
     Base::Duration tokenGap {}; ///< target for the time between tokens
     Base::Duration starvationBound {}; ///< wait after which the class gets a guaranteed share
     Base::Duration tightestAbove {}; ///< shortest first-token target of the pool's tiers above, zero if there is none
+    bool deadlineEndsRun = false; ///< a run that has not ended at the deadline is cancelled
     bool hasTightestGap = false; ///< no class of the pool has a much shorter target for the time between tokens
 };
 
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -57,9 +57,9 @@
 /// dispatcher of 90 engines used up its processor time on evaluations in a burst of long prompts, and many requests were late.
 constexpr std::size_t maxSkippedPerEvent = 3;
 constexpr std::size_t maxSkippedPerTick = 64;
-/// Asks that are skipped because only endpoints in other regions have free slots, for each ask that is evaluated and skipped.
-/// They need no evaluation. Without a limit of their own, a full region would hold up requests for the others.
-constexpr std::size_t skippedOfOtherRegions = 16;
+/// Asks that are skipped because no endpoint with a free slot is for them, for each ask that is evaluated and skipped. They need
+/// no evaluation. Without a limit of their own, a full region would hold up requests for the others.
+constexpr std::size_t skippedWithoutEvaluation = 16;
 constexpr std::size_t maxEjectedDivisor = 3; ///< at most a third of the endpoints are ejected because the others are better
 /// Period with which the placement adjusts to the load. It is short beside the time in which the load changes.
 constexpr Duration adjustmentPeriod = std::chrono::milliseconds(200);
@@ -121,6 +121,9 @@
         // The placement keeps what it has learned unless the policy itself changes.
         m_placementPolicy = m_catalogue->policies().placement;
         m_placement = makePlacement(m_catalogue->policies());
+        for (Permit &permit : m_permits | std::views::values) {
+            permit.placed = {};
+        }
     }
     if (auto *placement = std::get_if<SoonestFirstToken>(&m_placement)) {
         placement->setOptions({m_catalogue->policies().sharePrefills, m_catalogue->policies().streamEngines});
@@ -302,19 +305,27 @@
     if (!m_catalogue->policies().hopelessShedding || !m_saturated || m_grantsPerSecond <= 0) {
         return false;
     }
-    const std::size_t ahead
-        = m_queue.countInTierOrAbove(ask.parameters.rank);
+    const std::size_t ahead = m_queue.countInTierOrAbove(ask.parameters.rank);
     return static_cast<double>(ahead) / m_grantsPerSecond > Base::seconds(ask.deadline - now);
 }
 
-/// An ask that cannot start before its deadline is always refused. One that would only miss its target is refused if the limit of
-/// its tier allows it.
+/// An ask that cannot start, or whose response cannot end, before its deadline is always refused. One that would only miss its
+/// target is refused if the limit of its tier allows it.
 bool Shard::tryLateRefusal(const QueuedAsk &ask, const WaitEstimate &estimate)
 {
     return estimate.missesDeadline
         || (estimate.lateness > Duration::zero() && m_lateRefusals.spend(ask.parameters.rank, poolParameters().lowestRank()));
 }
 
+/// Counts @p ask among those ahead. One on hold needs little prefill once its hold ends.
+void Shard::addTo(QueueAhead &ahead, const QueuedAsk &ask) const
+{
+    ++ahead.asks;
+    if (!m_queue.isHeld(ask.key)) {
+        ahead.prefillTime += std::visit([&](const auto &placement) { return placement.expectedPrefillTime(ask); }, m_placement);
+    }
+}
+
 QueueAhead Shard::aheadOf(const QueuedAsk &ask) const
 {
     QueueAhead ahead;
@@ -322,9 +333,7 @@
         const bool before = other->parameters.rank < ask.parameters.rank
             || (other->parameters.rank == ask.parameters.rank && other->arrival <= ask.arrival && other->key != ask.key);
         if (before) {
-            ahead.prefillTime
-                += std::visit([&](const auto &placement) { return placement.expectedPrefillTime(*other); }, m_placement);
-            ++ahead.asks;
+            addTo(ahead, *other);
         }
     }
     return ahead;
@@ -349,8 +358,7 @@
         if (estimate.missesDeadline) {
             continue;
         }
-        ahead.prefillTime += std::visit([&](const auto &placement) { return placement.expectedPrefillTime(*ask); }, m_placement);
-        ++ahead.asks;
+        addTo(ahead, *ask);
     }
     for (const auto &[ask, estimate] : late) {
         if (tryLateRefusal(ask, estimate)) {
@@ -806,7 +814,7 @@
     // An ask that no endpoint can take now, because of its size or the prefill backlog, does not block the asks behind it.
     std::vector<QueuedAsk> skipped;
     std::size_t evaluated = 0;
-    while (evaluated < maxSkipped && skipped.size() < maxSkipped * skippedOfOtherRegions && !withFreeSlots.empty()) {
+    while (evaluated < maxSkipped && skipped.size() < maxSkipped * skippedWithoutEvaluation && !withFreeSlots.empty()) {
         const auto key = m_queue.next(now, expected);
         if (!key) {
             break;
@@ -830,9 +838,8 @@
 /// Puts @p waiting on hold if an engine prefills a prefix of its prompt, so that no other engine does the same.
 bool Shard::holdForPrefix(Instant now, const QueuedAsk &waiting)
 {
-    const auto pending
-        = std::visit([&](const auto &placement) { return placement.prefixToAwait(waiting, now); }, m_placement);
-    if (!pending) {
+    const auto pending = std::visit([&](const auto &placement) { return placement.prefixToAwait(waiting, now); }, m_placement);
+    if (!pending || pending->endpoint == waiting.ask.avoid || !isAllowed(now, waiting, pending->endpoint)) {
         return false;
     }
     ++m_counters.held;
@@ -849,7 +856,7 @@
         std::ranges::copy_if(withFreeSlots, std::back_inserter(allowed),
                              [&](const Candidate &candidate) { return isAllowed(now, waiting, candidate.endpoint); });
         if (allowed.empty()) {
-            return waiting.boundToRegions ? GrantAttempt::OtherRegions : GrantAttempt::NotNow;
+            return waiting.boundToRegions ? GrantAttempt::NoneForIt : GrantAttempt::NotNow;
         }
         // The endpoint of a failed attempt is used again only if it is the only one that the ask may use now.
         if (allowed.size() > 1) {
@@ -857,6 +864,9 @@
         }
     }
     const std::vector<Candidate> &found = filters ? allowed : withFreeSlots;
+    if (!std::visit([&](const auto &placement) { return placement.mayUseAny(waiting, found); }, m_placement)) {
+        return GrantAttempt::NoneForIt;
+    }
     const auto endpoint = std::visit([&](const auto &placement) { return placement.choose(waiting, found, now); }, m_placement);
     if (!endpoint) {
         return GrantAttempt::NotNow;
@@ -959,8 +969,7 @@
     view.total = queued();
     if (const QueuedAsk *ask = m_queue.find(key)) {
         view.queued = true;
-        view.inTierOrAbove
-            = m_queue.countInTierOrAbove(ask->parameters.rank);
+        view.inTierOrAbove = m_queue.countInTierOrAbove(ask->parameters.rank);
     }
     if (const auto permit = m_permits.find(key); permit != m_permits.end()) {
         view.endpoint = permit->second.endpoint;
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -122,7 +122,7 @@
     enum class GrantAttempt {
         Granted,
         NotNow, ///< none of the endpoints that have a free slot can take it now
-        OtherRegions, ///< all endpoints that have a free slot are in regions where it is not served
+        NoneForIt, ///< all endpoints that have a free slot are in regions where it is not served, or are set aside for others
     };
 
     /// A grant that has not been released yet.
@@ -173,6 +173,7 @@
     bool tryLateRefusal(const QueuedAsk &ask, const WaitEstimate &estimate);
     /// Returns the queued asks that are served before @p ask.
     QueueAhead aheadOf(const QueuedAsk &ask) const;
+    void addTo(QueueAhead &ahead, const QueuedAsk &ask) const;
     void refuseLate(Base::Instant now);
     /// Drops permits that have expired, and marks as accepted the runs that were not rejected within maxRejectionDelay.
     void dropExpiredPermits(Base::Instant now);
--- a/Source/Dispatch/soonestfirsttoken.cpp
+++ b/Source/Dispatch/soonestfirsttoken.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <ranges>
 
 namespace Yokepond::Dispatch {
@@ -51,8 +50,11 @@
 constexpr double minTransferGain = 2.0;
 /// Additional cost of a transfer, as a share of the prefill time that it saves, because the prompt then takes up memory twice.
 constexpr double transferCostFactor = 0.6;
-/// Rank of the highest tier, whose prompts need not wait while an engine rests from prefill.
-constexpr int mostUrgentRank = 1;
+/// Callers' hints may be wrong by any factor.
+constexpr double maxExpectedEvents = 1e5;
+/// The prefill speed is learned only from prompts with at least this many tokens to prefill, since the time of shorter ones is
+/// mostly that of the network.
+constexpr std::uint32_t minTokensToLearn = 2000;
 /// Weight of the latest run in the moving average of the time between events.
 constexpr double latestIntervalWeight = 0.02;
 /// A shorter prefill takes less than one step of the engine and is not tracked.
@@ -86,30 +88,42 @@
     return std::ranges::max_element(candidates, {}, weight)->endpoint;
 }
 
+/// Returns whether the pool has no tier above that of the class.
+bool isMostUrgent(const ClassParameters &parameters)
+{
+    return parameters.tightestAbove == Base::Duration::zero();
+}
+
+/// Returns whether the ask has waited longer than its class may.
+bool isOverdue(const QueuedAsk &ask, Base::Instant now)
+{
+    return now - ask.arrival >= ask.parameters.starvationBound;
+}
+
 Base::Duration scaled(Base::Duration whole, double share)
 {
     return std::chrono::duration_cast<Base::Duration>(whole * share);
 }
 
 /// Returns the longest backlog that an engine may have to be given @p ask, whose own prefill takes @p prefillTime there.
-Base::Duration longestBacklog(const QueuedAsk &ask, bool mostlyCached, Base::Duration prefillTime)
+Base::Duration longestBacklog(const QueuedAsk &ask, bool mostlyCached, Base::Duration prefillTime, Base::Instant now)
 {
     Base::Duration longest = scaled(ask.parameters.firstToken, mostlyCached ? backlogShareIfCached : backlogShare);
-    if (ask.parameters.tightestAbove > Base::Duration::zero()) {
+    if (!isMostUrgent(ask.parameters) && !isOverdue(ask, now)) {
         longest = std::min(longest, scaled(ask.parameters.tightestAbove, shareOfTightestAbove) - prefillTime);
     }
     return std::max(longest, negligibleBacklog);
 }
 
-Base::Duration longestBacklog(const QueuedAsk &ask, std::uint32_t cachedTokens, Base::Duration ownTime)
+Base::Duration longestBacklog(const QueuedAsk &ask, std::uint32_t cachedTokens, Base::Duration ownTime, Base::Instant now)
 {
-    return longestBacklog(ask, cachedTokens * 2 > ask.ask.promptTokens, scaled(ownTime, 1.0 / prefillShare));
+    return longestBacklog(ask, cachedTokens * 2 > ask.ask.promptTokens, scaled(ownTime, 1.0 / prefillShare), now);
 }
 
 /// Returns the longest backlog that is allowed for any prompt of the ask's class.
-Base::Duration longestBacklogOfClass(const QueuedAsk &ask)
+Base::Duration longestBacklogOfClass(const QueuedAsk &ask, Base::Instant now)
 {
-    return longestBacklog(ask, true, Base::Duration::zero());
+    return longestBacklog(ask, true, Base::Duration::zero(), now);
 }
 
 } // namespace
@@ -150,10 +164,10 @@
     return engine == nullptr ? timeToPrefill(tokens) : fromMs(tokens / engine->speed.tokensPerMs());
 }
 
-Base::Duration SoonestFirstToken::backlogOf(const Engine &engine, int rank, Base::Instant now)
+Base::Duration SoonestFirstToken::backlogOf(const Engine &engine, const ClassParameters &parameters, Base::Instant now)
 {
-    const Base::Duration rest = rank > mostUrgentRank ? std::max(Base::Duration::zero(), engine.restUntil - now) : Base::Duration::zero();
-    return engine.prefills.backlog(rank, engine.speed.tokensPerMs(), now) + rest;
+    const Base::Duration backlog = engine.prefills.backlog(parameters.rank, engine.speed.tokensPerMs(), now);
+    return isMostUrgent(parameters) ? backlog : backlog + std::max(Base::Duration::zero(), engine.restUntil - now);
 }
 
 Base::Duration SoonestFirstToken::backlogOf(const Engine &engine, Base::Instant now)
@@ -174,10 +188,10 @@
         + engine->pauses.lateProbability(ask.parameters.tokenGap, now);
 }
 
-Base::Duration SoonestFirstToken::backlogAt(std::uint32_t endpoint, int rank, Base::Instant now) const
+Base::Duration SoonestFirstToken::backlogAt(std::uint32_t endpoint, const ClassParameters &parameters, Base::Instant now) const
 {
     const Engine *engine = engineOf(endpoint);
-    return engine == nullptr ? Base::Duration::zero() : backlogOf(*engine, rank, now);
+    return engine == nullptr ? Base::Duration::zero() : backlogOf(*engine, parameters, now);
 }
 
 /// Returns the prefill time of half of the prompt. Much of a queued prompt is cached by some engine or soon will be.
@@ -188,9 +202,8 @@
 
 Base::Duration SoonestFirstToken::expectedResponseTime(const QueuedAsk &ask) const
 {
-    const double events
-        = m_lengths.expectedEvents(ask.ask.requestClass, ask.ask.organisation, ask.ask.expectedTokens);
-    return scaled(m_eventInterval, events);
+    const double events = m_lengths.expectedEvents(ask.ask.requestClass, ask.ask.organisation, ask.ask.expectedTokens);
+    return scaled(m_eventInterval, std::min(events, maxExpectedEvents));
 }
 
 SoonestFirstToken::Keeper SoonestFirstToken::keeperOf(const QueuedAsk &ask, Base::Instant now) const
@@ -215,6 +228,7 @@
     const Engine *engine = engineOf(candidate.endpoint);
     PrefillPlan plan;
     plan.cachedTokens = engine == nullptr ? 0 : cachedTokensAt(*engine, ask);
+    plan.keeperTokens = keeper.tokens;
     if (candidate.transferTokensPerMs > 0 && keeper.tokens > plan.cachedTokens && keeper.endpoint != candidate.endpoint) {
         const std::uint32_t transferred = keeper.tokens - plan.cachedTokens;
         const Base::Duration transferTime
@@ -236,7 +250,7 @@
     const Engine *engine = engineOf(candidate.endpoint);
     const PrefillPlan plan = prefillPlanAt(ask, candidate, keeper);
     Cost cost;
-    cost.backlog = engine == nullptr ? Base::Duration::zero() : backlogOf(*engine, ask.parameters.rank, now);
+    cost.backlog = engine == nullptr ? Base::Duration::zero() : backlogOf(*engine, ask.parameters, now);
     cost.ownTime = plan.transferTime + plan.prefillTime;
     cost.effectivePrefillTime = scaled(plan.prefillTime, 1.0 / prefillShare);
     cost.cachedTokens = plan.cachedTokens;
@@ -264,12 +278,18 @@
     if (engine == nullptr || candidate.kvCacheTokens == 0 || engine->runningTokens == 0) {
         return true;
     }
-    const bool mostUrgent = ask.parameters.tightestAbove == Base::Duration::zero();
-    const double share = mostUrgent ? runningMemoryShareOfMostUrgent : runningMemoryShare;
+    const double share = isMostUrgent(ask.parameters) ? runningMemoryShareOfMostUrgent : runningMemoryShare;
     const auto maxRunningTokens = static_cast<std::uint64_t>(share * static_cast<double>(candidate.kvCacheTokens));
     return engine->runningTokens + kvTokens <= maxRunningTokens;
 }
 
+bool SoonestFirstToken::mayUseAny(const QueuedAsk &ask, std::span<const Candidate> candidates) const
+{
+    const auto isForIt = [&](const Candidate &candidate) { return isOnSideOf(ask, candidate.endpoint); };
+    const bool usesAll = m_streamEngines.empty() || ask.parameters.hasTightestGap || ask.boundToRegions;
+    return usesAll || std::ranges::any_of(candidates, isForIt);
+}
+
 bool SoonestFirstToken::isOnSideOf(const QueuedAsk &ask, std::uint32_t endpoint) const
 {
     return m_streamEngines.contains(endpoint) == ask.parameters.hasTightestGap;
@@ -286,7 +306,8 @@
 std::optional<std::uint32_t> SoonestFirstToken::choose(const QueuedAsk &ask, std::span<const Candidate> candidates,
                                                        Base::Instant now) const
 {
-    if (m_streamEngines.empty()) {
+    // The engines of the regions where an ask is served may all be set aside.
+    if (m_streamEngines.empty() || (ask.boundToRegions && !ask.parameters.hasTightestGap)) {
         return chooseFrom(ask, candidates, now);
     }
     const std::vector<Candidate> side = sideOf(ask, candidates);
@@ -304,14 +325,14 @@
 {
     std::optional<std::uint32_t> best;
     double lowestCost = 0;
-    const Base::Duration longest = longestBacklogOfClass(ask);
+    const Base::Duration longest = longestBacklogOfClass(ask, now);
     // An ask that has missed its target waits as well: at an engine with a long backlog it would delay all others there.
     const bool mayWait = now + longest < ask.deadline;
     std::optional<std::uint32_t> preferred;
     std::optional<Keeper> keeper;
     for (const Candidate &candidate : candidates) {
         // With this backlog even a fully cached prompt would have to wait, so the cache need not be checked.
-        if (mayWait && backlogAt(candidate.endpoint, ask.parameters.rank, now) > longest) {
+        if (mayWait && backlogAt(candidate.endpoint, ask.parameters, now) > longest) {
             continue;
         }
         if (!keeper) {
@@ -319,7 +340,7 @@
             preferred = preferredEndpoint(ask, candidates);
         }
         const Cost cost = costAt(ask, candidate, *keeper, candidate.endpoint == *preferred, now);
-        const bool waits = mayWait && cost.backlog > longestBacklog(ask, cost.cachedTokens, cost.ownTime);
+        const bool waits = mayWait && cost.backlog > longestBacklog(ask, cost.cachedTokens, cost.ownTime, now);
         if (waits || !fits(ask, candidate, cost.kvTokens) || (best && cost.baseMs >= lowestCost)) {
             continue;
         }
@@ -337,7 +358,7 @@
 {
     MinBacklog shortest {0, Base::Duration::max()};
     for (const Candidate &candidate : sideOf(ask, candidates)) {
-        if (const Base::Duration backlog = backlogAt(candidate.endpoint, ask.parameters.rank, now); backlog < shortest.time) {
+        if (const Base::Duration backlog = backlogAt(candidate.endpoint, ask.parameters, now); backlog < shortest.time) {
             shortest = {candidate.endpoint, backlog};
         }
     }
@@ -358,7 +379,7 @@
                                                    Base::Instant now) const
 {
     const PrefillPlan plan = prefillPlanAt(ask, candidate, keeper);
-    return backlogAt(candidate.endpoint, ask.parameters.rank, now) + plan.transferTime + plan.prefillTime + overhead;
+    return backlogAt(candidate.endpoint, ask.parameters, now) + plan.transferTime + plan.prefillTime + overhead;
 }
 
 Base::Duration SoonestFirstToken::expectedFirstToken(const QueuedAsk &ask, std::span<const Candidate> candidates,
@@ -384,26 +405,41 @@
     return worthwhile ? pending : std::nullopt;
 }
 
-/// Records the prefixes that the prefill of @p run adds to the cache of its engine.
-void SoonestFirstToken::addPendingPrefixes(const QueuedAsk &ask, const PlacedRun &run, Base::Instant expectedEnd)
+/// Records the prefixes that the prefill of @p run adds to the cached ones, of which the longest has @p cachedTokens.
+void SoonestFirstToken::addPendingPrefixes(const QueuedAsk &ask, const PlacedRun &run, std::uint32_t cachedTokens,
+                                           Base::Instant expectedEnd)
 {
-    const std::uint32_t cachedTokens = ask.ask.promptTokens - run.prefillTokens;
     const std::size_t parts = std::min(ask.ask.prefix.size(), ask.ask.prefixTokens.size());
     for (std::size_t index = 0; index < parts; ++index) {
         if (ask.ask.prefixTokens[index] >= cachedTokens + minTrackedTokens) {
-            m_pendingPrefixes.add({ask.ask.prefix[index], ask.ask.prefixTokens[index], expectedEnd, run.prefill});
+            m_pendingPrefixes.add({run.endpoint, ask.ask.prefix[index], ask.ask.prefixTokens[index], expectedEnd, run.prefill});
         }
     }
 }
 
+void SoonestFirstToken::addPrefill(const QueuedAsk &ask, const PrefillPlan &plan, Engine &engine, PlacedRun &run,
+                                   Base::Instant now)
+{
+    if (run.prefillTokens < minTrackedTokens) {
+        return;
+    }
+    run.prefill = ++m_lastPrefill;
+    run.prefillReported = ask.ask.reportsPrefill;
+    const Base::Duration backlog = backlogOf(engine, ask.parameters, now);
+    // The prompt has to reach the engine, and its first token the home.
+    const Base::Instant begins = now + plan.transferTime + overhead / 2;
+    engine.prefills.add({run.prefill, ask.parameters.rank, static_cast<double>(run.prefillTokens), begins, run.prefillReported},
+                        now);
+    addPendingPrefixes(ask, run, std::max(plan.cachedTokens, plan.keeperTokens), begins + backlog + plan.prefillTime);
+}
+
 PlacedRun SoonestFirstToken::recordPlacement(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now)
 {
     const PrefillPlan plan = prefillPlanAt(ask, candidate, keeperOf(ask, now));
     if (const auto keeper = m_engines.find(plan.keeper); keeper != m_engines.end()) {
         keeper->second.transfersUntil = now + plan.transferTime;
     }
-    Engine &engine
-        = m_engines.try_emplace(candidate.endpoint, m_longestPause, m_poolSpeed.tokensPerMs()).first->second;
+    Engine &engine = m_engines.try_emplace(candidate.endpoint, m_longestPause, m_poolSpeed.tokensPerMs()).first->second;
     engine.prefills.removeOverdue(engine.speed.tokensPerMs(), now);
     PlacedRun run;
     run.endpoint = candidate.endpoint;
@@ -411,14 +447,13 @@
     run.reliabilityEpoch = engine.reliabilityEpoch;
     run.kvTokens = kvTokensFor(ask, plan);
     run.prefillTokens = ask.ask.promptTokens - plan.cachedTokens;
-    run.home = ask.home.incarnation;
     run.requestClass = ask.ask.requestClass;
     run.organisation = ask.ask.organisation;
     run.expectedTokens = ask.ask.expectedTokens;
     run.prefix = ask.ask.prefix;
     run.placedAt = now;
     run.allowedPause = ask.parameters.tokenGap;
-    const Base::Duration backlog = backlogOf(engine, ask.parameters.rank, now);
+    const Base::Duration backlog = backlogOf(engine, ask.parameters, now);
     const Base::Duration burst = backlogOf(engine, now);
     engine.pauses.recordPrefill(now, burst, burst + plan.prefillTime);
     engine.pauses.addStream(run.allowedPause);
@@ -427,16 +462,9 @@
         m_streamEngines.streamStarted(plan.prefillTime);
     }
     run.expectedPrefillEnd = now + scaled(backlog + plan.transferTime + plan.prefillTime, prefillMargin);
-    if (run.prefillTokens >= minTrackedTokens) {
-        run.prefill = ++m_lastPrefill;
-        run.prefillReported = true;
-        engine.prefills.add({run.prefill, ask.parameters.rank, static_cast<double>(run.prefillTokens), now + plan.transferTime,
-                             reportsPrefills(run)});
-        addPendingPrefixes(ask, run, now + backlog + plan.transferTime + plan.prefillTime);
-    }
+    addPrefill(ask, plan, engine, run, now);
     engine.runningTokens += run.kvTokens;
-    const bool endIsReported = run.prefillReported && reportsPrefills(run);
-    engine.cache.insert(chainOf(ask), endIsReported ? Base::Instant::max() : run.expectedPrefillEnd);
+    engine.cache.insert(chainOf(ask), run.prefillReported ? Base::Instant::max() : run.expectedPrefillEnd);
     if (candidate.kvCacheTokens > 0) {
         // Active runs and cached prompts share the memory, and active runs are not evicted.
         engine.cache.shrink(candidate.kvCacheTokens - std::min(candidate.kvCacheTokens, engine.runningTokens));
@@ -444,19 +472,7 @@
     return run;
 }
 
-/// Returns whether the home of @p run reports the ends of prefills. Hosts of earlier versions do not.
-bool SoonestFirstToken::reportsPrefills(const PlacedRun &run) const
-{
-    return !m_homesWithoutReports.contains(run.home);
-}
-
 void SoonestFirstToken::recordPrefillEnd(const PlacedRun &run, Base::Instant now)
-{
-    m_homesWithoutReports.erase(run.home);
-    endPrefill(run, now);
-}
-
-void SoonestFirstToken::endPrefill(const PlacedRun &run, Base::Instant now)
 {
     const auto engine = m_engines.find(run.endpoint);
     if (engine == m_engines.end()) {
@@ -467,8 +483,8 @@
     if (const auto completed = engine->second.prefills.complete(run.prefill, now)) {
         updatePrefillSpeed(engine->second, run, *completed);
         // Between two prompts the engine produces tokens without the delay of a prefill, so that its runs end in time.
-        engine->second.restUntil
-            = std::max(engine->second.restUntil, now) + scaled(completed->duration, (1.0 - prefillShare) / prefillShare);
+        const Base::Duration busy = std::min(completed->duration, timeToPrefill(&engine->second, run.prefillTokens));
+        engine->second.restUntil = std::max(engine->second.restUntil, now) + scaled(busy, (1.0 - prefillShare) / prefillShare);
     }
 }
 
@@ -476,25 +492,22 @@
 {
     m_pendingPrefixes.remove(run.prefix, run.prefill);
     if (run.tightStream) {
-        m_streamEngines.streamEnded(seen.pauses.longest > run.allowedPause, now);
+        const bool hadEvents = seen.first > Base::Duration::zero();
+        m_streamEngines.streamEnded(hadEvents ? std::optional(seen.pauses.longest > run.allowedPause) : std::nullopt, now);
+    }
+    if (run.endpoint != 0) {
+        observeLength(run, seen);
     }
-    observeLength(run, seen);
     const auto engine = m_engines.find(run.endpoint);
     if (engine == m_engines.end()) {
         return;
     }
-    const bool hadFirstToken = seen.first > Base::Duration::zero();
-    const bool wasNotReported = run.prefill != 0 && engine->second.prefills.contains(run.prefill);
-    if (wasNotReported && hadFirstToken) {
-        m_homesWithoutReports.insert(run.home);
-        endPrefill(run, run.placedAt + seen.first);
-    }
     engine->second.prefills.remove(run.prefill, now);
     engine->second.cache.setRead(run.prefix, run.expectedPrefillEnd);
     engine->second.runningTokens -= std::min(engine->second.runningTokens, run.kvTokens);
     engine->second.pauses.removeStream(run.allowedPause, run.placedAt + seen.first, seen.pauses);
     logLongestPause(run, seen);
-    if (hadFirstToken && run.reliabilityEpoch == engine->second.reliabilityEpoch) {
+    if (seen.first > Base::Duration::zero() && run.reliabilityEpoch == engine->second.reliabilityEpoch) {
         engine->second.allowsTransfers = true;
     }
 }
@@ -522,9 +535,11 @@
     }
 }
 
-void SoonestFirstToken::updatePrefillSpeed(Engine &engine, const PlacedRun &run,
-                                           const EngineModel::CompletedPrefill &completed)
+void SoonestFirstToken::updatePrefillSpeed(Engine &engine, const PlacedRun &run, const EngineModel::CompletedPrefill &completed)
 {
+    if (run.prefillTokens < minTokensToLearn) {
+        return;
+    }
     engine.speed.add(completed);
     m_poolSpeed.add(completed);
     const double poolTokensPerMs = m_poolSpeed.tokensPerMs();
@@ -541,6 +556,9 @@
 
 void SoonestFirstToken::adjust(std::span<const Candidate> candidates, Base::Instant now)
 {
+    for (Engine &engine : m_engines | std::views::values) {
+        engine.prefills.removeOverdue(engine.speed.tokensPerMs(), now);
+    }
     if (!m_options.streamEngines) {
         return;
     }
--- a/Source/Dispatch/soonestfirsttoken.h
+++ b/Source/Dispatch/soonestfirsttoken.h
@@ -18,7 +18,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <span>
 #include <utility>
 #include <vector>
@@ -46,6 +45,7 @@
     const EngineModel::StreamEngines &streamEngines() const;
 
     std::optional<std::uint32_t> choose(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
+    bool mayUseAny(const QueuedAsk &ask, std::span<const Candidate> candidates) const;
     Base::Duration expectedFirstToken(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
     MinBacklog minBacklog(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
     Base::Duration firstTokenUpperBound(const QueuedAsk &ask, const MinBacklog &shortest) const;
@@ -92,6 +92,7 @@
     struct PrefillPlan
     {
         std::uint32_t cachedTokens = 0; ///< tokens of the prompt in its cache after the transfer from the keeper
+        std::uint32_t keeperTokens = 0; ///< longest prefix that another engine has cached, whether it is fetched or not
         std::uint32_t keeper = 0; ///< endpoint to fetch a prefix from, 0 for none
         std::uint32_t transferredTokens = 0; ///< tokens fetched from the keeper
         Base::Duration transferTime {}; ///< time until the transfer is complete
@@ -127,15 +128,15 @@
     /// Returns the prefill time at the average speed of the pool.
     Base::Duration timeToPrefill(std::uint32_t tokens) const;
     Base::Duration timeToPrefill(const Engine *engine, std::uint32_t tokens) const;
-    /// Returns the time before the engine begins a new prefill of @p rank.
-    static Base::Duration backlogOf(const Engine &engine, int rank, Base::Instant now);
+    /// Returns the time before the engine begins a new prefill for the class.
+    static Base::Duration backlogOf(const Engine &engine, const ClassParameters &parameters, Base::Instant now);
     /// Returns the time until the engine has prefilled all prompts sent to it.
     static Base::Duration backlogOf(const Engine &engine, Base::Instant now);
     double expectedLateRuns(const QueuedAsk &ask, const Engine *engine, Base::Duration prefillTime, Base::Instant now) const;
-    Base::Duration backlogAt(std::uint32_t endpoint, int rank, Base::Instant now) const;
-    void addPendingPrefixes(const QueuedAsk &ask, const PlacedRun &run, Base::Instant expectedEnd);
-    bool reportsPrefills(const PlacedRun &run) const;
-    void endPrefill(const PlacedRun &run, Base::Instant now);
+    Base::Duration backlogAt(std::uint32_t endpoint, const ClassParameters &parameters, Base::Instant now) const;
+    /// Adds the prompt of a new run to the prefill queue of its engine.
+    void addPrefill(const QueuedAsk &ask, const PrefillPlan &plan, Engine &engine, PlacedRun &run, Base::Instant now);
+    void addPendingPrefixes(const QueuedAsk &ask, const PlacedRun &run, std::uint32_t cachedTokens, Base::Instant expectedEnd);
     void observeLength(const PlacedRun &run, const ObservedTokens &seen);
     void logLongestPause(const PlacedRun &run, const ObservedTokens &seen);
     void updatePrefillSpeed(Engine &engine, const PlacedRun &run, const EngineModel::CompletedPrefill &completed);
@@ -145,7 +146,6 @@
     std::shared_ptr<LongestPause> m_longestPause = std::make_shared<LongestPause>();
     /// Prefill speed of engines whose own speed is not known yet, learned from all engines of the pool.
     EngineModel::PrefillSpeed m_poolSpeed = EngineModel::poolPrefillSpeed();
-    std::set<std::uint64_t> m_homesWithoutReports; ///< incarnations of homes that do not report the end of prefills
     EngineModel::PendingPrefixes m_pendingPrefixes;
     EngineModel::StreamEngines m_streamEngines;
     EngineModel::ResponseLengths m_lengths;
--- a/Source/Dispatch/waitestimates.cpp
+++ b/Source/Dispatch/waitestimates.cpp
@@ -35,7 +35,9 @@
     const Duration late = latenessOf(ask, ahead);
     const Duration cooldown = remainingCooldown(ask.home.incarnation);
     const Instant start = m_now + std::max({rateLimitWait(ahead.asks), cooldown, prefillWait(ask, ahead)});
-    const bool missesDeadline = start + leastResponseTime(ask) >= ask.deadline;
+    // While nothing waits, all asks are tried, so that the expected lengths follow the real ones.
+    const Duration response = ahead.asks > 0 ? leastResponseTime(ask) : Duration::zero();
+    const bool missesDeadline = start + response >= ask.deadline;
     return {missesDeadline ? std::max(late, start - ask.target()) : late, missesDeadline, cooldown};
 }
 
@@ -60,11 +62,10 @@
 Duration WaitEstimates::leastResponseTime(const QueuedAsk &ask) const
 {
     // A later attempt may continue the stream of an earlier one.
-    if (!m_refuseLate || ask.key.id.attempt > 1) {
+    if (!m_refuseLate || !ask.parameters.deadlineEndsRun || ask.key.id.attempt > 1) {
         return Duration::zero();
     }
-    const Duration expected
-        = std::visit([&](const auto &placement) { return placement.expectedResponseTime(ask); }, m_placement);
+    const Duration expected = std::visit([&](const auto &placement) { return placement.expectedResponseTime(ask); }, m_placement);
     return std::chrono::duration_cast<Duration>(expected * leastShareOfResponse);
 }
 
--- a/Source/EngineModel/pendingprefixes.cpp
+++ b/Source/EngineModel/pendingprefixes.cpp
@@ -9,7 +9,10 @@
 
 void PendingPrefixes::add(const PendingPrefix &prefix)
 {
-    m_pending.try_emplace(prefix.hash, prefix);
+    const auto [entry, added] = m_pending.try_emplace(prefix.hash, prefix);
+    if (!added && entry->second.expectedEnd < prefix.expectedEnd) {
+        entry->second = prefix;
+    }
 }
 
 void PendingPrefixes::remove(std::span<const std::uint64_t> hashes, std::uint64_t number)
--- a/Source/EngineModel/pendingprefixes.h
+++ b/Source/EngineModel/pendingprefixes.h
@@ -16,9 +16,10 @@
 
 namespace Yokepond::EngineModel {
 
-/// A prefix that an engine is prefilling for the first time.
+/// A prefix that an engine is prefilling and that no engine has cached.
 struct PendingPrefix
 {
+    std::uint32_t endpoint = 0;
     std::uint64_t hash = 0;
     std::uint32_t tokens = 0; ///< length of the prefix
     Base::Instant expectedEnd {};
@@ -30,7 +31,7 @@
 class PendingPrefixes
 {
 public:
-    /// Adds a prefix. If it is pending already, the earlier prefill counts.
+    /// Adds a prefix. If it is pending already, the prefill that ends later counts: the other one may never end.
     void add(const PendingPrefix &prefix);
 
     /// Removes those of the prefixes that the prefill @p number was reading.
--- a/Source/EngineModel/prefillqueue.cpp
+++ b/Source/EngineModel/prefillqueue.cpp
@@ -13,9 +13,11 @@
 using Base::Duration;
 using Base::Instant;
 
-Duration prefillTime(double tokens, double tokensPerMs)
+/// Returns the prefill time that was left of @p prefill when the engine last turned to it.
+Duration remainingTime(const QueuedPrefill &prefill, double tokensPerMs)
 {
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(tokens / tokensPerMs));
+    const std::chrono::duration<double, std::milli> whole(prefill.tokens / tokensPerMs);
+    return std::max(Duration::zero(), std::chrono::duration_cast<Duration>(whole) - prefill.done);
 }
 
 } // namespace
@@ -25,21 +27,20 @@
     return std::ranges::find(m_queue, number, &QueuedPrefill::number);
 }
 
-bool PrefillQueue::contains(std::uint64_t number) const
+std::size_t PrefillQueue::size() const
 {
-    return std::ranges::find(m_queue, number, &QueuedPrefill::number) != m_queue.end();
+    return m_queue.size();
 }
 
-bool PrefillQueue::empty() const
+void PrefillQueue::add(const QueuedPrefill &prefill, Instant now)
 {
-    return m_queue.empty();
-}
-
-void PrefillQueue::add(const QueuedPrefill &prefill)
-{
-    m_busySince = m_queue.empty() ? prefill.begins : std::min(m_busySince, prefill.begins);
-    const auto behind
-        = std::ranges::find_if(m_queue, [&](const QueuedPrefill &queued) { return queued.rank > prefill.rank; });
+    const auto behind = std::ranges::find_if(m_queue, [&](const QueuedPrefill &queued) { return queued.rank > prefill.rank; });
+    if (m_queue.empty()) {
+        m_busySince = prefill.begins;
+    } else if (behind == m_queue.begin()) {
+        behind->done += spent(now);
+        m_busySince = std::max(now, prefill.begins);
+    }
     m_queue.insert(behind, prefill);
 }
 
@@ -51,9 +52,9 @@
 void PrefillQueue::erase(std::vector<QueuedPrefill>::iterator entry, Instant now)
 {
     m_queue.erase(entry);
-    m_busySince = now;
+    m_busySince = std::max(m_busySince, now);
     if (!m_queue.empty()) {
-        m_busySince = std::max(now, std::ranges::min(m_queue, {}, &QueuedPrefill::begins).begins);
+        m_busySince = std::max(m_busySince, std::ranges::min(m_queue, {}, &QueuedPrefill::begins).begins);
     }
 }
 
@@ -63,7 +64,7 @@
     if (entry == m_queue.end()) {
         return std::nullopt;
     }
-    const CompletedPrefill completed {entry->tokens, spent(now)};
+    const CompletedPrefill completed {entry->tokens, entry->done + spent(now)};
     erase(entry, now);
     return completed;
 }
@@ -78,7 +79,7 @@
 void PrefillQueue::removeOverdue(double tokensPerMs, Instant now)
 {
     while (!m_queue.empty() && !m_queue.front().reported) {
-        const Duration expected = prefillTime(m_queue.front().tokens, tokensPerMs);
+        const Duration expected = remainingTime(m_queue.front(), tokensPerMs);
         if (spent(now) < expected) {
             return;
         }
@@ -88,16 +89,15 @@
 
 Duration PrefillQueue::backlog(int rank, double tokensPerMs, Instant now) const
 {
-    double tokens = 0;
+    Duration all {};
     for (const QueuedPrefill &queued : m_queue) {
-        tokens += queued.rank <= rank ? queued.tokens : 0;
+        all += queued.rank <= rank ? remainingTime(queued, tokensPerMs) : Duration::zero();
     }
-    if (tokens <= 0) {
-        return Duration::zero();
+    if (all == Duration::zero()) {
+        return all;
     }
     // However long the first prefill takes, it does no work of the others.
-    const Duration first = prefillTime(m_queue.front().tokens, tokensPerMs);
-    return prefillTime(tokens, tokensPerMs) - std::min(first, spent(now));
+    return all - std::min(remainingTime(m_queue.front(), tokensPerMs), spent(now));
 }
 
 Duration PrefillQueue::backlog(double tokensPerMs, Instant now) const
--- a/Source/EngineModel/prefillqueue.h
+++ b/Source/EngineModel/prefillqueue.h
@@ -23,17 +23,19 @@
     double tokens = 0; ///< prompt tokens that are not cached
     Base::Instant begins {}; ///< when the prompt and the parts of it that are transferred have arrived at the engine
     bool reported = true; ///< whether the end of the prefill will be reported
+    Base::Duration done {}; ///< time that the engine spent on it before more urgent prompts came
 };
 
 /// Tracks the prefill queue of one engine. The end of a prefill is known from the first token of its run, which the run's home
-/// reports. So a queue that is longer than assumed stays visible: an engine that is slower than its estimate, or that stopped, gets
-/// no further prompts. A prefill whose end is not reported counts as ended when its estimated time has passed.
+/// reports. So a queue that is longer than assumed stays visible: an engine that is slower than its estimate, or that stopped,
+/// gets no further prompts. A prefill whose end is not reported counts as ended when its estimated time has passed.
 class PrefillQueue
 {
 public:
-    void add(const QueuedPrefill &prefill);
+    void add(const QueuedPrefill &prefill, Base::Instant now);
 
-    /// Records that the first token of the run came. Returns the prefill if it shows the speed of the engine.
+    /// Records that the first token of the run came. Returns the prefill with the time that the engine spent on it, or nothing if
+    /// it is not in the queue.
     std::optional<CompletedPrefill> complete(std::uint64_t number, Base::Instant now);
 
     /// Removes a prefill whose run has ended.
@@ -45,12 +47,11 @@
     /// Returns the time until the queue is empty.
     Base::Duration backlog(double tokensPerMs, Base::Instant now) const;
 
-    bool contains(std::uint64_t number) const;
-
     /// Removes the prefills without a report whose estimated time has passed.
     void removeOverdue(double tokensPerMs, Base::Instant now);
 
-    bool empty() const;
+    /// Returns the number of prefills that have not ended.
+    std::size_t size() const;
 
 private:
     std::vector<QueuedPrefill>::iterator find(std::uint64_t number);
--- a/Source/EngineModel/responselengths.h
+++ b/Source/EngineModel/responselengths.h
@@ -35,8 +35,8 @@
 };
 
 /// Estimates how many events the stream of a response will have, from the responses of the same class and organisation, and from
-/// the caller's hint. How much the hint counts follows from how well it predicted before. Lengths spread over orders of magnitude,
-/// so all means are means of logarithms, and the estimate is a median.
+/// the caller's hint. How much the hint counts follows from how well it predicted before. Lengths spread over orders of
+/// magnitude, so all means are means of logarithms, and the estimate is a median.
 class ResponseLengths
 {
 public:
--- a/Source/EngineModel/streamengines.cpp
+++ b/Source/EngineModel/streamengines.cpp
@@ -17,8 +17,7 @@
 using Base::Duration;
 using Base::Instant;
 
-/// More late streams than this are more than callers notice; the value is the share of one late stream in fifty and half of
-/// another.
+/// Callers notice if more than one stream in thirty is late.
 constexpr double tolerableLateShare = 0.03;
 /// Weight of the latest stream in the share of late ones.
 constexpr double latestWeight = 0.02;
@@ -30,14 +29,13 @@
 constexpr double usedSlots = 0.4;
 /// Share of an engine's time for the prefill of tight streams. Each of these prompts takes a step of the engine at most, so the
 /// pauses stay short.
-constexpr double prefillTimeShare = 0.35;
+constexpr double prefillTimeShare = 0.5;
 /// Period of the moving average of the prefill of tight streams.
 constexpr Duration loadPeriod = std::chrono::milliseconds(500);
-/// An engine whose speed is below this share of the mean is slowed down by a fault, and its pauses are long as well.
-constexpr double leastUsualSpeed = 0.6;
 /// At most this share of the engines is set aside, so that the other classes are served too.
 constexpr double maxShare = 0.5;
-/// A part of the engines that are not needed returns to the other classes after each such time, since the number of streams varies.
+/// A part of the engines that are not needed returns to the other classes after each such time, since the number of streams
+/// varies.
 constexpr Duration shrinkPeriod = std::chrono::seconds(1);
 constexpr std::size_t shrinkDivisor = 3;
 
@@ -49,10 +47,13 @@
     m_prefillSinceUpdate += prefillTime;
 }
 
-void StreamEngines::streamEnded(bool late, Instant now)
+void StreamEngines::streamEnded(std::optional<bool> late, Instant now)
 {
     m_active -= std::min(m_active, 1U);
-    m_lateShare += latestWeight * ((late ? 1.0 : 0.0) - m_lateShare);
+    if (!late) {
+        return;
+    }
+    m_lateShare += latestWeight * ((*late ? 1.0 : 0.0) - m_lateShare);
     if (m_lateShare > tolerableLateShare) {
         m_lastLate = now;
     }
@@ -76,8 +77,7 @@
         return 0;
     }
     const double perEngine = usedSlots * slots / static_cast<double>(engines.size());
-    const auto needed = static_cast<std::size_t>(std::ceil(std::max(m_active / perEngine, m_prefillLoad / prefillTimeShare)));
-    return std::min(needed, static_cast<std::size_t>(maxShare * static_cast<double>(engines.size())));
+    return static_cast<std::size_t>(std::ceil(std::max(m_active / perEngine, m_prefillLoad / prefillTimeShare)));
 }
 
 void StreamEngines::grow(std::span<const StreamEngineCandidate> engines, std::size_t needed)
@@ -85,14 +85,10 @@
     std::vector<StreamEngineCandidate> others;
     std::ranges::copy_if(engines, std::back_inserter(others),
                          [this](const StreamEngineCandidate &engine) { return !m_engines.contains(engine.endpoint); });
-    double meanSpeed = 0;
-    for (const StreamEngineCandidate &engine : engines) {
-        meanSpeed += engine.tokensPerMs / static_cast<double>(engines.size());
-    }
-    // Engines with nothing to prefill are free for streams at once.
-    const auto order = [meanSpeed](const StreamEngineCandidate &engine) {
-        return std::tuple(engine.tokensPerMs < leastUsualSpeed * meanSpeed, engine.backlog > Duration::zero(), engine.tokensPerMs,
-                          engine.endpoint);
+    // Fast engines have the shortest pauses and need to be the fewest. Those with nothing to prefill are free for streams at
+    // once.
+    const auto order = [](const StreamEngineCandidate &engine) {
+        return std::tuple(engine.backlog > Duration::zero(), -engine.tokensPerMs, engine.endpoint);
     };
     std::ranges::sort(others, {}, order);
     for (const StreamEngineCandidate &engine : others) {
@@ -114,14 +110,18 @@
 {
     measurePrefillLoad(now);
     std::erase_if(m_engines, [&](std::uint32_t endpoint) {
-        return std::ranges::find(engines, endpoint, &StreamEngineCandidate::endpoint) == engines.end();
+        return !std::ranges::binary_search(engines, endpoint, {}, &StreamEngineCandidate::endpoint);
     });
+    const auto most = static_cast<std::size_t>(maxShare * static_cast<double>(engines.size()));
+    while (m_engines.size() > most) {
+        m_engines.erase(std::prev(m_engines.end()));
+    }
     if (!m_lastLate || now - *m_lastLate > retention) {
         const bool any = !m_engines.empty();
         m_engines.clear();
         return any ? StreamEnginesChange::Ended : StreamEnginesChange::None;
     }
-    const std::size_t needed = neededFor(engines);
+    const std::size_t needed = std::min(neededFor(engines), most);
     if (needed > m_engines.size()) {
         grow(engines, needed);
         m_lastShrink = now;
--- a/Source/EngineModel/streamengines.h
+++ b/Source/EngineModel/streamengines.h
@@ -9,7 +9,6 @@
 #include "Base/time.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <set>
 #include <span>
@@ -31,27 +30,31 @@
 /// Sets engines aside for tight streams: those of the class of a pool that allows the shortest pauses between events. A long
 /// prefill makes all tight streams of an engine late, whichever engine it is placed at. So while tight streams end late, some
 /// engines take tight streams and no other prompts. Their number follows the number of tight streams and the prefill of their
-/// prompts. Engines that prefill slowly come first, since the other classes lose least by them. Without late streams no engine is
-/// set aside.
+/// prompts. Without late streams no engine is set aside.
 class StreamEngines
 {
 public:
     /// Records the start of a tight stream whose prompt takes @p prefillTime to prefill.
     void streamStarted(Base::Duration prefillTime);
 
-    /// Records the end of a tight stream, and whether a pause of it was longer than allowed.
-    void streamEnded(bool late, Base::Instant now);
+    /// Records the end of a tight stream, and whether a pause of it was longer than allowed; nothing if it had no events.
+    void streamEnded(std::optional<bool> late, Base::Instant now);
 
-    /// Adjusts the engines to the number of active tight streams; to be called regularly with all engines that accept work.
+    /// Adjusts the engines to the number of active tight streams; to be called regularly with all engines that accept work,
+    /// ordered by number.
     StreamEnginesChange update(std::span<const StreamEngineCandidate> engines, Base::Instant now);
 
     /// Returns all engines to the other classes.
     void clear();
 
+    /// Returns whether an engine is set aside.
     bool contains(std::uint32_t endpoint) const;
     bool empty() const;
+    /// Returns the number of engines that are set aside.
     std::size_t size() const;
+    /// Returns the number of active tight streams at all engines.
     std::uint32_t activeStreams() const;
+    /// Returns the share of late streams among those that ended lately.
     double lateShare() const;
 
 private:
--- a/Source/Peer/codec.cpp
+++ b/Source/Peer/codec.cpp
@@ -169,6 +169,7 @@
         builder.setRank(static_cast<std::int16_t>(ask.rank));
         builder.setExpectedTokens(ask.expectedTokens);
         builder.setPrefixTokens(kj::arrayPtr(ask.prefixTokens.data(), ask.prefixTokens.size()));
+        builder.setReportsPrefill(ask.reportsPrefill);
     }
 
     void operator()(const Grant &grant)
@@ -403,6 +404,7 @@
     for (const std::uint32_t tokens : reader.getPrefixTokens()) {
         ask.prefixTokens.push_back(tokens);
     }
+    ask.reportsPrefill = reader.getReportsPrefill();
     return ask;
 }
 
@@ -529,12 +531,8 @@
         return decodeAsk(reader.getAsk());
     case Wire::Message::GRANT: {
         const auto grant = reader.getGrant();
-        return Grant {decodeId(grant),
-                      grant.getEndpoint(),
-                      fromMicroseconds(grant.getStartByUs()),
-                      grant.getPressure(),
-                      grant.getKeeper(),
-                      decodeRate(grant.getRate()),
+        return Grant {decodeId(grant),         grant.getEndpoint(), fromMicroseconds(grant.getStartByUs()),
+                      grant.getPressure(),     grant.getKeeper(),   decodeRate(grant.getRate()),
                       grant.getReportPrefill()};
     }
     case Wire::Message::PREFILL_ENDED:
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -50,6 +50,7 @@
     int rank = 0; ///< rank of the request: 1 is the highest, 0 stands for the rank of its class
     std::uint32_t expectedTokens = 0; ///< expected length of the response; 0 if not known
     std::vector<std::uint32_t> prefixTokens; ///< prompt tokens up to the end of each entry of prefix; may be empty
+    bool reportsPrefill = false; ///< whether the home can send PrefillEnded; it cannot if the response is not streamed
 };
 
 /// Assigns an endpoint to an ask.
--- a/Source/Peer/peer.capnp
+++ b/Source/Peer/peer.capnp
@@ -24,6 +24,7 @@
   rank @11 :Int16;             # rank of the request: 1 is the highest, 0 stands for the rank of its class
   expectedTokens @12 :UInt32;  # expected length of the response; 0 if not known
   prefixTokens @13 :List(UInt32); # prompt tokens up to the end of each entry of prefix; may be empty
+  reportsPrefill @14 :Bool;    # whether the home can send PrefillEnded
 }
 
 struct RateWord {              # the request rate that an endpoint advertised
--- a/Source/Peer/peer.capnp.h
+++ b/Source/Peer/peer.capnp.h
@@ -685,6 +685,8 @@
   inline bool hasPrefixTokens() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getPrefixTokens() const;
 
+  inline bool getReportsPrefill() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -765,6 +767,9 @@
   inline void adoptPrefixTokens(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownPrefixTokens();
 
+  inline bool getReportsPrefill();
+  inline void setReportsPrefill(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4502,6 +4507,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Ask::Reader::getReportsPrefill() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+
+inline bool Ask::Builder::getReportsPrefill() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+inline void Ask::Builder::setReportsPrefill(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t RateWord::Reader::getKnowledge() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -265,6 +265,7 @@
     ask.expectedTokens = pending.request.expectedTokens;
     ask.rank = pending.request.rank;
     ask.avoid = pending.avoid;
+    ask.reportsPrefill = pending.request.streams;
     m_actions.emplace_back(SendToMember {pending.dispatcher, std::move(ask)});
 }
 
@@ -309,7 +310,6 @@
 /// Starts a run at @p endpoint. @p grant is the dispatcher's; a run without a dispatcher has none.
 void Home::beginRun(Instant now, Pending &pending, std::uint32_t endpoint, Instant startBy, const Peer::Grant &grant)
 {
-    std::uint32_t keeper = grant.keeper;
     Base::checkInvariant(pending.classSettings.repeatable || !pending.mayHaveRun, Base::Invariant::RunOnce);
     pending.phase = Phase::Running;
     pending.endpoint = endpoint;
@@ -321,15 +321,13 @@
         const Configuration::Endpoint *object = m_catalogue->endpointByNumber(number);
         return object == nullptr ? std::string("?") : object->name;
     };
-    if (m_availabilities.stateOf(keeper).isLeaving(now)) {
-        keeper = 0;
-    }
+    const std::uint32_t keeper = m_availabilities.stateOf(grant.keeper).isLeaving(now) ? 0 : grant.keeper;
     const std::string transferNote = keeper == 0 ? "" : fmt::format(", transferring a prompt prefix from {}", nameOf(keeper));
     addTraceEntry(pending, now, Step::Started, fmt::format("endpoint {}{}", nameOf(endpoint), transferNote));
     // A dispatcher that enforces a limit must be informed when the limit ends.
     const bool reportRate = pending.grantedRate.isLimited() || m_rates.stateOf(endpoint).isLimited();
-    m_actions.emplace_back(StartRun {
-        {pending.request.id, pending.attempt}, endpoint, startBy, reportRate, keeper, grant.reportPrefill});
+    m_actions.emplace_back(
+        StartRun {{pending.request.id, pending.attempt}, endpoint, startBy, reportRate, keeper, grant.reportPrefill});
 }
 
 void Home::receive(Instant, const std::string &from, const Peer::Queued &queued)
