Relay: Bound what a host holds for callers that read slowly, and cut those that do not read

Cause: A stream was paused when its own caller had not read 256 KiB. There was no bound for all streams together, so that 1,500 of them may hold more than a host of 110 MB has, and nothing ended a caller that reads nothing, so that its slot at the engine stayed taken. The kernel took megabytes more for each such caller on a fast link. A run with an idempotency key whose caller went while its stream was paused stood still.

Change: ResponseBuffers (pure) accounts what is held for each caller and decides on pauses, on where they end, and on cuts; SlowCallers measures and carries the cuts out. The bound is [limits] response-buffers-mb, or a quarter of the new [host] memory-mb; without both nobody is cut. With a bound, the send buffers of callers' connections are 64 KiB. A cut resets the connection, so that it looks broken also without a declared length, and ends the run as a disconnected caller does, or lets it go on without pauses if it is reported for a key. The buffer of a stream gives back what has been read also if the caller is never quite up to date. Log event slow-caller-cut, three metrics.

--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 51> eventNames = {{
+constexpr NameTable<LogEvent, 52> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -31,6 +31,7 @@
     {LogEvent::PermitExpired, "permit-expired"},
     {LogEvent::LinesDropped, "lines-left-out"},
     {LogEvent::RequestAbandoned, "request-abandoned"},
+    {LogEvent::SlowCallerCut, "slow-caller-cut"},
     {LogEvent::EndpointEjected, "endpoint-ejected"},
     {LogEvent::EndpointReplaced, "endpoint-gone"},
     {LogEvent::EndpointReturned, "endpoint-returned"},
--- a/Source/Base/log.h
+++ b/Source/Base/log.h
@@ -37,6 +37,7 @@
     PermitExpired,
     LinesDropped,
     RequestAbandoned,
+    SlowCallerCut,
     EndpointEjected,
     EndpointReplaced,
     EndpointReturned,
--- a/Source/Http/server.cpp
+++ b/Source/Http/server.cpp
@@ -8,8 +8,10 @@
 #include <arpa/inet.h>
 #include <curl/curl.h>
 #include <fmt/format.h>
+#include <linux/sockios.h>
 #include <microhttpd.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -23,8 +25,14 @@
 namespace {
 
 constexpr std::size_t streamBlockBytes = 4U << 10U; ///< size of the buffer that libmicrohttpd allocates for each stream
+constexpr std::size_t bodyBlockBytes = 16U << 10U; ///< the same for a complete response that is read block by block
 constexpr Base::Duration sweepPeriod = std::chrono::seconds(1);
 constexpr int watchedEventsPerCall = 64;
+/// A complete response's body above this size is read block by block, so that buffered() tells how much of it is left. A smaller
+/// body is passed to the kernel in one piece.
+constexpr std::size_t maxWholeBodyBytes = 16U << 10U;
+/// The buffer of a stream gives its memory back when it is empty and was larger than this.
+constexpr std::size_t maxIdleBufferBytes = 16U << 10U;
 /// Limit on the calls of MHD_run in one turn of the loop. If libmicrohttpd still has buffered input, it runs again in the next
 /// turn.
 constexpr int maxLibraryRunsPerTurn = 4;
@@ -57,15 +65,19 @@
     void setTrailer(Header header) override;
     void finish() override;
     void abort() override;
+    void reset() override;
 
     std::size_t buffered() const override
     {
         return m_buffer.size() - m_readOffset;
     }
 
+    std::int64_t delivered() const override;
+
     void onDrained(std::size_t lowMark, Task task) override
     {
         m_lowMark = lowMark;
+        m_overLowMark = buffered() > lowMark;
         m_onDrained = std::move(task);
     }
 
@@ -91,8 +103,13 @@
     Request m_request;
 
 private:
+    /// Removes the first @p size bytes of the buffer, and gives memory back that is not needed any more.
+    void consume(std::size_t size);
+    void dropBuffer();
+
     Response m_response;
     MHD_Response *m_queuedResponse = nullptr;
+    std::int64_t m_passedBytes = 0; ///< bytes of the body that have been passed to libmicrohttpd by readBytes()
     std::optional<Header> m_trailer;
     std::string m_buffer;
     std::size_t m_readOffset = 0;
@@ -177,6 +194,7 @@
     MHD_Result reject(MhdExchange &exchange, const absl::Status &error);
     /// Writes the error response to the socket and closes the connection.
     void rejectOnSocket(MhdExchange &exchange, const absl::Status &error);
+    void limitSendBuffers();
     void run();
     void readWatched();
     /// Rejects the requests that exceed the receive timeout, and runs libmicrohttpd for its idle timeouts.
@@ -252,6 +270,10 @@
         return;
     }
     m_response = std::move(response);
+    if (m_response.body.size() > maxWholeBodyBytes) {
+        m_buffer = std::move(m_response.body);
+        m_response.body.clear();
+    }
     m_finished = true;
     m_state = State::ResponseSet;
     resume();
@@ -269,7 +291,7 @@
 
 void MhdExchange::write(std::string_view bytes)
 {
-    if (m_state != State::Streaming) {
+    if (m_state != State::Streaming || m_aborted) {
         return;
     }
     m_buffer.append(bytes);
@@ -291,16 +313,65 @@
 void MhdExchange::abort()
 {
     m_aborted = true;
+    dropBuffer();
     if (m_state == State::Waiting) {
         m_state = State::Ended;
     }
     resume();
 }
 
+void MhdExchange::reset()
+{
+    if (m_connection == nullptr) {
+        return;
+    }
+    const linger noLinger {1, 0};
+    setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &noLinger, sizeof noLinger);
+    abort();
+    // libmicrohttpd waits until the caller reads. Only the shutdown makes it close the connection at once.
+    ::shutdown(m_descriptor, SHUT_RDWR);
+}
+
+std::int64_t MhdExchange::delivered() const
+{
+    int unacknowledged = 0;
+    if (m_connection != nullptr) {
+        ioctl(m_descriptor, SIOCOUTQ, &unacknowledged);
+    }
+    return m_passedBytes - unacknowledged;
+}
+
+void MhdExchange::consume(std::size_t size)
+{
+    m_readOffset += size;
+    m_passedBytes += static_cast<std::int64_t>(size);
+    if (m_readOffset < m_buffer.size() / 2) {
+        return;
+    }
+    // The caller may always be a little behind, so the part that has been read is removed before the buffer is empty.
+    m_buffer.erase(0, m_readOffset);
+    m_readOffset = 0;
+    if (m_buffer.empty() && m_buffer.capacity() > maxIdleBufferBytes) {
+        m_buffer.shrink_to_fit();
+    }
+}
+
+void MhdExchange::dropBuffer()
+{
+    m_buffer = {};
+    m_readOffset = 0;
+    m_response.body = {};
+}
+
 MHD_Result MhdExchange::queueResponse()
 {
+    if (m_aborted) {
+        return MHD_NO;
+    }
     MHD_Response *response = nullptr;
-    if (m_state == State::ResponseSet) {
+    if (m_state == State::ResponseSet && !m_buffer.empty()) {
+        response = MHD_create_response_from_callback(m_buffer.size(), bodyBlockBytes, readStream, this, nullptr);
+    } else if (m_state == State::ResponseSet) {
         response = MHD_create_response_from_buffer(m_response.body.size(), m_response.body.data(), MHD_RESPMEM_MUST_COPY);
     } else if (m_state == State::Streaming) {
         response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, streamBlockBytes, readStream, this, nullptr);
@@ -335,11 +406,7 @@
         return 0;
     }
     std::copy_n(m_buffer.data() + m_readOffset, size, target);
-    m_readOffset += size;
-    if (m_readOffset == m_buffer.size()) {
-        m_buffer.clear();
-        m_readOffset = 0;
-    }
+    consume(size);
     if (m_overLowMark && buffered() <= m_lowMark) {
         m_overLowMark = false;
         if (m_onDrained) {
@@ -354,7 +421,10 @@
     if (const Task closed = std::exchange(m_onClosed, nullptr)) {
         closed();
     }
-    abort();
+    // A caller may shut down its sending side and still read a complete response.
+    if (m_state != State::ResponseSet) {
+        abort();
+    }
 }
 
 void MhdExchange::requestFinished()
@@ -362,6 +432,7 @@
     m_state = State::Ended;
     m_connection = nullptr;
     m_onDrained = nullptr;
+    dropBuffer();
     const Task closed = std::exchange(m_onClosed, nullptr);
     if (closed && !m_finished) {
         closed();
@@ -409,6 +480,7 @@
     }
     m_address = address;
     m_address.port = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+    limitSendBuffers();
     m_watchDescriptor = epoll_create1(EPOLL_CLOEXEC);
     const int libraryDescriptor = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
     m_readable = m_loop.whenReadable(libraryDescriptor, [this] { run(); });
@@ -417,6 +489,17 @@
     return absl::OkStatus();
 }
 
+/// Applies ServerLimits::sendBufferBytes to the listener, from which each connection inherits it.
+void MhdServer::limitSendBuffers()
+{
+    if (m_limits.sendBufferBytes == 0) {
+        return;
+    }
+    const int listener = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
+    const int bytes = static_cast<int>(m_limits.sendBufferBytes);
+    setsockopt(listener, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+}
+
 void MhdServer::run()
 {
     // If libmicrohttpd has buffered input of a connection, no descriptor becomes readable. A timeout of zero indicates this.
--- a/Source/Http/server.h
+++ b/Source/Http/server.h
@@ -26,6 +26,9 @@
     std::size_t headerBytes = 16U << 10U; ///< memory for the head of a request
     Base::Duration idle = std::chrono::seconds(60); ///< timeout without traffic, unless a response is pending
     Base::Duration receive = std::chrono::seconds(30); ///< time limit for receiving the body, from the end of the request's head
+    /// Size of the kernel's send buffer of each connection, which the kernel doubles for its own overhead; 0: the system's
+    /// default.
+    std::size_t sendBufferBytes = 0;
 };
 
 /// A request and its response. All functions must be called on the loop's thread.
@@ -57,10 +60,19 @@
     /// Closes the connection, so that the caller sees an incomplete response.
     virtual void abort() = 0;
 
-    /// Returns the number of bytes written to the stream that have not been passed to the kernel.
+    /// Closes the connection with a TCP reset, also if the caller does not read. Bytes that have not been delivered are dropped,
+    /// so the caller sees an incomplete response, whatever the response's length or encoding.
+    virtual void reset() = 0;
+
+    /// Returns the number of bytes of the response's body that have not been passed to the kernel.
     virtual std::size_t buffered() const = 0;
 
-    /// Sets a callback that is called whenever buffered() falls to @p lowMark after it was above it.
+    /// Returns a measure of the bytes of the response that the caller's system has acknowledged. It grows whenever the caller
+    /// reads; only its differences have a meaning.
+    virtual std::int64_t delivered() const = 0;
+
+    /// Sets a callback that is called whenever buffered() falls to @p lowMark after it was above it. It replaces the callback
+    /// that was set before.
     virtual void onDrained(std::size_t lowMark, Task task) = 0;
 
     /// Sets a callback that is called once if the caller closes the connection, or shuts down its sending side, before the end of
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -28,6 +28,9 @@
 /// subtracted twice from the time for which the holder may act. It covers calls in transit and a holder that notices late that
 /// its lease has expired.
 constexpr Base::Duration dutyMargin = std::chrono::milliseconds(500);
+/// Send buffer of a caller's connection if there is a bound on what is held for callers: several seconds of a stream's events,
+/// and enough to send a large body at megabytes a second over a round trip of 50 ms.
+constexpr std::size_t callerSendBufferBytes = 64U << 10U;
 constexpr std::size_t maxDumpedRows = 200;
 constexpr unsigned int incarnationRandomBits = 12;
 constexpr int exitNotDrained = 3;
@@ -163,8 +166,14 @@
 
 absl::StatusOr<std::unique_ptr<Relay::Relay>> Daemon::startRelay()
 {
+    Http::ServerLimits limits = m_settings.callerLimits;
+    if (m_settings.responseBuffers.totalBytes > 0) {
+        // Otherwise the kernel would hold megabytes for a caller that does not read, which no bound counts.
+        limits.sendBufferBytes = callerSendBufferBytes;
+    }
     const Relay::RelayOptions options {.listen = m_settings.callerListen,
-                                       .limits = m_settings.callerLimits,
+                                       .limits = limits,
+                                       .buffers = m_settings.responseBuffers,
                                        .reportRunStarts = m_settings.dutyAddress.port != 0};
     const auto handler = [this](Relay::Event event) { m_mailbox->post(std::move(event)); };
     const auto body = [](const absl::Status &error) { return errorBody(error, Request::Outcome::NotRun); };
@@ -576,6 +585,12 @@
     m_metrics.set("yokepond_runs_total", "", static_cast<double>(m_relay->counters().runs));
     m_metrics.set("yokepond_streams_resumed_total", "", static_cast<double>(m_relay->counters().resumes));
     m_metrics.set("yokepond_open_calls", "", static_cast<double>(m_relay->counters().open));
+    m_metrics.set("yokepond_held_bytes", "", static_cast<double>(m_relay->counters().heldBytes));
+    m_metrics.set("yokepond_streams_paused", "", static_cast<double>(m_relay->counters().pausedStreams));
+    m_metrics.set("yokepond_callers_cut_total", label("reason", Base::nameOf(Relay::cutReasonNames, Relay::CutReason::Unread)),
+                  static_cast<double>(m_relay->counters().cutUnread));
+    m_metrics.set("yokepond_callers_cut_total", label("reason", Base::nameOf(Relay::cutReasonNames, Relay::CutReason::Memory)),
+                  static_cast<double>(m_relay->counters().cutForMemory));
     m_metrics.set("yokepond_retries_total", "", static_cast<double>(m_home.counters().retried));
     m_metrics.set("yokepond_local_runs_total", "", static_cast<double>(m_home.counters().localRuns));
     m_metrics.set("yokepond_stale_grants_total", "", static_cast<double>(m_home.counters().staleGrants));
--- a/Source/Node/settings.cpp
+++ b/Source/Node/settings.cpp
@@ -76,6 +76,23 @@
     return limits;
 }
 
+constexpr std::uint64_t mebibyte = 1U << 20U;
+
+/// Returns the limits on what is held for callers. Without a bound they apply to each stream only.
+Relay::ResponseBufferLimits parseResponseBuffers(IniFile &ini, std::uint64_t memoryBytes)
+{
+    Relay::ResponseBufferLimits limits;
+    constexpr std::int64_t maxMebibytes = 1'000'000;
+    const auto boundBytes
+        = static_cast<std::uint64_t>(ini.number("limits", "response-buffers-mb", 0, 1, maxMebibytes)) * mebibyte;
+    if (memoryBytes > 0 && boundBytes >= memoryBytes) {
+        ini.reject("limits", "response-buffers-mb", "less than [host] memory-mb");
+    }
+    limits.totalBytes = boundBytes > 0 ? boundBytes : memoryBytes / Relay::memoryPerResponseBuffers;
+    limits.unreadLimit = milliseconds(ini, "limits", "unread-ms", 5000, 500);
+    return limits;
+}
+
 Membership::SwimOptions parseMembership(IniFile &ini)
 {
     Membership::SwimOptions options;
@@ -166,6 +183,9 @@
     settings.dataCentre = requiredName(ini, "host", "data-centre");
     constexpr double perCore = 1000.0;
     settings.milliCores = static_cast<std::uint32_t>(ini.decimal("host", "cores", 0.0, 0.0, 1024.0) * perCore);
+    constexpr double maxMemoryMb = 1e6;
+    settings.memoryBytes
+        = static_cast<std::uint64_t>(ini.decimal("host", "memory-mb", 0.0, 0.0, maxMemoryMb) * static_cast<double>(mebibyte));
     settings.callerListen = requiredAddress(ini, "listen", "caller");
     settings.operatorListen = requiredAddress(ini, "listen", "operator");
     settings.peerListen = requiredAddress(ini, "listen", "peer");
@@ -202,6 +222,7 @@
     settings.dutyTakeoverDelay = milliseconds(ini, "usage", "quiet-ms", 3000, minDutyTakeoverDelayMs);
     settings.notReadyAfter = milliseconds(ini, "platform", "not-ready-after-ms", 30'000);
     settings.callerLimits = parseLimits(ini);
+    settings.responseBuffers = parseResponseBuffers(ini, settings.memoryBytes);
     settings.membership = parseMembership(ini);
     settings.operations.retention = milliseconds(ini, "operations", "kept-ms", hourMs);
     settings.operations.responseBytes = static_cast<std::size_t>(ini.number("operations", "held-bytes", 16 << 20, 0, 1 << 30));
--- a/Source/Node/settings.h
+++ b/Source/Node/settings.h
@@ -13,6 +13,7 @@
 #include "Configuration/catalogue.h"
 #include "Http/server.h"
 #include "Membership/swim.h"
+#include "Relay/responsebuffers.h"
 #include "Request/operations.h"
 
 #include <absl/status/statusor.h>
@@ -68,6 +69,7 @@
     std::string name;
     std::string dataCentre;
     std::uint32_t milliCores = 0; ///< thousandths of a processor core that this host may use; 0 if not known
+    std::uint64_t memoryBytes = 0; ///< memory that this host may use; 0 if not known
     Base::Address callerListen;
     Base::Address operatorListen;
     Base::Address peerListen;
@@ -85,6 +87,7 @@
     Base::Duration dutyTakeoverDelay {}; ///< minimum time between actions of two successive holders of a duty
     Base::Duration notReadyAfter {}; ///< time without contact to the table and all peers after which the host is not ready
     Http::ServerLimits callerLimits;
+    Relay::ResponseBufferLimits responseBuffers;
     Membership::SwimOptions membership;
     Request::OperationLimits operations;
     std::string ticketSecret;
--- a/Source/Relay/adoptedexchange.h
+++ b/Source/Relay/adoptedexchange.h
@@ -62,11 +62,20 @@
     {
     }
 
+    void reset() override
+    {
+    }
+
     std::size_t buffered() const override
     {
         return 0;
     }
 
+    std::int64_t delivered() const override
+    {
+        return 0;
+    }
+
     void onDrained(std::size_t, Task) override
     {
     }
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -10,6 +10,7 @@
 #include "Base/address.h"
 #include "Http/server.h"
 #include "Relay/call.h"
+#include "Relay/responsebuffers.h"
 
 #include <atomic>
 #include <functional>
@@ -22,14 +23,14 @@
     Base::Address listen;
     Http::ServerLimits limits;
     Base::Duration connectTimeout = std::chrono::milliseconds(500);
-    std::size_t streamBufferBytes = 256U << 10U; ///< bytes buffered for a slow caller before reading from the endpoint is paused
+    ResponseBufferLimits buffers; ///< limits on what is held for callers that read slowly
     bool reportRunStarts = false; ///< whether to send RunStarted
     std::size_t maxReportedResponseBytes = 1U << 20U; ///< largest response that is reported for Run::reportResponse
 };
 
 /// Counters of the relay. They are written by the relay's thread and may be read by any thread.
 ///
-/// All but `open` and `unsent` are totals since the start.
+/// All but `open`, `unsent`, `heldBytes` and `pausedStreams` are totals since the start.
 struct RelayCounters
 {
     std::atomic<std::uint64_t> calls = 0; ///< callers' requests received
@@ -38,6 +39,10 @@
     std::atomic<std::uint64_t> events = 0; ///< server-sent events passed on
     std::atomic<std::uint64_t> open = 0; ///< calls received completely and not yet ended
     std::atomic<std::uint64_t> unsent = 0; ///< requests, also incomplete ones, whose responses have not been sent to the kernel
+    std::atomic<std::uint64_t> heldBytes = 0; ///< bytes held for callers: requests, and responses that they have not read
+    std::atomic<std::uint64_t> pausedStreams = 0; ///< streams whose endpoint is not read now
+    std::atomic<std::uint64_t> cutUnread = 0; ///< callers cut for CutReason::Unread
+    std::atomic<std::uint64_t> cutForMemory = 0; ///< callers cut for CutReason::Memory
     std::atomic<std::int64_t> processorMicroseconds = 0; ///< processor time of the relay's thread
 };
 
--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -15,6 +15,7 @@
 #include "Relay/eventsplitter.h"
 #include "Relay/protocol.h"
 #include "Relay/relay.h"
+#include "Relay/slowcallers.h"
 
 #include <fmt/format.h>
 #include <malloc.h>
@@ -34,6 +35,8 @@
 /// Size limit of one event. A longer one fails its run.
 inline constexpr std::size_t maxEventBytes = 1U << 20U;
 inline constexpr Base::Duration counterUpdatePeriod = std::chrono::milliseconds(250);
+/// Least time from noticing that too much is held for callers to cutting some. What arrives meanwhile exceeds the bound.
+inline constexpr Base::Duration overBoundCheckDelay = std::chrono::milliseconds(10);
 
 /// Implements the relay for the protocol @p P on a thread of its own.
 template<Protocol P>
@@ -126,6 +129,7 @@
         bool bodyTooLarge = false; ///< whether a response that is not a stream exceeded the limit in appendToBody()
         bool lastEventReceived = false; ///< whether the marked last event has been received
         bool paused = false; ///< whether reading from the endpoint is paused because the caller reads slowly
+        bool callerLeft = false; ///< whether the caller is gone while the run continues
         int resumeCount = 0;
         bool startReported = false; ///< whether RunStarted has been sent for the current run
     };
@@ -155,9 +159,12 @@
         m_client = &client;
         m_server = server->get();
         m_port = (*server)->address().port;
+        SlowCallers slowCallers(m_options.buffers, m_counters, [this](std::uint64_t id) { callerDisconnected(id); });
+        m_slowCallers = &slowCallers;
         const auto counterUpdates = loop.every(counterUpdatePeriod, [this] { updateCounters(); });
         started.set_value(absl::OkStatus());
         loop.run();
+        m_overBoundCheck.reset();
         m_calls.clear();
     }
 
@@ -169,6 +176,7 @@
         m_counters.processorMicroseconds = used.tv_sec * 1'000'000 + used.tv_nsec / 1'000;
         m_counters.open = m_calls.size();
         m_counters.unsent = m_server->openRequests();
+        m_slowCallers->check();
         m_peakCalls = std::max(m_peakCalls, m_calls.size());
         if (m_peakCalls > minCallsToTrim && m_calls.size() < m_peakCalls / 2) {
             // After a burst of streams, the allocator keeps their memory until it is trimmed.
@@ -177,6 +185,30 @@
         }
     }
 
+    /// Accounts what is held for the call. If that is too much for all calls together, callers are cut soon, but not now: the
+    /// caller of this function may be about to use the call.
+    void measure(Call &call, std::size_t collectedBytes)
+    {
+        m_slowCallers->measure(call.id, collectedBytes);
+        if (m_slowCallers->overBound() && m_overBoundCheck == nullptr) {
+            m_overBoundCheck = m_loop->after(overBoundCheckDelay, [this] {
+                m_overBoundCheck.reset();
+                m_slowCallers->check();
+            });
+        }
+    }
+
+    /// Removes the call; what its caller has not read is still accounted if @p responds.
+    void eraseCall(std::uint64_t id, bool responds)
+    {
+        if (responds) {
+            m_slowCallers->finish(id);
+        } else {
+            m_slowCallers->remove(id);
+        }
+        m_calls.erase(id);
+    }
+
     // --- Requests from callers
 
     void requestReceived(const std::shared_ptr<Http::Exchange> &exchange, bool forwarded = false)
@@ -195,6 +227,7 @@
         const std::uint64_t id = call->id;
         exchange->onClosed([this, id] { callerDisconnected(id); });
         call->exchange = exchange;
+        m_slowCallers->add(id, exchange);
         m_calls.emplace(id, std::move(call));
         m_counters.open = m_calls.size();
         m_counters.unsent = m_server->openRequests();
@@ -214,13 +247,16 @@
             return;
         }
         if (call->transfer == 0) {
-            m_calls.erase(id);
+            eraseCall(id, false);
             m_handler(CallerDisconnected {id});
             return;
         }
         if (call->run.reportResponse) {
             // The run continues: the request has an idempotency key, so its caller may ask for the response again with the key.
+            call->callerLeft = true;
+            m_slowCallers->callerLeft(id);
             m_handler(CallerDisconnected {id});
+            continueStream(id);
             return;
         }
         if (!call->run.engine) {
@@ -230,7 +266,7 @@
         m_client->cancel(std::exchange(call->transfer, 0));
         Request::RunReport report = makeReport(*call, Request::RunStage::Sent);
         report.callerDisconnected = true;
-        m_calls.erase(id);
+        eraseCall(id, false);
         m_handler(CallerDisconnected {id});
         m_handler(RunEnded {report, std::nullopt});
     }
@@ -255,6 +291,7 @@
         }
         resetRun(*call);
         call->run = std::move(run);
+        m_slowCallers->setName(call->id, call->run.requestName);
         if (Base::now() > call->run.startBy) {
             reportRunEnd(*call, Request::RunStage::Stale);
             return;
@@ -282,7 +319,7 @@
         } else {
             call->exchange->abort();
         }
-        m_calls.erase(command.id);
+        eraseCall(command.id, true);
     }
 
     void execute(Stop &&stop)
@@ -304,7 +341,7 @@
 
     // --- Runs
 
-    static void resetRun(Call &call)
+    void resetRun(Call &call)
     {
         call.transfer = 0;
         call.firstTokenAt = {};
@@ -314,7 +351,9 @@
         call.head = {};
         call.kind = ResponseKind::Failed;
         call.splitter.reset();
-        call.body.clear();
+        call.body = {};
+        m_slowCallers->measure(call.id, 0);
+        m_slowCallers->setPaused(call.id, false);
         call.bodyTooLarge = false;
         call.lastEventReceived = false;
         call.paused = false;
@@ -374,6 +413,10 @@
         for (const ServerSentEvent &event : call.splitter.feed(bytes)) {
             forwardEvent(call, event);
         }
+        measure(call, call.body.size() + call.splitter.pendingBytes());
+        if (!call.callerLeft && !call.paused && m_slowCallers->shouldPause(call.id)) {
+            pauseStream(call);
+        }
         if (call.splitter.pendingBytes() > maxEventBytes) {
             call.splitter.reset();
             m_client->cancel(std::exchange(call.transfer, 0));
@@ -390,6 +433,7 @@
         call.bodyTooLarge = call.bodyTooLarge || !fits;
         if (fits) {
             call.body.append(bytes);
+            measure(call, call.body.size());
         }
     }
 
@@ -414,9 +458,23 @@
         if (call.run.reportResponse && call.body.size() <= m_options.maxReportedResponseBytes) {
             call.body.append(event.bytes);
         }
-        if (!call.paused && call.exchange->buffered() > m_options.streamBufferBytes) {
-            call.paused = true;
-            m_client->pause(call.transfer, true);
+    }
+
+    /// Stops reading from the endpoint until the caller has read enough.
+    void pauseStream(Call &call)
+    {
+        call.paused = true;
+        m_slowCallers->setPaused(call.id, true, [this, id = call.id] { continueStream(id); });
+        m_client->pause(call.transfer, true);
+    }
+
+    void continueStream(std::uint64_t id)
+    {
+        Call *call = find(id);
+        if (call != nullptr && call->paused && call->transfer != 0) {
+            call->paused = false;
+            m_slowCallers->setPaused(id, false);
+            m_client->pause(call->transfer, false);
         }
     }
 
@@ -441,20 +499,11 @@
         call.lastTokenAt = now;
     }
 
-    /// Sends the head of the stream to the caller. If reading from the endpoint is paused, it
-    /// continues when the caller has read most of the buffer.
+    /// Sends the head of the stream to the caller.
     void startResponseStream(Call &call)
     {
         call.responseStarted = true;
         call.exchange->beginStream(call.head.status, m_protocol.streamHeaders(call.run, call.head));
-        const std::uint64_t id = call.id;
-        call.exchange->onDrained(m_options.streamBufferBytes / 4, [this, id] {
-            Call *found = find(id);
-            if (found != nullptr && found->paused && found->transfer != 0) {
-                found->paused = false;
-                m_client->pause(found->transfer, false);
-            }
-        });
     }
 
     /// Ends the run, or requests the remaining events of its stream, depending on how far the transfer got and on the kind of
@@ -499,6 +548,7 @@
                 // An event that was cut off is sent again completely.
                 call.splitter.reset();
                 call.paused = false;
+                m_slowCallers->setPaused(call.id, false);
                 transfer->connectTimeout = m_options.connectTimeout;
                 startTransfer(call, std::move(*transfer));
                 return;
@@ -555,7 +605,7 @@
     /// Removes the call and reports the end of its run.
     void finishCall(Call &call, RunEnded runEnded)
     {
-        m_calls.erase(call.id);
+        eraseCall(call.id, true);
         m_handler(std::move(runEnded));
     }
 
@@ -592,6 +642,8 @@
     Base::Mailbox<std::function<void()>> *m_mailbox = nullptr;
     Http::Client *m_client = nullptr;
     Http::Server *m_server = nullptr;
+    SlowCallers *m_slowCallers = nullptr;
+    std::unique_ptr<Base::Loop::Registration> m_overBoundCheck;
     std::atomic<std::uint16_t> m_port = 0;
     RelayCounters m_counters;
     std::uint64_t m_nextId = 1;
--- a/Source/Standin/engine.cpp
+++ b/Source/Standin/engine.cpp
@@ -102,6 +102,7 @@
     m_faults.advertisedLeaving = faults->value("leaving", m_faults.advertisedLeaving);
     m_faults.retryAfter = faults->value("retry-after", m_faults.retryAfter);
     m_faults.crashOnText = faults->value("ends-on", m_faults.crashOnText);
+    m_faults.eventBytes = faults->value("event-bytes", m_faults.eventBytes);
     respondJson(exchange, httpOk, {{"set", true}});
     scheduleStep();
 }
@@ -313,9 +314,12 @@
 
 std::string Engine::tokenEvent(const Run &run, std::uint32_t token) const
 {
-    const nlohmann::json chunk = {{"id", run.requestId},
-                                  {"object", "chat.completion.chunk"},
-                                  {"choices", {{{"index", 0}, {"delta", {{"content", tokenText(run.promptHash, token)}}}}}}};
+    nlohmann::json chunk = {{"id", run.requestId},
+                            {"object", "chat.completion.chunk"},
+                            {"choices", {{{"index", 0}, {"delta", {{"content", tokenText(run.promptHash, token)}}}}}}};
+    if (m_faults.eventBytes > 0) {
+        chunk["padding"] = std::string(m_faults.eventBytes, '.');
+    }
     return fmt::format("id: {}\ndata: {}\n\n", token, chunk.dump());
 }
 
--- a/Source/Standin/engine.h
+++ b/Source/Standin/engine.h
@@ -49,6 +49,7 @@
     std::string retryAfter; ///< value of the retry-after header when runs are rejected; empty omits it
     /// The process exits when the first response token for a prompt with this text is due; empty disables it.
     std::string crashOnText;
+    std::uint32_t eventBytes = 0; ///< padding of each event of a stream; 0 means none
 };
 
 /// Serves the HTTP interface of the engine stand-in and simulates its batch in steps. A step takes a time that depends on the
--- a/Tests/Node/settingstest.cpp
+++ b/Tests/Node/settingstest.cpp
@@ -101,3 +101,32 @@
     STRCMP_EQUAL("", errorOf(std::string(validText) + "[regions]\nlisbon-a = lisbon\nporto-a = north\n").c_str());
     STRCMP_CONTAINS("[regions] porto-a", errorOf(std::string(validText) + "[regions]\nporto-a =\n").c_str());
 }
+
+/// Guards against a host that holds more for slow callers than its memory bears, and against a bound nobody asked for.
+TEST(Settings, theBoundForCallersFollowsFromTheMemoryUnlessItIsSet)
+{
+    const auto boundOf = [](const std::string &text) {
+        const auto settings = Node::parseSettings(*Base::IniFile::parse(text, "y.ini"));
+        CHECK_TRUE(settings.ok());
+        return settings->responseBuffers.totalBytes;
+    };
+    constexpr std::size_t mebibyte = 1U << 20U;
+    const std::string withMemory = replaced("data-centre = lisbon-a", "data-centre = lisbon-a\nmemory-mb = 110");
+    CHECK_EQUAL(0U, boundOf(std::string(validText)));
+    CHECK_EQUAL(110 * mebibyte / 4, boundOf(withMemory));
+    CHECK_EQUAL(12 * mebibyte, boundOf(withMemory + "[limits]\nresponse-buffers-mb = 12\n"));
+    CHECK_EQUAL(12 * mebibyte, boundOf(std::string(validText) + "[limits]\nresponse-buffers-mb = 12\n"));
+}
+
+/// Guards against a bound that could not keep the host from falling over.
+TEST(Settings, invalidBoundsForCallersAreRejected)
+{
+    const std::string withMemory = replaced("data-centre = lisbon-a", "data-centre = lisbon-a\nmemory-mb = 110");
+    STRCMP_CONTAINS("[limits] response-buffers-mb: expected less than [host] memory-mb",
+                    errorOf(withMemory + "[limits]\nresponse-buffers-mb = 110\n").c_str());
+    STRCMP_CONTAINS("[limits] response-buffers-mb: expected a whole number",
+                    errorOf(std::string(validText) + "[limits]\nresponse-buffers-mb = 0\n").c_str());
+    STRCMP_CONTAINS("[host] memory-mb",
+                    errorOf(replaced("data-centre = lisbon-a", "data-centre = lisbon-a\nmemory-mb = much")).c_str());
+    STRCMP_CONTAINS("[limits] unread-ms", errorOf(std::string(validText) + "[limits]\nunread-ms = 10\n").c_str());
+}
