Test: The streams of callers that read nothing are longer than what is held of one

Cause: One of four runs of the test of slow callers on the last commit, and one of five in a loop of its first part, failed: a few of the streams that were opened first, with the whole allowance of 256 KiB, fitted into the host and the kernel with their 320 KiB. Their runs were completed before their callers were cut for memory, so that they ended as completed and not as caller-gone. The host did nothing wrong; the test's load did not fit its claim.

Change: Streams of 448 KiB. The claim stays (each cut is the end of one request, as caller-gone), and a failure tells which request differs. The operations' responses are so large that one alone fits the bound, and a retry that is cut off is made again, as a caller would.

--- a/Tests/Integration/test_slowcallers.py
+++ b/Tests/Integration/test_slowcallers.py
@@ -18,7 +18,8 @@
 
 STALLED = 500
 READERS = 25
-EVENTS = 80
+# A stream of 448 KiB is longer than what the host (256 KiB) and the kernel (128 KiB) hold of one stream, so that none ends that is not read.
+EVENTS = 112
 EVENT_BYTES = 4096
 BOUND_MB = 8
 # How much more may be resident than with as many callers that read: what is held, spare capacity of the buffers, as much again, and
@@ -184,8 +185,11 @@
     assert len(cuts) == len({line["request"] for line in cuts}) == STALLED, len(cuts)
     assert all(line["bytes"] > 0 and line["total"] >= line["bytes"] and line["reason"] in ("unread", "memory") for line in cuts), cuts[0]
     assert any(line["reason"] == "unread" for line in cuts)
-    ends = [line for line in fleet.log(host) if line["event"] == "request-ended" and line.get("error") == "caller-gone"]
-    assert sorted(line["request"] for line in ends) == sorted(line["request"] for line in cuts)
+    names = {line["request"] for line in cuts}
+    ends = [line for line in fleet.log(host) if line["event"] == "request-ended" and line["request"] in names]
+    others = [line for line in ends if line.get("error") != "caller-gone"]
+    assert not others, (len(others), others[0])
+    assert len(ends) == len({line["request"] for line in ends}) == STALLED, (len(ends), names - {line["request"] for line in ends})
 
 
 def test_cut_without_chunks_is_broken():
@@ -202,13 +206,16 @@
     """A response that was cut off for memory can be asked for again with the operation's key, and the operation ran once."""
     with Fleet("--hosts", 1, "--engines", 1, "--services", 1) as fleet:
         host = prepare(fleet, **{"response-buffers-mb": 1})
-        payload = "x" * 600_000
+        payload = "x" * 900_000  # of two responses, one is more than the bound allows, wherever the kernel's part of them ends
         operations = [fleet.ticket(host) for _ in range(4)]
         stalled = [open_operation(fleet, host, operation, payload) for operation in operations]
         wait_until(lambda: fleet.metric(host, "yokepond_callers_cut_total") >= 3, "cuts of callers that read nothing")
         wait_until(lambda: len(fleet.run_counts()) == 4, "runs of the operations")
         for operation in operations:
-            again = fleet.operation(host, operation, payload)
+            # While the last caller that reads nothing is there, a response that has just begun may still be cut in its place.
+            answers = []
+            wait_until(lambda: answers.append(fleet.operation(host, operation, payload)) or answers[-1].status != 0, "answer to a retry")
+            again = answers[-1]
             assert again.status == 200 and again.outcome == "completed" and again.json()["echo"] == payload, again.body[:300]
         assert sorted(fleet.run_counts().values()) == [1] * 4, fleet.run_counts()
         for connection in stalled:
