Test: Reports of first tokens, asks on hold, learned prefill speeds

Cause: the placement learns the end of a prefill from reports, which the tests neither sent nor checked; they did not compile.

Change: existing tests pass the time of a run's end. The simulated fleet reports first tokens if the grant asks for it. The test of transfers reports the first token before another engine fetches the prompt, as a home does. New tests cover the queue of asks with holds, pending prefixes, prefill speeds, holds in a shard, the new message and the home's report.

--- a/Tests/Dispatch/placementtest.cpp
+++ b/Tests/Dispatch/placementtest.cpp
@@ -90,10 +90,10 @@
 {
     engines = {{1, 0, 64, 60'000}};
     const PlacedRun first = placement.recordPlacement(ask(1, 100), engines.front(), at(0));
-    placement.recordEnd(first, {});
+    placement.recordEnd(first, {}, at(0.9));
     CHECK_EQUAL(4'000U, placement.recordPlacement(ask(1, 101), engines.front(), at(1)).prefillTokens);
     for (std::uint64_t other = 2; other < 8; ++other) {
-        placement.recordEnd(placement.recordPlacement(ask(other, 100 + other), engines.front(), at(2)), {});
+        placement.recordEnd(placement.recordPlacement(ask(other, 100 + other), engines.front(), at(2)), {}, at(2));
     }
     CHECK_EQUAL(17'000U, placement.recordPlacement(ask(1, 110), engines.front(), at(3)).prefillTokens);
 }
@@ -119,7 +119,7 @@
     }
     CHECK_TRUE(placement.expectedFirstToken(ask(5, 500, 2), engines, at(0.01)) > idle);
     for (const PlacedRun &run : runs) {
-        placement.recordEnd(run, {});
+        placement.recordEnd(run, {}, at(0.01));
     }
     CHECK_TRUE(placement.expectedFirstToken(ask(5, 500, 2), engines, at(0.01)) == idle);
 }
@@ -129,7 +129,7 @@
     void setup() override {for (Candidate & engine
                                 : engines) {engine.transferTokensPerMs = 300;
 }
-placement.recordEnd(placement.recordPlacement(ask(1, 100), engines[0], at(0)), {});
+placement.recordEnd(placement.recordPlacement(ask(1, 100), engines[0], at(0)), {}, at(0));
 }
 }
 ;
@@ -139,7 +139,8 @@
     const PlacedRun run = placement.recordPlacement(ask(1, 101), engines[1], at(5));
     CHECK_EQUAL(1U, run.keeper);
     CHECK_EQUAL(4'000U, run.prefillTokens);
-    // The engine caches what it has fetched, and others can fetch it from there.
+    // The engine caches what it has fetched, and others can fetch it from there once its home has reported the first token.
+    placement.recordPrefillEnd(run, at(5.2));
     CHECK_EQUAL(0U, placement.recordPlacement(ask(1, 102), engines[1], at(10)).keeper);
     placement.removeEndpoint(1);
     CHECK_EQUAL(2U, placement.recordPlacement(ask(1, 103), engines[2], at(15)).keeper);
@@ -160,9 +161,9 @@
 {
     const PlacedRun before = placement.recordPlacement(ask(1, 100), engines[0], at(1));
     placement.markUnreliable(1);
-    placement.recordEnd(before, {std::chrono::milliseconds(100), {}});
+    placement.recordEnd(before, {std::chrono::milliseconds(100), {}}, at(1.1));
     CHECK_EQUAL(0U, placement.recordPlacement(ask(1, 101), engines[1], at(5)).keeper);
-    placement.recordEnd(placement.recordPlacement(ask(1, 102), engines[0], at(6)), {std::chrono::milliseconds(100), {}});
+    placement.recordEnd(placement.recordPlacement(ask(1, 102), engines[0], at(6)), {std::chrono::milliseconds(100), {}}, at(6.1));
     CHECK_EQUAL(1U, placement.recordPlacement(ask(1, 103), engines[2], at(10)).keeper);
 }
 
@@ -217,8 +218,9 @@
 void observePauses(const Candidate &engine, double now)
 {
     const PlacedRun run = placement.recordPlacement(tight(50), engine, at(now));
-    placement.recordEnd(placement.recordPlacement(longPrefill(51), engine, at(now)), {});
-    placement.recordEnd(run, {std::chrono::milliseconds(10), {std::chrono::milliseconds(20), std::chrono::milliseconds(500)}});
+    placement.recordEnd(placement.recordPlacement(longPrefill(51), engine, at(now)), {}, at(now));
+    placement.recordEnd(run, {std::chrono::milliseconds(10), {std::chrono::milliseconds(20), std::chrono::milliseconds(500)}},
+                        at(now));
 }
 }
 ;
@@ -266,7 +268,7 @@
             const double first = engine.endpoint == 3 ? 2.0 : 0.5;
             const double now = static_cast<double>(run) * 3;
             const PlacedRun placed = placement.recordPlacement(ask(1000 + 10 * run + engine.endpoint, 1), engine, at(now));
-            placement.recordEnd(placed, {at(first) - at(0), {}});
+            placement.recordEnd(placed, {at(first) - at(0), {}}, at(now + first));
         }
     }
     DOUBLES_EQUAL(expectedAt(0, 5000), expectedAt(1, 5000), 1.0);
--- a/Tests/Dispatch/shardtest.cpp
+++ b/Tests/Dispatch/shardtest.cpp
@@ -5,6 +5,7 @@
 
 #include "Dispatch/fixtures.h"
 
+#include <map>
 #include <set>
 #include <string>
 
@@ -298,6 +299,194 @@
     CHECK_TRUE(replies<Peer::Refusal>().front().reason == RefusalReason::NoEndpoint);
 }
 
+/// Long prompts that begin alike. A prompt of 17,000 tokens takes 567 ms at the initial estimate of an engine's speed; the first
+/// 13,000 are shared within a group.
+TEST_GROUP(ShardSharedPrefix)
+{
+    Configuration::Objects objects;
+    std::unique_ptr<Shard> shard;
+    Home first {"h1", 7};
+    Home second {"h2", 8};
+    std::uint64_t next = 1;
+    std::map<std::uint64_t, Peer::Ask> asks; ///< by request
+
+    void setup() override
+    {
+        objects = Tests::objectsOf("create setting placement value soonest-first-token\ncreate pool main\ncreate tier t1 rank 1\n"
+                                   "create class long tier t1 pool main deadline 20s first-token 4s token-gap 1200ms\n"
+                                   "create endpoint e1 pool main address 10.0.0.1:1 slots 64\n"
+                                   "create endpoint e2 pool main address 10.0.0.1:2 slots 64\n"
+                                   "create endpoint e3 pool main address 10.0.0.1:3 slots 64\n");
+        startDispatcher(0);
+    }
+
+    void startDispatcher(double now)
+    {
+        const auto catalogue = Configuration::Catalogue::build(objects);
+        ShardInfo info {1, Tests::numberOf(objects, Kind::Pool, "main"), "", 0, {}, "h1"};
+        for (const Configuration::Endpoint &endpoint : catalogue->endpoints()) {
+            info.endpoints.push_back(endpoint.number);
+        }
+        shard = std::make_unique<Shard>(info, catalogue, at(now - 10));
+        shard->tick(at(now));
+    }
+
+    void send(const Home &home, std::uint64_t group, double now)
+    {
+        Peer::Ask made;
+        made.id = {next++, 1};
+        made.shard = 1;
+        made.requestClass = Tests::numberOf(objects, Kind::Class, "long");
+        made.remaining = std::chrono::seconds(20);
+        made.promptTokens = 17'000;
+        made.prefix = {group, 1'000'000 + made.id.request};
+        made.prefixTokens = {13'000, 17'000};
+        made.sentAt = at(now);
+        asks[made.id.request] = made;
+        shard->ask(at(now), home, made);
+    }
+
+    std::vector<Peer::Grant> grants()
+    {
+        std::vector<Peer::Grant> found;
+        for (const Reply &reply : shard->takeReplies()) {
+            if (const auto *grant = std::get_if<Peer::Grant>(&reply.message)) {
+                found.push_back(*grant);
+            }
+        }
+        return found;
+    }
+
+    void prefillEnds(const Home &home, const Peer::Grant &grant, double now)
+    {
+        shard->prefillEnded(at(now), home, {grant.id, 1});
+    }
+
+    /// Lets the first home's prompt be prefilled and two of the second home wait for it. Returns the first one's grant.
+    Peer::Grant twoWaitForOne(std::uint64_t group)
+    {
+        send(first, group, 0);
+        const auto granted = grants();
+        CHECK_EQUAL(1U, granted.size());
+        send(second, group, 0.2);
+        send(second, group, 0.2);
+        CHECK_EQUAL(0U, grants().size());
+        CHECK_EQUAL(2U, shard->queued());
+        return granted.front();
+    }
+
+    /// Checks that the two that wait are granted now, or one now and the other when the prefill of that one has ended, and that
+    /// they are prefilled at one endpoint.
+    void checkThatOnePrefills(double now)
+    {
+        const auto granted = grants();
+        CHECK_TRUE(!granted.empty());
+        std::set<std::uint32_t> endpoints;
+        for (const Peer::Grant &grant : granted) {
+            endpoints.insert(grant.endpoint);
+            CHECK_TRUE(grant.reportPrefill);
+            prefillEnds(second, grant, now + 0.6);
+        }
+        const auto later = grants();
+        CHECK_EQUAL(2U, granted.size() + later.size());
+        for (const Peer::Grant &grant : later) {
+            endpoints.insert(grant.endpoint);
+        }
+        CHECK_EQUAL(1U, endpoints.size());
+        CHECK_EQUAL(0U, shard->queued());
+    }
+};
+
+/// Guards against engines that all prefill the same beginning of their prompts at the same time.
+TEST(ShardSharedPrefix, requestsThatBeginAlikeWaitForOnePrefill)
+{
+    const Peer::Grant prefills = twoWaitForOne(1);
+    CHECK_TRUE(prefills.reportPrefill);
+    CHECK_EQUAL(2U, shard->counters().held);
+    // Another prompt behind those on hold is granted meanwhile, and does not end their hold by its first token.
+    send(second, 2, 0.25);
+    const auto other = grants();
+    CHECK_EQUAL(1U, other.size());
+    prefillEnds(second, other.front(), 0.3);
+    shard->tick(at(0.35));
+    CHECK_EQUAL(0U, grants().size());
+    prefillEnds(first, prefills, 0.4);
+    const auto granted = grants();
+    CHECK_EQUAL(2U, granted.size());
+    CHECK_EQUAL(prefills.endpoint, granted[0].endpoint);
+    CHECK_EQUAL(prefills.endpoint, granted[1].endpoint);
+}
+
+/// Guards against reports of one home that end the prefill of another one's run.
+TEST(ShardSharedPrefix, onlyTheHomeOfTheRunReportsItsPrefill)
+{
+    const Peer::Grant prefills = twoWaitForOne(1);
+    prefillEnds(second, prefills, 0.25);
+    prefillEnds({"h1", 9}, prefills, 0.25);
+    CHECK_EQUAL(0U, grants().size());
+    CHECK_EQUAL(2U, shard->queued());
+}
+
+/// Guards against requests that wait for a prefill that has failed.
+TEST(ShardSharedPrefix, whenThePrefillFailsAnotherRequestPrefills)
+{
+    const Peer::Grant prefills = twoWaitForOne(1);
+    shard->release(at(0.3), first, {prefills.id, 1, prefills.endpoint, Peer::RunResult::Failed, {}, {}, 0});
+    checkThatOnePrefills(0.3);
+}
+
+/// Guards against requests that wait for a prefill of a caller that has left.
+TEST(ShardSharedPrefix, whenThePrefillIsWithdrawnAnotherRequestPrefills)
+{
+    const Peer::Grant prefills = twoWaitForOne(1);
+    shard->withdraw(at(0.3), first, {prefills.id, 1});
+    checkThatOnePrefills(0.3);
+}
+
+/// Guards against requests that wait for a run whose home has gone and reports nothing any more.
+TEST(ShardSharedPrefix, whenTheHomeOfThePrefillGoesAnotherRequestPrefills)
+{
+    twoWaitForOne(1);
+    shard->removeHome(at(0.3), "h1", 0);
+    checkThatOnePrefills(0.3);
+}
+
+/// Guards against requests that wait without limit for a prefill that never ends.
+TEST(ShardSharedPrefix, aPrefillThatNeverEndsIsNotAwaitedForLong)
+{
+    twoWaitForOne(1);
+    for (double now = 0.3; now < 2.0; now += 0.01) {
+        shard->tick(at(now));
+    }
+    CHECK_EQUAL(2U, grants().size());
+    CHECK_EQUAL(0U, shard->queued());
+}
+
+/// Guards against requests on hold that are lost when another host becomes the dispatcher, which knows nothing of the prefill.
+TEST(ShardSharedPrefix, aNewDispatcherGrantsWhatWasOnHold)
+{
+    const Peer::Grant prefills = twoWaitForOne(1);
+    shard->handOver();
+    std::vector<Peer::AttemptId> refused;
+    for (const Reply &reply : shard->takeReplies()) {
+        if (const auto *refusal = std::get_if<Peer::Refusal>(&reply.message)) {
+            CHECK_TRUE(refusal->reason == RefusalReason::NotDispatcher);
+            refused.push_back(refusal->id);
+        }
+    }
+    CHECK_EQUAL(2U, refused.size());
+    startDispatcher(0.3);
+    shard->report(at(0.3), first, {1, {{prefills.id, prefills.endpoint, Tests::numberOf(objects, Kind::Class, "long")}}});
+    for (const Peer::AttemptId &id : refused) {
+        Peer::Ask again = asks.at(id.request);
+        again.sentAt = at(0.3);
+        shard->ask(at(0.3), second, again);
+    }
+    // The first token of the run that it adopted is reported to it as well.
+    prefillEnds(first, prefills, 0.5);
+    checkThatOnePrefills(0.3);
+}
+
 /// The load of a burst: many more long prompts arrive than the engines can prefill, while all engines have free slots. Ninety
 /// engines with 64 slots each prefill about 36 tokens per millisecond, so a prompt of 17,020 tokens takes half a second. Callers
 /// send ten times as many prompts as the engines can prefill. The figures are those of the operators of the shifted deployment.
--- a/Tests/Peer/codectest.cpp
+++ b/Tests/Peer/codectest.cpp
@@ -51,12 +51,22 @@
 TEST(Codec, grantKeepsAllFields)
 {
     const Yokepond::Rate::RateInfo rate {Yokepond::Rate::RateKind::Limited, 0.2, milliseconds(1250)};
-    const Grant grant {{77, 3}, 8, Yokepond::Base::Instant(Yokepond::Base::Duration(123456789)), 250, 9, rate};
+    const Grant grant {{77, 3}, 8, Yokepond::Base::Instant(Yokepond::Base::Duration(123456789)), 250, 9, rate, true};
     const Grant got = roundTrip(grant);
     CHECK_TRUE(got.rate.kind == rate.kind && got.rate.perSecond == rate.perSecond && got.rate.age == rate.age);
     CHECK_TRUE(roundTrip(Grant {}).rate.kind == Yokepond::Rate::RateKind::Unknown);
     CHECK_TRUE(got.id == grant.id && got.endpoint == grant.endpoint && got.startBy == grant.startBy);
     CHECK_TRUE(got.pressure == grant.pressure && got.keeper == grant.keeper);
+    CHECK_TRUE(got.reportPrefill);
+    CHECK_FALSE(roundTrip(Grant {}).reportPrefill);
+}
+
+/// Guards against reports of first tokens that the dispatcher cannot assign to a run.
+TEST(Codec, prefillEndedKeepsAllFields)
+{
+    const PrefillEnded got = roundTrip(PrefillEnded {{77, 3}, 5});
+    CHECK_TRUE(got.id == (AttemptId {77, 3}));
+    CHECK_EQUAL(5U, got.shard);
 }
 
 TEST(Codec, endpointUpdateKeepsTheRateAndDiscardsInvalidRates)
--- a/Tests/Request/fleetload.h
+++ b/Tests/Request/fleetload.h
@@ -569,8 +569,8 @@
             m_events.push({engine.prefillEnd,
                            [this, index, ended, generation = engine.generation] { beginCrashingRun(index, ended, generation); }});
         }
-        m_events.push({engine.prefillEnd, [this, index, ended, generation = engine.generation, reportRate = start.reportRate] {
-                           beginResponse(index, ended, generation, reportRate);
+        m_events.push({engine.prefillEnd, [this, index, ended, generation = engine.generation, start] {
+                           beginResponse(index, ended, generation, start);
                        }});
         m_events.push({end, [this, index, ended, generation = engine.generation] { finish(index, ended, generation); }});
     }
@@ -634,7 +634,8 @@
         m_counts.maxOverRate = std::max(m_counts.maxOverRate, static_cast<double>(engine.arrivals.size()) - allowed);
     }
 
-    void beginResponse(std::size_t index, const Run &run, std::uint32_t generation, bool reportRate)
+    /// Handles the first event of a run: the home reports what the response advertises, and the end of the prefill.
+    void beginResponse(std::size_t index, const Run &run, std::uint32_t generation, const Request::StartRun &start)
     {
         Engine &engine = m_engines[index];
         if (engine.generation != generation || std::ranges::find(engine.runs, run) == engine.runs.end()
@@ -643,7 +644,7 @@
         }
         if (isFrozen(run.host)) {
             m_events.push({m_hosts[run.host].frozenUntil,
-                           [this, index, run, generation, reportRate] { beginResponse(index, run, generation, reportRate); }});
+                           [this, index, run, generation, start] { beginResponse(index, run, generation, start); }});
             return;
         }
         if (engine.rate) {
@@ -653,13 +654,17 @@
         if (engine.leaves) {
             m_counts.informedOfLeaving += engine.informedOfLeaving.try_emplace(run.host, m_now).second ? 1 : 0;
         }
-        if (engine.rate || reportRate || engine.leaves) {
+        if (engine.rate || start.reportRate || engine.leaves) {
             const auto header = engine.rate ? Rate::RateHeader::Limit : Rate::RateHeader::None;
             m_hosts[run.host].home->endpointAdvertised(
                 m_now, run.id, endpointOf(index),
                 {.rate = {header, engine.rate.value_or(0)}, .availability = {.leaves = engine.leaves}});
             takeOutputs(run.host);
         }
+        if (start.reportFirstToken) {
+            m_hosts[run.host].home->firstTokenReceived(run.id);
+            takeOutputs(run.host);
+        }
     }
 
     void finish(std::size_t index, const Run &run, std::uint32_t generation)
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -116,6 +116,52 @@
     CHECK_EQUAL(keeper, actions<StartRun>().front().keeper);
 }
 
+/// Guards against dispatchers that take an engine for busy because the end of a prefill is not reported, or reported for a run
+/// that has been given up.
+TEST(Home, theFirstTokenIsReportedOnceToTheDispatcher)
+{
+    start(1, "alert");
+    const auto asked = actions<SendToMember>();
+    CHECK_EQUAL(1U, asked.size());
+    const std::string dispatcher = asked.front().member;
+    const Peer::Ask ask = std::get<Peer::Ask>(asked.front().message);
+    const auto reports = [&] {
+        std::vector<Peer::PrefillEnded> found;
+        for (const SendToMember &sent : actions<SendToMember>()) {
+            if (const auto *ended = std::get_if<Peer::PrefillEnded>(&sent.message)) {
+                CHECK_TRUE(sent.member == dispatcher);
+                found.push_back(*ended);
+            }
+        }
+        return found;
+    };
+    home.firstTokenReceived(ask.id);
+    CHECK_EQUAL(0U, reports().size());
+    const std::uint32_t endpoint = Tests::numberOf(objects, Kind::Endpoint, "e1");
+    home.receive(at(0.1), dispatcher, Peer::Grant {ask.id, endpoint, at(2), 0, 0, {}, true});
+    CHECK_TRUE(actions<StartRun>().front().reportFirstToken);
+    home.firstTokenReceived({ask.id.request, static_cast<std::uint8_t>(ask.id.attempt + 1)});
+    home.firstTokenReceived({ask.id.request + 1, ask.id.attempt});
+    CHECK_EQUAL(0U, reports().size());
+    home.firstTokenReceived(ask.id);
+    const auto sent = reports();
+    CHECK_EQUAL(1U, sent.size());
+    CHECK_TRUE(sent.front().id == ask.id);
+    CHECK_EQUAL(ask.shard, sent.front().shard);
+    runEnds(ask, 0.5, RunStage::ResponseComplete);
+    home.takeActions();
+    home.firstTokenReceived(ask.id);
+    CHECK_EQUAL(0U, reports().size());
+}
+
+/// Guards against reports that no dispatcher has asked for.
+TEST(Home, aRunReportsItsFirstTokenOnlyIfTheGrantAsksForIt)
+{
+    start(1, "alert");
+    grant(lastAsk(), 0.1, 2);
+    CHECK_FALSE(actions<StartRun>().front().reportFirstToken);
+}
+
 TEST(Home, expiredGrantStartsNoRun)
 {
     start(1, "once");
