Mend: A prefill queue keeps the time spent on its first prompt

Cause: the end of a run that waited behind a prefill set the time spent on that prefill to zero, so that the prefill seemed faster than it was: one of 500 ms counted as 100 ms. Prefills without a report were removed by the next placement only; an engine that is not selected because of its backlog has none, so its backlog stayed until the runs ended.

Change: only the end of the first prefill begins a new one. The backlog leaves out the prefills without a report whose estimated time has passed.

--- a/Source/EngineModel/prefillqueue.cpp
+++ b/Source/EngineModel/prefillqueue.cpp
@@ -18,6 +18,12 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(tokens / tokensPerMs));
 }
 
+/// Returns whether @p first, the first prefill of a queue, counts as ended after the engine has @p spent time on it.
+bool isOverdue(const QueuedPrefill &first, Duration spent, double tokensPerMs)
+{
+    return !first.reported && spent >= prefillTime(first.tokens, tokensPerMs);
+}
+
 } // namespace
 
 std::vector<QueuedPrefill>::iterator PrefillQueue::find(std::uint64_t number)
@@ -38,8 +44,7 @@
 void PrefillQueue::add(const QueuedPrefill &prefill)
 {
     m_busySince = m_queue.empty() ? prefill.begins : std::min(m_busySince, prefill.begins);
-    const auto behind
-        = std::ranges::find_if(m_queue, [&](const QueuedPrefill &queued) { return queued.rank > prefill.rank; });
+    const auto behind = std::ranges::find_if(m_queue, [&](const QueuedPrefill &queued) { return queued.rank > prefill.rank; });
     m_queue.insert(behind, prefill);
 }
 
@@ -71,23 +76,25 @@
 void PrefillQueue::remove(std::uint64_t number, Instant now)
 {
     if (const auto entry = find(number); entry != m_queue.end()) {
-        erase(entry, now);
+        // A prompt that waits behind another one has taken none of the engine's time.
+        erase(entry, entry == m_queue.begin() ? now : m_busySince);
     }
 }
 
 void PrefillQueue::removeOverdue(double tokensPerMs, Instant now)
 {
-    while (!m_queue.empty() && !m_queue.front().reported) {
-        const Duration expected = prefillTime(m_queue.front().tokens, tokensPerMs);
-        if (spent(now) < expected) {
-            return;
-        }
-        erase(m_queue.begin(), m_busySince + expected);
+    while (!m_queue.empty() && isOverdue(m_queue.front(), spent(now), tokensPerMs)) {
+        erase(m_queue.begin(), m_busySince + prefillTime(m_queue.front().tokens, tokensPerMs));
     }
 }
 
 Duration PrefillQueue::backlog(int rank, double tokensPerMs, Instant now) const
 {
+    if (!m_queue.empty() && isOverdue(m_queue.front(), spent(now), tokensPerMs)) {
+        PrefillQueue current(*this);
+        current.removeOverdue(tokensPerMs, now);
+        return current.backlog(rank, tokensPerMs, now);
+    }
     double tokens = 0;
     for (const QueuedPrefill &queued : m_queue) {
         tokens += queued.rank <= rank ? queued.tokens : 0;
