Mend: Requests of one burst wait for one prefill

Cause: an ask was put on hold only if the prefill of its prefix ended earlier than another one that began at once. Asks that arrive together were never held, and each was prefilled: three asks of one instant got three grants.

Change: an ask also waits if it still meets its target afterwards. The limit for a late prefill is the time of the whole prompt, which the engine reads before it reports, and not that of the prefix.

Result, with sanitizers: the new test of the shard failed before and passes.

Conclusion: prefixes are still prefilled twice where an engine is slower than its estimate.

--- a/Source/Dispatch/soonestfirsttoken.cpp
+++ b/Source/Dispatch/soonestfirsttoken.cpp
@@ -327,9 +327,13 @@
     if (!pending) {
         return std::nullopt;
     }
-    // Waiting is better than another prefill unless it takes longer. A prefill that is late by its whole time may never end.
-    const Base::Duration ownPrefill = timeToPrefill(pending->tokens);
-    const bool worthwhile = pending->expectedEnd < now + ownPrefill && now < pending->expectedEnd + ownPrefill;
+    // Waiting saves a prefill of the prefix, so it is right if it takes no longer, or if the ask still meets its target. A prefill
+    // that is late by the whole time of the prompt may never end.
+    const std::uint32_t rest = ask.ask.promptTokens - std::min(ask.ask.promptTokens, pending->tokens);
+    const bool isSooner = pending->expectedEnd < now + timeToPrefill(pending->tokens);
+    const bool meetsTarget = pending->expectedEnd + timeToPrefill(rest) + overhead <= ask.target();
+    const bool mayEnd = now < pending->expectedEnd + timeToPrefill(ask.ask.promptTokens) + overhead;
+    const bool worthwhile = (isSooner || meetsTarget) && mayEnd;
     return worthwhile ? pending : std::nullopt;
 }
 
--- a/Tests/Dispatch/shardtest.cpp
+++ b/Tests/Dispatch/shardtest.cpp
@@ -417,6 +417,19 @@
     CHECK_EQUAL(prefills.endpoint, granted[1].endpoint);
 }
 
+/// Guards against a burst whose requests arrive together, so that none waits for the prefill of another one.
+TEST(ShardSharedPrefix, requestsOfOneInstantWaitForOnePrefill)
+{
+    send(first, 1, 0);
+    send(second, 1, 0);
+    send(second, 1, 0);
+    const auto granted = grants();
+    CHECK_EQUAL(1U, granted.size());
+    CHECK_EQUAL(2U, shard->queued());
+    prefillEnds(first, granted.front(), 0.6);
+    checkThatOnePrefills(0.6);
+}
+
 /// Guards against reports of one home that end the prefill of another one's run.
 TEST(ShardSharedPrefix, onlyTheHomeOfTheRunReportsItsPrefill)
 {
