--- a/Source/EngineModel/prefillqueue.cpp
+++ b/Source/EngineModel/prefillqueue.cpp
@@ -20,6 +20,12 @@
     return std::max(Duration::zero(), std::chrono::duration_cast<Duration>(whole) - prefill.done);
 }
 
+/// Returns whether @p first, the first prefill of a queue, counts as ended after the engine has @p spent time on it.
+bool isOverdue(const QueuedPrefill &first, Duration spent, double tokensPerMs)
+{
+    return !first.reported && spent >= remainingTime(first, tokensPerMs);
+}
+
 } // namespace
 
 std::vector<QueuedPrefill>::iterator PrefillQueue::find(std::uint64_t number)
@@ -27,9 +33,14 @@
     return std::ranges::find(m_queue, number, &QueuedPrefill::number);
 }
 
-std::size_t PrefillQueue::size() const
+bool PrefillQueue::contains(std::uint64_t number) const
 {
-    return m_queue.size();
+    return std::ranges::find(m_queue, number, &QueuedPrefill::number) != m_queue.end();
+}
+
+bool PrefillQueue::empty() const
+{
+    return m_queue.empty();
 }
 
 void PrefillQueue::add(const QueuedPrefill &prefill, Instant now)
@@ -72,23 +83,25 @@
 void PrefillQueue::remove(std::uint64_t number, Instant now)
 {
     if (const auto entry = find(number); entry != m_queue.end()) {
-        erase(entry, now);
+        // A prompt that waits behind another one has taken none of the engine's time.
+        erase(entry, entry == m_queue.begin() ? now : m_busySince);
     }
 }
 
 void PrefillQueue::removeOverdue(double tokensPerMs, Instant now)
 {
-    while (!m_queue.empty() && !m_queue.front().reported) {
-        const Duration expected = remainingTime(m_queue.front(), tokensPerMs);
-        if (spent(now) < expected) {
-            return;
-        }
-        erase(m_queue.begin(), m_busySince + expected);
+    while (!m_queue.empty() && isOverdue(m_queue.front(), spent(now), tokensPerMs)) {
+        erase(m_queue.begin(), m_busySince + remainingTime(m_queue.front(), tokensPerMs));
     }
 }
 
 Duration PrefillQueue::backlog(int rank, double tokensPerMs, Instant now) const
 {
+    if (!m_queue.empty() && isOverdue(m_queue.front(), spent(now), tokensPerMs)) {
+        PrefillQueue current(*this);
+        current.removeOverdue(tokensPerMs, now);
+        return current.backlog(rank, tokensPerMs, now);
+    }
     Duration all {};
     for (const QueuedPrefill &queued : m_queue) {
         all += queued.rank <= rank ? remainingTime(queued, tokensPerMs) : Duration::zero();
--- a/Source/EngineModel/prefillqueue.h
+++ b/Source/EngineModel/prefillqueue.h
@@ -50,8 +50,10 @@
     /// Removes the prefills without a report whose estimated time has passed.
     void removeOverdue(double tokensPerMs, Base::Instant now);
 
-    /// Returns the number of prefills that have not ended.
-    std::size_t size() const;
+    /// Returns whether a prefill is in the queue.
+    bool contains(std::uint64_t number) const;
+
+    bool empty() const;
 
 private:
     std::vector<QueuedPrefill>::iterator find(std::uint64_t number);
