EngineModel: Do not count the first response as a deviation from zero

Cause: The variance of the logarithms began with the square of the first one. Where responses are long, the learned length then counted too little for the first hundred responses or more, and a hint that predicts nothing was believed instead. Change: The variance is measured from the mean before and after each observation, so the first one gives zero. Result: The test of useless hints fails before the change and passes after it. Conclusion: Hints count by how well they predict from the first responses on.

--- a/Source/EngineModel/responselengths.cpp
+++ b/Source/EngineModel/responselengths.cpp
@@ -26,7 +26,7 @@
     m_weight = std::min(m_weight + 1, memory);
     const double change = logarithm - m_mean;
     m_mean += change / m_weight;
-    m_variance += (change * change - m_variance) / m_weight;
+    m_variance += (change * (logarithm - m_mean) - m_variance) / m_weight;
 }
 
 double LogMean::mean() const
