Dispatch: Do not refuse an ask for its response where the deadline only limits its start

Cause: An ask was refused if its response could not end before the deadline, also in classes whose runs may go on after it. Change: The length of the response counts only where the deadline ends the run.

--- a/Source/Dispatch/poolparameters.cpp
+++ b/Source/Dispatch/poolparameters.cpp
@@ -45,8 +45,10 @@
 ClassParameters PoolParameters::forClass(const RequestClass &requestClass, int rank) const
 {
     const int effective = rank == 0 ? requestClass.rank : rank;
-    return {requestClass.number,     effective, requestClass.firstToken, requestClass.tokenGap, requestClass.starvationBound,
-            tightestAbove(effective), hasTightestGap(requestClass)};
+    return {requestClass.number,          effective,
+            requestClass.firstToken,      requestClass.tokenGap,
+            requestClass.starvationBound, tightestAbove(effective),
+            hasTightestGap(requestClass), requestClass.deadlineEndsRun};
 }
 
 bool PoolParameters::hasTightestGap(const RequestClass &requestClass) const
--- a/Source/Dispatch/queuedask.h
+++ b/Source/Dispatch/queuedask.h
@@ -45,6 +45,7 @@
     Base::Duration starvationBound {}; ///< wait after which the class gets a guaranteed share
     Base::Duration tightestAbove {}; ///< shortest first-token target of the pool's tiers above, zero if there is none
     bool hasTightestGap = false; ///< no class of the pool has a much shorter target for the time between tokens
+    bool deadlineEndsRun = false; ///< a run ends at the deadline; if false, the deadline only limits when it may start
 };
 
 /// An ask with its times converted to the dispatcher's clock.
--- a/Source/Dispatch/waitestimates.cpp
+++ b/Source/Dispatch/waitestimates.cpp
@@ -56,15 +56,14 @@
     return m_usable;
 }
 
-/// Returns how long the run of @p ask takes at least, if its response is much shorter than expected.
+/// Returns how much time before its deadline the run of @p ask needs at least, if its response is much shorter than expected.
 Duration WaitEstimates::leastResponseTime(const QueuedAsk &ask) const
 {
     // A later attempt may continue the stream of an earlier one.
-    if (!m_refuseLate || ask.key.id.attempt > 1) {
+    if (!m_refuseLate || !ask.parameters.deadlineEndsRun || ask.key.id.attempt > 1) {
         return Duration::zero();
     }
-    const Duration expected
-        = std::visit([&](const auto &placement) { return placement.expectedResponseTime(ask); }, m_placement);
+    const Duration expected = std::visit([&](const auto &placement) { return placement.expectedResponseTime(ask); }, m_placement);
     return std::chrono::duration_cast<Duration>(expected * leastShareOfResponse);
 }
 
