Dispatch: Tell an ask that lacks time to come back when it will not

Cause: The retry time of an ask that cannot end before its deadline was measured from its target. Where the target is further away than the wait, the caller was told to come back after a tenth of a second, while the queue was as long as before. Change: The retry time is at least the time that the ask lacks.

--- a/Source/Dispatch/waitestimates.cpp
+++ b/Source/Dispatch/waitestimates.cpp
@@ -35,8 +35,9 @@
     const Duration late = latenessOf(ask, ahead);
     const Duration cooldown = remainingCooldown(ask.home.incarnation);
     const Instant start = m_now + std::max({rateLimitWait(ahead.asks), cooldown, prefillWait(ask, ahead)});
-    const bool missesDeadline = start + leastResponseTime(ask) >= ask.deadline;
-    return {missesDeadline ? std::max(late, start - ask.target()) : late, missesDeadline, cooldown};
+    const Duration lacking = start + leastResponseTime(ask) - ask.deadline;
+    const bool missesDeadline = lacking >= Duration::zero();
+    return {missesDeadline ? std::max({late, start - ask.target(), lacking}) : late, missesDeadline, cooldown};
 }
 
 /// Returns the time that the engines need to prefill the prompts ahead of @p ask.
