--- a/Source/Dispatch/soonestfirsttoken.cpp
+++ b/Source/Dispatch/soonestfirsttoken.cpp
@@ -399,8 +399,8 @@
     if (!pending || !m_options.sharePrefills) {
         return std::nullopt;
     }
-    // Waiting saves a prefill of the prefix, so it is right if it takes no longer, or if the ask still meets its target. A prefill
-    // that is late by the whole time of the prompt may never end.
+    // Waiting saves a prefill of the prefix, so it is right if it takes no longer, or if the ask still meets its target. A
+    // prefill that is late by the whole time of the prompt may never end.
     const std::uint32_t rest = ask.ask.promptTokens - std::min(ask.ask.promptTokens, pending->tokens);
     const bool isSooner = pending->expectedEnd < now + timeToPrefill(pending->tokens) + overhead;
     const bool meetsTarget = pending->expectedEnd + timeToPrefill(rest) + overhead <= ask.target();
@@ -416,7 +416,8 @@
     const std::size_t parts = std::min(ask.ask.prefix.size(), ask.ask.prefixTokens.size());
     for (std::size_t index = 0; index < parts; ++index) {
         if (ask.ask.prefixTokens[index] >= cachedTokens + minTrackedTokens) {
-            m_pendingPrefixes.add({run.endpoint, ask.ask.prefix[index], ask.ask.prefixTokens[index], expectedEnd, run.prefill});
+            m_pendingPrefixes.add({run.endpoint, ask.ask.prefix[index], ask.ask.prefixTokens[index], expectedEnd, run.prefill},
+                                  run.placedAt);
         }
     }
 }
--- a/Source/Dispatch/waitestimates.cpp
+++ b/Source/Dispatch/waitestimates.cpp
@@ -37,8 +37,9 @@
     const Instant start = m_now + std::max({rateLimitWait(ahead.asks), cooldown, prefillWait(ask, ahead)});
     // While nothing waits, all asks are tried, so that the expected lengths follow the real ones.
     const Duration response = ahead.asks > 0 ? leastResponseTime(ask) : Duration::zero();
-    const bool missesDeadline = start + response >= ask.deadline;
-    return {missesDeadline ? std::max(late, start - ask.target()) : late, missesDeadline, cooldown};
+    const Duration lacking = start + response - ask.deadline;
+    const bool missesDeadline = lacking >= Duration::zero();
+    return {missesDeadline ? std::max({late, start - ask.target(), lacking}) : late, missesDeadline, cooldown};
 }
 
 /// Returns the time that the engines need to prefill the prompts ahead of @p ask.
@@ -58,7 +59,7 @@
     return m_usable;
 }
 
-/// Returns how long the run of @p ask takes at least, if its response is much shorter than expected.
+/// Returns how much time before its deadline the run of @p ask needs at least, if its response is much shorter than expected.
 Duration WaitEstimates::leastResponseTime(const QueuedAsk &ask) const
 {
     // A later attempt may continue the stream of an earlier one.
--- a/Source/EngineModel/pendingprefixes.cpp
+++ b/Source/EngineModel/pendingprefixes.cpp
@@ -7,10 +7,10 @@
 
 namespace Yokepond::EngineModel {
 
-void PendingPrefixes::add(const PendingPrefix &prefix)
+void PendingPrefixes::add(const PendingPrefix &prefix, Base::Instant now)
 {
     const auto [entry, added] = m_pending.try_emplace(prefix.hash, prefix);
-    if (!added && entry->second.expectedEnd < prefix.expectedEnd) {
+    if (!added && entry->second.expectedEnd <= now) {
         entry->second = prefix;
     }
 }
--- a/Source/EngineModel/pendingprefixes.h
+++ b/Source/EngineModel/pendingprefixes.h
@@ -31,8 +31,9 @@
 class PendingPrefixes
 {
 public:
-    /// Adds a prefix. If it is pending already, the prefill that ends later counts: the other one may never end.
-    void add(const PendingPrefix &prefix);
+    /// Adds a prefix. If it is pending already, the earlier prefill counts, unless it should have ended by @p now: it may never
+    /// end.
+    void add(const PendingPrefix &prefix, Base::Instant now);
 
     /// Removes those of the prefixes that the prefill @p number was reading.
     void remove(std::span<const std::uint64_t> hashes, std::uint64_t number);
--- a/Tests/EngineModel/pendingprefixestest.cpp
+++ b/Tests/EngineModel/pendingprefixestest.cpp
@@ -20,8 +20,8 @@
 
     void setup() override
     {
-        pending.add({7, 11, 1'000, at(1), 1});
-        pending.add({7, 12, 2'000, at(1), 1});
+        pending.add({7, 11, 1'000, at(1), 1}, at(0));
+        pending.add({7, 12, 2'000, at(1), 1}, at(0));
     }
 };
 
@@ -40,16 +40,24 @@
 /// Guards against requests that wait for the later of two prefills of the same prefix.
 TEST(PendingPrefixes, theEarlierPrefillCounts)
 {
-    pending.add({7, 12, 2'000, at(9), 2});
+    pending.add({7, 12, 2'000, at(9), 2}, at(0));
     CHECK_EQUAL(2U, pending.size());
     CHECK_EQUAL(1U, pending.longest(chain)->prefill);
     CHECK_TRUE(pending.longest(chain)->expectedEnd == at(1));
 }
 
+/// Guards against requests that all prefill a prefix, because an engine that stopped was given it first.
+TEST(PendingPrefixes, aPrefillThatShouldHaveEndedIsReplaced)
+{
+    pending.add({8, 12, 2'000, at(9), 2}, at(1));
+    CHECK_EQUAL(2U, pending.longest(chain)->prefill);
+    CHECK_EQUAL(8U, pending.longest(chain)->endpoint);
+}
+
 /// Guards against the end of one prefill that removes the entry of another one, so that the prefix is prefilled twice.
 TEST(PendingPrefixes, onlyThePrefillThatReadsAPrefixRemovesIt)
 {
-    pending.add({7, 13, 3'000, at(2), 2});
+    pending.add({7, 13, 3'000, at(2), 2}, at(0));
     pending.remove(chain, 2);
     CHECK_EQUAL(12U, pending.longest(chain)->hash);
     pending.remove(chain, 3);
@@ -63,6 +71,6 @@
 TEST(PendingPrefixes, aRemovedPrefixCanBePendingAgain)
 {
     pending.remove(chain, 1);
-    pending.add({7, 12, 2'000, at(5), 4});
+    pending.add({7, 12, 2'000, at(5), 4}, at(0));
     CHECK_EQUAL(4U, pending.longest(chain)->prefill);
 }
