--- a/Source/Dispatch/askqueue.cpp
+++ b/Source/Dispatch/askqueue.cpp
@@ -54,6 +54,12 @@
     return std::visit([&](auto &order) { return order.next(now, expected); }, m_order);
 }
 
+bool AskQueue::nextIsGuaranteed() const
+{
+    const auto *tiered = std::get_if<TieredOrder>(&m_order);
+    return tiered != nullptr && tiered->nextIsGuaranteed();
+}
+
 std::optional<QueuedAsk> AskQueue::serve(const AskKey &key)
 {
     return std::visit([&](auto &order) { return order.serve(key); }, m_order);
--- a/Source/Dispatch/askqueue.h
+++ b/Source/Dispatch/askqueue.h
@@ -31,6 +31,9 @@
     /// Returns the ask to serve now, see OrderPolicy. Asks on hold are not served.
     std::optional<AskKey> next(Base::Instant now, Base::Duration expected);
 
+    /// Returns whether the last ask of next() is served for the guaranteed share of its class.
+    bool nextIsGuaranteed() const;
+
     /// Removes the ask that next() returned and accounts for it.
     std::optional<QueuedAsk> serve(const AskKey &key);
 
--- a/Source/Dispatch/order.cpp
+++ b/Source/Dispatch/order.cpp
@@ -226,6 +226,11 @@
     return nextByFairness(*classWithMinSlack(tier->second, now, expected), now, expected);
 }
 
+bool TieredOrder::nextIsGuaranteed() const
+{
+    return m_nextIsOverdue;
+}
+
 std::optional<QueuedAsk> TieredOrder::serve(AskKey key)
 {
     auto ask = remove(key);
--- a/Source/Dispatch/order.h
+++ b/Source/Dispatch/order.h
@@ -97,6 +97,9 @@
     /// to its first token.
     std::optional<AskKey> next(Base::Instant now, Base::Duration expected);
 
+    /// Returns whether the last ask of next() is of a class past its starvation bound and is served for its guaranteed share.
+    bool nextIsGuaranteed() const;
+
     /// Removes the ask that next() returned and charges its class and organisation for it.
     std::optional<QueuedAsk> serve(AskKey key);
 
--- a/Source/Dispatch/placement.h
+++ b/Source/Dispatch/placement.h
@@ -101,9 +101,10 @@
     {
         constant.expectedResponseTime(ask)
     } -> std::same_as<Base::Duration>;
-    /// Returns for how long the prompt of @p ask occupies an endpoint; zero if the policy has no model of engines.
+    /// Returns for how long the prompt of @p ask occupies an endpoint; zero if the policy has no model of engines. The flag tells
+    /// whether the ask is on hold while a prefix of the prompt is prefilled.
     {
-        constant.expectedPrefillTime(ask)
+        constant.expectedPrefillTime(ask, true)
     } -> std::same_as<Base::Duration>;
     /// Returns the prefix of the prompt that an engine is prefilling, if it is better to wait for it than to prefill it
     /// elsewhere.
@@ -144,7 +145,7 @@
     {
         return {};
     }
-    Base::Duration expectedPrefillTime(const QueuedAsk &) const
+    Base::Duration expectedPrefillTime(const QueuedAsk &, bool) const
     {
         return {};
     }
--- a/Source/Dispatch/queuedask.h
+++ b/Source/Dispatch/queuedask.h
@@ -60,6 +60,7 @@
     Base::Instant arrival {}; ///< when the caller's request reached the home
     Base::Instant deadline {}; ///< deadline of the request
     bool boundToRegions = false; ///< its class or organisation is served in some regions only
+    bool isGuaranteed = false; ///< it is served now for the guaranteed share of a class past its starvation bound
 
     /// Returns the class and the organisation of the request.
     Configuration::RequestOwner owner() const
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -317,13 +317,13 @@
         || (estimate.lateness > Duration::zero() && m_lateRefusals.spend(ask.parameters.rank, poolParameters().lowestRank()));
 }
 
-/// Counts @p ask among those ahead. One on hold needs little prefill once its hold ends.
+/// Counts @p ask among those ahead.
 void Shard::addTo(QueueAhead &ahead, const QueuedAsk &ask) const
 {
+    const bool isHeld = m_queue.isHeld(ask.key);
     ++ahead.asks;
-    if (!m_queue.isHeld(ask.key)) {
-        ahead.prefillTime += std::visit([&](const auto &placement) { return placement.expectedPrefillTime(ask); }, m_placement);
-    }
+    ahead.prefillTime
+        += std::visit([&](const auto &placement) { return placement.expectedPrefillTime(ask, isHeld); }, m_placement);
 }
 
 QueueAhead Shard::aheadOf(const QueuedAsk &ask) const
@@ -819,7 +819,8 @@
         if (!key) {
             break;
         }
-        const QueuedAsk waiting = *m_queue.find(*key);
+        QueuedAsk waiting = *m_queue.find(*key);
+        waiting.isGuaranteed = m_queue.nextIsGuaranteed();
         if (holdForPrefix(now, waiting)) {
             continue;
         }
--- a/Source/Dispatch/soonestfirsttoken.cpp
+++ b/Source/Dispatch/soonestfirsttoken.cpp
@@ -94,36 +94,30 @@
     return parameters.tightestAbove == Base::Duration::zero();
 }
 
-/// Returns whether the ask has waited longer than its class may.
-bool isOverdue(const QueuedAsk &ask, Base::Instant now)
-{
-    return now - ask.arrival >= ask.parameters.starvationBound;
-}
-
 Base::Duration scaled(Base::Duration whole, double share)
 {
     return std::chrono::duration_cast<Base::Duration>(whole * share);
 }
 
 /// Returns the longest backlog that an engine may have to be given @p ask, whose own prefill takes @p prefillTime there.
-Base::Duration longestBacklog(const QueuedAsk &ask, bool mostlyCached, Base::Duration prefillTime, Base::Instant now)
+Base::Duration longestBacklog(const QueuedAsk &ask, bool mostlyCached, Base::Duration prefillTime)
 {
     Base::Duration longest = scaled(ask.parameters.firstToken, mostlyCached ? backlogShareIfCached : backlogShare);
-    if (!isMostUrgent(ask.parameters) && !isOverdue(ask, now)) {
+    if (!isMostUrgent(ask.parameters)) {
         longest = std::min(longest, scaled(ask.parameters.tightestAbove, shareOfTightestAbove) - prefillTime);
     }
     return std::max(longest, negligibleBacklog);
 }
 
-Base::Duration longestBacklog(const QueuedAsk &ask, std::uint32_t cachedTokens, Base::Duration ownTime, Base::Instant now)
+Base::Duration longestBacklog(const QueuedAsk &ask, std::uint32_t cachedTokens, Base::Duration ownTime)
 {
-    return longestBacklog(ask, cachedTokens * 2 > ask.ask.promptTokens, scaled(ownTime, 1.0 / prefillShare), now);
+    return longestBacklog(ask, cachedTokens * 2 > ask.ask.promptTokens, scaled(ownTime, 1.0 / prefillShare));
 }
 
 /// Returns the longest backlog that is allowed for any prompt of the ask's class.
-Base::Duration longestBacklogOfClass(const QueuedAsk &ask, Base::Instant now)
+Base::Duration longestBacklogOfClass(const QueuedAsk &ask)
 {
-    return longestBacklog(ask, true, Base::Duration::zero(), now);
+    return longestBacklog(ask, true, Base::Duration::zero());
 }
 
 } // namespace
@@ -194,9 +188,14 @@
     return engine == nullptr ? Base::Duration::zero() : backlogOf(*engine, parameters, now);
 }
 
-/// Returns the prefill time of half of the prompt. Much of a queued prompt is cached by some engine or soon will be.
-Base::Duration SoonestFirstToken::expectedPrefillTime(const QueuedAsk &ask) const
+/// Returns the prefill time of half of the prompt. Much of a queued prompt is cached by some engine or soon will be. Of one that
+/// waits for a prefix, only the last part is left.
+Base::Duration SoonestFirstToken::expectedPrefillTime(const QueuedAsk &ask, bool isHeld) const
 {
+    const std::vector<std::uint32_t> &ends = ask.ask.prefixTokens;
+    if (isHeld && ends.size() > 1) {
+        return timeToPrefill(ask.ask.promptTokens - std::min(ask.ask.promptTokens, ends[ends.size() - 2]));
+    }
     return timeToPrefill(ask.ask.promptTokens) / 2;
 }
 
@@ -325,9 +324,9 @@
 {
     std::optional<std::uint32_t> best;
     double lowestCost = 0;
-    const Base::Duration longest = longestBacklogOfClass(ask, now);
+    const Base::Duration longest = longestBacklogOfClass(ask);
     // An ask that has missed its target waits as well: at an engine with a long backlog it would delay all others there.
-    const bool mayWait = now + longest < ask.deadline;
+    const bool mayWait = !ask.isGuaranteed && now + longest < ask.deadline;
     std::optional<std::uint32_t> preferred;
     std::optional<Keeper> keeper;
     for (const Candidate &candidate : candidates) {
@@ -340,7 +339,7 @@
             preferred = preferredEndpoint(ask, candidates);
         }
         const Cost cost = costAt(ask, candidate, *keeper, candidate.endpoint == *preferred, now);
-        const bool waits = mayWait && cost.backlog > longestBacklog(ask, cost.cachedTokens, cost.ownTime, now);
+        const bool waits = mayWait && cost.backlog > longestBacklog(ask, cost.cachedTokens, cost.ownTime);
         if (waits || !fits(ask, candidate, cost.kvTokens) || (best && cost.baseMs >= lowestCost)) {
             continue;
         }
--- a/Source/Dispatch/soonestfirsttoken.h
+++ b/Source/Dispatch/soonestfirsttoken.h
@@ -49,7 +49,7 @@
     Base::Duration expectedFirstToken(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
     MinBacklog minBacklog(const QueuedAsk &ask, std::span<const Candidate> candidates, Base::Instant now) const;
     Base::Duration firstTokenUpperBound(const QueuedAsk &ask, const MinBacklog &shortest) const;
-    Base::Duration expectedPrefillTime(const QueuedAsk &ask) const;
+    Base::Duration expectedPrefillTime(const QueuedAsk &ask, bool isHeld) const;
     Base::Duration expectedResponseTime(const QueuedAsk &ask) const;
     std::optional<EngineModel::PendingPrefix> prefixToAwait(const QueuedAsk &ask, Base::Instant now) const;
     PlacedRun recordPlacement(const QueuedAsk &ask, const Candidate &candidate, Base::Instant now);
--- a/Source/Dispatch/waitestimates.cpp
+++ b/Source/Dispatch/waitestimates.cpp
@@ -82,7 +82,8 @@
     }
     const Duration advertisedWait = std::max(rateLimitWait(ahead.asks), cooldown);
     const bool modelled
-        = std::visit([&](const auto &placement) { return placement.expectedPrefillTime(ask); }, m_placement) > Duration::zero();
+        = std::visit([&](const auto &placement) { return placement.expectedPrefillTime(ask, false); }, m_placement)
+        > Duration::zero();
     if (!modelled) {
         // Without a model of engines only the rate limits and cooldowns that the endpoints advertise give an estimate.
         return advertisedWait > Duration::zero() ? std::max(Duration::zero(), m_now + advertisedWait - ask.target())
--- a/Source/EngineModel/streamengines.cpp
+++ b/Source/EngineModel/streamengines.cpp
@@ -34,10 +34,8 @@
 constexpr Duration loadPeriod = std::chrono::milliseconds(500);
 /// At most this share of the engines is set aside, so that the other classes are served too.
 constexpr double maxShare = 0.5;
-/// A part of the engines that are not needed returns to the other classes after each such time, since the number of streams
-/// varies.
+/// Engines return to the other classes one by one with this time between them, since the number of streams varies.
 constexpr Duration shrinkPeriod = std::chrono::seconds(1);
-constexpr std::size_t shrinkDivisor = 3;
 
 } // namespace
 
@@ -99,13 +97,6 @@
     }
 }
 
-void StreamEngines::shrink(std::size_t excess)
-{
-    for (std::size_t count = (excess + shrinkDivisor - 1) / shrinkDivisor; count > 0; --count) {
-        m_engines.erase(std::prev(m_engines.end()));
-    }
-}
-
 StreamEnginesChange StreamEngines::update(std::span<const StreamEngineCandidate> engines, Instant now)
 {
     measurePrefillLoad(now);
@@ -129,7 +120,7 @@
     }
     // One engine more than needed is kept, so that the number does not change with each stream.
     if (needed + 1 < m_engines.size() && now - m_lastShrink >= shrinkPeriod) {
-        shrink(m_engines.size() - needed - 1);
+        m_engines.erase(std::prev(m_engines.end()));
         m_lastShrink = now;
         return StreamEnginesChange::Shrank;
     }
--- a/Source/EngineModel/streamengines.h
+++ b/Source/EngineModel/streamengines.h
@@ -61,7 +61,6 @@
     void measurePrefillLoad(Base::Instant now);
     std::size_t neededFor(std::span<const StreamEngineCandidate> engines) const;
     void grow(std::span<const StreamEngineCandidate> engines, std::size_t needed);
-    void shrink(std::size_t excess);
 
     std::set<std::uint32_t> m_engines;
     std::uint32_t m_active = 0; ///< active tight streams, at any engine
