Test: No prefix is prefilled twice at a time (known red)

Cause: the load test of bursts did not check what holding requests is for.

Change: the test compares, for each grant, whether another engine still has the same prefix to prefill.

Conclusion: probably the end expected of a prompt behind a late prefill is too early, since a late prefill counts as ended in the backlog.

--- a/Tests/Dispatch/prefillloadtest.cpp
+++ b/Tests/Dispatch/prefillloadtest.cpp
@@ -270,3 +270,11 @@
         CHECK_TRUE(counts.longestFirstToken <= BurstSimulation::firstTokenTarget);
     }
 }
+
+/// Guards against engines that prefill the same prefix at the same time, so that the pool prefills everything several times.
+TEST(PrefillLoad, noPrefixIsPrefilledTwiceAtATime)
+{
+    for (const BurstCounts &counts : simulate()) {
+        CHECK_EQUAL(0U, counts.duplicates);
+    }
+}
