--- a/Tests/Dispatch/askqueuetest.cpp
+++ b/Tests/Dispatch/askqueuetest.cpp
@@ -103,7 +103,7 @@
     insert(2, 0);
     const QueuedAsk newAsk = insert(1, 0.1);
     CHECK_TRUE(queue.evictionCandidate(newAsk) == held.key);
-    CHECK_EQUAL(0U, queue.held());
+    CHECK_EQUAL(1U, queue.held());
     CHECK_TRUE(queue.remove(held.key).has_value());
     CHECK_EQUAL(2U, queue.size());
 }
--- a/Tests/Dispatch/placementtest.cpp
+++ b/Tests/Dispatch/placementtest.cpp
@@ -31,6 +31,7 @@
         made.parameters.firstToken = std::chrono::seconds(2);
         made.parameters.tightestAbove = rank > 1 ? std::chrono::milliseconds(1500) : std::chrono::milliseconds(0);
         made.arrival = at(0);
+        made.deadline = at(1000);
         return made;
     }
 
@@ -61,13 +62,15 @@
 
 TEST(SoonestFirstToken, aLowerTierWaitsRatherThanDelayTheTierAbove)
 {
+    std::vector<PlacedRun> runs;
     for (std::uint64_t shared = 1; shared <= 3; ++shared) {
         for (Candidate &engine : engines) {
-            placement.recordPlacement(ask(100 * shared + engine.endpoint, 1, 3), engine, at(0));
+            runs.push_back(placement.recordPlacement(ask(100 * shared + engine.endpoint, 1, 3), engine, at(0)));
         }
     }
     CHECK_FALSE(placement.choose(ask(9, 9, 3), engines, at(0.01)).has_value());
     CHECK_TRUE(placement.choose(ask(9, 9, 1), engines, at(0.01)).has_value());
+    std::ranges::for_each(runs, [&](const PlacedRun &run) { placement.recordPrefillEnd(run, at(2)); });
     CHECK_TRUE(placement.choose(ask(9, 9, 3), engines, at(20)).has_value());
 }
 
@@ -269,6 +272,7 @@
             const double first = engine.endpoint == 3 ? 2.0 : 0.5;
             const double now = static_cast<double>(run) * 3;
             const PlacedRun placed = placement.recordPlacement(ask(1000 + 10 * run + engine.endpoint, 1), engine, at(now));
+            placement.recordPrefillEnd(placed, at(now + first));
             placement.recordEnd(placed, {at(first) - at(0), {}}, at(now + first));
         }
     }
--- a/Tests/Dispatch/waitestimatestest.cpp
+++ b/Tests/Dispatch/waitestimatestest.cpp
@@ -91,6 +91,7 @@
         made.prefix = {next * 2, next * 2 + 1};
         made.prefixTokens = {made.promptTokens / 2, made.promptTokens};
         made.sentAt = at(time);
+        made.reportsPrefill = true;
         return made;
     }
 
@@ -151,14 +152,29 @@
 TEST(WaitEstimates, anAskWhoseResponseCannotEndBeforeItsDeadlineIsRefusedAtOnce)
 {
     observeResponses();
+    for (int ahead = 0; ahead < 50 && shard->queued() == 0; ++ahead) {
+        send(makeAsk(longClass, 60));
+    }
+    CHECK_EQUAL(1U, shard->queued());
+    grants.clear();
     send(makeAsk(longClass, responseSeconds * 0.3));
     CHECK_EQUAL(0U, grants.size());
-    CHECK_EQUAL(0U, shard->queued());
+    CHECK_EQUAL(1U, shard->queued());
     CHECK_EQUAL(1U, refusals.size());
     CHECK_TRUE(refusals.front().reason == Peer::RefusalReason::TooLate);
     CHECK_TRUE(refusals.front().retryAfter > Base::Duration::zero());
 }
 
+/// Guards against lengths that are never learned again because all asks are refused for them, and against refusals with room.
+TEST(WaitEstimates, anAskIsTriedWhileNothingWaits)
+{
+    observeResponses();
+    grants.clear();
+    send(makeAsk(longClass, responseSeconds * 0.3));
+    CHECK_EQUAL(1U, grants.size());
+    CHECK_EQUAL(0U, refusals.size());
+}
+
 /// Guards against refusals where the operators have not asked for them.
 TEST(WaitEstimates, withoutThePolicySuchAnAskIsGranted)
 {
--- a/Tests/EngineModel/streamenginestest.cpp
+++ b/Tests/EngineModel/streamenginestest.cpp
@@ -170,18 +170,18 @@
     }
 }
 
-/// Guards against long prompts that are left to the slow engines. An engine that a fault has slowed down is no place for streams.
-TEST(StreamEngines, slowEnginesAreTakenFirstButFaultyOnesLast)
+/// Guards against streams whose pauses are long since their engines are slow, by nature or by a fault.
+TEST(StreamEngines, fastEnginesAreTakenFirstAndFaultyOnesLast)
 {
     auto all = engines(20);
     all[2].tokensPerMs = usualSpeed / 10;
-    for (const std::size_t slow : {5U, 11U, 17U}) {
-        all[slow].tokensPerMs = usualSpeed * 0.8;
+    for (const std::size_t fast : {5U, 11U, 17U}) {
+        all[fast].tokensPerMs = usualSpeed * 1.2;
     }
     setAsideFor(12, all, 0);
     CHECK_EQUAL(3U, streamEngines.size());
-    for (const std::size_t slow : {5U, 11U, 17U}) {
-        CHECK_TRUE(streamEngines.contains(all[slow].endpoint));
+    for (const std::size_t fast : {5U, 11U, 17U}) {
+        CHECK_TRUE(streamEngines.contains(all[fast].endpoint));
     }
     start(1000);
     streamEngines.update(all, at(0.2));
