--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -17,7 +17,6 @@
 #include <fmt/format.h>
 
 #include <ctime>
-#include <ranges>
 
 namespace Yokepond::Node {
 
@@ -573,7 +572,7 @@
     std::uint64_t held = 0;
     std::size_t onHold = 0;
     std::size_t streamEngines = 0;
-    for (const Dispatch::Shard &shard : m_dispatcher.shards() | std::views::values) {
+    for (const auto &[id, shard] : m_dispatcher.shards()) {
         granted += shard.counters().granted;
         refused += shard.counters().refused;
         held += shard.counters().held;
--- a/Source/Relay/call.h
+++ b/Source/Relay/call.h
@@ -99,7 +99,8 @@
     Http::Response response;
 };
 
-using Event = std::variant<CallArrived, CallerDisconnected, RunEnded, RunStarted, FirstTokenReceived, EndpointAdvertised, AdoptedResponse>;
+using Event = std::variant<CallArrived, CallerDisconnected, RunEnded, RunStarted, FirstTokenReceived, EndpointAdvertised,
+                           AdoptedResponse>;
 
 // --- Commands to the relay
 
