--- a/Source/Node/queries.cpp
+++ b/Source/Node/queries.cpp
@@ -317,11 +317,10 @@
 
 QueryResult Queries::dispatchers() const
 {
-    QueryResult result {
-        {"shard", "pool", "data-centre", "host", "endpoints", "waiting", "running", "granted", "refused", "shed",
-         "on-hold", "held", "stream-engines"},
-        {},
-        {}};
+    QueryResult result {{"shard", "pool", "data-centre", "host", "endpoints", "waiting", "running", "granted", "refused", "shed",
+                         "on-hold", "held", "stream-engines"},
+                        {},
+                        {}};
     for (const auto &[id, shard] : m_dispatcher.shards()) {
         const auto *pool = m_fleet.catalogue()->poolByNumber(shard.info().pool);
         result.rows.push_back({{"shard", fmt::format("{:08x}", id)},
