--- a/Tests/Peer/codectest.cpp
+++ b/Tests/Peer/codectest.cpp
@@ -61,6 +61,15 @@
     CHECK_FALSE(roundTrip(Grant {}).reportPrefill);
 }
 
+/// Guards against dispatchers that wait for reports of homes that cannot send them.
+TEST(Codec, anAskTellsWhetherItsHomeReports)
+{
+    Ask ask;
+    CHECK_FALSE(roundTrip(ask).reportsPrefill);
+    ask.reportsPrefill = true;
+    CHECK_TRUE(roundTrip(ask).reportsPrefill);
+}
+
 /// Guards against reports of first tokens that the dispatcher cannot assign to a run.
 TEST(Codec, prefillEndedKeepsAllFields)
 {
