EngineModel: Say what the prefill queue bounds, in the words of the glossary

Cause: the comment promised that an engine that stopped gets no further prompts; it gets one, since an overdue prefill counts as none. Two comments of pending prefixes said read where the glossary says prefill. Change: comments only. Checked: both files compile, the format check passes.

--- a/Source/EngineModel/pendingprefixes.h
+++ b/Source/EngineModel/pendingprefixes.h
@@ -23,7 +23,7 @@
     std::uint64_t hash = 0;
     std::uint32_t tokens = 0; ///< length of the prefix
     Base::Instant expectedEnd {};
-    std::uint64_t prefill = 0; ///< number of the prefill that reads it
+    std::uint64_t prefill = 0; ///< number of the prefill that adds it to the cache
 };
 
 /// Index of pending prefixes. Requests whose prompts begin alike can wait until the prefix is cached, instead of having other
@@ -35,7 +35,7 @@
     /// end.
     void add(const PendingPrefix &prefix, Base::Instant now);
 
-    /// Removes those of the prefixes that the prefill @p number was reading.
+    /// Removes those of the prefixes that are pending because of the prefill @p number.
     void remove(std::span<const std::uint64_t> hashes, std::uint64_t number);
 
     /// Returns the longest pending prefix among @p hashes, which are ordered from the shortest prefix to the longest.
--- a/Source/EngineModel/prefillqueue.h
+++ b/Source/EngineModel/prefillqueue.h
@@ -27,8 +27,9 @@
 };
 
 /// Tracks the prefill queue of one engine. The end of a prefill is known from the first token of its run, which the run's home
-/// reports. So a queue that is longer than assumed stays visible: an engine that is slower than its estimate, or that stopped,
-/// gets no further prompts. A prefill whose end is not reported counts as ended when its estimated time has passed.
+/// reports. The prefills behind one whose end has not been reported stay in the backlog, so an engine that is slower than its
+/// estimate, or that stopped, gets few further prompts. If the home does not report, the prefill counts as ended when its
+/// estimated time has passed.
 class PrefillQueue
 {
 public:
