Dispatch: Log whose failure ejected an endpoint, and of which kind

Cause: in the incident of hosts without paths to endpoints, the logs could not tell whether the failures that ejected 13 endpoints came from hosts without paths or from all. Change: endpoint-ejected has the home of the last failed run and the result of that run. Logs only; no run differs.

--- a/Source/Dispatch/endpointstates.h
+++ b/Source/Dispatch/endpointstates.h
@@ -11,11 +11,13 @@
 #include "Dispatch/health.h"
 #include "Dispatch/placement.h"
 #include "Dispatch/window.h"
+#include "Peer/message.h"
 #include "Rate/ratelimiter.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -53,6 +55,8 @@
     bool announcedLeaving = false;
     Rate::RateLimiter rateLimiter;
     Cooldowns cooldowns;
+    std::string lastFailureFrom; ///< home of the last run that failed, for logs
+    Peer::RunResult lastFailure = Peer::RunResult::Completed; ///< result of that run, for logs
 
     /// Returns whether the endpoint may get work, apart from its health.
     bool isUsable() const;
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -521,6 +521,10 @@
         const Observation observation {release.firstToken,  release.gap, poolParameters().tightestFirstToken(),
                                        parameters.tokenGap, failed,      permit->second.windowWasFull,
                                        errorResponse};
+        if (failed || errorResponse) {
+            state.lastFailureFrom = home.name;
+            state.lastFailure = release.result;
+        }
         if (failed || errorResponse || release.tokens > 0) {
             std::visit([&](auto &window) { window.observe(observation, now); }, state.window);
             state.health.observe(observation);
@@ -761,6 +765,8 @@
         Base::log(Base::LogLevel::Warning, Base::LogEvent::EndpointEjected,
                   {{"endpoint", number},
                    {"failures", state.health.failures()},
+                   {"from", state.lastFailureFrom},
+                   {"result", Base::nameOf(Peer::runResultNames, state.lastFailure)},
                    {"pace-ms", Base::milliseconds(state.health.interTokenLatency().value_or(Duration::zero()))}});
     }
     refuseIfNoEndpoint();
