Test: Hosts without paths to endpoints serve their callers (known red)

What callers saw, in the incident and in this test: hosts that have lost their paths to all endpoints answer 503 or 504, and so do the others, whose endpoints get ejected. Change: the test. A packet filter on the sockets of the stand-in endpoints drops what one host sends, so its connections hang as behind a failed switch; for that each host needs an address of its own, which the new setting [endpoints] source-address gives, also to hosts with several networks. Utilities/knownred.py and the integration tests' runner let listed tests of scripts fail, print them, and fail if they pass, as unit tests do. Nothing is mended yet; KNOWN-RED.txt lists it.

--- a/Source/Http/client.cpp
+++ b/Source/Http/client.cpp
@@ -264,6 +264,9 @@
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(transfer.totalTimeout / std::chrono::milliseconds(1)));
         curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, transfer.freshConnection ? 1L : 0L);
         curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, transfer.freshConnection ? 1L : 0L);
+        if (!transfer.sourceAddress.empty()) {
+            curl_easy_setopt(handle, CURLOPT_INTERFACE, fmt::format("host!{}", transfer.sourceAddress).c_str());
+        }
         if (transfer.resetOnClose) {
             curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &enableResetOnClose);
         }
--- a/Source/Http/client.h
+++ b/Source/Http/client.h
@@ -60,6 +60,7 @@
     /// Whether to close the connection with a TCP reset. Bytes that have not been delivered are then dropped instead of being
     /// sent later.
     bool resetOnClose = false;
+    std::string sourceAddress; ///< IP address of this host from which the connection is opened; empty: the system chooses
 };
 
 /// Callbacks of a transfer, called on the loop's thread. onEnd is called exactly once, as the last one, unless the transfer is
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -173,6 +173,7 @@
     }
     const Relay::RelayOptions options {.listen = m_settings.callerListen,
                                        .limits = limits,
+                                       .sourceAddress = m_settings.endpointSource,
                                        .buffers = m_settings.responseBuffers,
                                        .reportRunStarts = m_settings.dutyAddress.port != 0};
     const auto handler = [this](Relay::Event event) { m_mailbox->post(std::move(event)); };
--- a/Source/Node/settings.cpp
+++ b/Source/Node/settings.cpp
@@ -47,6 +47,16 @@
     return name;
 }
 
+std::string parseSourceAddress(IniFile &ini)
+{
+    std::string source = ini.text("endpoints", "source-address", "");
+    if (!source.empty() && !Base::parseAddress(source + ":0").ok()) {
+        ini.reject("endpoints", "source-address", "an IPv4 address of this host, without a port");
+        return {};
+    }
+    return source;
+}
+
 std::vector<std::string> parseSeeds(IniFile &ini)
 {
     std::vector<std::string> seeds;
@@ -195,6 +205,7 @@
     if (!Base::parseAddress(settings.advertisedPeer).ok()) {
         ini.reject("peers", "advertised", "an IPv4 address and a port");
     }
+    settings.endpointSource = parseSourceAddress(ini);
     settings.seeds = parseSeeds(ini);
     const auto form = Base::valueOf(platformFormNames, ini.text("platform", "form", "table"));
     if (!form) {
--- a/Source/Node/settings.h
+++ b/Source/Node/settings.h
@@ -73,6 +73,7 @@
     Base::Address callerListen;
     Base::Address operatorListen;
     Base::Address peerListen;
+    std::string endpointSource; ///< IP address from which connections to endpoints are opened; empty: the system chooses
     std::string advertisedPeer; ///< peer address that is announced to other hosts, ip:port
     std::vector<std::string> seeds; ///< peer addresses, ip:port
     PlatformForm platformForm = PlatformForm::Table;
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -23,6 +23,7 @@
     Base::Address listen;
     Http::ServerLimits limits;
     Base::Duration connectTimeout = std::chrono::milliseconds(500);
+    std::string sourceAddress; ///< IP address from which connections to endpoints are opened; empty: the system chooses
     ResponseBufferLimits buffers; ///< limits on what is held for callers that read slowly
     bool reportRunStarts = false; ///< whether to send RunStarted
     std::size_t maxReportedResponseBytes = 1U << 20U; ///< largest response that is reported for Run::reportResponse
--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -300,6 +300,7 @@
         call->startedAt = Base::now();
         Http::Transfer transfer = m_protocol.buildTransfer(call->state, call->exchange->request(), call->run, call->lastEventId);
         transfer.connectTimeout = m_options.connectTimeout;
+        transfer.sourceAddress = m_options.sourceAddress;
         startTransfer(*call, std::move(transfer));
     }
 
@@ -553,6 +554,7 @@
                 call.paused = false;
                 m_slowCallers->setPaused(call.id, false);
                 transfer->connectTimeout = m_options.connectTimeout;
+                transfer->sourceAddress = m_options.sourceAddress;
                 startTransfer(call, std::move(*transfer));
                 return;
             }
--- a/Tests/Integration/fleet.py
+++ b/Tests/Integration/fleet.py
@@ -17,6 +17,7 @@
 
 TOP = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path.insert(0, str(TOP / "Utilities"))
+import knownred  # noqa: E402
 import localfleet  # noqa: E402
 
 
@@ -234,9 +235,27 @@
 
 
 def run_tests(namespace):
-    """Runs every function whose name begins with test_ and prints a line for each."""
+    """Runs every function whose name begins with test_ and prints a line for each.
+
+    A test that KNOWN-RED.txt lists as SCRIPT.NAME must fail an assertion: if it passes, the run fails, so that its line gets removed.
+    """
+    script = pathlib.Path(namespace["__file__"]).stem
+    known_failures = knownred.read_list(TOP / "KNOWN-RED.txt")
     for name, test in list(namespace.items()):
         if name.startswith("test_") and callable(test):
             begin = time.monotonic()
-            test()
-            print(f"ok {name} ({time.monotonic() - begin:.1f} s)", flush=True)
+            cause = known_failures.get(f"{script}.{name}")
+            if cause is None:
+                test()
+                print(f"ok {name} ({time.monotonic() - begin:.1f} s)", flush=True)
+            else:
+                run_known_failure(name, test, cause)
+
+
+def run_known_failure(name, test, cause):
+    try:
+        test()
+    except AssertionError as failure:
+        print(f"known red: {name}: {cause}; now: {failure}", flush=True)
+        return
+    sys.exit(f"known red: {name} did not fail: remove its line from KNOWN-RED.txt")
--- a/Tests/Integration/recordsplatform.py
+++ b/Tests/Integration/recordsplatform.py
@@ -311,13 +311,17 @@
 
 
 class Hosts:
-    """Starts one daemon for each address of the store in `store_addresses`; `extra_settings` is appended to the settings of each."""
+    """Starts one daemon for each address of the store in `store_addresses`; `extra_settings` is appended to the settings of each.
 
-    def __init__(self, program_directory, store_addresses, extra_settings=""):
+    `ips`: the address of each host for peers, from which it also connects to endpoints; without it all hosts have 127.0.0.1.
+    """
+
+    def __init__(self, program_directory, store_addresses, extra_settings="", ips=None):
         count = len(store_addresses)
+        self.ips = ips or ["127.0.0.1"] * count
         self.directory = tempfile.mkdtemp(prefix="yokepond-records-")
         ports = [localfleet.reserve_ports(3) for _ in range(count)]
-        seeds = ", ".join(f"127.0.0.1:{entry[2]}" for entry in ports)
+        seeds = ", ".join(f"{ip}:{entry[2]}" for ip, entry in zip(self.ips, ports))
         self.callers = [f"127.0.0.1:{entry[0]}" for entry in ports]
         self.operators = [f"127.0.0.1:{entry[1]}" for entry in ports]
         self.program_directory = program_directory
@@ -326,13 +330,18 @@
             settings = os.path.join(self.directory, f"h{index}.ini")
             with open(settings, "w", encoding="utf-8") as file:
                 file.write(f"[host]\nname = h{index}\ndata-centre = a\n[listen]\ncaller = 127.0.0.1:{caller}\n"
-                           f"operator = 127.0.0.1:{operator}\npeer = 127.0.0.1:{peer}\n[peers]\nseeds = {seeds}\n"
+                           f"operator = 127.0.0.1:{operator}\npeer = {self.ips[index]}:{peer}\n"
+                           f"{self.source(ips, index)}[peers]\nseeds = {seeds}\n"
                            f"[platform]\nform = records\naddress = {store_addresses[index]}\ntimeout-ms = 1000\n"
                            "[dispatch]\nwhole-pool-shards = yes\nplacement = soonest-first-token\nwindow = fixed\n"
                            "[retries]\nshare = 0.2\nslack = 50\n[stop]\nbalancer-lag-ms = 200\nkilled-after-s = 5\n"
                            f"[test]\nfatal-invariants = yes\n{extra_settings}")
             self.start(index)
 
+    @staticmethod
+    def source(ips, index):
+        return f"[endpoints]\nsource-address = {ips[index]}\n" if ips else ""
+
     def start(self, index):
         """Starts or restarts a host; a restarted host appends to its log."""
         settings = os.path.join(self.directory, f"h{index}.ini")
--- a/Utilities/knownred.py
+++ b/Utilities/knownred.py
@@ -61,4 +61,5 @@
     return 1 if failed else 0
 
 
-sys.exit(main())
+if __name__ == "__main__":
+    sys.exit(main())
