Mend: Hosts without paths to endpoints use other hosts' paths

Cause: one observer's path taken for the other's state. A dispatcher ejected an endpoint for all hosts after two failures of whoever saw them, so a host without paths took every endpoint away. And that host had no other way: each grant led to 500 ms of connecting, one retry, and a 503. Change: a host that cannot connect asks another one to, through a tunnel (the CONNECT method of HTTP, an internal port, [peers] tunnel-port, off by default). Only before a connection came about is another way tried, so a request is still sent at most once; a tunnel that ends resets, so a cut response is never whole. A failure that no other host with paths confirms is released as path-lost: it counts neither for health nor for the quarantine of requests. Lost paths are probed once a second. Connections to endpoints are given up after 3.5 s without any answer; none had a keep-alive before. Why it works: the home stays the only one that runs the request, and passes the endpoint's own bytes on; whether an endpoint is gone is said by a host whose other paths work.

--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 53> eventNames = {{
+constexpr NameTable<LogEvent, 56> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -32,6 +32,9 @@
     {LogEvent::LinesDropped, "lines-left-out"},
     {LogEvent::RequestAbandoned, "request-abandoned"},
     {LogEvent::SlowCallerCut, "slow-caller-cut"},
+    {LogEvent::PathLost, "path-lost"},
+    {LogEvent::PathRecovered, "path-back"},
+    {LogEvent::TunnelRefused, "tunnel-refused"},
     {LogEvent::EndpointEjected, "endpoint-ejected"},
     {LogEvent::EndpointReplaced, "endpoint-gone"},
     {LogEvent::EndpointReturned, "endpoint-returned"},
--- a/Source/Http/client.cpp
+++ b/Source/Http/client.cpp
@@ -4,6 +4,7 @@
 #include "Http/client.h"
 
 #include "Base/text.h"
+#include "Http/socketoptions.h"
 
 #include <curl/curl.h>
 #include <fmt/format.h>
@@ -20,6 +21,7 @@
 namespace {
 
 constexpr int eventsPerCall = 256;
+constexpr long tunnelOpened = 200; ///< status of a successful response to CONNECT
 constexpr long receiveBufferBytes = 4096; ///< size of the receive buffer that libcurl allocates for each transfer
 
 struct HeaderListDeleter
@@ -91,10 +93,15 @@
     return size;
 }
 
-int enableResetOnClose(void *, curl_socket_t socket, curlsocktype)
+/// Prepares a socket before libcurl connects it.
+int prepareSocket(void *user, curl_socket_t socket, curlsocktype)
 {
-    const linger noLinger {1, 0};
-    return setsockopt(socket, SOL_SOCKET, SO_LINGER, &noLinger, sizeof noLinger) == 0 ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
+    const auto &running = *static_cast<const ActiveTransfer *>(user);
+    if (running.transfer.detectSilence) {
+        detectSilence(socket);
+        limitUnacknowledged(socket);
+    }
+    return !running.transfer.resetOnClose || resetWhenClosed(socket, true) ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
 }
 
 TransferFailure failureOf(CURLcode code)
@@ -128,7 +135,12 @@
 {
     long requestBytes = 0;
     curl_easy_getinfo(running.handle.get(), CURLINFO_REQUEST_SIZE, &requestBytes);
+    long tunnelStatus = 0;
+    curl_easy_getinfo(running.handle.get(), CURLINFO_HTTP_CONNECTCODE, &tunnelStatus);
+    // libcurl counts the request for the tunnel too, which reaches no server.
+    const bool tunnelMissing = !running.transfer.tunnelHost.empty() && tunnelStatus != tunnelOpened;
     TransferResult result;
+    result.tunnelStatus = static_cast<int>(tunnelStatus);
     result.failure = failureOf(code);
     result.status = running.status;
     result.detail = curl_easy_strerror(code);
@@ -137,7 +149,8 @@
     } else if (running.status != 0) {
         result.stage = TransferStage::ResponseStarted;
     } else {
-        result.stage = requestBytes > 0 ? TransferStage::Sent : TransferStage::NotSent;
+        const bool sent = requestBytes > 0 && !tunnelMissing && !running.transfer.connectOnly;
+        result.stage = sent ? TransferStage::Sent : TransferStage::NotSent;
     }
     return result;
 }
@@ -255,7 +268,12 @@
         curl_easy_setopt(handle, CURLOPT_PRIVATE, &running);
         curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, receiveBufferBytes);
         curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
-        curl_easy_setopt(handle, CURLOPT_PROXY, "");
+        // An empty text keeps libcurl from reading the proxy settings of the environment.
+        curl_easy_setopt(handle, CURLOPT_PROXY, transfer.tunnelHost.c_str());
+        if (!transfer.tunnelHost.empty()) {
+            curl_easy_setopt(handle, CURLOPT_HTTPPROXYTUNNEL, 1L);
+            curl_easy_setopt(handle, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
+        }
         curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
         curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
         curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
@@ -267,8 +285,10 @@
         if (!transfer.sourceAddress.empty()) {
             curl_easy_setopt(handle, CURLOPT_INTERFACE, fmt::format("host!{}", transfer.sourceAddress).c_str());
         }
-        if (transfer.resetOnClose) {
-            curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &enableResetOnClose);
+        curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &prepareSocket);
+        curl_easy_setopt(handle, CURLOPT_SOCKOPTDATA, &running);
+        if (transfer.connectOnly) {
+            curl_easy_setopt(handle, CURLOPT_CONNECT_ONLY, 1L);
         }
         curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &onHeaderLine);
         curl_easy_setopt(handle, CURLOPT_HEADERDATA, &running);
--- a/Source/Http/client.h
+++ b/Source/Http/client.h
@@ -41,6 +41,7 @@
     TransferStage stage = TransferStage::NotSent;
     TransferFailure failure = TransferFailure::None;
     int status = 0; ///< status code, 0 if no status line was received
+    int tunnelStatus = 0; ///< status of the response to the request for a tunnel; 0 if there was none
     std::string detail; ///< libcurl's message, for logs
 };
 
@@ -60,6 +61,9 @@
     /// Whether to close the connection with a TCP reset. Bytes that have not been delivered are then dropped instead of being
     /// sent later.
     bool resetOnClose = false;
+    std::string tunnelHost; ///< ip:port of a TunnelServer through which to connect; empty: connect to the server of the URL
+    bool connectOnly = false; ///< whether to end the transfer when the connection is open, without sending a request
+    bool detectSilence = false; ///< whether to give up the connection if the other system is silent; see socketoptions.h
     std::string sourceAddress; ///< IP address of this host from which the connection is opened; empty: the system chooses
 };
 
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -9,6 +9,7 @@
 #include "Base/log.h"
 #include "Base/text.h"
 #include "Node/errorresponse.h"
+#include "Node/tunnelhelpers.h"
 #include "Relay/openaiprotocol.h"
 #include "Relay/relaythread.h"
 #include "platform/requestprotocol.h"
@@ -174,6 +175,7 @@
     const Relay::RelayOptions options {.listen = m_settings.callerListen,
                                        .limits = limits,
                                        .sourceAddress = m_settings.endpointSource,
+                                       .tunnelListen = {m_settings.peerListen.ip, m_settings.tunnelPort},
                                        .buffers = m_settings.responseBuffers,
                                        .reportRunStarts = m_settings.dutyAddress.port != 0};
     const auto handler = [this](Relay::Event event) { m_mailbox->post(std::move(event)); };
@@ -318,6 +320,7 @@
 {
     struct Handler
     {
+        Daemon &daemon;
         Frontend &frontend;
         Request::Home &home;
         UsageDuty<Platform::DutyClient> *usage;
@@ -352,8 +355,12 @@
         {
             frontend.forwarder().sendAdoptedResponse(answer);
         }
+        void operator()(const Relay::TunnelRequested &request) const
+        {
+            daemon.decideTunnel(request);
+        }
     };
-    std::visit(Handler {*m_frontend, m_home, m_usage.get()}, event);
+    std::visit(Handler {*this, *m_frontend, m_home, m_usage.get()}, event);
 }
 
 void Daemon::sendToMember(const std::string &member, Peer::Message message)
@@ -434,10 +441,35 @@
     m_dispatcher.update(now, *shards, m_fleet->catalogue());
     m_home.updateView(now, m_fleet->catalogue(), shards, m_fleet->present());
     m_frontend->forwarder().membersChanged();
+    updateTunnelHelpers();
     updateDuties();
     executePendingActions();
 }
 
+void Daemon::updateTunnelHelpers()
+{
+    if (m_settings.tunnelPort == 0) {
+        return;
+    }
+    std::vector<Relay::TunnelHelper> helpers = chooseTunnelHelpers(m_fleet->present(), m_fleet->catalogue()->parts().regions,
+                                                                   {m_settings.name, m_settings.tunnelPort});
+    if (helpers != m_tunnelHelpers) {
+        m_tunnelHelpers = helpers;
+        m_relay->command(Relay::SetHelpers {std::move(helpers)});
+    }
+}
+
+void Daemon::decideTunnel(const Relay::TunnelRequested &request)
+{
+    const bool allowed = std::ranges::any_of(m_fleet->catalogue()->endpoints(), [&](const Configuration::Endpoint &endpoint) {
+        return endpoint.address.text() == request.target;
+    });
+    if (!allowed) {
+        Base::log(Base::LogLevel::Warning, Base::LogEvent::TunnelRefused, {{"target", request.target}});
+    }
+    m_relay->command(Relay::AllowTunnel {request.tunnel, allowed});
+}
+
 void Daemon::updateDuties()
 {
     if (m_usage != nullptr) {
@@ -512,7 +544,7 @@
     }
     // After a run has ended, a part of its response may still be unsent because of a slow caller, a slow link or a busy host.
     const bool sent = m_relay->counters().open == 0 && m_relay->counters().unsent == 0;
-    const bool idle = m_frontend->open() == 0 && m_home.active() == 0 && sent;
+    const bool idle = m_frontend->open() == 0 && m_home.active() == 0 && sent && m_relay->counters().tunnels == 0;
     const bool recorded = m_frontend->unrecorded() == 0 || !m_fleet->storeResponds();
     if (!idle) {
         m_idleSince = now;
@@ -613,6 +645,11 @@
     m_metrics.set("yokepond_streams_resumed_total", "", static_cast<double>(m_relay->counters().resumes));
     m_metrics.set("yokepond_open_calls", "", static_cast<double>(m_relay->counters().open));
     m_metrics.set("yokepond_held_bytes", "", static_cast<double>(m_relay->counters().heldBytes));
+    m_metrics.set("yokepond_tunnels", "", static_cast<double>(m_relay->counters().tunnels));
+    m_metrics.set("yokepond_tunnels_opened_total", "", static_cast<double>(m_relay->counters().tunnelsOpened));
+    m_metrics.set("yokepond_tunnelled_runs_total", "", static_cast<double>(m_relay->counters().paths.tunnelled));
+    m_metrics.set("yokepond_lost_paths", "", static_cast<double>(m_relay->counters().paths.lostPaths));
+    m_metrics.set("yokepond_path_probes_total", "", static_cast<double>(m_relay->counters().paths.probes));
     m_metrics.set("yokepond_streams_paused", "", static_cast<double>(m_relay->counters().pausedStreams));
     m_metrics.set("yokepond_callers_cut_total", label("reason", Base::nameOf(Relay::cutReasonNames, Relay::CutReason::Unread)),
                   static_cast<double>(m_relay->counters().cutUnread));
@@ -657,6 +694,10 @@
         return list;
     };
     const Request::HomeCounters &home = m_home.counters();
+    nlohmann::json helperAddresses = nlohmann::json::array();
+    for (const Relay::TunnelHelper &helper : m_tunnelHelpers) {
+        helperAddresses.push_back(helper.address);
+    }
     const std::optional<FollowReason> followReason = m_follower == nullptr ? std::nullopt : m_follower->reason();
     return {{"host", m_settings.name},
             {"incarnation", fmt::format("{:x}", m_incarnation)},
@@ -695,6 +736,9 @@
               {"held-bytes", m_frontend->operations().responseBytes()},
               {"unrecorded", m_frontend->unrecorded()}}},
             {"open-calls", m_relay->counters().open.load()},
+            {"lost-paths", m_relay->counters().paths.lostPaths.load()},
+            {"tunnels", m_relay->counters().tunnels.load()},
+            {"tunnel-helpers", helperAddresses},
             {"invariant-violations", Base::invariantViolations()}};
 }
 
--- a/Source/Node/daemon.h
+++ b/Source/Node/daemon.h
@@ -70,6 +70,10 @@
     void executePendingActions();
     /// Passes changed members, configuration and shards to the other components.
     void fleetChanged();
+    /// Passes the hosts that accept tunnels to the relay if they have changed.
+    void updateTunnelHelpers();
+    /// Allows a tunnel for another host if its target is an endpoint of the configuration.
+    void decideTunnel(const Relay::TunnelRequested &request);
     /// Passes the members and the scaled pools to the duties of usage and scaling.
     void updateDuties();
     void tick();
@@ -95,6 +99,7 @@
     std::unique_ptr<Base::Mailbox<ThreadEvent>> m_mailbox;
     std::unique_ptr<Peer::Edge> m_peers;
     std::unique_ptr<Relay::Relay> m_relay;
+    std::vector<Relay::TunnelHelper> m_tunnelHelpers;
     Metrics m_metrics;
     Dispatch::Dispatcher m_dispatcher;
     Request::Home m_home;
--- a/Source/Node/frontend.cpp
+++ b/Source/Node/frontend.cpp
@@ -519,6 +519,10 @@
     command.organisation = admitted.organisationName;
     command.deadline = admitted.deadline;
     command.address = endpoint->address.text();
+    const std::map<std::string, std::string> &regions = catalogue->parts().regions;
+    if (const auto region = regions.find(endpoint->dataCentre); region != regions.end()) {
+        command.region = region->second;
+    }
     // The keeper is an endpoint that has a part of the prompt in its cache. The run would wait for one that is leaving or was
     // removed.
     if (const auto *keeper = catalogue->endpointByNumber(run.keeper); mayUse(keeper)) {
--- a/Source/Node/settings.cpp
+++ b/Source/Node/settings.cpp
@@ -184,6 +184,10 @@
     if (clash(settings.peerListen, settings.callerListen) || clash(settings.peerListen, settings.operatorListen)) {
         ini.reject("listen", "peer", "an address other than those of [listen] caller and operator");
     }
+    const Address tunnels {settings.peerListen.ip, settings.tunnelPort};
+    if (clash(tunnels, settings.peerListen) || clash(tunnels, settings.callerListen) || clash(tunnels, settings.operatorListen)) {
+        ini.reject("peers", "tunnel-port", "a port that no address of [listen] has");
+    }
 }
 
 } // namespace
@@ -206,6 +210,8 @@
         ini.reject("peers", "advertised", "an IPv4 address and a port");
     }
     settings.endpointSource = parseSourceAddress(ini);
+    constexpr std::int64_t highestPort = 65535;
+    settings.tunnelPort = static_cast<std::uint16_t>(ini.number("peers", "tunnel-port", 0, 0, highestPort));
     settings.seeds = parseSeeds(ini);
     const auto form = Base::valueOf(platformFormNames, ini.text("platform", "form", "table"));
     if (!form) {
--- a/Source/Node/settings.h
+++ b/Source/Node/settings.h
@@ -74,6 +74,7 @@
     Base::Address operatorListen;
     Base::Address peerListen;
     std::string endpointSource; ///< IP address from which connections to endpoints are opened; empty: the system chooses
+    std::uint16_t tunnelPort = 0; ///< port at which every host of the fleet accepts tunnels to endpoints; 0: none does
     std::string advertisedPeer; ///< peer address that is announced to other hosts, ip:port
     std::vector<std::string> seeds; ///< peer addresses, ip:port
     PlatformForm platformForm = PlatformForm::Table;
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -133,10 +133,11 @@
     Cancelled, ///< the caller disconnected, or the home stopped the run
     Rejected, ///< the endpoint reported that it did not process the request
     ErrorResponse, ///< the response had an error status
-    EndpointReplaced ///< another endpoint has the address by now and did not process the request
+    EndpointReplaced, ///< another endpoint has the address by now and did not process the request
+    PathLost ///< the run failed, but the path from the home to the endpoint may be the cause, not the endpoint
 };
 
-inline constexpr Base::NameTable<RunResult, 8> runResultNames = {{
+inline constexpr Base::NameTable<RunResult, 9> runResultNames = {{
     {RunResult::Completed, "completed"},
     {RunResult::NotStarted, "not-started"},
     {RunResult::Failed, "failed"},
@@ -145,6 +146,7 @@
     {RunResult::Rejected, "refused"},
     {RunResult::ErrorResponse, "answered-error"},
     {RunResult::EndpointReplaced, "gone"},
+    {RunResult::PathLost, "path-lost"},
 }};
 
 /// Returns a permit to the dispatcher, with the home's measurements of the run.
--- a/Source/Relay/call.h
+++ b/Source/Relay/call.h
@@ -14,6 +14,7 @@
 #include "Base/time.h"
 #include "Http/message.h"
 #include "Peer/message.h"
+#include "Relay/endpointpaths.h"
 #include "Request/types.h"
 
 #include <cstdint>
@@ -99,8 +100,15 @@
     Http::Response response;
 };
 
+/// Asks whether a tunnel for another host to @p target may be opened. AllowTunnel is the answer.
+struct TunnelRequested
+{
+    std::uint64_t tunnel = 0;
+    std::string target; ///< ip:port
+};
+
 using Event = std::variant<CallArrived, CallerDisconnected, RunEnded, RunStarted, FirstTokenReceived, EndpointAdvertised,
-                           AdoptedResponse>;
+                           AdoptedResponse, TunnelRequested>;
 
 // --- Commands to the relay
 
@@ -111,6 +119,7 @@
     std::string requestName; ///< unique in the fleet
     std::string callerRequestId; ///< the caller's id for the request, empty if the protocol has none
     std::string address; ///< the endpoint's ip:port
+    std::string region; ///< the endpoint's region; empty if no regions are configured
     std::string endpoint; ///< the endpoint's name
     std::uint32_t endpointNumber = 0;
     std::string keeper; ///< address of another endpoint from which the run's endpoint may fetch the cached prefix of the prompt;
@@ -151,6 +160,19 @@
     Http::Request request;
 };
 
-using Command = std::variant<Run, Respond, Stop, Adopt>;
+/// Answers TunnelRequested.
+struct AllowTunnel
+{
+    std::uint64_t tunnel = 0;
+    bool allowed = false;
+};
+
+/// Replaces the hosts that open connections to endpoints which this host cannot reach.
+struct SetHelpers
+{
+    std::vector<TunnelHelper> helpers;
+};
+
+using Command = std::variant<Run, Respond, Stop, Adopt, AllowTunnel, SetHelpers>;
 
 } // namespace Yokepond::Relay
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -10,6 +10,7 @@
 #include "Base/address.h"
 #include "Http/server.h"
 #include "Relay/call.h"
+#include "Relay/endpointtransfers.h"
 #include "Relay/responsebuffers.h"
 
 #include <atomic>
@@ -24,6 +25,7 @@
     Http::ServerLimits limits;
     Base::Duration connectTimeout = std::chrono::milliseconds(500);
     std::string sourceAddress; ///< IP address from which connections to endpoints are opened; empty: the system chooses
+    Base::Address tunnelListen; ///< where tunnels for other hosts are accepted; port 0: nowhere
     ResponseBufferLimits buffers; ///< limits on what is held for callers that read slowly
     bool reportRunStarts = false; ///< whether to send RunStarted
     std::size_t maxReportedResponseBytes = 1U << 20U; ///< largest response that is reported for Run::reportResponse
@@ -31,7 +33,7 @@
 
 /// Counters of the relay. They are written by the relay's thread and may be read by any thread.
 ///
-/// All but `open`, `unsent`, `heldBytes` and `pausedStreams` are totals since the start.
+/// All but `open`, `unsent`, `heldBytes`, `pausedStreams`, `tunnels` and `paths.lostPaths` are totals since the start.
 struct RelayCounters
 {
     std::atomic<std::uint64_t> calls = 0; ///< callers' requests received
@@ -44,6 +46,9 @@
     std::atomic<std::uint64_t> pausedStreams = 0; ///< streams whose endpoint is not read now
     std::atomic<std::uint64_t> cutUnread = 0; ///< callers cut for CutReason::Unread
     std::atomic<std::uint64_t> cutForMemory = 0; ///< callers cut for CutReason::Memory
+    std::atomic<std::uint64_t> tunnels = 0; ///< tunnels that may carry another host's request now
+    std::atomic<std::uint64_t> tunnelsOpened = 0; ///< tunnels opened for other hosts
+    PathCounters paths;
     std::atomic<std::int64_t> processorMicroseconds = 0; ///< processor time of the relay's thread
 };
 
--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -11,7 +11,9 @@
 #include "Base/mailbox.h"
 #include "Base/text.h"
 #include "Http/client.h"
+#include "Http/tunnelserver.h"
 #include "Relay/adoptedexchange.h"
+#include "Relay/endpointtransfers.h"
 #include "Relay/eventsplitter.h"
 #include "Relay/protocol.h"
 #include "Relay/relay.h"
@@ -85,7 +87,12 @@
 
     void closeListener() override
     {
-        m_mailbox->post([this] { m_server->closeListener(); });
+        m_mailbox->post([this] {
+            m_server->closeListener();
+            if (m_tunnelServer != nullptr) {
+                m_tunnelServer->closeListener();
+            }
+        });
     }
 
     void closeAfterResponses() override
@@ -116,7 +123,7 @@
 
         // The current run.
         Run run;
-        Http::Client::Id transfer = 0;
+        EndpointTransfers::Id transfer = 0;
         Base::Instant startedAt {};
         Base::Instant firstTokenAt {};
         Base::Instant lastTokenAt {};
@@ -131,6 +138,7 @@
         bool paused = false; ///< whether reading from the endpoint is paused because the caller reads slowly
         bool callerLeft = false; ///< whether the caller is gone while the run continues
         int resumeCount = 0;
+        bool pathInDoubt = false; ///< see EndpointTransferResult
         bool startReported = false; ///< whether RunStarted has been sent for the current run
     };
 
@@ -154,9 +162,14 @@
             started.set_value(server.status());
             return;
         }
+        EndpointTransfers transfers(loop, client, {m_options.connectTimeout, m_options.sourceAddress}, m_counters.paths);
+        m_transfers = &transfers;
+        if (absl::Status status = startTunnelServer(loop); !status.ok()) {
+            started.set_value(status);
+            return;
+        }
         m_loop = &loop;
         m_mailbox = &mailbox;
-        m_client = &client;
         m_server = server->get();
         m_port = (*server)->address().port;
         SlowCallers slowCallers(m_options.buffers, m_counters, [this](std::uint64_t id) { callerDisconnected(id); });
@@ -166,6 +179,27 @@
         loop.run();
         m_overBoundCheck.reset();
         m_calls.clear();
+        m_tunnelServer.reset();
+    }
+
+    absl::Status startTunnelServer(Base::Loop &loop)
+    {
+        if (m_options.tunnelListen.port == 0) {
+            return absl::OkStatus();
+        }
+        Http::TunnelServerCallbacks callbacks;
+        callbacks.requested = [this](std::uint64_t tunnel, const std::string &target) {
+            m_handler(TunnelRequested {tunnel, target});
+        };
+        callbacks.connected
+            = [this](const std::string &target, bool connected) { return m_transfers->recordDirect(target, connected); };
+        auto server = Http::TunnelServer::listen(
+            loop, {.listen = m_options.tunnelListen, .sourceAddress = m_options.sourceAddress}, std::move(callbacks));
+        if (!server.ok()) {
+            return server.status();
+        }
+        m_tunnelServer = std::move(*server);
+        return absl::OkStatus();
     }
 
     /// Updates the counters, and returns free memory to the system after a peak of open calls.
@@ -176,6 +210,10 @@
         m_counters.processorMicroseconds = used.tv_sec * 1'000'000 + used.tv_nsec / 1'000;
         m_counters.open = m_calls.size();
         m_counters.unsent = m_server->openRequests();
+        if (m_tunnelServer != nullptr) {
+            m_counters.tunnels = m_tunnelServer->busy();
+            m_counters.tunnelsOpened = m_tunnelServer->opened();
+        }
         m_slowCallers->check();
         m_peakCalls = std::max(m_peakCalls, m_calls.size());
         if (m_peakCalls > minCallsToTrim && m_calls.size() < m_peakCalls / 2) {
@@ -263,7 +301,7 @@
             reportRunStart(*call, call->startedAt);
         }
         // Closing the connection to the endpoint cancels the run there.
-        m_client->cancel(std::exchange(call->transfer, 0));
+        m_transfers->cancel(std::exchange(call->transfer, 0));
         Request::RunReport report = makeReport(*call, Request::RunStage::Sent);
         report.callerDisconnected = true;
         eraseCall(id, false);
@@ -298,10 +336,12 @@
         }
         ++m_counters.runs;
         call->startedAt = Base::now();
-        Http::Transfer transfer = m_protocol.buildTransfer(call->state, call->exchange->request(), call->run, call->lastEventId);
-        transfer.connectTimeout = m_options.connectTimeout;
-        transfer.sourceAddress = m_options.sourceAddress;
-        startTransfer(*call, std::move(transfer));
+        startTransfer(*call, [this, id = call->id] {
+            const Call *found = find(id);
+            return found == nullptr
+                ? Http::Transfer {}
+                : m_protocol.buildTransfer(found->state, found->exchange->request(), found->run, found->lastEventId);
+        });
     }
 
     void execute(Respond &&command)
@@ -326,7 +366,7 @@
     void execute(Stop &&stop)
     {
         if (Call *call = find(stop.id); call != nullptr && call->transfer != 0) {
-            m_client->cancel(std::exchange(call->transfer, 0));
+            m_transfers->cancel(std::exchange(call->transfer, 0));
         }
     }
 
@@ -340,6 +380,18 @@
                         true);
     }
 
+    void execute(AllowTunnel &&answer)
+    {
+        if (m_tunnelServer != nullptr) {
+            m_tunnelServer->decide(answer.tunnel, answer.allowed);
+        }
+    }
+
+    void execute(SetHelpers &&command)
+    {
+        m_transfers->setHelpers(std::move(command.helpers));
+    }
+
     // --- Runs
 
     void resetRun(Call &call)
@@ -359,14 +411,15 @@
         call.lastEventReceived = false;
         call.paused = false;
         call.resumeCount = 0;
+        call.pathInDoubt = false;
         call.startReported = false;
         call.errorResponse.reset();
     }
 
-    void startTransfer(Call &call, Http::Transfer transfer)
+    void startTransfer(Call &call, EndpointTransfers::Builder build)
     {
         const std::uint64_t id = call.id;
-        Http::TransferEvents events;
+        EndpointTransferEvents events;
         events.onHeaders = [this, id](int status, const Http::Headers &headers) {
             if (Call *found = find(id)) {
                 found->head = {status, headers};
@@ -379,13 +432,14 @@
                 bytesReceived(*found, bytes);
             }
         };
-        events.onEnd = [this, id](const Http::TransferResult &result) {
+        events.onEnd = [this, id](const EndpointTransferResult &result) {
             if (Call *found = find(id)) {
                 found->transfer = 0;
-                transferEnded(*found, result);
+                found->pathInDoubt = result.pathInDoubt;
+                transferEnded(*found, result.http);
             }
         };
-        call.transfer = m_client->start(std::move(transfer), std::move(events));
+        call.transfer = m_transfers->start({call.run.address, call.run.region}, std::move(build), std::move(events));
     }
 
     /// Sends EndpointAdvertised if the response advertises something about its endpoint. This happens before any part of the
@@ -420,7 +474,7 @@
         }
         if (call.splitter.pendingBytes() > maxEventBytes) {
             call.splitter.reset();
-            m_client->cancel(std::exchange(call.transfer, 0));
+            m_transfers->cancel(std::exchange(call.transfer, 0));
             reportRunEnd(call, Request::RunStage::Sent);
         }
     }
@@ -466,7 +520,7 @@
     {
         call.paused = true;
         m_slowCallers->setPaused(call.id, true, [this, id = call.id] { continueStream(id); });
-        m_client->pause(call.transfer, true);
+        m_transfers->pause(call.transfer, true);
     }
 
     void continueStream(std::uint64_t id)
@@ -475,7 +529,7 @@
         if (call != nullptr && call->paused && call->transfer != 0) {
             call->paused = false;
             m_slowCallers->setPaused(id, false);
-            m_client->pause(call->transfer, false);
+            m_transfers->pause(call->transfer, false);
         }
     }
 
@@ -553,9 +607,7 @@
                 call.splitter.reset();
                 call.paused = false;
                 m_slowCallers->setPaused(call.id, false);
-                transfer->connectTimeout = m_options.connectTimeout;
-                transfer->sourceAddress = m_options.sourceAddress;
-                startTransfer(call, std::move(*transfer));
+                startTransfer(call, [transfer = std::move(*transfer)] { return transfer; });
                 return;
             }
         }
@@ -629,6 +681,7 @@
         report.tokens = call.tokens;
         report.status = call.head.status;
         report.longestGap = call.longestGap;
+        report.pathInDoubt = call.pathInDoubt;
         if (call.tokens > 0) {
             report.firstToken = call.firstTokenAt - call.startedAt;
         }
@@ -645,7 +698,8 @@
     std::thread m_thread;
     Base::Loop *m_loop = nullptr;
     Base::Mailbox<std::function<void()>> *m_mailbox = nullptr;
-    Http::Client *m_client = nullptr;
+    EndpointTransfers *m_transfers = nullptr;
+    std::unique_ptr<Http::TunnelServer> m_tunnelServer; ///< null unless this host accepts tunnels
     Http::Server *m_server = nullptr;
     SlowCallers *m_slowCallers = nullptr;
     std::unique_ptr<Base::Loop::Registration> m_overBoundCheck;
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -68,10 +68,10 @@
 }
 
 /// Returns whether the endpoint closed the connection or stopped responding during the run. An endpoint that responds with an
-/// error has not crashed.
+/// error has not crashed, and neither has one whose path may have failed.
 bool connectionBroke(const RunReport &report)
 {
-    return report.stage == RunStage::Sent && report.status < minErrorStatus && !report.callerDisconnected;
+    return report.stage == RunStage::Sent && report.status < minErrorStatus && !report.callerDisconnected && !report.pathInDoubt;
 }
 
 RunResult runResultFor(const RunReport &report)
@@ -83,13 +83,16 @@
     case RunStage::Stale:
         return RunResult::NotStarted;
     case RunStage::NotSent:
-        return RunResult::Unreachable;
+        return report.pathInDoubt ? RunResult::PathLost : RunResult::Unreachable;
     case RunStage::Rejected:
         return RunResult::Rejected;
     case RunStage::EndpointReplaced:
         return RunResult::EndpointReplaced;
     case RunStage::Sent:
-        return report.status >= minErrorStatus ? RunResult::ErrorResponse : RunResult::Failed;
+        if (report.status >= minErrorStatus) {
+            return RunResult::ErrorResponse;
+        }
+        return report.pathInDoubt ? RunResult::PathLost : RunResult::Failed;
     case RunStage::ResponseComplete:
         return RunResult::Completed;
     }
--- a/Source/Request/types.h
+++ b/Source/Request/types.h
@@ -74,6 +74,7 @@
     std::uint32_t tokens = 0;
     int status = 0; ///< the endpoint's HTTP status
     Base::Duration longestGap {}; ///< longest time between tokens
+    bool pathInDoubt = false; ///< the path to the endpoint may have failed rather than the endpoint
 };
 
 // Actions that the home requests from the daemon.
--- a/Tests/Dispatch/shardtest.cpp
+++ b/Tests/Dispatch/shardtest.cpp
@@ -276,6 +276,30 @@
     }
 }
 
+/// Guards against endpoints that are ejected for all hosts on the word of one host that has lost its paths to them.
+TEST(Shard, lostPathsOfOneHomeEjectNoEndpoint)
+{
+    for (int index = 0; index < 12; ++index) {
+        ask("alert", 0.1 * index);
+        release(replies<Peer::Grant>().front(), 0.1 * index, Peer::RunResult::PathLost);
+    }
+    CHECK_EQUAL(0U, shard->counters().ejections);
+    for (int index = 0; index < 4; ++index) {
+        ask("alert", 1.3);
+    }
+    CHECK_EQUAL(4U, replies<Peer::Grant>().size());
+}
+
+/// Guards against an endpoint that is gone and stays in use because its failures are taken for lost paths.
+TEST(Shard, unreachableEndpointsAreEjected)
+{
+    for (int index = 0; index < 4; ++index) {
+        ask("alert", 0.1 * index);
+        release(replies<Peer::Grant>().front(), 0.1 * index, Peer::RunResult::Unreachable);
+    }
+    CHECK_TRUE(shard->counters().ejections >= 1);
+}
+
 TEST(Shard, aFullEndpointGetsMoreRuns)
 {
     ask("alert", 0);
--- a/Tests/Integration/recordsplatform.py
+++ b/Tests/Integration/recordsplatform.py
@@ -241,6 +241,7 @@
     `reject`: answers every request with 503 and does not run it, with `retry_after` as Retry-After header if that is set.
     `leaving`: adds the header Server-Leaving to every response, also to rejections.
     `unsigned`: leaves out the response signature.
+    `event_pause`: seconds before each event of a stream.
     """
 
     def __init__(self, name):
@@ -253,6 +254,7 @@
         self.leaving = False
         self.rejected_count = 0
         self.unsigned = False
+        self.event_pause = 0.0
         super().__init__()
 
     def row(self, service, state="ready"):
@@ -285,6 +287,7 @@
         handler.end_headers()
         first = int(handler.headers.get("Last-Event-Id") or 0) + 1
         for number in range(first, 6):
+            time.sleep(self.event_pause)
             event = f"id: {number}\ndata: token {number}\n\n".encode()
             if self.cut_after is not None and first == 1 and number > self.cut_after:
                 handler.wfile.write(b"%x\r\n" % len(event[:7]) + event[:7] + b"\r\n")
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -449,6 +449,7 @@
 /// Only runs whose connection broke are reported, and only those that had just begun as such.
 TEST(Home, onlyBrokenConnectionsAreReportedToTheQuarantine)
 {
+    bool pathInDoubt = false;
     const auto reportedBreaks = [&](int status, std::uint32_t tokens, RunStage stage, bool streams = true) {
         home.start(at(0),
                    {.id = 1,
@@ -459,7 +460,7 @@
         const Peer::Ask ask = lastAsk();
         grant(ask, 0.1, 2);
         home.takeActions();
-        home.runEnded(at(0.2), {.id = ask.id, .stage = stage, .tokens = tokens, .status = status});
+        home.runEnded(at(0.2), {.id = ask.id, .stage = stage, .tokens = tokens, .status = status, .pathInDoubt = pathInDoubt});
         std::vector<Peer::RunBroke> broke;
         for (const SendToMember &sent : actions<SendToMember>()) {
             if (const auto *message = std::get_if<Peer::RunBroke>(&sent.message)) {
@@ -478,6 +479,27 @@
     CHECK_EQUAL(0U, reportedBreaks(0, 0, RunStage::NotSent).size());
     CHECK_EQUAL(0U, reportedBreaks(503, 0, RunStage::Rejected).size());
     CHECK_EQUAL(0U, reportedBreaks(200, 30, RunStage::ResponseComplete).size());
+    // A host that loses its paths to endpoints must not quarantine the requests that it ran.
+    pathInDoubt = true;
+    CHECK_EQUAL(0U, reportedBreaks(200, 0, RunStage::Sent).size());
+}
+
+/// Guards against a dispatcher that takes the lost path of one home for the state of the endpoint.
+TEST(Home, aRunWithoutAPathIsReleasedAsSuch)
+{
+    start(1, "alert");
+    const Peer::Ask ask = lastAsk();
+    grant(ask, 0.1, 2);
+    home.takeActions();
+    home.runEnded(at(0.2), {.id = ask.id, .stage = RunStage::NotSent, .pathInDoubt = true});
+    std::vector<Peer::RunResult> results;
+    for (const SendToMember &sent : actions<SendToMember>()) {
+        if (const auto *release = std::get_if<Peer::Release>(&sent.message)) {
+            results.push_back(release->result);
+        }
+    }
+    CHECK_EQUAL(1U, results.size());
+    CHECK_TRUE(results.front() == Peer::RunResult::PathLost);
 }
 
 TEST_GROUP_BASE(HomeRates, TEST_GROUP_CppUTestGroupHome)
