Availability: Spare brittle endpoints further rejections

Cause: endpoints may say that they fall over if they have to reject more than a number of requests within a second; no line of ours read it. A dispatcher sent on until three runs in a row were rejected, and each home on its own. Change: the platform's header becomes a typed field. A rejection by a brittle endpoint makes it full for the dispatcher at once (250 ms, doubling, then one run at a time), and is a cooldown of a second for the home that saw it, which also holds without a dispatcher. Release has a new field for it; older dispatchers ignore it. Measured: unit tests only. Before, the cooldown tests of this commit could not pass: a first rejection changed nothing. Why it works: what one second brings beyond the first rejection is the runs already granted, not what callers send.

--- a/Source/Availability/advertisedavailability.cpp
+++ b/Source/Availability/advertisedavailability.cpp
@@ -20,17 +20,17 @@
 constexpr std::string_view leavingText = "1";
 constexpr std::string_view stayingText = "0";
 
-std::optional<double> parseSeconds(std::string_view text)
+std::optional<double> parseNumber(std::string_view text)
 {
     const char *const end = text.data() + text.size();
-    double seconds = 0;
-    const auto [parsedTo, error] = std::from_chars(text.data(), end, seconds, std::chars_format::fixed);
-    const bool isNumber = parsedTo == end && std::isfinite(seconds) && seconds >= 0;
+    double number = 0;
+    const auto [parsedTo, error] = std::from_chars(text.data(), end, number, std::chars_format::fixed);
+    const bool isNumber = parsedTo == end && std::isfinite(number) && number >= 0;
     // A number that is out of the range of double is a valid, very long cooldown.
     if (parsedTo == end && error == std::errc::result_out_of_range) {
         return Base::seconds(longestCooldown);
     }
-    return error == std::errc() && isNumber ? std::optional(seconds) : std::nullopt;
+    return error == std::errc() && isNumber ? std::optional(number) : std::nullopt;
 }
 
 /// Returns the date in seconds since the Unix epoch.
@@ -45,7 +45,7 @@
 /// Returns the cooldown in seconds; @p date is the time of day at the endpoint.
 std::optional<double> parseCooldown(std::string_view text, std::optional<std::string_view> date)
 {
-    if (const auto seconds = parseSeconds(text)) {
+    if (const auto seconds = parseNumber(text)) {
         return seconds;
     }
     const auto until = parseDate(text);
@@ -74,6 +74,13 @@
             advertised.unreadable = true;
         }
     }
+    if (headers.brittle) {
+        advertised.brittle = parseNumber(Base::trimmed(*headers.brittle)).has_value();
+        advertised.unreadable = advertised.unreadable || !advertised.brittle;
+    }
+    if (advertised.brittle && headers.rejects && advertised.cooldown == Duration::zero()) {
+        advertised.cooldown = brittleCooldown;
+    }
     return advertised;
 }
 
--- a/Source/Dispatch/cooldowns.cpp
+++ b/Source/Dispatch/cooldowns.cpp
@@ -34,9 +34,12 @@
     end = std::max(end, until);
 }
 
-void Cooldowns::recordRejection(Instant now, std::uint64_t home)
+void Cooldowns::recordRejection(Instant now, std::uint64_t home, bool brittle)
 {
     ++m_consecutiveRejections;
+    if (brittle) {
+        m_consecutiveRejections = std::max(m_consecutiveRejections, rejectionsUntilFull);
+    }
     if (!isFull()) {
         return;
     }
--- a/Source/Dispatch/cooldowns.h
+++ b/Source/Dispatch/cooldowns.h
@@ -28,8 +28,9 @@
     void startFor(std::uint64_t home, Base::Instant until);
 
     /// Records that the endpoint rejected a run of @p home. If it is now full, starts a cooldown for all homes. It has the
-    /// duration that was advertised to @p home, or else a default one.
-    void recordRejection(Base::Instant now, std::uint64_t home);
+    /// duration that was advertised to @p home, or else a default one. A @p brittle endpoint, which falls over if it has to
+    /// reject many runs, counts as full at once.
+    void recordRejection(Base::Instant now, std::uint64_t home, bool brittle = false);
 
     /// Records that the endpoint accepted a run, so it is not full any more.
     void recordAcceptance();
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -534,7 +534,7 @@
         ejectUnhealthy(now);
     }
     if (release.result == RunResult::Rejected) {
-        recordRejectedRun(now, home, release.endpoint);
+        recordRejectedRun(now, home, release.endpoint, release.brittle);
     }
     if (release.result == RunResult::EndpointReplaced) {
         markReplaced(release.endpoint);
@@ -553,10 +553,10 @@
     dispatchQueued(now, maxSkippedPerEvent);
 }
 
-void Shard::recordRejectedRun(Instant now, const Home &home, std::uint32_t endpoint)
+void Shard::recordRejectedRun(Instant now, const Home &home, std::uint32_t endpoint, bool brittle)
 {
     if (const auto entry = m_endpoints.find(endpoint); entry != m_endpoints.end()) {
-        entry->second.cooldowns.recordRejection(now, home.incarnation);
+        entry->second.cooldowns.recordRejection(now, home.incarnation, brittle);
     }
 }
 
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -184,7 +184,7 @@
                             EndpointState &state);
     void applyCooldownUpdate(Base::Instant now, const Home &home, const Peer::EndpointUpdate &endpointUpdate,
                              EndpointState &state);
-    void recordRejectedRun(Base::Instant now, const Home &home, std::uint32_t endpoint);
+    void recordRejectedRun(Base::Instant now, const Home &home, std::uint32_t endpoint, bool brittle);
     /// Removes the cooldowns and announcements of leaving that have ended.
     void expireAnnouncements(Base::Instant now);
     /// Returns whether @p endpoint is in a region that the ask allows, and no cooldown of it prevents a run of the ask's home.
--- a/Source/Peer/codec.cpp
+++ b/Source/Peer/codec.cpp
@@ -279,6 +279,7 @@
         builder.setGapUs(toMicroseconds(release.gap));
         builder.setTokens(release.tokens);
         builder.setLongestGapUs(toMicroseconds(release.longestGap));
+        builder.setBrittle(release.brittle);
     }
 
     void operator()(const RunningReport &report)
@@ -440,7 +441,8 @@
                     fromMilliseconds(reader.getFirstTokenMs()),
                     Base::Duration(reader.getGapUs()),
                     reader.getTokens(),
-                    Base::Duration(reader.getLongestGapUs())};
+                    Base::Duration(reader.getLongestGapUs()),
+                    reader.getBrittle()};
 }
 
 /// Reads a Probe or an Acknowledgement, which have the same fields.
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -160,6 +160,7 @@
     Base::Duration gap {}; ///< mean time between tokens
     std::uint32_t tokens = 0;
     Base::Duration longestGap {}; ///< longest time between two tokens
+    bool brittle = false; ///< a brittle endpoint rejected the run; see Availability::AdvertisedAvailability
 };
 
 struct RunningPermit
--- a/Source/Peer/peer.capnp
+++ b/Source/Peer/peer.capnp
@@ -79,6 +79,7 @@
   gapUs @6 :UInt32;            # mean time between tokens
   tokens @7 :UInt32;
   longestGapUs @8 :UInt32;     # longest time between two tokens
+  brittle @9 :Bool;            # a brittle endpoint rejected the run: it is to be spared further rejections
 }
 
 struct RunningPermit {
--- a/Source/Peer/peer.capnp.h
+++ b/Source/Peer/peer.capnp.h
@@ -1383,6 +1383,8 @@
 
   inline  ::uint32_t getLongestGapUs() const;
 
+  inline bool getBrittle() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1438,6 +1440,9 @@
   inline  ::uint32_t getLongestGapUs();
   inline void setLongestGapUs( ::uint32_t value);
 
+  inline bool getBrittle();
+  inline void setBrittle(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5008,6 +5013,20 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Release::Reader::getBrittle() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+}
+
+inline bool Release::Builder::getBrittle() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+}
+inline void Release::Builder::setBrittle(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t RunningPermit::Reader::getRequest() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -672,7 +672,7 @@
         m_handler(RunEnded {makeReport(call, stage), std::nullopt});
     }
 
-    static Request::RunReport makeReport(const Call &call, Request::RunStage stage)
+    Request::RunReport makeReport(const Call &call, Request::RunStage stage) const
     {
         Request::RunReport report;
         report.id = call.run.id;
@@ -682,6 +682,8 @@
         report.status = call.head.status;
         report.longestGap = call.longestGap;
         report.pathInDoubt = call.pathInDoubt;
+        report.brittle
+            = stage == Request::RunStage::Rejected && m_protocol.advertisement(call.run, call.head).availability.brittle;
         if (call.tokens > 0) {
             report.firstToken = call.firstTokenAt - call.startedAt;
         }
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -497,7 +497,7 @@
 {
     m_actions.emplace_back(SendToMember {pending.dispatcher,
                                          Peer::Release {report.id, pending.shard, pending.endpoint, result, report.firstToken,
-                                                        report.gap, report.tokens, report.longestGap}});
+                                                        report.gap, report.tokens, report.longestGap, report.brittle}});
 }
 
 void Home::endpointAdvertised(Instant now, const Peer::AttemptId &id, std::uint32_t endpoint,
--- a/Source/Request/types.h
+++ b/Source/Request/types.h
@@ -74,6 +74,7 @@
     std::uint32_t tokens = 0;
     int status = 0; ///< the endpoint's HTTP status
     Base::Duration longestGap {}; ///< longest time between tokens
+    bool brittle = false; ///< a brittle endpoint rejected the run; see Availability::AdvertisedAvailability
     bool pathInDoubt = false; ///< the path to the endpoint may have failed rather than the endpoint
 };
 
--- a/Tests/Availability/advertisedavailabilitytest.cpp
+++ b/Tests/Availability/advertisedavailabilitytest.cpp
@@ -75,3 +75,17 @@
     const AdvertisedAvailability advertised = parseAdvertisedAvailability({.leaving = "1", .retryAfter = "soon"});
     CHECK_TRUE(advertised.leaves && advertised.unreadable);
 }
+
+/// Guards against hosts that fill a brittle endpoint until it falls over.
+TEST(AdvertisedAvailability, aRejectionByABrittleEndpointIsACooldown)
+{
+    const AdvertisedAvailability rejected = parseAdvertisedAvailability({.brittle = "12", .rejects = true});
+    CHECK_TRUE(rejected.brittle);
+    CHECK_TRUE(rejected.cooldown == brittleCooldown);
+    CHECK_TRUE(parseAdvertisedAvailability({.retryAfter = "3", .brittle = "12", .rejects = true}).cooldown
+               == std::chrono::seconds(3));
+    CHECK_TRUE(parseAdvertisedAvailability({.brittle = "12"}).cooldown == Base::Duration::zero());
+    CHECK_TRUE(parseAdvertisedAvailability({.rejects = true}).cooldown == Base::Duration::zero());
+    const AdvertisedAvailability unreadable = parseAdvertisedAvailability({.brittle = "very", .rejects = true});
+    CHECK_TRUE(unreadable.unreadable && !unreadable.brittle);
+}
--- a/Tests/Dispatch/cooldownstest.cpp
+++ b/Tests/Dispatch/cooldownstest.cpp
@@ -95,3 +95,16 @@
     cooldowns.removeExpired(at(6.1));
     CHECK_FALSE(cooldowns.restrictsAnyHome(at(6.1)));
 }
+
+/// Guards against dispatchers that let a brittle endpoint reject one run after another until it falls over.
+TEST(Cooldowns, aBrittleEndpointIsFullAfterOneRejection)
+{
+    cooldowns.recordRejection(at(0), 1, true);
+    CHECK_TRUE(cooldowns.isFull());
+    CHECK_FALSE(cooldowns.allows(at(0.2), 2));
+    CHECK_TRUE(cooldowns.allows(at(0.3), 2));
+    cooldowns.recordGrant(at(0.3));
+    CHECK_FALSE(cooldowns.allows(at(0.35), 2));
+    cooldowns.recordAcceptance();
+    CHECK_TRUE(cooldowns.allows(at(0.35), 2));
+}
--- a/Tests/Peer/codectest.cpp
+++ b/Tests/Peer/codectest.cpp
@@ -105,11 +105,11 @@
 
 TEST(Codec, releaseKeepsAllFields)
 {
-    const Release release {{77, 3}, 5, 8, RunResult::Failed, milliseconds(45), milliseconds(12), 97, milliseconds(203)};
+    const Release release {{77, 3}, 5, 8, RunResult::Failed, milliseconds(45), milliseconds(12), 97, milliseconds(203), true};
     const Release got = roundTrip(release);
     CHECK_TRUE(got.id == release.id && got.shard == release.shard && got.endpoint == release.endpoint);
     CHECK_TRUE(got.result == release.result && got.firstToken == release.firstToken && got.gap == release.gap);
-    CHECK_TRUE(got.tokens == release.tokens && got.longestGap == release.longestGap);
+    CHECK_TRUE(got.tokens == release.tokens && got.longestGap == release.longestGap && got.brittle);
 }
 
 TEST(Codec, membersKeepAllFields)
