Mend: Runs that break with the paths of their host are checked before they count

Found by reading the change once more. Why it works: the check opens a connection, directly and then through another host, and its end decides whether the endpoint is told of.

--- a/Source/Relay/endpointtransfers.cpp
+++ b/Source/Relay/endpointtransfers.cpp
@@ -200,7 +200,7 @@
 
 void EndpointTransfers::checkEnded(Id id, Active &active, const TransferResult &result)
 {
-    const bool checked = active.transfer == 0;
+    const bool checked = active.transfer != 0;
     if (checked && result.failure == TransferFailure::None) {
         connectionOpened(active);
         report(id, *active.broken, !active.way.isDirect());
--- a/Tests/Integration/test_paths.py
+++ b/Tests/Integration/test_paths.py
@@ -45,9 +45,9 @@
         for endpoint in endpoints or self.endpoints:
             endpoint.cut([IPS[index] for index in hosts])
 
-    def first_try(self, index, path):
+    def first_try(self, index, path, deadline_ms=5000):
         self.number += 1
-        return self.hosts.send(index, "POST", path, f"first-{index}-{self.number}").status
+        return self.hosts.send(index, "POST", path, f"first-{index}-{self.number}", **{"X-Deadline-Ms": str(deadline_ms)}).status
 
     def play(self, seconds):
         """Sends requests of both kinds to all hosts for `seconds`; returns the number of statuses by host and status."""
@@ -139,6 +139,23 @@
         site.assert_none_ran_twice()
 
 
+# Guards against endpoints that are ejected since the runs of a host broke off when it lost its paths.
+def test_runs_that_break_with_the_paths_eject_nothing():
+    with Site() as site:
+        # Longer than the silence after which a connection is given up: what an endpoint sends again still arrives behind this cut.
+        for endpoint in site.models:
+            endpoint.event_pause = 8.0
+        threads = [in_background(site.first_try, 0, "/stream/x", 20_000)[0] for _ in range(MODELS * 2)]
+        time.sleep(0.5)
+        site.cut([0])
+        for thread in threads:
+            thread.join()
+        steps = [step for entry in site.hosts.log(0) if entry["event"] == "request-ended" for step in entry.get("steps", [])]
+        assert any("ended path-lost" in step for step in steps) and not any("ended failed" in step for step in steps), steps
+        ejections = [entry for index in range(len(IPS)) for entry in site.hosts.log(index) if entry["event"] == "endpoint-ejected"]
+        assert not [entry for entry in ejections if entry["failures"] > 0], ejections
+
+
 # Guards against an endpoint that is gone and stays in use since each home takes the failure for its own path's.
 def test_an_endpoint_that_is_gone_is_noticed():
     with Site() as site:
