--- a/Tests/Relay/endpointpathstest.cpp
+++ b/Tests/Relay/endpointpathstest.cpp
@@ -130,11 +130,9 @@
 {
     CHECK_FALSE(paths.nextProbe(at(0)).has_value());
     failThree();
-    std::vector<std::string> probed;
-    for (int count = 0; count < 4; ++count) {
-        probed.push_back(*paths.nextProbe(at(1)));
+    for (const std::string &endpoint : std::vector<std::string> {"e1", "e2", "e3", "e1"}) {
+        CHECK_EQUAL(endpoint, paths.nextProbe(at(1)).value_or(""));
     }
-    CHECK_TRUE((probed == std::vector<std::string> {"e1", "e2", "e3", "e1"}));
     for (const std::string &endpoint : std::vector<std::string> {"e1", "e2", "e3"}) {
         paths.recordConnection(endpoint, {});
     }
