--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -416,7 +416,7 @@
         call.errorResponse.reset();
     }
 
-    void startTransfer(Call &call, EndpointTransfers::Builder build)
+    void startTransfer(Call &call, const EndpointTransfers::Builder &build)
     {
         const std::uint64_t id = call.id;
         EndpointTransferEvents events;
@@ -439,7 +439,7 @@
                 transferEnded(*found, result.http);
             }
         };
-        call.transfer = m_transfers->start({call.run.address, call.run.region}, std::move(build), std::move(events));
+        call.transfer = m_transfers->start({call.run.address, call.run.region}, build, std::move(events));
     }
 
     /// Sends EndpointAdvertised if the response advertises something about its endpoint. This happens before any part of the
