Observability: Log software versions, and which stream a request takes up

Callers held streams with events of two software versions. The logs could not tell whether such a stream went on within an answer or was taken up by its caller: nothing read an endpoint's version, `Resumes` or `Last-Event-Id`.

Endpoint records now give Endpoint::softwareVersion; a record whose version is missing or malformed stays usable. `request-ended` tells the stream that a request takes up and the event after which, its steps tell the version of each run's endpoint, and `show endpoints` lists versions. Nothing is decided by it.

--- a/Source/Configuration/catalogue.h
+++ b/Source/Configuration/catalogue.h
@@ -128,6 +128,7 @@
     double transferTokensPerMs = 0; ///< rate at which it fetches a cached prompt from another engine; 0 if it cannot
     ColdPeriod cold;
     bool preemptible = false; ///< the platform may withdraw all preemptible endpoints of a data centre together
+    std::string softwareVersion; ///< version of the program that it runs, not of its model's weights; empty if not known
     std::uint64_t recordVersion = 0; ///< version at which its record changed last; 0 if it has none
 
     /// Returns whether it gets new requests.
--- a/Source/Node/frontend.cpp
+++ b/Source/Node/frontend.cpp
@@ -115,6 +115,8 @@
         && catalogue->poolByNumber(requestClass.pool)->kind == PoolKind::Engine;
     admitted.arrived = Base::now();
     admitted.callerRequestId = call.callerRequestId;
+    admitted.resumedRequestId = call.resumedRequestId;
+    admitted.lastEventId = call.lastEventId;
     admitted.rank = requestClass.rank;
     if (routed->organisation != nullptr) {
         admitted.organisation = routed->organisation->number;
@@ -704,7 +706,14 @@
     if (!admitted.callerRequestId.empty()) {
         fields["caller"] = admitted.callerRequestId;
     }
-    const bool succeededAtOnce = outcome == Outcome::Completed && run.id.attempt <= 1;
+    if (!admitted.resumedRequestId.empty()) {
+        fields["resumes"] = admitted.resumedRequestId;
+    }
+    if (!admitted.lastEventId.empty()) {
+        fields["after-event"] = admitted.lastEventId;
+    }
+    const bool continuesStream = !admitted.lastEventId.empty();
+    const bool succeededAtOnce = outcome == Outcome::Completed && run.id.attempt <= 1 && !continuesStream;
     if (!succeededAtOnce) {
         fields["steps"] = traceSteps(admitted);
     }
--- a/Source/Node/frontend.h
+++ b/Source/Node/frontend.h
@@ -88,6 +88,8 @@
         Configuration::RequestClass requestClass;
         std::string path; ///< request path at the endpoint
         std::string callerRequestId; ///< the caller's own name for the request; empty if its protocol has none
+        std::string resumedRequestId; ///< see Relay::CallArrived
+        std::string lastEventId; ///< see Relay::CallArrived
         std::string organisationName; ///< sent to the endpoint; may be empty
         std::string endpoint; ///< endpoint of the last run; empty before the first run
         int rank = 0; ///< priority; 1 is the highest
--- a/Source/Node/queries.cpp
+++ b/Source/Node/queries.cpp
@@ -272,7 +272,7 @@
 QueryResult Queries::endpoints() const
 {
     QueryResult result {{"name", "pool", "address", "data-centre", "state", "running", "window", "slots", "first-token-ms",
-                         "pace-ms", "rate", "dispatcher"},
+                         "pace-ms", "rate", "software-version", "dispatcher"},
                         {},
                         {}};
     for (const auto &[id, shard] : m_dispatcher.shards()) {
@@ -293,6 +293,7 @@
                                    {"first-token-ms", view.firstTokenMs},
                                    {"pace-ms", view.interTokenLatencyMs},
                                    {"rate", view.ratePerSecond ? nlohmann::json(*view.ratePerSecond) : nlohmann::json("")},
+                                   {"software-version", endpoint->softwareVersion},
                                    {"dispatcher", m_settings.name}});
         }
     }
--- a/Source/Relay/call.h
+++ b/Source/Relay/call.h
@@ -47,6 +47,8 @@
     std::vector<std::uint64_t> prefix; ///< hashes of ever longer prefixes of the prompt
     std::vector<std::uint32_t> prefixTokens; ///< number of prompt tokens up to the end of each entry of prefix; may be empty
     std::string callerRequestId; ///< the caller's id for the request, for logs; empty if the protocol has none
+    std::string resumedRequestId; ///< the caller's id for its earlier request that brought the first event of this stream
+    std::string lastEventId; ///< id of the last event that the caller holds from earlier requests, empty if it holds none
     bool streams = false; ///< whether the caller requests a streamed response
     std::uint64_t work = 0; ///< hash of method, path, query and body: equal whenever a caller repeats the request, at any host
     Base::Duration timeLeft {}; ///< how long the caller will wait; zero if the request does not say
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -324,9 +324,11 @@
         const Configuration::Endpoint *object = m_catalogue->endpointByNumber(number);
         return object == nullptr ? std::string("?") : object->name;
     };
+    const Configuration::Endpoint *target = m_catalogue->endpointByNumber(endpoint);
+    const std::string version = target == nullptr || target->softwareVersion.empty() ? "" : ", version " + target->softwareVersion;
     const std::uint32_t keeper = m_availabilities.stateOf(grant.keeper).isLeaving(now) ? 0 : grant.keeper;
     const std::string transferNote = keeper == 0 ? "" : fmt::format(", transferring a prompt prefix from {}", nameOf(keeper));
-    addTraceEntry(pending, now, Step::Started, fmt::format("endpoint {}{}", nameOf(endpoint), transferNote));
+    addTraceEntry(pending, now, Step::Started, fmt::format("endpoint {}{}{}", nameOf(endpoint), version, transferNote));
     // A dispatcher that enforces a limit must be informed when the limit ends.
     const bool reportRate = pending.grantedRate.isLimited() || m_rates.stateOf(endpoint).isLimited();
     m_actions.emplace_back(
--- a/Tests/Platform/requestprotocoltest.cpp
+++ b/Tests/Platform/requestprotocoltest.cpp
@@ -59,6 +59,17 @@
     }
 };
 
+// Guards against a caller that takes a stream up and is served like a new request, since what it names is not read.
+TEST(RequestProtocol, aRequestNamesTheStreamThatItTakesUp)
+{
+    STRCMP_EQUAL("", describedCall().resumedRequestId.c_str());
+    request.headers.push_back({std::string(Names::resumes), "id-0"});
+    request.headers.push_back({std::string(Names::lastEventId), "12"});
+    STRCMP_EQUAL("id-0", describedCall().resumedRequestId.c_str());
+    STRCMP_EQUAL("12", describedCall().lastEventId.c_str());
+    STRCMP_EQUAL("id-0", sentHeader(Names::resumes).c_str());
+}
+
 TEST(RequestProtocol, theAdvertisedRateIsParsed)
 {
     const auto advertised = [&](int status, const char *text) {
--- a/Tests/Platform/siteformtest.cpp
+++ b/Tests/Platform/siteformtest.cpp
@@ -87,6 +87,24 @@
     CHECK_EQUAL(17U, parts->revision);
 }
 
+// Guards against endpoints that are lost, or get a version that no endpoint has, because the version in their record is malformed.
+TEST(SiteForm, theSoftwareVersionOfAnEndpointIsItsRecords)
+{
+    const auto row = [](const std::string &version) {
+        return fmt::format(R"({{"service":"llm","address":"10.0.0.9:80","zone":"a","slots":64,"state":"ready"{}}})", version);
+    };
+    endpoint("i-1", 9, row(R"(,"version":"v1.2")"));
+    endpoint("i-2", 10, row(""));
+    endpoint("i-3", 11, row(R"(,"version":12)"));
+    endpoint("i-4", 12, row(R"(,"version":")" + std::string(1000, '9') + '"'));
+    const auto parts = Platform::decodeSite(records);
+    CHECK_EQUAL(4U, parts->endpoints.size());
+    STRCMP_EQUAL("v1.2", parts->endpoints[0].softwareVersion.c_str());
+    for (const std::size_t index : {1U, 2U, 3U}) {
+        STRCMP_EQUAL("", parts->endpoints[index].softwareVersion.c_str());
+    }
+}
+
 TEST(SiteForm, enginesThatCannotTransferPromptsHaveNoTransferRate)
 {
     const std::string still = R"({"routes":[],"services":[{"name":"llm","engine":{"kv_bytes":16000,"link_mbps":320000.0}}]})";
