Test: Streams go on at the software version that began them (known red)

Four hosts, two engines of each of two versions, callers that read event by event and take broken streams up at another host with `Resumes`. The first test breaks one new stream in four inside an event; the second kills the host in the middle of 16 streams. The checks count as the platform's rules do, per stream and for the share that goes on.

--- a/Tests/Integration/recordsplatform.py
+++ b/Tests/Integration/recordsplatform.py
@@ -6,6 +6,7 @@
 """
 
 import base64
+import itertools
 import json
 import os
 import socket
@@ -235,20 +236,25 @@
 
 
 class Endpoint(Server):
-    """An endpoint whose streams have five events.
+    """An endpoint whose streams have five events, each of which names its software version.
 
+    `version`: the software version, for its record too; None for a record that names none.
     `cut_after`: number of whole events of a new stream before the connection breaks inside the next event; resumed streams stay whole.
+    `cut_every`: applies `cut_after` to one of so many new streams.
     `reject`: answers every request with 503 and does not run it, with `retry_after` as Retry-After header if that is set.
     `leaving`: adds the header Server-Leaving to every response, also to rejections.
     `unsigned`: leaves out the response signature.
     `event_pause`: seconds before each event of a stream.
     """
 
-    def __init__(self, name):
+    def __init__(self, name, version="v1"):
         self.name = name
+        self.version = version
         self.runs = []
         self.arrivals = []  # (X-Request-Id, monotonic time of arrival)
         self.cut_after = None
+        self.cut_every = 1
+        self.new_streams = itertools.count()
         self.reject = False
         self.retry_after = None
         self.leaving = False
@@ -258,7 +264,8 @@
         super().__init__()
 
     def row(self, service, state="ready"):
-        return {"service": service, "address": self.address, "zone": "a", "slots": 4, "state": state, "sequence": 1}
+        version = {} if self.version is None else {"version": self.version}
+        return {"service": service, "address": self.address, "zone": "a", "slots": 4, "state": state, "sequence": 1, **version}
 
     def respond(self, handler):
         if handler.headers["X-Expect-Instance"] != self.name:
@@ -286,10 +293,11 @@
             handler.send_header(name, value)
         handler.end_headers()
         first = int(handler.headers.get("Last-Event-Id") or 0) + 1
+        cuts = self.cut_after is not None and first == 1 and next(self.new_streams) % self.cut_every == 0
         for number in range(first, 6):
             time.sleep(self.event_pause)
-            event = f"id: {number}\ndata: token {number}\n\n".encode()
-            if self.cut_after is not None and first == 1 and number > self.cut_after:
+            event = f"id: {number}\ndata: token {number} of {self.version}\n\n".encode()
+            if cuts and number > self.cut_after:
                 handler.wfile.write(b"%x\r\n" % len(event[:7]) + event[:7] + b"\r\n")
                 handler.close_connection = True
                 handler.connection.shutdown(socket.SHUT_RDWR)
