Mend: A stream goes on at the software version that began it

Callers saw one stream with events of two software versions: when the engine of a run broke, the home asked for any endpoint of the pool but that one.

Cause: nothing bound a run to the runs before it except the region. The class of fault is a constraint of a request that only the first run's choice knew.

Change: the home binds a request whose caller has seen events to the version of the run's endpoint, as that run began. The version is one more criterion beside class and organisation (EndpointCriteria), so every place that filters by region filters by it: choice of shards, asks, grants, waiting asks, asks on hold, engines set aside, the home's own share, the last check before a run. A home returns a grant of a dispatcher that does not know of versions and then uses its own share. With no endpoint of the version left the answer ends at once (stream-version-gone). A dispatcher tells endpoints that are ejected for a moment from ones that are gone also for restricted asks, and estimates the wait of such an ask from the endpoints that it may use.

Why it works: the criterion travels with the request, not with the endpoint that broke, and the home checks it last whoever chose.

--- a/Source/Base/error.h
+++ b/Source/Base/error.h
@@ -37,6 +37,7 @@
     Overloaded,
     DeadlineExceeded,
     NoEndpoint,
+    StreamVersionGone,
     NotReady,
     Stopping,
     EndpointUnreachable,
--- a/Source/Configuration/catalogue.cpp
+++ b/Source/Configuration/catalogue.cpp
@@ -160,6 +160,12 @@
 
 } // namespace
 
+std::uint32_t softwareVersionNumber(std::string_view version)
+{
+    const auto hash = static_cast<std::uint32_t>(Base::hash64(version));
+    return hash == 0 ? 1 : hash;
+}
+
 std::span<const SettingSchema> settingSchemas()
 {
     return settings;
@@ -318,21 +324,24 @@
     return equal ? &m_parts.organisations[entry->second] : nullptr;
 }
 
-bool Catalogue::isBoundToRegions(const RequestOwner &owner) const
+bool Catalogue::restrictsEndpoints(const EndpointCriteria &criteria) const
 {
-    const RequestClass *requestClass = classByNumber(owner.requestClass);
-    const Organisation *organisation = organisationByNumber(owner.organisation);
-    return (requestClass != nullptr && !requestClass->regions.empty())
+    const RequestClass *requestClass = classByNumber(criteria.requestClass);
+    const Organisation *organisation = organisationByNumber(criteria.organisation);
+    return criteria.softwareVersion != 0 || (requestClass != nullptr && !requestClass->regions.empty())
         || (organisation != nullptr && !organisation->regions.empty());
 }
 
-bool Catalogue::mayServe(const Endpoint &endpoint, const RequestOwner &owner) const
+bool Catalogue::mayServe(const Endpoint &endpoint, const EndpointCriteria &criteria) const
 {
+    if (criteria.softwareVersion != 0 && softwareVersionNumber(endpoint.softwareVersion) != criteria.softwareVersion) {
+        return false;
+    }
     const auto allows = [&endpoint](const std::vector<std::string> &regions) {
         return regions.empty() || std::ranges::find(regions, endpoint.region) != regions.end();
     };
-    const RequestClass *requestClass = classByNumber(owner.requestClass);
-    const Organisation *organisation = organisationByNumber(owner.organisation);
+    const RequestClass *requestClass = classByNumber(criteria.requestClass);
+    const Organisation *organisation = organisationByNumber(criteria.organisation);
     return (requestClass == nullptr || allows(requestClass->regions))
         && (organisation == nullptr || allows(organisation->regions));
 }
--- a/Source/Configuration/catalogue.h
+++ b/Source/Configuration/catalogue.h
@@ -207,6 +207,7 @@
     std::uint32_t maxCrashes = 3;
     /// Time for which an endpoint gets no requests after it has announced that it will shut down.
     Base::Duration leavingTimeout = std::chrono::seconds(60);
+    bool sameVersionStreams = false; ///< a stream goes on only at endpoints of the software version that began it
     bool wholePoolShards = false; ///< shards are formed from the whole pool, not separately for each data centre
 };
 
@@ -226,11 +227,16 @@
     std::map<std::string, std::string> regions; ///< region of each data centre
 };
 
-/// The class and the organisation of a request, by number.
-struct RequestOwner
+/// Returns a number for a version of the endpoints' software, which is the same at all hosts and never 0. The empty text, for
+/// endpoints whose version is not known, has a number too.
+std::uint32_t softwareVersionNumber(std::string_view version);
+
+/// What decides which endpoints may serve a request, besides its pool.
+struct EndpointCriteria
 {
-    std::uint32_t requestClass = 0;
-    std::uint32_t organisation = 0;
+    std::uint32_t requestClass = 0; ///< number of the class
+    std::uint32_t organisation = 0; ///< number of the organisation
+    std::uint32_t softwareVersion = 0; ///< see softwareVersionNumber(); 0 if any will do
 };
 
 /// A setting that operators can create: its name and the schema of its value.
@@ -280,12 +286,13 @@
     const Pool *poolByNumber(std::uint32_t number) const;
     const Endpoint *endpointByNumber(std::uint32_t number) const;
 
-    /// Returns whether the class or the organisation of @p owner names regions in which alone it is served.
-    bool isBoundToRegions(const RequestOwner &owner) const;
+    /// Returns whether some endpoints of a pool may not serve a request with @p criteria: its class or its organisation names
+    /// regions in which alone it is served, or it needs a software version.
+    bool restrictsEndpoints(const EndpointCriteria &criteria) const;
 
-    /// Returns whether @p endpoint is in a region that both the class and the organisation of @p owner allow. An endpoint whose
-    /// region is not configured is in none.
-    bool mayServe(const Endpoint &endpoint, const RequestOwner &owner) const;
+    /// Returns whether @p endpoint is in a region that both the class and the organisation of @p criteria allow, and has the
+    /// software version. An endpoint whose region is not configured is in none.
+    bool mayServe(const Endpoint &endpoint, const EndpointCriteria &criteria) const;
 
     /// Returns the organisation that has a key with @p digest, or null. The time of the comparison does not depend on how much of
     /// the digest matches.
--- a/Source/Dispatch/queuedask.h
+++ b/Source/Dispatch/queuedask.h
@@ -59,13 +59,19 @@
     Base::Instant received {}; ///< when the ask reached the dispatcher
     Base::Instant arrival {}; ///< when the caller's request reached the home
     Base::Instant deadline {}; ///< deadline of the request
-    bool boundToRegions = false; ///< its class or organisation is served in some regions only
+    bool restricted = false; ///< some endpoints may not serve it, see Configuration::Catalogue::restrictsEndpoints()
     bool isGuaranteed = false; ///< it is served now for the guaranteed share of a class past its starvation bound
 
-    /// Returns the class and the organisation of the request.
-    Configuration::RequestOwner owner() const
+    /// Returns what decides which endpoints may serve the request.
+    Configuration::EndpointCriteria criteria() const
     {
-        return {ask.requestClass, ask.organisation};
+        return {ask.requestClass, ask.organisation, ask.softwareVersion};
+    }
+
+    /// Returns whether an earlier run may have served a part of the request, which would be wasted if it were refused.
+    bool mayContinue() const
+    {
+        return key.id.attempt > 1 || ask.softwareVersion != 0;
     }
 
     /// Returns the time by which the first token must arrive to meet the target.
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -74,6 +74,17 @@
     return fmt::format("{}.{:x}.{}", home.name, home.incarnation, key.id.request);
 }
 
+/// Returns why none of @p endpoints, pairs of a number and a state, takes work; nothing if one does.
+template<std::ranges::input_range Endpoints>
+std::optional<RefusalReason> reasonForNone(Endpoints &&endpoints)
+{
+    if (std::ranges::none_of(endpoints, [](const auto &entry) { return entry.second.isUsable(); })) {
+        return RefusalReason::NoEndpoint;
+    }
+    const bool allDown = std::ranges::none_of(endpoints, [](const auto &entry) { return entry.second.acceptsWork(); });
+    return allDown ? std::optional(RefusalReason::EndpointsDown) : std::nullopt;
+}
+
 } // namespace
 
 Shard::Shard(const ShardInfo &info, std::shared_ptr<const Catalogue> catalogue, Instant now)
@@ -133,7 +144,7 @@
         if (const RequestClass *requestClass = m_catalogue->classByNumber(ask.ask.requestClass)) {
             ask.parameters = poolParameters().forClass(*requestClass, ask.ask.rank);
         }
-        ask.boundToRegions = m_catalogue->isBoundToRegions(ask.owner());
+        ask.restricted = m_catalogue->restrictsEndpoints(ask.criteria());
         enqueue(ask);
     }
 }
@@ -261,7 +272,7 @@
         return;
     }
     queued.parameters = poolParameters().forClass(*requestClass, message.rank);
-    queued.boundToRegions = m_catalogue->isBoundToRegions(queued.owner());
+    queued.restricted = m_catalogue->restrictsEndpoints(queued.criteria());
     if (const auto reason = reasonForNoEndpoint(queued)) {
         refuse(queued, *reason);
         return;
@@ -271,9 +282,7 @@
         return;
     }
     m_lateRefusals.earn(queued.parameters.rank);
-    WaitEstimates estimates(now, m_endpoints, m_placement, m_catalogue->policies().refuseLate);
-    const QueueAhead ahead = estimates.needQueueAhead() ? aheadOf(queued) : QueueAhead {};
-    if (const WaitEstimate estimate = estimates.forAsk(queued, ahead); tryLateRefusal(queued, estimate)) {
+    if (const WaitEstimate estimate = estimateFor(now, queued); tryLateRefusal(queued, estimate)) {
         refuse(queued, RefusalReason::TooLate, retryAfterLate(queued, estimate));
         return;
     }
@@ -285,6 +294,15 @@
     }
 }
 
+WaitEstimate Shard::estimateFor(Instant now, const QueuedAsk &ask) const
+{
+    if (ask.ask.softwareVersion != 0) {
+        return estimateAtVersion(now, ask);
+    }
+    WaitEstimates estimates(now, m_endpoints, m_placement, m_catalogue->policies().refuseLate);
+    return estimates.forAsk(ask, estimates.needQueueAhead() ? aheadOf(ask) : QueueAhead {});
+}
+
 void Shard::shedOverLimit(const QueuedAsk &newAsk)
 {
     if (queued() <= m_catalogue->policies().queueLimit) {
@@ -329,7 +347,11 @@
 QueueAhead Shard::aheadOf(const QueuedAsk &ask) const
 {
     QueueAhead ahead;
+    const std::uint32_t version = ask.ask.softwareVersion;
     for (const QueuedAsk *other : queuedAsks()) {
+        if (version != 0 && other->ask.softwareVersion != version) {
+            continue;
+        }
         const bool before = other->parameters.rank < ask.parameters.rank
             || (other->parameters.rank == ask.parameters.rank && other->arrival <= ask.arrival && other->key != ask.key);
         if (before) {
@@ -351,7 +373,8 @@
     WaitEstimates estimates(now, m_endpoints, m_placement, true);
     QueueAhead ahead;
     for (const QueuedAsk *ask : inOrder) {
-        const WaitEstimate estimate = estimates.forAsk(*ask, ahead);
+        const bool atVersion = ask->ask.softwareVersion != 0;
+        const WaitEstimate estimate = atVersion ? estimateAtVersion(now, *ask) : estimates.forAsk(*ask, ahead);
         if (estimate.missesDeadline || estimate.lateness > Duration::zero()) {
             late.emplace_back(*ask, estimate);
         }
@@ -401,25 +424,32 @@
 
 std::optional<RefusalReason> Shard::reasonForNoEndpoint() const
 {
-    const auto states = m_endpoints | std::views::values;
-    if (std::ranges::none_of(states, &EndpointState::isUsable)) {
-        return RefusalReason::NoEndpoint;
-    }
-    const bool allDown = std::ranges::none_of(states, &EndpointState::acceptsWork);
-    return allDown ? std::optional(RefusalReason::EndpointsDown) : std::nullopt;
+    return reasonForNone(m_endpoints);
 }
 
 std::optional<RefusalReason> Shard::reasonForNoEndpoint(const QueuedAsk &ask) const
 {
-    const auto reason = reasonForNoEndpoint();
-    if (reason || !ask.boundToRegions) {
-        return reason;
+    if (!ask.restricted) {
+        return reasonForNoEndpoint();
     }
-    const bool any = std::ranges::any_of(m_endpoints, [&](const auto &entry) {
-        const Endpoint *endpoint = m_catalogue->endpointByNumber(entry.first);
-        return entry.second.acceptsWork() && endpoint != nullptr && m_catalogue->mayServe(*endpoint, ask.owner());
-    });
-    return any ? std::nullopt : std::optional(RefusalReason::NoEndpoint);
+    return reasonForNone(m_endpoints | std::views::filter([&](const auto &entry) { return mayServe(ask, entry.first); }));
+}
+
+/// Returns whether @p endpoint has the region and the software version that the ask needs.
+bool Shard::mayServe(const QueuedAsk &ask, std::uint32_t endpoint) const
+{
+    const Endpoint *configured = m_catalogue->endpointByNumber(endpoint);
+    return configured != nullptr && m_catalogue->mayServe(*configured, ask.criteria());
+}
+
+/// Estimates the wait of an ask that continues a stream at the endpoints of one software version. Other asks ahead may use other
+/// endpoints, so they do not count.
+WaitEstimate Shard::estimateAtVersion(Instant now, const QueuedAsk &ask) const
+{
+    EndpointStates states;
+    std::ranges::copy_if(m_endpoints, std::inserter(states, states.end()),
+                         [&](const auto &entry) { return mayServe(ask, entry.first); });
+    return WaitEstimates(now, states, m_placement, m_catalogue->policies().refuseLate).forAsk(ask, aheadOf(ask));
 }
 
 void Shard::refuseIfNoEndpoint()
@@ -429,7 +459,7 @@
     }
     const auto reason = reasonForNoEndpoint();
     if (!reason) {
-        refuseBoundWithoutEndpoint();
+        refuseRestrictedWithoutEndpoint();
         return;
     }
     for (const QueuedAsk *ask : queuedAsks()) {
@@ -438,15 +468,15 @@
     m_queue = AskQueue(m_catalogue->policies());
 }
 
-void Shard::refuseBoundWithoutEndpoint()
+void Shard::refuseRestrictedWithoutEndpoint()
 {
-    std::vector<QueuedAsk> bound;
+    std::vector<QueuedAsk> restricted;
     for (const QueuedAsk *ask : queuedAsks()) {
-        if (ask->boundToRegions) {
-            bound.push_back(*ask);
+        if (ask->restricted) {
+            restricted.push_back(*ask);
         }
     }
-    for (const QueuedAsk &ask : bound) {
+    for (const QueuedAsk &ask : restricted) {
         if (const auto reason = reasonForNoEndpoint(ask)) {
             m_queue.remove(ask.key);
             refuse(ask, *reason);
@@ -652,11 +682,8 @@
 
 bool Shard::isAllowed(Instant now, const QueuedAsk &ask, std::uint32_t endpoint) const
 {
-    if (ask.boundToRegions) {
-        const Endpoint *configured = m_catalogue->endpointByNumber(endpoint);
-        if (configured == nullptr || !m_catalogue->mayServe(*configured, ask.owner())) {
-            return false;
-        }
+    if (ask.restricted && !mayServe(ask, endpoint)) {
+        return false;
     }
     return !m_coolingDown.contains(endpoint) || m_endpoints.at(endpoint).cooldowns.allows(now, ask.home.incarnation);
 }
@@ -858,12 +885,12 @@
 {
     ++m_counters.evaluations;
     std::vector<Candidate> allowed;
-    const bool filters = waiting.ask.avoid != 0 || waiting.boundToRegions || !m_coolingDown.empty();
+    const bool filters = waiting.ask.avoid != 0 || waiting.restricted || !m_coolingDown.empty();
     if (filters) {
         std::ranges::copy_if(withFreeSlots, std::back_inserter(allowed),
                              [&](const Candidate &candidate) { return isAllowed(now, waiting, candidate.endpoint); });
         if (allowed.empty()) {
-            return waiting.boundToRegions ? GrantAttempt::NoneForIt : GrantAttempt::NotNow;
+            return waiting.restricted ? GrantAttempt::NoneForIt : GrantAttempt::NotNow;
         }
         // The endpoint of a failed attempt is used again only if it is the only one that the ask may use now.
         if (allowed.size() > 1) {
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -171,7 +171,9 @@
     /// Returns whether a late ask is to be refused. A refusal because of its target uses up one of those that LateRefusals allows
     /// its tier.
     bool tryLateRefusal(const QueuedAsk &ask, const WaitEstimate &estimate);
-    /// Returns the queued asks that are served before @p ask.
+    WaitEstimate estimateFor(Base::Instant now, const QueuedAsk &ask) const;
+    WaitEstimate estimateAtVersion(Base::Instant now, const QueuedAsk &ask) const;
+    /// Returns the queued asks that are served before @p ask; if it needs a software version, only those that need it too.
     QueueAhead aheadOf(const QueuedAsk &ask) const;
     void addTo(QueueAhead &ahead, const QueuedAsk &ask) const;
     void refuseLate(Base::Instant now);
@@ -187,7 +189,8 @@
     void recordRejectedRun(Base::Instant now, const Home &home, std::uint32_t endpoint, bool brittle);
     /// Removes the cooldowns and announcements of leaving that have ended.
     void expireAnnouncements(Base::Instant now);
-    /// Returns whether @p endpoint is in a region that the ask allows, and no cooldown of it prevents a run of the ask's home.
+    bool mayServe(const QueuedAsk &ask, std::uint32_t endpoint) const;
+    /// Returns whether @p endpoint may serve the ask, and no cooldown of it prevents a run of the ask's home.
     bool isAllowed(Base::Instant now, const QueuedAsk &ask, std::uint32_t endpoint) const;
     /// Returns the expected time from a grant to the first token; zero without observations.
     Base::Duration expectedFirstToken() const;
@@ -202,7 +205,7 @@
     std::optional<Peer::RefusalReason> reasonForNoEndpoint(const QueuedAsk &ask) const;
     /// Refuses the queued asks that no endpoint can accept.
     void refuseIfNoEndpoint();
-    void refuseBoundWithoutEndpoint();
+    void refuseRestrictedWithoutEndpoint();
     /// Checks the invariant that the endpoints' run counts add up to the permits.
     void checkPermits() const;
 
--- a/Source/Dispatch/soonestfirsttoken.cpp
+++ b/Source/Dispatch/soonestfirsttoken.cpp
@@ -285,7 +285,7 @@
 bool SoonestFirstToken::mayUseAny(const QueuedAsk &ask, std::span<const Candidate> candidates) const
 {
     const auto isForIt = [&](const Candidate &candidate) { return isOnSideOf(ask, candidate.endpoint); };
-    const bool usesAll = m_streamEngines.empty() || ask.parameters.hasTightestGap || ask.boundToRegions;
+    const bool usesAll = m_streamEngines.empty() || ask.parameters.hasTightestGap || ask.restricted;
     return usesAll || std::ranges::any_of(candidates, isForIt);
 }
 
@@ -305,8 +305,8 @@
 std::optional<std::uint32_t> SoonestFirstToken::choose(const QueuedAsk &ask, std::span<const Candidate> candidates,
                                                        Base::Instant now) const
 {
-    // The engines of the regions where an ask is served may all be set aside.
-    if (m_streamEngines.empty() || (ask.boundToRegions && !ask.parameters.hasTightestGap)) {
+    // The engines that may serve a restricted ask may all be set aside.
+    if (m_streamEngines.empty() || (ask.restricted && !ask.parameters.hasTightestGap)) {
         return chooseFrom(ask, candidates, now);
     }
     const std::vector<Candidate> side = sideOf(ask, candidates);
--- a/Source/Dispatch/waitestimates.cpp
+++ b/Source/Dispatch/waitestimates.cpp
@@ -45,7 +45,7 @@
 /// Returns the time that the engines need to prefill the prompts ahead of @p ask.
 Duration WaitEstimates::prefillWait(const QueuedAsk &ask, const QueueAhead &ahead)
 {
-    if (!m_refuseLate || ask.key.id.attempt > 1) {
+    if (!m_refuseLate || ask.mayContinue()) {
         return Duration::zero();
     }
     return ahead.prefillTime / std::max<std::int64_t>(1, static_cast<std::int64_t>(usable().size()));
@@ -62,8 +62,8 @@
 /// Returns how much time before its deadline the run of @p ask needs at least, if its response is much shorter than expected.
 Duration WaitEstimates::leastResponseTime(const QueuedAsk &ask) const
 {
-    // A later attempt may continue the stream of an earlier one.
-    if (!m_refuseLate || !ask.parameters.deadlineEndsRun || ask.key.id.attempt > 1) {
+    // The rest of a stream may be short.
+    if (!m_refuseLate || !ask.parameters.deadlineEndsRun || ask.mayContinue()) {
         return Duration::zero();
     }
     const Duration expected = std::visit([&](const auto &placement) { return placement.expectedResponseTime(ask); }, m_placement);
@@ -74,9 +74,9 @@
 Duration WaitEstimates::latenessOf(const QueuedAsk &ask, const QueueAhead &ahead)
 {
     const Duration cooldown = remainingCooldown(ask.home.incarnation);
-    // Refusing a later attempt would waste the run of the earlier one, unless the endpoints rejected that run because of
+    // Refusing it would waste the run of an earlier attempt, unless the endpoints rejected that run because of
     // cooldowns.
-    const bool wouldWasteARun = ask.key.id.attempt > 1 && cooldown == Duration::zero();
+    const bool wouldWasteARun = ask.mayContinue() && cooldown == Duration::zero();
     if (!m_refuseLate || wouldWasteARun) {
         return Duration::zero();
     }
--- a/Source/Node/frontend.cpp
+++ b/Source/Node/frontend.cpp
@@ -502,11 +502,11 @@
     const auto catalogue = m_fleet.catalogue();
     const Configuration::Endpoint *endpoint = catalogue->endpointByNumber(run.endpoint);
     // The dispatcher may not know yet that the endpoint is leaving or was removed, or in which regions the request is served.
-    const auto mayUse = [&](const Configuration::Endpoint *candidate) {
+    const auto mayUse = [&](const Configuration::Endpoint *candidate, std::uint32_t softwareVersion) {
         return candidate != nullptr && candidate->acceptsRequests()
-            && catalogue->mayServe(*candidate, {entry->second.requestClass.number, entry->second.organisation});
+            && catalogue->mayServe(*candidate, {entry->second.requestClass.number, entry->second.organisation, softwareVersion});
     };
-    if (entry == m_admitted.end() || !mayUse(endpoint)) {
+    if (entry == m_admitted.end() || !mayUse(endpoint, run.softwareVersion)) {
         m_home.runEnded(Base::now(), {.id = run.id, .stage = Request::RunStage::Stale});
         return;
     }
@@ -527,7 +527,8 @@
     }
     // The keeper is an endpoint that has a part of the prompt in its cache. The run would wait for one that is leaving or was
     // removed.
-    if (const auto *keeper = catalogue->endpointByNumber(run.keeper); mayUse(keeper)) {
+    // Cached prompts do not depend on the software version.
+    if (const auto *keeper = catalogue->endpointByNumber(run.keeper); mayUse(keeper, 0)) {
         command.keeper = keeper->address.text();
     }
     command.path = admitted.path;
--- a/Source/Node/settings.cpp
+++ b/Source/Node/settings.cpp
@@ -168,6 +168,7 @@
     policies.refuseLate = ini.flag("dispatch", "refuse-late", false);
     policies.sharePrefills = ini.flag("dispatch", "share-prefills", true);
     policies.streamEngines = ini.flag("dispatch", "stream-engines", true);
+    policies.sameVersionStreams = ini.flag("streams", "same-version", false);
     policies.wholePoolShards = ini.flag("dispatch", "whole-pool-shards", false);
     return policies;
 }
--- a/Source/Peer/codec.cpp
+++ b/Source/Peer/codec.cpp
@@ -170,6 +170,7 @@
         builder.setExpectedTokens(ask.expectedTokens);
         builder.setPrefixTokens(kj::arrayPtr(ask.prefixTokens.data(), ask.prefixTokens.size()));
         builder.setReportsPrefill(ask.reportsPrefill);
+        builder.setSoftwareVersion(ask.softwareVersion);
     }
 
     void operator()(const Grant &grant)
@@ -406,6 +407,7 @@
         ask.prefixTokens.push_back(tokens);
     }
     ask.reportsPrefill = reader.getReportsPrefill();
+    ask.softwareVersion = reader.getSoftwareVersion();
     return ask;
 }
 
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -51,6 +51,8 @@
     std::uint32_t expectedTokens = 0; ///< expected length of the response; 0 if not known
     std::vector<std::uint32_t> prefixTokens; ///< prompt tokens up to the end of each entry of prefix; may be empty
     bool reportsPrefill = false; ///< whether the home can send PrefillEnded; it cannot if the response is not streamed
+    std::uint32_t softwareVersion = 0; ///< number of the only software version whose endpoints may serve it, since they continue
+                                       ///< a stream that began there; 0 for any
 };
 
 /// Assigns an endpoint to an ask.
--- a/Source/Peer/peer.capnp
+++ b/Source/Peer/peer.capnp
@@ -25,6 +25,7 @@
   expectedTokens @12 :UInt32;  # expected length of the response; 0 if not known
   prefixTokens @13 :List(UInt32); # prompt tokens up to the end of each entry of prefix; may be empty
   reportsPrefill @14 :Bool;    # whether the home can send PrefillEnded
+  softwareVersion @15 :UInt32; # number of the only software version that may continue the stream; 0 for any
 }
 
 struct RateWord {              # the request rate that an endpoint advertised
--- a/Source/Peer/peer.capnp.h
+++ b/Source/Peer/peer.capnp.h
@@ -687,6 +687,8 @@
 
   inline bool getReportsPrefill() const;
 
+  inline  ::uint32_t getSoftwareVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -770,6 +772,9 @@
   inline bool getReportsPrefill();
   inline void setReportsPrefill(bool value);
 
+  inline  ::uint32_t getSoftwareVersion();
+  inline void setSoftwareVersion( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4526,6 +4531,20 @@
       ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Ask::Reader::getSoftwareVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Ask::Builder::getSoftwareVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void Ask::Builder::setSoftwareVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t RateWord::Reader::getKnowledge() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -147,6 +147,9 @@
     for (const std::uint64_t id : ids) {
         // requestEndpoint() may end the request and remove it from m_pending, so the loop runs over a copy of the ids.
         Pending &pending = m_pending.at(id);
+        if (catalogueChanged) {
+            pending.shardsWithout.clear();
+        }
         const ShardInfo *info = m_shards->find(pending.shard);
         const bool same = info != nullptr && info->dispatcher == pending.dispatcher;
         if (pending.phase == Phase::Asking && !same) {
@@ -192,33 +195,46 @@
     requestEndpoint(now, pending);
 }
 
-/// Names the evacuated data centres of the pool, since they may be the reason.
-std::string Home::noEndpointMessage(std::uint32_t pool) const
+/// Names what may be the reason: the software version that began the stream, or the evacuated data centres of the pool.
+absl::Status Home::noEndpointError(const Pending &pending) const
 {
+    if (pending.softwareVersion != 0) {
+        return makeError(ErrorKind::StreamVersionGone,
+                         "no endpoint of the software version that began the stream accepts requests; begin the stream anew");
+    }
     std::set<std::string> evacuated;
     for (const Configuration::Endpoint &endpoint : m_catalogue->endpoints()) {
-        if (endpoint.pool == pool && endpoint.evacuated) {
+        if (endpoint.pool == pending.classSettings.pool && endpoint.evacuated) {
             evacuated.insert(endpoint.dataCentre);
         }
     }
     const std::string message = "the pool of this class has no endpoint that accepts requests";
-    return evacuated.empty() ? message : fmt::format("{}; evacuated data centres: {}", message, fmt::join(evacuated, ", "));
+    return makeError(ErrorKind::NoEndpoint, evacuated.empty() ? message
+                                                              : fmt::format("{}; evacuated data centres: {}", message,
+                                                                            fmt::join(evacuated, ", ")));
+}
+
+Configuration::EndpointCriteria Home::criteriaOf(const Pending &pending)
+{
+    return {pending.request.requestClass, pending.request.organisation, pending.softwareVersion};
 }
 
-Configuration::RequestOwner Home::ownerOf(const Pending &pending)
+bool Home::mayServe(const Pending &pending, std::uint32_t endpoint) const
 {
-    return {pending.request.requestClass, pending.request.organisation};
+    const Configuration::Endpoint *configured = m_catalogue->endpointByNumber(endpoint);
+    return configured != nullptr && m_catalogue->mayServe(*configured, criteriaOf(pending));
 }
 
 std::vector<const ShardInfo *> Home::shardsFor(const Pending &pending) const
 {
     std::vector<const ShardInfo *> shards = m_shards->ofPool(pending.classSettings.pool);
-    if (m_catalogue->isBoundToRegions(ownerOf(pending))) {
+    if (m_catalogue->restrictsEndpoints(criteriaOf(pending))) {
         std::erase_if(shards, [&](const ShardInfo *shard) {
-            return std::ranges::none_of(shard->endpoints, [&](std::uint32_t number) {
-                const Configuration::Endpoint *endpoint = m_catalogue->endpointByNumber(number);
-                return endpoint != nullptr && endpoint->acceptsRequests() && m_catalogue->mayServe(*endpoint, ownerOf(pending));
-            });
+            return pending.shardsWithout.contains(shard->id)
+                || std::ranges::none_of(shard->endpoints, [&](std::uint32_t number) {
+                       const Configuration::Endpoint *endpoint = m_catalogue->endpointByNumber(number);
+                       return endpoint != nullptr && endpoint->acceptsRequests() && mayServe(pending, number);
+                   });
         });
     }
     return shards;
@@ -226,14 +242,19 @@
 
 void Home::requestEndpoint(Instant now, Pending &pending)
 {
-    const ShardInfo *shard = m_shardChoice.choose(now, shardsFor(pending), pending.request, pending.avoid, m_random);
+    const std::vector<const ShardInfo *> shards = shardsFor(pending);
+    if (shards.empty() && pending.softwareVersion != 0) {
+        // No wait helps: an endpoint that starts now has a newer version.
+        fail(now, pending, noEndpointError(pending), minRetryAfter);
+        return;
+    }
+    const ShardInfo *shard = m_shardChoice.choose(now, shards, pending.request, pending.avoid, m_random);
     if (shard == nullptr && m_shardChoice.anyShardIsDown(now, *m_shards, pending.classSettings.pool)) {
         backOff(now, pending, endpointsDownBackoff);
         return;
     }
     if (shard == nullptr) {
-        fail(now, pending, makeError(ErrorKind::NoEndpoint, noEndpointMessage(pending.classSettings.pool)),
-             std::chrono::seconds(1));
+        fail(now, pending, noEndpointError(pending), std::chrono::seconds(1));
         return;
     }
     ++pending.attempt;
@@ -269,6 +290,7 @@
     ask.rank = pending.request.rank;
     ask.avoid = pending.avoid;
     ask.reportsPrefill = pending.request.streams;
+    ask.softwareVersion = pending.softwareVersion;
     m_actions.emplace_back(SendToMember {pending.dispatcher, std::move(ask)});
 }
 
@@ -289,11 +311,9 @@
     std::set<std::uint32_t> unavailable
         = m_rates.unavailableWithoutDispatcher(now, shard->endpoints, std::max(m_hosts, minSharingHosts), m_random);
     unavailable.merge(m_availabilities.unavailableEndpoints(now));
-    if (m_catalogue->isBoundToRegions(ownerOf(pending))) {
-        std::ranges::copy_if(shard->endpoints, std::inserter(unavailable, unavailable.end()), [&](std::uint32_t number) {
-            const Configuration::Endpoint *candidate = m_catalogue->endpointByNumber(number);
-            return candidate == nullptr || !m_catalogue->mayServe(*candidate, ownerOf(pending));
-        });
+    if (m_catalogue->restrictsEndpoints(criteriaOf(pending))) {
+        std::ranges::copy_if(shard->endpoints, std::inserter(unavailable, unavailable.end()),
+                             [&](std::uint32_t number) { return !mayServe(pending, number); });
     }
     const auto endpoint = m_localWindow.choose(*shard, *m_catalogue, m_hosts, prefixHash, unavailable);
     if (!endpoint) {
@@ -325,6 +345,7 @@
         return object == nullptr ? std::string("?") : object->name;
     };
     const Configuration::Endpoint *target = m_catalogue->endpointByNumber(endpoint);
+    pending.runVersion = target == nullptr ? 0 : Configuration::softwareVersionNumber(target->softwareVersion);
     const std::string version = target == nullptr || target->softwareVersion.empty() ? "" : ", version " + target->softwareVersion;
     const std::uint32_t keeper = m_availabilities.stateOf(grant.keeper).isLeaving(now) ? 0 : grant.keeper;
     const std::string transferNote = keeper == 0 ? "" : fmt::format(", transferring a prompt prefix from {}", nameOf(keeper));
@@ -332,7 +353,8 @@
     // A dispatcher that enforces a limit must be informed when the limit ends.
     const bool reportRate = pending.grantedRate.isLimited() || m_rates.stateOf(endpoint).isLimited();
     m_actions.emplace_back(
-        StartRun {{pending.request.id, pending.attempt}, endpoint, startBy, reportRate, keeper, grant.reportPrefill});
+        StartRun {{pending.request.id, pending.attempt}, endpoint, startBy, reportRate, keeper, grant.reportPrefill,
+                  pending.softwareVersion});
 }
 
 void Home::receive(Instant, const std::string &from, const Peer::Queued &queued)
@@ -391,6 +413,11 @@
         returnGrant(now, *pending, grant, fmt::format("{} had no information on the endpoint's rate limit", from));
         return;
     }
+    if (m_catalogue->restrictsEndpoints(criteriaOf(*pending)) && !mayServe(*pending, grant.endpoint)) {
+        // A dispatcher of an older release does not know of software versions.
+        returnGrant(now, *pending, grant, fmt::format("{} granted an endpoint that may not serve the request", from));
+        return;
+    }
     pending->grantedRate = Rate::rateStateFrom(grant.rate, now);
     addTraceEntry(*pending, now, Step::Granted, fmt::format("by {}, pressure {}/1000", from, grant.pressure));
     beginRun(now, *pending, grant.endpoint, grant.startBy, grant);
@@ -406,7 +433,12 @@
     release(pending, {grant.id, RunStage::Stale, false, false, {}, {}, 0, 0}, RunResult::NotStarted);
     if (std::exchange(pending.grantReturned, true)) {
         pending.avoid = grant.endpoint;
-        backOff(now, pending, initialBackoff);
+        if (m_catalogue->restrictsEndpoints(criteriaOf(pending)) && !mayServe(pending, grant.endpoint)) {
+            tryLocalWindow(now, pending);
+        }
+        if (pending.phase == Phase::Asking) {
+            backOff(now, pending, initialBackoff);
+        }
     } else {
         requestEndpoint(now, pending);
     }
@@ -462,15 +494,7 @@
         break;
     case RefusalReason::NoEndpoint:
     case RefusalReason::EndpointsDown:
-        if (m_catalogue->isBoundToRegions(ownerOf(*pending)) && refusal.reason == RefusalReason::NoEndpoint) {
-            // The shard may have endpoints in other regions, which other requests may use.
-            fail(now, *pending, makeError(ErrorKind::NoEndpoint, noEndpointMessage(pending->classSettings.pool)),
-                 refusal.retryAfter);
-            break;
-        }
-        // Another shard of the pool may have usable endpoints.
-        m_shardChoice.markWithoutEndpoint(now, pending->shard, refusal.reason == RefusalReason::EndpointsDown);
-        requestEndpoint(now, *pending);
+        refusedForNoEndpoint(now, *pending, refusal);
         break;
     case RefusalReason::NotDispatcher:
     case RefusalReason::UnknownClass:
@@ -486,6 +510,28 @@
     }
 }
 
+void Home::refusedForNoEndpoint(Instant now, Pending &pending, const Peer::Refusal &refusal)
+{
+    const bool down = refusal.reason == RefusalReason::EndpointsDown;
+    if (!m_catalogue->restrictsEndpoints(criteriaOf(pending))) {
+        // Another shard of the pool may have usable endpoints.
+        m_shardChoice.markWithoutEndpoint(now, pending.shard, down);
+        requestEndpoint(now, pending);
+        return;
+    }
+    // The shard may have endpoints that other requests may use.
+    if (down) {
+        backOff(now, pending, endpointsDownBackoff);
+        return;
+    }
+    pending.shardsWithout.insert(pending.shard);
+    if (shardsFor(pending).empty()) {
+        fail(now, pending, noEndpointError(pending), refusal.retryAfter);
+    } else {
+        requestEndpoint(now, pending);
+    }
+}
+
 /// Delays the next ask by @p minDelay plus a random time of up to @p minDelay.
 void Home::backOff(Instant now, Pending &pending, Duration minDelay)
 {
@@ -605,6 +651,9 @@
 
 void Home::retryOrFail(Instant now, Pending &pending, const RunReport &report)
 {
+    if (report.callerSawBytes) {
+        bindToVersion(pending);
+    }
     // A run that was not sent because its grant was stale takes nothing from the retry budget.
     const bool withoutCharge = report.stage == RunStage::Stale;
     if (mayRetry(pending, report) && now < pending.deadline && (withoutCharge || takeRetry(pending))) {
@@ -633,6 +682,13 @@
          Duration::zero());
 }
 
+void Home::bindToVersion(Pending &pending) const
+{
+    if (m_catalogue->policies().sameVersionStreams && pending.softwareVersion == 0) {
+        pending.softwareVersion = pending.runVersion;
+    }
+}
+
 bool Home::takeRetry(const Pending &pending)
 {
     Base::TokenBucket &budget = retryBudget(pending);
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -145,6 +145,9 @@
         std::uint32_t shard = 0;
         std::string dispatcher;
         std::uint32_t endpoint = 0; ///< endpoint of the latest run or returned grant
+        std::uint32_t runVersion = 0; ///< number of the software version of the latest run's endpoint when that run began
+        std::uint32_t softwareVersion = 0; ///< number of the only software version that may continue the stream; 0 for any
+        std::set<std::uint32_t> shardsWithout; ///< shards whose dispatchers have no endpoint that may serve the request
         std::uint32_t avoid = 0; ///< endpoint that further asks avoid, after a failed run or repeated wrong grants; 0 for none
         std::uint32_t runs = 0; ///< number of runs started so far
         std::uint32_t sentRuns = 0; ///< runs that may have reached their endpoint
@@ -159,10 +162,15 @@
         std::vector<TraceEntry> trace;
     };
 
-    std::string noEndpointMessage(std::uint32_t pool) const;
     /// Returns the shards of the pool with an endpoint that may serve the request.
     std::vector<const Dispatch::ShardInfo *> shardsFor(const Pending &pending) const;
-    static Configuration::RequestOwner ownerOf(const Pending &pending);
+    /// Returns what decides which endpoints of the pool may serve the request.
+    static Configuration::EndpointCriteria criteriaOf(const Pending &pending);
+    bool mayServe(const Pending &pending, std::uint32_t endpoint) const;
+    absl::Status noEndpointError(const Pending &pending) const;
+    /// Binds a request whose caller has seen events of the latest run to the software version of that run's endpoint.
+    void bindToVersion(Pending &pending) const;
+    void refusedForNoEndpoint(Base::Instant now, Pending &pending, const Peer::Refusal &refusal);
     void requestEndpoint(Base::Instant now, Pending &pending);
     void sendAsk(Base::Instant now, Pending &pending);
     void bypassDispatcher(Base::Instant now, Pending &pending);
--- a/Source/Request/types.h
+++ b/Source/Request/types.h
@@ -96,6 +96,7 @@
     bool reportRate = false; ///< report whether the response advertises a rate, even if it does not
     std::uint32_t keeper = 0; ///< endpoint with a cached prefix of the prompt that @p endpoint is to transfer, 0 for none
     bool reportFirstToken = false; ///< whether to call Home::firstTokenReceived()
+    std::uint32_t softwareVersion = 0; ///< number of the software version that the endpoint must have; 0 for any
 };
 
 /// Cancels the current run of a request.
--- a/Tests/Dispatch/fixtures.h
+++ b/Tests/Dispatch/fixtures.h
@@ -54,6 +54,21 @@
     return objects.find(kind, name)->number;
 }
 
+/// Returns the catalogue of @p objects with resumable classes, whose streams go on only at the software version that began them.
+/// The first endpoint runs version v1, the others run v2.
+inline std::shared_ptr<const Configuration::Catalogue> catalogueOfTwoVersions(const Configuration::Objects &objects)
+{
+    Configuration::CatalogueParts parts = Configuration::Catalogue::build(objects)->parts();
+    parts.policies.sameVersionStreams = true;
+    for (Configuration::RequestClass &requestClass : parts.classes) {
+        requestClass.resumable = true;
+    }
+    for (Configuration::Endpoint &endpoint : parts.endpoints) {
+        endpoint.softwareVersion = endpoint.name == "e1" ? "v1" : "v2";
+    }
+    return Configuration::Catalogue::assemble(std::move(parts));
+}
+
 /// Returns the time point @p seconds after the start of a test.
 inline Base::Instant at(double seconds)
 {
--- a/Tests/Integration/test_versions.py
+++ b/Tests/Integration/test_versions.py
@@ -12,7 +12,7 @@
 
 HOSTS = 4
 PROMPT_SECONDS = 1.0  # time within which a caller whose stream cannot go on is told so
-SETTINGS = ""
+SETTINGS = "[streams]\nsame-version = yes\n"
 
 
 class Site:
@@ -89,7 +89,8 @@
 def test_a_stream_goes_on_at_its_version():
     with Site() as site:
         for model in site.models:
-            model.cut_after, model.cut_every = 2, 4
+            # Not a multiple of the number of hosts, so that no host gets all broken streams.
+            model.cut_after, model.cut_every, model.event_pause = 2, 5, 0.02
         streams = site.play(120, range(HOSTS))
         went_on = [run for model in site.models for run in model.runs if "last-event-id" in run[2]]
         assert len(went_on) >= 10, len(went_on)
--- a/Tests/Platform/siteformtest.cpp
+++ b/Tests/Platform/siteformtest.cpp
@@ -204,14 +204,14 @@
     CatalogueParts parts = *Platform::decodeSite(records);
     CHECK_TRUE(parts.classes.front().regions == (std::vector<std::string> {"north"}));
     CHECK_TRUE(parts.organisations.front().regions == (std::vector<std::string> {"north", "south"}));
-    const RequestOwner owner {parts.classes.front().number, parts.organisations.front().number};
+    const EndpointCriteria criteria {parts.classes.front().number, parts.organisations.front().number};
     parts.regions = {{"a", "south"}};
     const auto catalogue = Catalogue::assemble(parts);
-    CHECK_TRUE(catalogue->isBoundToRegions(owner));
-    CHECK_FALSE(catalogue->mayServe(catalogue->endpoints().front(), owner));
+    CHECK_TRUE(catalogue->restrictsEndpoints(criteria));
+    CHECK_FALSE(catalogue->mayServe(catalogue->endpoints().front(), criteria));
     parts.regions = {{"a", "north"}};
     const auto moved = Catalogue::assemble(parts);
-    CHECK_TRUE(moved->mayServe(moved->endpoints().front(), owner));
+    CHECK_TRUE(moved->mayServe(moved->endpoints().front(), criteria));
 }
 
 // Guards against hosts of a large fleet that spend their processor time on decoding all records at each change.
