--- a/Source/Base/error.cpp
+++ b/Source/Base/error.cpp
@@ -44,6 +44,7 @@
     KindInfo {ErrorKind::DeadlineExceeded, "deadline-exceeded", 504, absl::StatusCode::kDeadlineExceeded},
     KindInfo {ErrorKind::NoEndpoint, "no-endpoint", 503, absl::StatusCode::kUnavailable},
     KindInfo {ErrorKind::StreamVersionGone, "stream-version-gone", 503, absl::StatusCode::kUnavailable},
+    KindInfo {ErrorKind::StreamOriginUnknown, "stream-origin-unknown", 503, absl::StatusCode::kUnavailable},
     KindInfo {ErrorKind::NotReady, "not-ready", 503, absl::StatusCode::kUnavailable},
     KindInfo {ErrorKind::Stopping, "stopping", 503, absl::StatusCode::kUnavailable},
     KindInfo {ErrorKind::EndpointUnreachable, "endpoint-unreachable", 502, absl::StatusCode::kUnavailable},
--- a/Source/Base/error.h
+++ b/Source/Base/error.h
@@ -38,6 +38,7 @@
     DeadlineExceeded,
     NoEndpoint,
     StreamVersionGone,
+    StreamOriginUnknown,
     NotReady,
     Stopping,
     EndpointUnreachable,
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -341,7 +341,7 @@
         }
         void operator()(const Relay::FirstTokenReceived &received) const
         {
-            home.firstTokenReceived(received.id);
+            home.firstTokenReceived(Base::now(), received.id);
         }
         void operator()(const Relay::EndpointAdvertised &advertised) const
         {
@@ -667,6 +667,13 @@
     m_metrics.set("yokepond_runs_suspected_total", "", static_cast<double>(quarantine.suspected));
     m_metrics.set("yokepond_work_held_total", "", static_cast<double>(quarantine.quarantined));
     m_metrics.set("yokepond_work_cleared_total", "", static_cast<double>(quarantine.cleared));
+    const Request::StreamOriginCounters &streams = m_home.streamOrigins().counters();
+    m_metrics.set("yokepond_stream_origins_recorded_total", "", static_cast<double>(streams.recorded));
+    m_metrics.set("yokepond_stream_origins_kept", "", static_cast<double>(m_home.streamOrigins().kept()));
+    m_metrics.set("yokepond_stream_origins_dropped_total", "", static_cast<double>(streams.dropped));
+    m_metrics.set("yokepond_stream_lookups_total", label("result", "found"),
+                  static_cast<double>(streams.lookedUp - streams.unknown));
+    m_metrics.set("yokepond_stream_lookups_total", label("result", "unknown"), static_cast<double>(streams.unknown));
     if (m_usage != nullptr) {
         const UsageView usage = m_usage->view(Base::now());
         m_metrics.set("yokepond_usage_reports_total", label("result", "accepted"), static_cast<double>(usage.reports));
--- a/Source/Node/frontend.cpp
+++ b/Source/Node/frontend.cpp
@@ -258,6 +258,9 @@
     request.timeLeft = call.timeLeft;
     admitted.work = Base::combineHashes(call.work, admitted.organisation);
     request.work = admitted.work;
+    request.continuesStream = !call.lastEventId.empty() || !call.resumedRequestId.empty();
+    const std::string &firstRequestId = request.continuesStream ? call.resumedRequestId : call.callerRequestId;
+    request.stream = firstRequestId.empty() ? 0 : Base::combineHashes(Base::hash64(firstRequestId), admitted.organisation);
     request.streams = call.streams || admitted.requestClass.streams;
     m_admitted.emplace(call.id, std::move(admitted));
     m_home.start(Base::now(), request);
--- a/Source/Node/routing.cpp
+++ b/Source/Node/routing.cpp
@@ -21,7 +21,7 @@
 using Configuration::RouteShare;
 
 /// Selects a class by the weights of the route's shares and a hash of @p requestName, so that each attempt of a request with the
-/// same name gets the same class.
+/// same name, and each request that continues its stream, gets the same class.
 const RequestClass *selectClassByWeight(const Catalogue &catalogue, const Route &route, std::string_view requestName)
 {
     const auto weights = route.shares | std::views::transform(&RouteShare::weight);
@@ -61,7 +61,8 @@
             return makeError(ErrorKind::Unauthenticated, "the request has no valid key of an organisation");
         }
     }
-    routed.requestClass = selectClassByWeight(catalogue, *route, call.callerRequestId);
+    const std::string &firstRequestId = call.resumedRequestId.empty() ? call.callerRequestId : call.resumedRequestId;
+    routed.requestClass = selectClassByWeight(catalogue, *route, firstRequestId);
     return routed;
 }
 
--- a/Source/Peer/codec.cpp
+++ b/Source/Peer/codec.cpp
@@ -194,6 +194,29 @@
         builder.setShard(ended.shard);
     }
 
+    void operator()(const StreamBegan &began)
+    {
+        auto builder = message.initStreamBegan();
+        builder.setStream(began.stream);
+        builder.setPool(began.origin.pool);
+        builder.setSoftwareVersion(began.origin.softwareVersion);
+        builder.setKeepForMs(toMilliseconds(began.keepFor));
+    }
+
+    void operator()(const StreamOriginQuery &query)
+    {
+        message.initStreamOriginQuery().setStream(query.stream);
+    }
+
+    void operator()(const StreamOriginReply &reply)
+    {
+        auto builder = message.initStreamOriginReply();
+        builder.setStream(reply.stream);
+        builder.setKnown(reply.origin.has_value());
+        builder.setPool(reply.origin.value_or(StreamOrigin {}).pool);
+        builder.setSoftwareVersion(reply.origin.value_or(StreamOrigin {}).softwareVersion);
+    }
+
     void operator()(const EndpointUpdate &update)
     {
         auto builder = message.initEndpointNews();
@@ -411,6 +434,20 @@
     return ask;
 }
 
+StreamBegan decodeStreamBegan(Wire::StreamBegan::Reader reader)
+{
+    return {reader.getStream(), {reader.getPool(), reader.getSoftwareVersion()}, fromMilliseconds(reader.getKeepForMs())};
+}
+
+StreamOriginReply decodeStreamOriginReply(Wire::StreamOriginReply::Reader reader)
+{
+    StreamOriginReply reply {reader.getStream(), std::nullopt};
+    if (reader.getKnown()) {
+        reply.origin = StreamOrigin {reader.getPool(), reader.getSoftwareVersion()};
+    }
+    return reply;
+}
+
 RunningReport decodeRunning(Wire::RunningReport::Reader reader)
 {
     RunningReport report;
@@ -564,6 +601,12 @@
     }
     case Wire::Message::QUARANTINE_NEWS:
         return decodeQuarantine(reader.getQuarantineNews());
+    case Wire::Message::STREAM_BEGAN:
+        return decodeStreamBegan(reader.getStreamBegan());
+    case Wire::Message::STREAM_ORIGIN_QUERY:
+        return StreamOriginQuery {reader.getStreamOriginQuery().getStream()};
+    case Wire::Message::STREAM_ORIGIN_REPLY:
+        return decodeStreamOriginReply(reader.getStreamOriginReply());
     case Wire::Message::QUEUED:
         return Queued {decodeId(reader.getQueued())};
     case Wire::Message::RELEASE:
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -19,6 +19,7 @@
 #include "Rate/ratestate.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -342,9 +343,40 @@
     std::vector<QuarantineEntry> entries; ///< some or all of the sender's entries
 };
 
-using Message = std::variant<Ask, Grant, Refusal, Withdrawal, Release, RunningReport, Probe, Acknowledgement, ChangesRequest,
-                             Changes, Gather, Gathered, Forward, Forwarded, Queued, UsageCounts, UsageReceived, RunBroke,
-                             QuarantineUpdate, EndpointUpdate, FollowStore, FollowAnswer, PrefillEnded>;
+/// Where a stream began: the endpoint that sent its first event.
+struct StreamOrigin
+{
+    std::uint32_t pool = 0; ///< number of the endpoint's pool
+    std::uint32_t softwareVersion = 0; ///< see Configuration::softwareVersionNumber()
+
+    bool operator==(const StreamOrigin &) const = default;
+};
+
+/// Asks the receiver to keep where a stream began, for hosts where its caller takes it up.
+struct StreamBegan
+{
+    std::uint64_t stream = 0; ///< see Request::NewRequest
+    StreamOrigin origin;
+    Base::Duration keepFor {}; ///< sent in whole milliseconds
+};
+
+/// Asks where a stream began.
+struct StreamOriginQuery
+{
+    std::uint64_t stream = 0;
+};
+
+/// Reply to StreamOriginQuery.
+struct StreamOriginReply
+{
+    std::uint64_t stream = 0;
+    std::optional<StreamOrigin> origin; ///< nothing if the sender does not know it
+};
+
+using Message
+    = std::variant<Ask, Grant, Refusal, Withdrawal, Release, RunningReport, Probe, Acknowledgement, ChangesRequest, Changes,
+                   Gather, Gathered, Forward, Forwarded, Queued, UsageCounts, UsageReceived, RunBroke, QuarantineUpdate,
+                   EndpointUpdate, FollowStore, FollowAnswer, PrefillEnded, StreamBegan, StreamOriginQuery, StreamOriginReply>;
 
 /// Category of a message. Messages and bytes are counted for each category.
 enum class Traffic { Dispatch, Membership, Configuration, Query, Forwarding, Usage };
--- a/Source/Peer/peer.capnp
+++ b/Source/Peer/peer.capnp
@@ -217,6 +217,24 @@
   restsForMs @4 :UInt32;       # remaining cooldown, in which the endpoint takes no request of the sender; 0 if there is none
 }
 
+struct StreamBegan {
+  stream @0 :UInt64;           # hash of the organisation and of the caller's id for the request that brought the first event
+  pool @1 :UInt32;             # where the first event came from
+  softwareVersion @2 :UInt32;
+  keepForMs @3 :UInt32;
+}
+
+struct StreamOriginQuery {
+  stream @0 :UInt64;
+}
+
+struct StreamOriginReply {
+  stream @0 :UInt64;
+  known @1 :Bool;              # if false, the other fields have no meaning
+  pool @2 :UInt32;
+  softwareVersion @3 :UInt32;
+}
+
 struct Message {
   union {
     ask @0 :Ask;
@@ -242,6 +260,9 @@
     followStore @20 :FollowStore;
     followAnswer @21 :FollowAnswer;
     prefillEnded @22 :PrefillEnded;
+    streamBegan @23 :StreamBegan;
+    streamOriginQuery @24 :StreamOriginQuery;
+    streamOriginReply @25 :StreamOriginReply;
   }
 }
 
--- a/Source/Peer/peer.capnp.h
+++ b/Source/Peer/peer.capnp.h
@@ -48,6 +48,9 @@
 CAPNP_DECLARE_SCHEMA(b54ae1b6b421375b);
 CAPNP_DECLARE_SCHEMA(8c3622deb74deccf);
 CAPNP_DECLARE_SCHEMA(a1081e280b038738);
+CAPNP_DECLARE_SCHEMA(b9595427960d1a78);
+CAPNP_DECLARE_SCHEMA(b00bde5007b45555);
+CAPNP_DECLARE_SCHEMA(de8348ced475e729);
 CAPNP_DECLARE_SCHEMA(96e489aa813b7fb3);
 CAPNP_DECLARE_SCHEMA(9dd4c91cfa0e511d);
 CAPNP_DECLARE_SCHEMA(bc08ee4c84dccee1);
@@ -498,6 +501,51 @@
   };
 };
 
+struct StreamBegan {
+  StreamBegan() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b9595427960d1a78, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamOriginQuery {
+  StreamOriginQuery() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b00bde5007b45555, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamOriginReply {
+  StreamOriginReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(de8348ced475e729, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Message {
   Message() = delete;
 
@@ -528,6 +576,9 @@
     FOLLOW_STORE,
     FOLLOW_ANSWER,
     PREFILL_ENDED,
+    STREAM_BEGAN,
+    STREAM_ORIGIN_QUERY,
+    STREAM_ORIGIN_REPLY,
   };
 
   struct _capnpPrivate {
@@ -3457,6 +3508,264 @@
 };
 #endif  // !CAPNP_LITE
 
+class StreamBegan::Reader {
+public:
+  typedef StreamBegan Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream() const;
+
+  inline  ::uint32_t getPool() const;
+
+  inline  ::uint32_t getSoftwareVersion() const;
+
+  inline  ::uint32_t getKeepForMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamBegan::Builder {
+public:
+  typedef StreamBegan Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+  inline  ::uint32_t getPool();
+  inline void setPool( ::uint32_t value);
+
+  inline  ::uint32_t getSoftwareVersion();
+  inline void setSoftwareVersion( ::uint32_t value);
+
+  inline  ::uint32_t getKeepForMs();
+  inline void setKeepForMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamBegan::Pipeline {
+public:
+  typedef StreamBegan Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamOriginQuery::Reader {
+public:
+  typedef StreamOriginQuery Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamOriginQuery::Builder {
+public:
+  typedef StreamOriginQuery Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamOriginQuery::Pipeline {
+public:
+  typedef StreamOriginQuery Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamOriginReply::Reader {
+public:
+  typedef StreamOriginReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream() const;
+
+  inline bool getKnown() const;
+
+  inline  ::uint32_t getPool() const;
+
+  inline  ::uint32_t getSoftwareVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamOriginReply::Builder {
+public:
+  typedef StreamOriginReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+  inline bool getKnown();
+  inline void setKnown(bool value);
+
+  inline  ::uint32_t getPool();
+  inline void setPool( ::uint32_t value);
+
+  inline  ::uint32_t getSoftwareVersion();
+  inline void setSoftwareVersion( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamOriginReply::Pipeline {
+public:
+  typedef StreamOriginReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Message::Reader {
 public:
   typedef Message Reads;
@@ -3567,6 +3876,18 @@
   inline bool hasPrefillEnded() const;
   inline  ::Yokepond::Peer::Wire::PrefillEnded::Reader getPrefillEnded() const;
 
+  inline bool isStreamBegan() const;
+  inline bool hasStreamBegan() const;
+  inline  ::Yokepond::Peer::Wire::StreamBegan::Reader getStreamBegan() const;
+
+  inline bool isStreamOriginQuery() const;
+  inline bool hasStreamOriginQuery() const;
+  inline  ::Yokepond::Peer::Wire::StreamOriginQuery::Reader getStreamOriginQuery() const;
+
+  inline bool isStreamOriginReply() const;
+  inline bool hasStreamOriginReply() const;
+  inline  ::Yokepond::Peer::Wire::StreamOriginReply::Reader getStreamOriginReply() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3780,6 +4101,30 @@
   inline void adoptPrefillEnded(::capnp::Orphan< ::Yokepond::Peer::Wire::PrefillEnded>&& value);
   inline ::capnp::Orphan< ::Yokepond::Peer::Wire::PrefillEnded> disownPrefillEnded();
 
+  inline bool isStreamBegan();
+  inline bool hasStreamBegan();
+  inline  ::Yokepond::Peer::Wire::StreamBegan::Builder getStreamBegan();
+  inline void setStreamBegan( ::Yokepond::Peer::Wire::StreamBegan::Reader value);
+  inline  ::Yokepond::Peer::Wire::StreamBegan::Builder initStreamBegan();
+  inline void adoptStreamBegan(::capnp::Orphan< ::Yokepond::Peer::Wire::StreamBegan>&& value);
+  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::StreamBegan> disownStreamBegan();
+
+  inline bool isStreamOriginQuery();
+  inline bool hasStreamOriginQuery();
+  inline  ::Yokepond::Peer::Wire::StreamOriginQuery::Builder getStreamOriginQuery();
+  inline void setStreamOriginQuery( ::Yokepond::Peer::Wire::StreamOriginQuery::Reader value);
+  inline  ::Yokepond::Peer::Wire::StreamOriginQuery::Builder initStreamOriginQuery();
+  inline void adoptStreamOriginQuery(::capnp::Orphan< ::Yokepond::Peer::Wire::StreamOriginQuery>&& value);
+  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::StreamOriginQuery> disownStreamOriginQuery();
+
+  inline bool isStreamOriginReply();
+  inline bool hasStreamOriginReply();
+  inline  ::Yokepond::Peer::Wire::StreamOriginReply::Builder getStreamOriginReply();
+  inline void setStreamOriginReply( ::Yokepond::Peer::Wire::StreamOriginReply::Reader value);
+  inline  ::Yokepond::Peer::Wire::StreamOriginReply::Builder initStreamOriginReply();
+  inline void adoptStreamOriginReply(::capnp::Orphan< ::Yokepond::Peer::Wire::StreamOriginReply>&& value);
+  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::StreamOriginReply> disownStreamOriginReply();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6589,6 +6934,132 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t StreamBegan::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamBegan::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamBegan::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StreamBegan::Reader::getPool() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StreamBegan::Builder::getPool() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StreamBegan::Builder::setPool( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StreamBegan::Reader::getSoftwareVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StreamBegan::Builder::getSoftwareVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void StreamBegan::Builder::setSoftwareVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StreamBegan::Reader::getKeepForMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StreamBegan::Builder::getKeepForMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void StreamBegan::Builder::setKeepForMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StreamOriginQuery::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamOriginQuery::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamOriginQuery::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StreamOriginReply::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamOriginReply::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamOriginReply::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamOriginReply::Reader::getKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool StreamOriginReply::Builder::getKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void StreamOriginReply::Builder::setKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StreamOriginReply::Reader::getPool() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StreamOriginReply::Builder::getPool() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void StreamOriginReply::Builder::setPool( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StreamOriginReply::Reader::getSoftwareVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StreamOriginReply::Builder::getSoftwareVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void StreamOriginReply::Builder::setSoftwareVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::Yokepond::Peer::Wire::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7840,6 +8311,168 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isStreamBegan() const {
+  return which() == Message::STREAM_BEGAN;
+}
+inline bool Message::Builder::isStreamBegan() {
+  return which() == Message::STREAM_BEGAN;
+}
+inline bool Message::Reader::hasStreamBegan() const {
+  if (which() != Message::STREAM_BEGAN) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasStreamBegan() {
+  if (which() != Message::STREAM_BEGAN) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Yokepond::Peer::Wire::StreamBegan::Reader Message::Reader::getStreamBegan() const {
+  KJ_IREQUIRE((which() == Message::STREAM_BEGAN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::StreamBegan>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Yokepond::Peer::Wire::StreamBegan::Builder Message::Builder::getStreamBegan() {
+  KJ_IREQUIRE((which() == Message::STREAM_BEGAN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::StreamBegan>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setStreamBegan( ::Yokepond::Peer::Wire::StreamBegan::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::STREAM_BEGAN);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::StreamBegan>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Yokepond::Peer::Wire::StreamBegan::Builder Message::Builder::initStreamBegan() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::STREAM_BEGAN);
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::StreamBegan>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptStreamBegan(
+    ::capnp::Orphan< ::Yokepond::Peer::Wire::StreamBegan>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::STREAM_BEGAN);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::StreamBegan>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Yokepond::Peer::Wire::StreamBegan> Message::Builder::disownStreamBegan() {
+  KJ_IREQUIRE((which() == Message::STREAM_BEGAN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::StreamBegan>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isStreamOriginQuery() const {
+  return which() == Message::STREAM_ORIGIN_QUERY;
+}
+inline bool Message::Builder::isStreamOriginQuery() {
+  return which() == Message::STREAM_ORIGIN_QUERY;
+}
+inline bool Message::Reader::hasStreamOriginQuery() const {
+  if (which() != Message::STREAM_ORIGIN_QUERY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasStreamOriginQuery() {
+  if (which() != Message::STREAM_ORIGIN_QUERY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Yokepond::Peer::Wire::StreamOriginQuery::Reader Message::Reader::getStreamOriginQuery() const {
+  KJ_IREQUIRE((which() == Message::STREAM_ORIGIN_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::StreamOriginQuery>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Yokepond::Peer::Wire::StreamOriginQuery::Builder Message::Builder::getStreamOriginQuery() {
+  KJ_IREQUIRE((which() == Message::STREAM_ORIGIN_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::StreamOriginQuery>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setStreamOriginQuery( ::Yokepond::Peer::Wire::StreamOriginQuery::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::STREAM_ORIGIN_QUERY);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::StreamOriginQuery>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Yokepond::Peer::Wire::StreamOriginQuery::Builder Message::Builder::initStreamOriginQuery() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::STREAM_ORIGIN_QUERY);
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::StreamOriginQuery>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptStreamOriginQuery(
+    ::capnp::Orphan< ::Yokepond::Peer::Wire::StreamOriginQuery>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::STREAM_ORIGIN_QUERY);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::StreamOriginQuery>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Yokepond::Peer::Wire::StreamOriginQuery> Message::Builder::disownStreamOriginQuery() {
+  KJ_IREQUIRE((which() == Message::STREAM_ORIGIN_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::StreamOriginQuery>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isStreamOriginReply() const {
+  return which() == Message::STREAM_ORIGIN_REPLY;
+}
+inline bool Message::Builder::isStreamOriginReply() {
+  return which() == Message::STREAM_ORIGIN_REPLY;
+}
+inline bool Message::Reader::hasStreamOriginReply() const {
+  if (which() != Message::STREAM_ORIGIN_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasStreamOriginReply() {
+  if (which() != Message::STREAM_ORIGIN_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Yokepond::Peer::Wire::StreamOriginReply::Reader Message::Reader::getStreamOriginReply() const {
+  KJ_IREQUIRE((which() == Message::STREAM_ORIGIN_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::StreamOriginReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Yokepond::Peer::Wire::StreamOriginReply::Builder Message::Builder::getStreamOriginReply() {
+  KJ_IREQUIRE((which() == Message::STREAM_ORIGIN_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::StreamOriginReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setStreamOriginReply( ::Yokepond::Peer::Wire::StreamOriginReply::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::STREAM_ORIGIN_REPLY);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::StreamOriginReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Yokepond::Peer::Wire::StreamOriginReply::Builder Message::Builder::initStreamOriginReply() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::STREAM_ORIGIN_REPLY);
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::StreamOriginReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptStreamOriginReply(
+    ::capnp::Orphan< ::Yokepond::Peer::Wire::StreamOriginReply>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::STREAM_ORIGIN_REPLY);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::StreamOriginReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Yokepond::Peer::Wire::StreamOriginReply> Message::Builder::disownStreamOriginReply() {
+  KJ_IREQUIRE((which() == Message::STREAM_ORIGIN_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::StreamOriginReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Session::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -54,6 +54,9 @@
 /// started may not know the others yet and must not take their shares.
 constexpr std::size_t minSharingHosts = 6;
 
+/// Time added to the time for which a caller waits for a stream, in which it may take the stream up.
+constexpr Duration streamLifetimeMargin = std::chrono::seconds(5);
+
 /// Carries no Retry-After, since a retry would crash another endpoint.
 absl::Status quarantineError()
 {
@@ -107,6 +110,7 @@
     , m_catalogue(Configuration::Catalogue::build({}))
     , m_shards(std::make_shared<Dispatch::ShardMap>())
     , m_quarantine(m_self, seed)
+    , m_streamOrigins(m_self)
 {
 }
 
@@ -133,7 +137,10 @@
     if (catalogueChanged) {
         m_rates.updateView(now, *m_catalogue);
         m_availabilities.updateView(*m_catalogue);
+        m_versionHistory.updateView(now, *m_catalogue);
     }
+    m_streamOrigins.updateView(members);
+    m_hadOtherMembers = m_hadOtherMembers || members.size() > 1;
     m_quarantine.updateView(now, members, m_catalogue->policies().maxCrashes);
     m_unreachable.clear();
     for (const Peer::Member &member : members) {
@@ -192,7 +199,13 @@
     addTraceEntry(
         pending, now, Step::Arrived,
         fmt::format("class {}, tier {}, {} prompt tokens", requestClass->name, requestClass->tier, request.promptTokens));
-    requestEndpoint(now, pending);
+    if (!request.continuesStream || !isBoundStream(pending)) {
+        requestEndpoint(now, pending);
+        return;
+    }
+    addTraceEntry(pending, now, Step::LookingUpStream, Base::hexadecimal(request.stream));
+    m_streamOrigins.lookUp(now, request.stream, request.id);
+    applyOrigins(now);
 }
 
 /// Names what may be the reason: the software version that began the stream, or the evacuated data centres of the pool.
@@ -209,9 +222,9 @@
         }
     }
     const std::string message = "the pool of this class has no endpoint that accepts requests";
-    return makeError(ErrorKind::NoEndpoint, evacuated.empty() ? message
-                                                              : fmt::format("{}; evacuated data centres: {}", message,
-                                                                            fmt::join(evacuated, ", ")));
+    return makeError(ErrorKind::NoEndpoint,
+                     evacuated.empty() ? message
+                                       : fmt::format("{}; evacuated data centres: {}", message, fmt::join(evacuated, ", ")));
 }
 
 Configuration::EndpointCriteria Home::criteriaOf(const Pending &pending)
@@ -230,8 +243,7 @@
     std::vector<const ShardInfo *> shards = m_shards->ofPool(pending.classSettings.pool);
     if (m_catalogue->restrictsEndpoints(criteriaOf(pending))) {
         std::erase_if(shards, [&](const ShardInfo *shard) {
-            return pending.shardsWithout.contains(shard->id)
-                || std::ranges::none_of(shard->endpoints, [&](std::uint32_t number) {
+            return pending.shardsWithout.contains(shard->id) || std::ranges::none_of(shard->endpoints, [&](std::uint32_t number) {
                        const Configuration::Endpoint *endpoint = m_catalogue->endpointByNumber(number);
                        return endpoint != nullptr && endpoint->acceptsRequests() && mayServe(pending, number);
                    });
@@ -335,6 +347,7 @@
 {
     Base::checkInvariant(pending.classSettings.repeatable || !pending.mayHaveRun, Base::Invariant::RunOnce);
     pending.phase = Phase::Running;
+    pending.reportsPrefill = grant.reportPrefill;
     pending.endpoint = endpoint;
     ++pending.runs;
     m_counters.sentToUnavailable += m_availabilities.stateOf(endpoint).isUnavailable(now) ? 1 : 0;
@@ -346,15 +359,16 @@
     };
     const Configuration::Endpoint *target = m_catalogue->endpointByNumber(endpoint);
     pending.runVersion = target == nullptr ? 0 : Configuration::softwareVersionNumber(target->softwareVersion);
-    const std::string version = target == nullptr || target->softwareVersion.empty() ? "" : ", version " + target->softwareVersion;
+    const std::string version
+        = target == nullptr || target->softwareVersion.empty() ? "" : ", version " + target->softwareVersion;
     const std::uint32_t keeper = m_availabilities.stateOf(grant.keeper).isLeaving(now) ? 0 : grant.keeper;
     const std::string transferNote = keeper == 0 ? "" : fmt::format(", transferring a prompt prefix from {}", nameOf(keeper));
     addTraceEntry(pending, now, Step::Started, fmt::format("endpoint {}{}{}", nameOf(endpoint), version, transferNote));
     // A dispatcher that enforces a limit must be informed when the limit ends.
     const bool reportRate = pending.grantedRate.isLimited() || m_rates.stateOf(endpoint).isLimited();
-    m_actions.emplace_back(
-        StartRun {{pending.request.id, pending.attempt}, endpoint, startBy, reportRate, keeper, grant.reportPrefill,
-                  pending.softwareVersion});
+    const bool reportFirstToken = grant.reportPrefill || (isBoundStream(pending) && pending.request.stream != 0);
+    m_actions.emplace_back(StartRun {
+        {pending.request.id, pending.attempt}, endpoint, startBy, reportRate, keeper, reportFirstToken, pending.softwareVersion});
 }
 
 void Home::receive(Instant, const std::string &from, const Peer::Queued &queued)
@@ -564,12 +578,99 @@
     }
 }
 
-void Home::firstTokenReceived(const Peer::AttemptId &id)
+void Home::firstTokenReceived(Instant now, const Peer::AttemptId &id)
 {
     const Pending *pending = find(id.request);
-    if (pending != nullptr && pending->phase == Phase::Running && pending->attempt == id.attempt) {
+    if (pending == nullptr || pending->phase != Phase::Running || pending->attempt != id.attempt) {
+        return;
+    }
+    if (pending->reportsPrefill) {
         m_actions.emplace_back(SendToMember {pending->dispatcher, Peer::PrefillEnded {id, pending->shard}});
     }
+    if (isBoundStream(*pending) && pending->request.stream != 0) {
+        m_streamOrigins.record(now, pending->request.stream, {pending->classSettings.pool, pending->runVersion},
+                               streamLifetime(*pending));
+        applyOrigins(now);
+    }
+}
+
+// --- Streams that callers take up
+
+bool Home::isBoundStream(const Pending &pending) const
+{
+    return m_catalogue->policies().sameVersionStreams && pending.classSettings.resumable;
+}
+
+Duration Home::streamLifetime(const Pending &pending)
+{
+    return std::max(pending.request.timeLeft, pending.classSettings.deadline) + streamLifetimeMargin;
+}
+
+void Home::receive(Instant now, const std::string &from, const Peer::StreamBegan &began)
+{
+    m_streamOrigins.receive(now, from, began);
+}
+
+void Home::receive(Instant now, const std::string &from, const Peer::StreamOriginQuery &query)
+{
+    m_streamOrigins.receive(now, from, query);
+    applyOrigins(now);
+}
+
+void Home::receive(Instant now, const std::string &from, const Peer::StreamOriginReply &reply)
+{
+    m_streamOrigins.receive(now, from, reply);
+    applyOrigins(now);
+}
+
+void Home::applyOrigins(Instant now)
+{
+    std::ranges::move(m_streamOrigins.takeMessages(), std::back_inserter(m_actions));
+    for (const OriginFound &found : m_streamOrigins.takeResults()) {
+        Pending *pending = find(found.request);
+        if (pending != nullptr && pending->phase == Phase::LookingUpStream) {
+            continueStream(now, *pending, found);
+        }
+    }
+}
+
+void Home::continueStream(Instant now, Pending &pending, const OriginFound &found)
+{
+    const std::string source = found.origin ? fmt::format("known by {}", found.from)
+                                            : fmt::format("{} of {} hosts answered, none knows it", found.answered, found.asked);
+    const auto version = versionToContinueAt(now, pending, found);
+    addTraceEntry(pending, now, Step::StreamFound,
+                  fmt::format("version {}, {}, after {:.1f} ms", version ? versionName(*version) : "unknown", source,
+                              Base::milliseconds(found.took)));
+    if (!version) {
+        fail(now, pending,
+             makeError(ErrorKind::StreamOriginUnknown,
+                       "it is not known which software version began the stream that the request continues; begin it anew"),
+             minRetryAfter);
+        return;
+    }
+    pending.softwareVersion = *version;
+    requestEndpoint(now, pending);
+}
+
+/// Where no host knows the stream, it can only have begun at the one version that the pool has had while streams last. A host
+/// that no other one answers may be cut off and not know of newer versions.
+std::optional<std::uint32_t> Home::versionToContinueAt(Instant now, const Pending &pending, const OriginFound &found) const
+{
+    if (found.origin) {
+        const bool samePool = found.origin->pool == pending.classSettings.pool;
+        return samePool ? std::optional(found.origin->softwareVersion) : std::nullopt;
+    }
+    const bool isCutOff = m_hadOtherMembers && found.answered == 0;
+    return isCutOff ? std::nullopt : m_versionHistory.onlyVersion(now, pending.classSettings.pool, streamLifetime(pending));
+}
+
+std::string Home::versionName(std::uint32_t number) const
+{
+    const auto endpoint = std::ranges::find_if(m_catalogue->endpoints(), [number](const Configuration::Endpoint &candidate) {
+        return Configuration::softwareVersionNumber(candidate.softwareVersion) == number;
+    });
+    return endpoint == m_catalogue->endpoints().end() ? fmt::format("{:08x}", number) : endpoint->softwareVersion;
 }
 
 void Home::runEnded(Instant now, const RunReport &report)
@@ -856,6 +957,8 @@
 void Home::tick(Instant now)
 {
     m_quarantine.tick(now);
+    m_streamOrigins.tick(now);
+    applyOrigins(now);
     m_availabilities.tick(now);
     enforceQuarantine(now);
     std::vector<std::uint64_t> due;
@@ -934,6 +1037,11 @@
     return m_quarantine;
 }
 
+const StreamOrigins &Home::streamOrigins() const
+{
+    return m_streamOrigins;
+}
+
 const HomeCounters &Home::counters() const
 {
     return m_counters;
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -14,7 +14,9 @@
 #include "Request/localwindow.h"
 #include "Request/quarantine.h"
 #include "Request/shardchoice.h"
+#include "Request/streamorigins.h"
 #include "Request/types.h"
+#include "Request/versionhistory.h"
 
 #include <cstdint>
 #include <deque>
@@ -27,10 +29,12 @@
 
 namespace Yokepond::Request {
 
-/// State of a pending request: it waits for a dispatcher's reply, for the end of a backoff, or for the end of its run.
-enum class Phase { Asking, BackingOff, Running };
+/// State of a pending request: it waits for other hosts that may know where its stream began, for a dispatcher's reply, for the
+/// end of a backoff, or for the end of its run.
+enum class Phase { LookingUpStream, Asking, BackingOff, Running };
 
-inline constexpr Base::NameTable<Phase, 3> phaseNames = {{
+inline constexpr Base::NameTable<Phase, 4> phaseNames = {{
+    {Phase::LookingUpStream, "looking-up-stream"},
     {Phase::Asking, "waiting"},
     {Phase::BackingOff, "backing-off"},
     {Phase::Running, "running"},
@@ -86,19 +90,22 @@
     /// Accepts a request and asks for an endpoint. Fails the request if its class is unknown or its work is quarantined.
     void start(Base::Instant now, const NewRequest &request);
 
-    /// Handles a message of a dispatcher or of another host's quarantine; @p from is the sender.
+    /// Handles a message of a dispatcher, or of another host's quarantine or record of streams; @p from is the sender.
     void receive(Base::Instant now, const std::string &from, const Peer::Grant &grant);
     void receive(Base::Instant now, const std::string &from, const Peer::Refusal &refusal);
     void receive(Base::Instant now, const std::string &from, const Peer::Queued &queued);
     void receive(Base::Instant now, const std::string &from, const Peer::RunBroke &broke);
     void receive(Base::Instant now, const std::string &from, const Peer::QuarantineUpdate &update);
+    void receive(Base::Instant now, const std::string &from, const Peer::StreamBegan &began);
+    void receive(Base::Instant now, const std::string &from, const Peer::StreamOriginQuery &query);
+    void receive(Base::Instant now, const std::string &from, const Peer::StreamOriginReply &reply);
 
     /// Applies what the head of a response from @p endpoint advertises, and informs the dispatcher if that is new.
     void endpointAdvertised(Base::Instant now, const Peer::AttemptId &id, std::uint32_t endpoint,
                             const EndpointAdvertisement &advertised);
 
-    /// Informs the dispatcher of the first token of a run.
-    void firstTokenReceived(const Peer::AttemptId &id);
+    /// Handles the first token of a run: informs the dispatcher, and records where the stream began.
+    void firstTokenReceived(Base::Instant now, const Peer::AttemptId &id);
 
     /// Handles the end of a run: finishes, retries or fails the request.
     void runEnded(Base::Instant now, const RunReport &report);
@@ -128,6 +135,7 @@
     std::size_t active() const;
     const HomeCounters &counters() const;
     const Quarantine &quarantine() const;
+    const StreamOrigins &streamOrigins() const;
     std::vector<RequestView> requests(Base::Instant now) const;
 
     /// Returns the trace of a pending or recently ended request, oldest step first; null if there is none.
@@ -140,7 +148,7 @@
         Configuration::RequestClass classSettings; ///< as they were when the request was accepted
         Base::Instant arrival {};
         Base::Instant deadline {};
-        Phase phase = Phase::Asking;
+        Phase phase = Phase::LookingUpStream;
         std::uint8_t attempt = 0;
         std::uint32_t shard = 0;
         std::string dispatcher;
@@ -153,6 +161,7 @@
         std::uint32_t sentRuns = 0; ///< runs that may have reached their endpoint
         bool mayHaveRun = false; ///< an endpoint may have processed the request; never reset
         Rate::RateState grantedRate; ///< rate limit that the dispatcher applied when it granted the run
+        bool reportsPrefill = false; ///< the dispatcher wants to know when the latest run's first token comes
         bool grantReturned = false; ///< a grant was returned because the dispatcher's information was out of date
         bool queuedAtDispatcher = false; ///< the dispatcher has confirmed that it queued the ask
         unsigned int misdirectedRefusals = 0; ///< consecutive refusals by hosts whose view of the fleet differs from this host's
@@ -170,6 +179,15 @@
     absl::Status noEndpointError(const Pending &pending) const;
     /// Binds a request whose caller has seen events of the latest run to the software version of that run's endpoint.
     void bindToVersion(Pending &pending) const;
+    /// Returns whether the request's stream may be taken up, but only at the software version that began it.
+    bool isBoundStream(const Pending &pending) const;
+    /// Returns how long after its beginning a stream of this class may be taken up.
+    static Base::Duration streamLifetime(const Pending &pending);
+    /// Sends the messages of m_streamOrigins, and continues the requests whose look-ups have ended.
+    void applyOrigins(Base::Instant now);
+    void continueStream(Base::Instant now, Pending &pending, const OriginFound &found);
+    std::optional<std::uint32_t> versionToContinueAt(Base::Instant now, const Pending &pending, const OriginFound &found) const;
+    std::string versionName(std::uint32_t number) const;
     void refusedForNoEndpoint(Base::Instant now, Pending &pending, const Peer::Refusal &refusal);
     void requestEndpoint(Base::Instant now, Pending &pending);
     void sendAsk(Base::Instant now, Pending &pending);
@@ -217,6 +235,9 @@
     std::set<std::uint32_t> m_reportedShards;
     LocalWindow m_localWindow;
     Quarantine m_quarantine;
+    StreamOrigins m_streamOrigins;
+    VersionHistory m_versionHistory;
+    bool m_hadOtherMembers = false; ///< the fleet had other hosts at some time
     Rate::EndpointRates m_rates;
     Availability::EndpointAvailabilities m_availabilities;
     Base::Instant m_nextReport {};
--- a/Source/Request/types.h
+++ b/Source/Request/types.h
@@ -42,6 +42,10 @@
     Base::Duration timeLeft {}; ///< time that the caller will wait; zero: only the class's deadline applies
     bool streams = false; ///< the response is streamed while the run goes on
     std::uint64_t work = 0; ///< hash of organisation, path and body: equal at all hosts for requests that ask for the same
+    /// Identity of the stream at all hosts: a hash of the organisation and of the caller's id for the request that brought the
+    /// first event, which is this request unless it continues a stream. 0 if the caller gives none.
+    std::uint64_t stream = 0;
+    bool continuesStream = false; ///< the caller holds events of the stream from an earlier request
 };
 
 /// Information about its endpoint that the head of a response advertises.
@@ -138,10 +142,12 @@
     LocalWindow,
     Failed,
     Withdrawn,
-    CallerDisconnected
+    CallerDisconnected,
+    LookingUpStream,
+    StreamFound
 };
 
-inline constexpr Base::NameTable<Step, 14> stepNames = {{
+inline constexpr Base::NameTable<Step, 16> stepNames = {{
     {Step::Arrived, "arrived"},
     {Step::Asked, "asked"},
     {Step::Granted, "granted"},
@@ -156,6 +162,8 @@
     {Step::Failed, "failed"},
     {Step::Withdrawn, "withdrawn"},
     {Step::CallerDisconnected, "caller-gone"},
+    {Step::LookingUpStream, "looking-up-stream"},
+    {Step::StreamFound, "stream-found"},
 }};
 
 struct TraceEntry
--- /dev/null
+++ b/Source/Request/versionhistory.h
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: BSD-3-Clause
+// SPDX-FileCopyrightText: 2026 yokepond maintainers
+
+/// @file
+/// The software versions that the endpoints of each pool have had lately, as far as this host knows.
+
+#pragma once
+
+#include "Base/time.h"
+#include "Configuration/catalogue.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace Yokepond::Request {
+
+/// Tells whether a pool has had endpoints of only one software version for some time. A stream that began in this time then began
+/// at that version, whoever relayed it.
+class VersionHistory
+{
+public:
+    /// Records the versions of the endpoints of @p catalogue. Their numbers are those of Configuration::softwareVersionNumber().
+    void updateView(Base::Instant now, const Configuration::Catalogue &catalogue);
+
+    /// Returns the only version that the endpoints of @p pool have had for the last @p period. Returns nothing if there were
+    /// several or none, or if this host has not known the pool for that long.
+    std::optional<std::uint32_t> onlyVersion(Base::Instant now, std::uint32_t pool, Base::Duration period) const;
+
+private:
+    struct Version
+    {
+        bool present = false;
+        Base::Instant lastPresent {}; ///< when its last endpoint was removed; not used while it is present
+    };
+
+    struct Pool
+    {
+        Base::Instant knownSince {};
+        std::map<std::uint32_t, Version> versions; ///< by number
+    };
+
+    std::map<std::uint32_t, Pool> m_pools; ///< by number
+};
+
+} // namespace Yokepond::Request
--- a/Tests/Dispatch/shardversionstest.cpp
+++ b/Tests/Dispatch/shardversionstest.cpp
@@ -156,7 +156,8 @@
 {
     shard.applyEndpointUpdate(at(0), home, {1, e1, {Rate::RateKind::Limited, 0.25, {}}, {}});
     shard.applyEndpointUpdate(at(0), home, {1, e2, {Rate::RateKind::Limited, 100.0, {}}, {}});
-    // One run can start now and one each four seconds, and the asks have a deadline of twenty: four wait, the others cannot be served.
+    // One run can start now and one each four seconds, and the asks have a deadline of twenty: four wait, the others cannot be
+    // served.
     for (int index = 0; index < 12; ++index) {
         ask(5, "v1");
     }
--- a/Tests/Integration/soakchecks.py
+++ b/Tests/Integration/soakchecks.py
@@ -66,6 +66,7 @@
     leaving: dict  # endpoint name -> time at which the store got its state `draining`
     disturbances: list
     stops: list  # (host, incarnation, begin, end) of planned stops
+    streams: list = dataclasses.field(default_factory=list)  # streamcaller.Stream, of callers that take broken streams up
     bound: float = 3.0  # seconds within which a host must apply a change; a host must be undisturbed as long before it is checked
 
     def undisturbed(self, host, begin, end):
@@ -178,8 +179,23 @@
     yield from (f"{path}: none of {len(served)} served" for path, served in by_path.items() if len(served) >= min_requests and not any(served))
 
 
+def streams_of_two_versions(record):
+    """Finds streams that hold events of two software versions, in one answer or over their caller's tries."""
+    for stream in record.streams:
+        if len(stream.versions) > 1:
+            yield f"{stream.name}: {stream.events}, tries {[(entry.name, entry.host, entry.status) for entry in stream.tries]}"
+
+
+def streams_out_of_order(record):
+    """Finds streams with an event that is missing or comes twice."""
+    for stream in record.streams:
+        numbers = [number for number, _ in stream.events]
+        if numbers != list(range(1, len(numbers) + 1)):
+            yield f"{stream.name}: {stream.events}"
+
+
 CHECKS = (wrong_responses, duplicate_runs, unrequested_runs, false_not_run, stale_configuration, reverted_configuration, runs_at_leaving_endpoints,
-          requests_cut_by_stops, unserved_paths)
+          requests_cut_by_stops, unserved_paths, streams_of_two_versions, streams_out_of_order)
 
 
 def find_violations(record):
--- a/Tests/Integration/streamcaller.py
+++ b/Tests/Integration/streamcaller.py
@@ -14,14 +14,18 @@
 
 @dataclasses.dataclass
 class Try:
-    """One try of a caller: its status, 0 if the connection broke before it, and how long it took."""
+    """One try of a caller. Its status is 0 if the connection broke before it came; `broken` tells whether it broke at any time."""
 
     name: str
     host: int
     resumes: str
-    status: int = 0
+    sent: float = 0.0  # monotonic
     seconds: float = 0.0
+    status: int = 0
+    broken: bool = False
     events: int = 0
+    response_name: str = ""
+    signature: str = ""
 
 
 @dataclasses.dataclass
@@ -47,11 +51,16 @@
 
 
 class StreamCaller:
-    """Calls the hosts at the addresses `callers`; each try goes to the host that the test names."""
+    """Calls the hosts at the addresses `callers`; each try goes to the host that the test names.
+
+    `path`: the path of all streams. Without it each stream has one of its own: streams that ask for the same and break off are taken for one
+    that ends its endpoints.
+    """
 
-    def __init__(self, callers, key="good-key"):
+    def __init__(self, callers, key="good-key", path=None):
         self.callers = callers
         self.key = key
+        self.path = path
 
     def begin(self, host, name, deadline_ms=5000):
         stream = Stream(name)
@@ -71,27 +80,29 @@
         if entry.resumes and named:
             headers["Resumes"] = entry.resumes
         stream.tries.append(entry)
-        began = time.monotonic()
+        entry.sent = time.monotonic()
         connection = http.client.HTTPConnection(self.callers[host], timeout=30)
         text = ""
         try:
-            # A path of its own: streams that ask for the same and break off are taken for one that ends its endpoints.
-            connection.request("POST", f"/stream/{stream.name}", body="payload", headers=headers)
+            connection.request("POST", self.path or f"/stream/{stream.name}", body="payload", headers=headers)
             response = connection.getresponse()
             entry.status = response.status
+            entry.response_name = response.headers.get("X-Request-Id", "")
+            entry.signature = response.headers.get("X-Response-Signature", "")
             while response.status == 200:
                 line = response.readline()
                 if not line:
                     break
                 text += line.decode()
+            response.read()  # fails if the last chunk is missing, which readline() takes for the end
         except (OSError, http.client.HTTPException):
-            pass
+            entry.broken = True
         finally:
             connection.close()
             found = [(int(number), version) for number, version in EVENT.findall(text)]
             entry.events = len(found)
             stream.events += found
-            entry.seconds = time.monotonic() - began
+            entry.seconds = time.monotonic() - entry.sent
 
 
 def assert_one_version_each(streams, most=0):
--- a/Tests/Integration/test_soak.py
+++ b/Tests/Integration/test_soak.py
@@ -21,10 +21,14 @@
 from fleet import parse_options, request, run_tests, wait_until
 from recordsplatform import CONFIGURATION, Endpoint, Hosts, Store, StoreAddress
 from soakchecks import AcceptedConfiguration, CallerRequest, Disturbance, Record, Run, find_violations
+from streamcaller import StreamCaller
 
 HOSTS = 4
 CALLERS = 8
+STREAM_CALLERS = 3
+MAX_TRIES = 4  # of a caller for one stream
 STEPS = 10
+VERSIONS = ["v1", "v2", "v3"]  # of the endpoints' software
 # Seconds by which a sleep may exceed its time. If it takes longer, the machine is overloaded, and no time limits are checked for the
 # duration of that sleep.
 MAX_SLEEP_OVERRUN = 0.4
@@ -80,6 +84,43 @@
         self.connection = None
 
 
+class StreamTaker(threading.Thread):
+    """Reads one stream after another and takes up those that break, at any host."""
+
+    def __init__(self, soak, number):
+        super().__init__()
+        self.soak, self.number = soak, number
+        self.random = random.Random(soak.seed * 1000 + 500 + number)
+        self.caller = StreamCaller(soak.hosts.callers, path="/stream/x")
+        self.streams = []
+        self.requests = []
+
+    def run(self):
+        while not self.soak.finished.is_set():
+            name = f"s{self.number}-{len(self.streams)}"
+            host, incarnation = self.choose()
+            stream = self.caller.begin(host, name)
+            self.add(stream, incarnation)
+            while stream.events and not stream.whole and len(stream.tries) < MAX_TRIES:
+                host, incarnation = self.choose()
+                self.caller.take_up(stream, host)
+                self.add(stream, incarnation)
+            self.streams.append(stream)
+            time.sleep(self.random.random() * 0.05)
+
+    def choose(self):
+        ready = [index for index in range(HOSTS) if self.soak.ready[index]] or list(range(HOSTS))
+        host = self.random.choice(ready)
+        return host, self.soak.incarnations[host]
+
+    def add(self, stream, incarnation):
+        """Records the last try; one that broke has no response."""
+        entry = stream.tries[-1]
+        status = 0 if entry.broken else entry.status
+        self.requests.append(CallerRequest(entry.name, "/stream/x", "good-key", entry.host, incarnation, entry.sent, entry.sent + entry.seconds,
+                                           status, entry.response_name, entry.signature, b"", status != 200 or stream.whole))
+
+
 def is_complete_stream(body):
     ids = [int(line[3:]) for line in body.decode().splitlines() if line.startswith("id:")]
     return ids == list(range(1, EVENTS + 1))
@@ -91,7 +132,7 @@
         self.chooser = random.Random(seed)
         self.store = Store()
         self.store_addresses = [StoreAddress(self.store) for _ in range(HOSTS)]
-        self.hosts = Hosts(program_directory, [address.address for address in self.store_addresses])
+        self.hosts = Hosts(program_directory, [address.address for address in self.store_addresses], "[streams]\nsame-version = yes\n")
         self.incarnations = [0] * HOSTS
         self.ready = [False] * HOSTS
         self.faulted_hosts = set()  # hosts with an active fault
@@ -106,9 +147,9 @@
 
     # --- contents of the store
 
-    def add_endpoint(self, service):
+    def add_endpoint(self, service, version="v1"):
         self.endpoint_count += 1
-        endpoint = Endpoint(f"i-{service}{self.endpoint_count}")
+        endpoint = Endpoint(f"i-{service}{self.endpoint_count}", version)
         self.endpoints.append((service, endpoint))
         self.store.put("servers", endpoint.name, endpoint.row(service))
 
@@ -206,7 +247,7 @@
 
     def replace_endpoint(self):
         service, endpoint = self.chooser.choice(self.endpoints)
-        self.add_endpoint(service)
+        self.add_endpoint(service, self.chooser.choice(VERSIONS))
         self.endpoints.remove((service, endpoint))
         self.replaced.append((service, endpoint))
         self.store.put("servers", endpoint.name, endpoint.row(service, "draining"))
@@ -258,13 +299,13 @@
                 self.disturbances.append(Disturbance(begin, time.monotonic()))
 
     def run(self, seconds):
-        for service in ["model", "model", "app", "app", "app"]:
-            self.add_endpoint(service)
+        for service, version in [("model", "v1"), ("model", "v1"), ("model", "v2"), ("model", "v2"), ("app", "v1"), ("app", "v1"), ("app", "v2")]:
+            self.add_endpoint(service, version)
         self.configure()
         self.hosts.wait_ready()
         watcher = threading.Thread(target=self.watch)
         watcher.start()
-        callers = [Caller(self, number) for number in range(CALLERS)]
+        callers = [Caller(self, number) for number in range(CALLERS)] + [StreamTaker(self, number) for number in range(STREAM_CALLERS)]
         for caller in callers:
             caller.start()
         undos, step, end = [], 0, time.monotonic() + seconds
@@ -290,7 +331,8 @@
     def record(self, callers, bound):
         runs = [Run(name, endpoint.name, at) for _, endpoint in self.endpoints + self.replaced for name, at in endpoint.arrivals]
         requests = [entry for caller in callers for entry in caller.requests]
-        return Record(requests, runs, self.configurations, self.leaving_since, self.disturbances, self.stops, bound)
+        streams = [stream for caller in callers if isinstance(caller, StreamTaker) for stream in caller.streams]
+        return Record(requests, runs, self.configurations, self.leaving_since, self.disturbances, self.stops, streams, bound)
 
     def shut_down(self):
         self.store.closing.set()
@@ -308,7 +350,9 @@
         record = soak.record(callers, options.bound)
         served = sum(entry.status == 200 for entry in record.requests)
         found = find_violations(record)
-        print(f"seed {options.seed}: {len(record.requests)} requests, {served} served, {len(record.runs)} runs, faults {soak.injected}")
+        taken_up = [stream for stream in record.streams if stream.taken_up]
+        print(f"seed {options.seed}: {len(record.requests)} requests, {served} served, {len(record.runs)} runs, {len(taken_up)} streams taken up, "
+              f"{sum(stream.whole for stream in taken_up)} of them whole, faults {soak.injected}")
         if found:
             print(json.dumps({name: entries[:10] for name, entries in found.items()}, indent=1))
             print(f"logs of the hosts: {soak.hosts.directory}")
--- a/Tests/Integration/test_soakchecks.py
+++ b/Tests/Integration/test_soakchecks.py
@@ -4,6 +4,7 @@
 
 from fleet import run_tests
 from soakchecks import AcceptedConfiguration, CallerRequest, Disturbance, Record, Run, find_violations
+from streamcaller import Stream
 
 FIRST = AcceptedConfiguration(0.0, frozenset({"k1"}), frozenset({"/once/"}))
 SECOND = AcceptedConfiguration(20.0, frozenset({"k1", "k2"}), frozenset({"/once/", "/stream/"}))
@@ -78,5 +79,15 @@
     assert_only_violation("unserved_paths", record_of([caller_request(f"a{count}", status=503) for count in range(30)]))
 
 
+def test_streams():
+    def stream(*events):
+        return Stream("s", list(events))
+
+    assert not find_violations(record_of([], streams=[stream((1, "v1"), (2, "v1")), stream((1, "v2")), stream()]))
+    assert_only_violation("streams_of_two_versions", record_of([], streams=[stream((1, "v1"), (2, "v2"))]))
+    assert_only_violation("streams_out_of_order", record_of([], streams=[stream((1, "v1"), (3, "v1"))]))
+    assert_only_violation("streams_out_of_order", record_of([], streams=[stream((1, "v1"), (1, "v1"))]))
+
+
 if __name__ == "__main__":
     run_tests(globals())
--- a/Tests/Integration/test_versions.py
+++ b/Tests/Integration/test_versions.py
@@ -2,6 +2,8 @@
 # SPDX-FileCopyrightText: 2026 yokepond maintainers
 """Streams before endpoints of several software versions, which do not fit together: a stream goes on only at the version that began it."""
 
+import copy
+import itertools
 import random
 import threading
 import time
@@ -18,20 +20,20 @@
 class Site:
     """Hosts, and the engines of one pool: two of each software version."""
 
-    def __init__(self, versions=("v1", "v1", "v2", "v2"), hosts=HOSTS):
+    def __init__(self, versions=("v1", "v1", "v2", "v2"), configuration=CONFIGURATION):
         self.versions = versions
-        self.host_count = hosts
+        self.configuration = configuration
 
     def __enter__(self):
         self.store = Store()
         self.models = [Endpoint(f"i-model-{number}", version) for number, version in enumerate(self.versions)]
-        self.hosts = Hosts(parse_options().bin, [self.store.address] * self.host_count, SETTINGS)
-        self.store.put("op", "config", CONFIGURATION)
+        self.hosts = Hosts(parse_options().bin, [self.store.address] * HOSTS, SETTINGS)
+        self.store.put("op", "config", self.configuration)
         for model in self.models:
             self.store.put("servers", model.name, model.row("model"))
         self.hosts.wait_ready()
         self.caller = StreamCaller(self.hosts.callers)
-        for index in range(self.host_count):
+        for index in range(HOSTS):
             wait_until(lambda index=index: self.caller.begin(index, f"warm-{index}-{time.monotonic()}").whole, f"host {index} to serve")
         return self
 
@@ -40,12 +42,12 @@
         for process in self.hosts.processes:
             process.kill()
 
-    def begin(self, count, hosts, pause=0.0, name="stream"):
+    def begin(self, count, hosts, pause=0.0, name="stream", deadline_ms=5000):
         """Begins streams at the hosts in turn, a little apart, and returns them and the threads that read them."""
         streams, threads = [None] * count, []
 
         def read(number):
-            streams[number] = self.caller.begin(hosts[number % len(hosts)], f"{name}-{number}")
+            streams[number] = self.caller.begin(hosts[number % len(hosts)], f"{name}-{number}", deadline_ms)
 
         for number in range(count):
             threads.append(threading.Thread(target=read, args=(number,)))
@@ -59,13 +61,14 @@
             thread.join()
         return streams
 
-    def broken_streams(self, count, broken_host, name="stream"):
-        """Begins streams at a host and kills it in the middle of them; returns those that hold events and are not whole."""
+    def broken_streams(self, count, broken_host, also=(), deadline_ms=5000):
+        """Begins streams at a host and kills it, and others `also`, in the middle; returns those that hold events and are not whole."""
         for model in self.models:
             model.event_pause = 0.25
-        streams, threads = self.begin(count, [broken_host], 0.01, name)
+        streams, threads = self.begin(count, [broken_host], 0.01, "stream", deadline_ms)
         time.sleep(0.6)
-        self.hosts.processes[broken_host].kill()
+        for host in (broken_host, *also):
+            self.hosts.processes[host].kill()
         for thread in threads:
             thread.join()
         for model in self.models:
@@ -74,6 +77,28 @@
         assert len(broken) >= 12, [stream.tries for stream in streams]
         return broken
 
+    def call_until(self, finished, number, streams):
+        """Begins one stream after another, and takes up those that break at other hosts, until `finished` is set."""
+        chooser = random.Random(parse_options().seed * 100 + number)
+        for count in itertools.count():
+            if finished.is_set():
+                return
+            stream = self.caller.begin(chooser.randrange(HOSTS), f"caller-{number}-{count}")
+            for _ in range(4):
+                if stream.whole or not stream.events:
+                    break
+                self.caller.take_up(stream, chooser.randrange(HOSTS))
+            if stream.events:
+                streams.append(stream)
+            else:
+                time.sleep(0.1)
+
+    def serves_version(self, version, hosts):
+        """Whether a host has an endpoint of the version, as its own log tells."""
+        names = {model.name for model in self.models if model.version == version}
+        counts = [[entry["endpoints"] for entry in self.hosts.log(host) if entry["event"] == "configuration-applied"][-1] for host in hosts]
+        return any(count > len(self.models) - len(names) for count in counts)
+
     def take_up(self, streams, hosts):
         random.Random(parse_options().seed).shuffle(streams)
         threads = [threading.Thread(target=self.caller.take_up, args=(stream, hosts[number % len(hosts)]))
@@ -107,5 +132,93 @@
         assert_taken_up_streams_go_on(broken, site.play(12, [1, 2, 3], "new"))
 
 
+# Guards against streams that nobody can take up any more after half of the hosts were killed at once and have started again.
+def test_streams_are_taken_up_after_half_of_the_hosts_were_killed():
+    with Site() as site:
+        broken = site.broken_streams(32, 0, also=[1])
+        for host in (0, 1):
+            site.hosts.start(host)
+        for host in (0, 1):
+            wait_until(lambda host=host: site.hosts.ready(host), f"host {host} to be ready")
+        site.take_up(broken, range(HOSTS))
+        assert_one_version_each(broken)
+        assert_taken_up_streams_go_on(broken, site.play(12, range(HOSTS), "new"))
+
+
+# Guards against a stream that goes on at another version, or waits, when no endpoint of its version is left.
+def test_a_stream_whose_version_is_gone_is_refused_at_once():
+    with Site() as site:
+        broken = [stream for stream in site.broken_streams(16, 0) if stream.versions == {"v1"}]
+        assert broken
+        for model in site.models[:2]:
+            site.store.remove("servers", model.name)
+        wait_until(lambda: not site.serves_version("v1", [1, 2, 3]), "all hosts to know that version v1 is gone")
+        runs = sum(len(model.runs) for model in site.models)
+        site.take_up(broken, [1, 2, 3])
+        last = [stream.tries[-1] for stream in broken]
+        assert all(entry.status == 503 and entry.seconds < PROMPT_SECONDS for entry in last), last
+        assert sum(len(model.runs) for model in site.models) == runs
+        again = site.play(len(broken), [1, 2, 3], "anew")
+        assert all(stream.whole for stream in again), [stream.tries for stream in again]
+
+
+# Guards against a stream that goes on at a guess, since its caller does not name the try that brought the first event.
+def test_a_stream_that_its_caller_does_not_name_is_refused():
+    with Site() as site:
+        broken = site.broken_streams(16, 0)
+        for stream in broken:
+            site.caller.take_up(stream, 1, named=False)
+        assert_one_version_each(broken)
+        assert all(stream.tries[-1].status == 503 and stream.tries[-1].seconds < PROMPT_SECONDS for stream in broken)
+
+
+# Guards against streams of a deployment without releases that are turned away, where every stream began at the only version.
+def test_with_one_version_a_stream_goes_on_without_a_name():
+    configuration = copy.deepcopy(CONFIGURATION)
+    configuration["routes"][0]["timeout_ms"] = 1500
+    with Site(("v1", "v1", "v1"), configuration=configuration) as site:
+        time.sleep(1.5 + 5.0)  # as long as a stream may be taken up
+        broken = site.broken_streams(16, 0, deadline_ms=1500)
+        for stream in broken:
+            site.caller.take_up(stream, 1, named=False, deadline_ms=1500)
+        assert all(stream.whole for stream in broken), [stream.tries for stream in broken]
+
+
+# Guards against streams of two versions during releases, with engines that break, hosts that are killed and stop, and callers that come back.
+def test_streams_stay_whole_through_releases():
+    with Site(("v1", "v1", "v1")) as site:
+        for model in site.models:
+            model.cut_after, model.cut_every, model.event_pause = 2, 5, 0.05
+        streams, finished = [], threading.Event()
+        callers = [threading.Thread(target=site.call_until, args=(finished, number, streams)) for number in range(8)]
+        for caller in callers:
+            caller.start()
+        for version, host in (("v2", 0), ("v3", 1), ("v4", 2)):
+            new = [Endpoint(f"i-{version}-{number}", version) for number in range(3)]
+            for model in new:
+                model.cut_after, model.cut_every, model.event_pause = 2, 5, 0.05
+                site.store.put("servers", model.name, model.row("model"))
+            time.sleep(0.7)
+            site.hosts.processes[host].kill()
+            time.sleep(0.3)
+            site.hosts.start(host)
+            for model in site.models:
+                site.store.put("servers", model.name, model.row("model", "draining"))
+                time.sleep(0.3)
+            for model in site.models:
+                site.store.remove("servers", model.name)
+            site.models = new
+            time.sleep(0.7)
+        finished.set()
+        for caller in callers:
+            caller.join()
+        assert_one_version_each(streams)
+        assert len(streams) > 100, len(streams)
+        whole = sum(1 for stream in streams if stream.whole)
+        print(f"{len(streams)} streams, {whole} whole, {sum(len(stream.taken_up) for stream in streams)} tries to take one up", flush=True)
+        # A stream whose last engines of its version have gone cannot become whole; its caller begins anew.
+        assert whole >= len(streams) * 0.8, (whole, len(streams))
+
+
 if __name__ == "__main__":
     run_tests(globals())
--- a/Tests/Node/routingtest.cpp
+++ b/Tests/Node/routingtest.cpp
@@ -29,13 +29,14 @@
     }
 
     absl::StatusOr<Node::RoutedRequest> route(const std::string &host, const std::string &path, const std::string &key,
-                                              const std::string &name = "r1")
+                                              const std::string &name = "r1", const std::string &resumed = "")
     {
         Relay::CallArrived call;
         call.host = host;
         call.path = path;
         call.keyDigest = key;
         call.callerRequestId = name;
+        call.resumedRequestId = resumed;
         return Node::routeRequest(*catalogue, call);
     }
 
@@ -71,6 +72,17 @@
     CHECK_TRUE(narrow > 850 && narrow < 950);
 }
 
+// Guards against a stream that is taken up at another pool of its route than the one that began it.
+TEST(Routing, aRequestThatContinuesAStreamGetsItsClass)
+{
+    for (int request = 0; request < 100; ++request) {
+        const std::string first = "r" + std::to_string(request);
+        const auto began = route("a.example", "/x/y/", "digest-1", first);
+        const auto continued = route("a.example", "/x/y/", "digest-1", first + "-again", first);
+        CHECK_EQUAL(began->requestClass->number, continued->requestClass->number);
+    }
+}
+
 TEST(Routing, aHostWithoutAConfigurationRefusesAsNotReady)
 {
     catalogue = Catalogue::build({});
--- a/Tests/Peer/codectest.cpp
+++ b/Tests/Peer/codectest.cpp
@@ -78,6 +78,19 @@
     CHECK_EQUAL(5U, got.shard);
 }
 
+TEST(Codec, originsOfStreamsKeepAllFields)
+{
+    Ask ask;
+    ask.softwareVersion = 11;
+    CHECK_EQUAL(11U, roundTrip(ask).softwareVersion);
+    const StreamBegan began = roundTrip(StreamBegan {1ULL << 63U, {7, 12}, milliseconds(11'000)});
+    CHECK_TRUE(began.stream == 1ULL << 63U && began.origin == (StreamOrigin {7, 12}) && began.keepFor == milliseconds(11'000));
+    CHECK_EQUAL(5U, roundTrip(StreamOriginQuery {5}).stream);
+    const StreamOriginReply known = roundTrip(StreamOriginReply {5, StreamOrigin {7, 12}});
+    CHECK_TRUE(known.stream == 5 && known.origin == (StreamOrigin {7, 12}));
+    CHECK_FALSE(roundTrip(StreamOriginReply {5, std::nullopt}).origin.has_value());
+}
+
 TEST(Codec, endpointUpdateKeepsTheRateAndDiscardsInvalidRates)
 {
     const EndpointUpdate update {5, 8, {Yokepond::Rate::RateKind::Unlimited, 0, milliseconds(17)}};
--- a/Tests/Platform/siteformtest.cpp
+++ b/Tests/Platform/siteformtest.cpp
@@ -87,7 +87,8 @@
     CHECK_EQUAL(17U, parts->revision);
 }
 
-// Guards against endpoints that are lost, or get a version that no endpoint has, because the version in their record is malformed.
+// Guards against endpoints that are lost, or get a version that no endpoint has, because the version in their record is
+// malformed.
 TEST(SiteForm, theSoftwareVersionOfAnEndpointIsItsRecords)
 {
     const auto row = [](const std::string &version) {
--- a/Tests/Request/fleetload.h
+++ b/Tests/Request/fleetload.h
@@ -662,7 +662,7 @@
             takeOutputs(run.host);
         }
         if (start.reportFirstToken) {
-            m_hosts[run.host].home->firstTokenReceived(run.id);
+            m_hosts[run.host].home->firstTokenReceived(m_now, run.id);
             takeOutputs(run.host);
         }
     }
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -135,22 +135,22 @@
         }
         return found;
     };
-    home.firstTokenReceived(ask.id);
+    home.firstTokenReceived(at(0.2), ask.id);
     CHECK_EQUAL(0U, reports().size());
     const std::uint32_t endpoint = Tests::numberOf(objects, Kind::Endpoint, "e1");
     home.receive(at(0.1), dispatcher, Peer::Grant {ask.id, endpoint, at(2), 0, 0, {}, true});
     CHECK_TRUE(actions<StartRun>().front().reportFirstToken);
-    home.firstTokenReceived({ask.id.request, static_cast<std::uint8_t>(ask.id.attempt + 1)});
-    home.firstTokenReceived({ask.id.request + 1, ask.id.attempt});
+    home.firstTokenReceived(at(0.2), {ask.id.request, static_cast<std::uint8_t>(ask.id.attempt + 1)});
+    home.firstTokenReceived(at(0.2), {ask.id.request + 1, ask.id.attempt});
     CHECK_EQUAL(0U, reports().size());
-    home.firstTokenReceived(ask.id);
+    home.firstTokenReceived(at(0.2), ask.id);
     const auto sent = reports();
     CHECK_EQUAL(1U, sent.size());
     CHECK_TRUE(sent.front().id == ask.id);
     CHECK_EQUAL(ask.shard, sent.front().shard);
     runEnds(ask, 0.5, RunStage::ResponseComplete);
     home.takeActions();
-    home.firstTokenReceived(ask.id);
+    home.firstTokenReceived(at(0.2), ask.id);
     CHECK_EQUAL(0U, reports().size());
 }
 
--- a/Tests/Request/homeversionstest.cpp
+++ b/Tests/Request/homeversionstest.cpp
@@ -82,6 +82,37 @@
         return lastAsk();
     }
 
+    /// Starts request 1 of a caller that holds events of stream @p stream from an earlier request; 0 if it does not name one.
+    void takeUp(std::uint64_t stream, double now)
+    {
+        NewRequest request {.id = 1, .requestClass = Tests::numberOf(objects, Kind::Class, "alert"), .organisation = 1};
+        request.streams = true;
+        request.stream = stream;
+        request.continuesStream = true;
+        home.start(at(now), request);
+    }
+
+    bool looksUp()
+    {
+        const auto requests = home.requests(at(0));
+        return !requests.empty() && requests.front().state == "looking-up-stream";
+    }
+
+    /// Ends the look-up of stream @p stream by the reply of host h2, which is asked twice if it does not know.
+    void reply(std::uint64_t stream, std::optional<Peer::StreamOrigin> origin, double now)
+    {
+        for (double later = now; looksUp() && later < now + 0.5; later += 0.05) {
+            home.receive(at(later), "h2", Peer::StreamOriginReply {stream, origin});
+            home.tick(at(later));
+        }
+        CHECK_FALSE(looksUp());
+    }
+
+    std::uint32_t pool()
+    {
+        return Tests::numberOf(objects, Kind::Pool, "main");
+    }
+
     absl::Status failure()
     {
         const auto failed = actions<Fail>();
@@ -161,7 +192,8 @@
     CHECK_TRUE(Base::errorKind(failure()) == Base::ErrorKind::StreamVersionGone);
 }
 
-// Guards against a stream that ends since one of several dispatchers has no endpoint of its version, or has them ejected for a moment.
+// Guards against a stream that ends since one of several dispatchers has no endpoint of its version, or has them ejected for a
+// moment.
 TEST(HomeVersions, aRefusalEndsAStreamOnlyIfNoOtherShardIsLeft)
 {
     const Peer::Ask second = streamBreaks(true);
@@ -173,3 +205,113 @@
     home.receive(at(1.1), "h2", Peer::Refusal {third.id, Peer::RefusalReason::NoEndpoint, std::chrono::seconds(1), 0});
     CHECK_TRUE(Base::errorKind(failure()) == Base::ErrorKind::StreamVersionGone);
 }
+
+// Guards against a stream that its caller takes up and that goes on at another software version.
+TEST(HomeVersions, aStreamIsTakenUpAtTheVersionThatBeganIt)
+{
+    takeUp(77, 0);
+    const auto sent = actions<SendToMember>();
+    CHECK_EQUAL(1U, sent.size());
+    CHECK_EQUAL(77U, std::get<Peer::StreamOriginQuery>(sent.front().message).stream);
+    home.receive(at(0.01), "h2", Peer::StreamOriginReply {77, Peer::StreamOrigin {pool(), softwareVersionNumber("v2")}});
+    const Peer::Ask ask = lastAsk();
+    CHECK_EQUAL(softwareVersionNumber("v2"), ask.softwareVersion);
+    CHECK_EQUAL(1U, ask.id.attempt);
+}
+
+// Guards against a chain of tries that is forgotten when the host of the first one ends: each try records the same stream anew.
+TEST(HomeVersions, theFirstEventIsRecordedForTheStreamAndNotForTheTry)
+{
+    takeUp(77, 0);
+    reply(77, Peer::StreamOrigin {pool(), softwareVersionNumber("v1")}, 0.01);
+    const Peer::Ask ask = lastAsk();
+    home.receive(at(0.1), "h2", Peer::Grant {ask.id, e1, at(2), 0});
+    const auto started = actions<StartRun>();
+    CHECK_TRUE(started.front().reportFirstToken);
+    home.firstTokenReceived(at(0.2), ask.id);
+    const auto sent = actions<SendToMember>();
+    CHECK_EQUAL(1U, sent.size());
+    const auto began = std::get<Peer::StreamBegan>(sent.front().message);
+    CHECK_EQUAL(77U, began.stream);
+    CHECK_TRUE(began.origin == (Peer::StreamOrigin {pool(), softwareVersionNumber("v1")}));
+    CHECK_TRUE(began.keepFor >= std::chrono::seconds(20));
+}
+
+// Guards against a stream that goes on at a guess when nobody knows where it began, and against a caller that waits for an
+// answer.
+TEST(HomeVersions, aStreamThatNobodyKnowsIsRefusedAsNotRun)
+{
+    takeUp(77, 0);
+    home.takeActions();
+    reply(77, std::nullopt, 0.01);
+    const auto failed = actions<Fail>();
+    CHECK_EQUAL(1U, failed.size());
+    CHECK_TRUE(Base::errorKind(failed.front().error) == Base::ErrorKind::StreamOriginUnknown);
+    CHECK_TRUE(failed.front().outcome == Outcome::NotRun && failed.front().retryAfter > Base::Duration::zero());
+    takeUp(0, 1);
+    home.takeActions();
+    reply(0, std::nullopt, 1.01);
+    CHECK_TRUE(Base::errorKind(failure()) == Base::ErrorKind::StreamOriginUnknown);
+}
+
+// Guards against streams that are turned away where the pool has had one version for long, as in deployments without releases.
+TEST(HomeVersions, withOneVersionForLongAStreamThatNobodyKnowsGoesOn)
+{
+    Configuration::CatalogueParts parts = catalogue->parts();
+    std::ranges::find(parts.endpoints, e2, &Configuration::Endpoint::number)->softwareVersion = "v1";
+    use(std::move(parts), 0);
+    takeUp(77, 3600);
+    reply(77, std::nullopt, 3600.01);
+    CHECK_EQUAL(softwareVersionNumber("v1"), lastAsk().softwareVersion);
+    home.callerDisconnected(at(3601), 1);
+    // A caller that names no try is not kept waiting for a second round.
+    takeUp(0, 3602);
+    home.receive(at(3602.01), "h2", Peer::StreamOriginReply {0, std::nullopt});
+    CHECK_EQUAL(softwareVersionNumber("v1"), lastAsk().softwareVersion);
+}
+
+// Guards against a host that is cut off, does not hear of newer versions, and goes on with their streams at an older one.
+TEST(HomeVersions, aHostThatNoOtherAnswersDoesNotRelyOnWhatItSaw)
+{
+    Configuration::CatalogueParts parts = catalogue->parts();
+    std::ranges::find(parts.endpoints, e2, &Configuration::Endpoint::number)->softwareVersion = "v1";
+    use(std::move(parts), 0);
+    takeUp(77, 3600);
+    home.takeActions();
+    for (double now = 3600; now < 3601; now += 0.05) {
+        home.tick(at(now));
+    }
+    CHECK_TRUE(Base::errorKind(failure()) == Base::ErrorKind::StreamOriginUnknown);
+}
+
+// Guards against a stream that goes on at another service after a route has moved.
+TEST(HomeVersions, aStreamOfAnotherPoolIsNotContinued)
+{
+    takeUp(77, 0);
+    home.takeActions();
+    reply(77, Peer::StreamOrigin {pool() + 1, softwareVersionNumber("v1")}, 0.01);
+    CHECK_TRUE(Base::errorKind(failure()) == Base::ErrorKind::StreamOriginUnknown);
+}
+
+// Guards against a taken-up stream that waits for a software version which no endpoint has any more.
+TEST(HomeVersions, aTakenUpStreamWhoseVersionIsGoneIsRefusedAtOnce)
+{
+    takeUp(77, 0);
+    home.takeActions();
+    home.receive(at(0.01), "h2", Peer::StreamOriginReply {77, Peer::StreamOrigin {pool(), softwareVersionNumber("v0")}});
+    const auto failed = actions<Fail>();
+    CHECK_EQUAL(1U, failed.size());
+    CHECK_TRUE(Base::errorKind(failed.front().error) == Base::ErrorKind::StreamVersionGone);
+    CHECK_TRUE(failed.front().outcome == Outcome::NotRun);
+}
+
+// Guards against a look-up that goes on for a caller that has left, and starts its request.
+TEST(HomeVersions, aCallerThatLeavesDuringTheLookUpStartsNothing)
+{
+    takeUp(77, 0);
+    home.callerDisconnected(at(0.01), 1);
+    home.takeActions();
+    home.receive(at(0.02), "h2", Peer::StreamOriginReply {77, Peer::StreamOrigin {pool(), softwareVersionNumber("v1")}});
+    CHECK_EQUAL(0U, actions<SendToMember>().size());
+    CHECK_EQUAL(0U, home.active());
+}
