Test: Streams of the soak last, and their readers notice each cut

Its host had been killed in the middle and logged no end; http.client's readline() takes a connection that ends before the last chunk for the end of the response, read1() fails. So the reader was at fault, not the host.

--- a/Tests/Integration/recordsplatform.py
+++ b/Tests/Integration/recordsplatform.py
@@ -293,11 +293,12 @@
             handler.send_header(name, value)
         handler.end_headers()
         first = int(handler.headers.get("Last-Event-Id") or 0) + 1
-        cuts = self.cut_after is not None and first == 1 and next(self.new_streams) % self.cut_every == 0
+        cut_after = self.cut_after
+        cuts = cut_after is not None and first == 1 and next(self.new_streams) % self.cut_every == 0
         for number in range(first, 6):
             time.sleep(self.event_pause)
             event = f"id: {number}\ndata: token {number} of {self.version}\n\n".encode()
-            if cuts and number > self.cut_after:
+            if cuts and number > cut_after:
                 handler.wfile.write(b"%x\r\n" % len(event[:7]) + event[:7] + b"\r\n")
                 handler.close_connection = True
                 handler.connection.shutdown(socket.SHUT_RDWR)
--- a/Tests/Integration/streamcaller.py
+++ b/Tests/Integration/streamcaller.py
@@ -9,6 +9,7 @@
 import time
 
 EVENT = re.compile(r"id: (\d+)\ndata: token \d+ of (\S*)\n\n")
+READ_BYTES = 4096
 LAST_EVENT = 5  # of a stream of recordsplatform.Endpoint
 
 
@@ -89,12 +90,9 @@
             entry.status = response.status
             entry.response_name = response.headers.get("X-Request-Id", "")
             entry.signature = response.headers.get("X-Response-Signature", "")
-            while response.status == 200:
-                line = response.readline()
-                if not line:
-                    break
-                text += line.decode()
-            response.read()  # fails if the last chunk is missing, which readline() takes for the end
+            # Unlike readline(), read1() fails if the connection ends before the last chunk.
+            while response.status == 200 and (part := response.read1(READ_BYTES)):
+                text += part.decode()
         except (OSError, http.client.HTTPException):
             entry.broken = True
         finally:
--- a/Tests/Integration/test_soak.py
+++ b/Tests/Integration/test_soak.py
@@ -32,6 +32,7 @@
 # Seconds by which a sleep may exceed its time. If it takes longer, the machine is overloaded, and no time limits are checked for the
 # duration of that sleep.
 MAX_SLEEP_OVERRUN = 0.4
+EVENT_PAUSE = 0.03  # seconds before each event of a stream, so that faults meet streams in progress
 EVENTS = 5  # events in a stream of the stand-in endpoint
 
 
@@ -150,6 +151,7 @@
     def add_endpoint(self, service, version="v1"):
         self.endpoint_count += 1
         endpoint = Endpoint(f"i-{service}{self.endpoint_count}", version)
+        endpoint.event_pause = EVENT_PAUSE
         self.endpoints.append((service, endpoint))
         self.store.put("servers", endpoint.name, endpoint.row(service))
 
