Request: Retry budgets in a module of their own

The history of versions skips endpoints that are like the one before, so a change costs a comparison for each of thousands of endpoints and not two look-ups.

--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -44,16 +44,11 @@
 /// Consecutive refusals because of differing views (the receiver is not the dispatcher in its own view, or does not know the
 /// class) after which the home bypasses the dispatcher. After a restart of the whole fleet, views differ for seconds.
 constexpr unsigned int maxMisdirected = 2;
-constexpr double percent = 100.0;
 /// A run that broke off after at most this many tokens, as the relay counts them in the stream, counts as just begun.
 constexpr std::uint32_t maxTokensJustBegan = 2;
 /// The rate information of two hosts may differ while messages between them are in flight. This host's information counts as
 /// newer only if the endpoint advertised it later by more than this tolerance.
 constexpr Duration rateTimeTolerance = std::chrono::milliseconds(50);
-/// Smallest number of hosts among which a retry budget or the turns at a limited endpoint are divided. A host that has just
-/// started may not know the others yet and must not take their shares.
-constexpr std::size_t minSharingHosts = 6;
-
 /// Time added to the time for which a caller waits for a stream, in which it may take the stream up.
 constexpr Duration streamLifetimeMargin = std::chrono::seconds(5);
 
@@ -134,6 +129,7 @@
     const bool catalogueChanged = m_catalogue != catalogue;
     m_catalogue = std::move(catalogue);
     m_hosts = members.size();
+    m_retryBudgets.setHosts(m_hosts);
     if (catalogueChanged) {
         m_rates.updateView(now, *m_catalogue);
         m_availabilities.updateView(*m_catalogue);
@@ -195,7 +191,7 @@
     if (request.timeLeft > Duration::zero()) {
         pending.deadline = std::min(pending.deadline, now + request.timeLeft);
     }
-    retryBudget(pending).earn(m_catalogue->policies().retryPercent / percent);
+    m_retryBudgets.earn(m_catalogue->policies(), requestClass->pool);
     addTraceEntry(
         pending, now, Step::Arrived,
         fmt::format("class {}, tier {}, {} prompt tokens", requestClass->name, requestClass->tier, request.promptTokens));
@@ -757,12 +753,15 @@
     }
     // A run that was not sent because its grant was stale takes nothing from the retry budget.
     const bool withoutCharge = report.stage == RunStage::Stale;
-    if (mayRetry(pending, report) && now < pending.deadline && (withoutCharge || takeRetry(pending))) {
+    if (mayRetry(pending, report) && now < pending.deadline
+        && (withoutCharge || m_retryBudgets.take(m_catalogue->policies(), pending.classSettings.pool, m_random))) {
         if (!withoutCharge) {
             pending.avoid = pending.endpoint;
         }
         ++m_counters.retried;
-        addTraceEntry(pending, now, Step::Retried, fmt::format("{:.1f} retries left", retryBudget(pending).left()));
+        addTraceEntry(
+            pending, now, Step::Retried,
+            fmt::format("{:.1f} retries left", m_retryBudgets.left(m_catalogue->policies(), pending.classSettings.pool)));
         if (pending.runs <= 1 && !withoutCharge) {
             // Retried without delay: the next attempt uses another endpoint, which has no part in the first failure.
             requestEndpoint(now, pending);
@@ -790,24 +789,6 @@
     }
 }
 
-bool Home::takeRetry(const Pending &pending)
-{
-    Base::TokenBucket &budget = retryBudget(pending);
-    if (!m_catalogue->policies().retryBudgetIsShared) {
-        return budget.spend();
-    }
-    return budget.spendOrStake(std::uniform_real_distribution(0.0, 1.0)(m_random));
-}
-
-Base::TokenBucket &Home::retryBudget(const Pending &pending)
-{
-    const Configuration::Policies &policies = m_catalogue->policies();
-    const double hosts = policies.retryBudgetIsShared ? static_cast<double>(std::max(m_hosts, minSharingHosts)) : 1.0;
-    return m_retryBudgets
-        .try_emplace(pending.classSettings.pool, policies.initialRetryBudget / hosts, policies.maxRetryBudget / hosts)
-        .first->second;
-}
-
 void Home::withdraw(Pending &pending)
 {
     m_actions.emplace_back(
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -7,12 +7,12 @@
 #pragma once
 
 #include "Availability/endpointavailabilities.h"
-#include "Base/tokenbucket.h"
 #include "Configuration/catalogue.h"
 #include "Dispatch/shardmap.h"
 #include "Rate/endpointrates.h"
 #include "Request/localwindow.h"
 #include "Request/quarantine.h"
+#include "Request/retrybudgets.h"
 #include "Request/shardchoice.h"
 #include "Request/streamorigins.h"
 #include "Request/types.h"
@@ -204,11 +204,6 @@
     void retryOrFail(Base::Instant now, Pending &pending, const RunReport &report);
     bool mayRetry(const Pending &pending, const RunReport &report) const;
     void expire(Base::Instant now, Pending &pending);
-    /// Returns the retry budget of the request's pool. First attempts fill it, so that retries cannot multiply an overload.
-    /// Takes a retry from the budget. Returns false if it has none for this request. In a large fleet the share of each host in
-    /// the common budget is less than one retry, so hosts draw lots.
-    bool takeRetry(const Pending &pending);
-    Base::TokenBucket &retryBudget(const Pending &pending);
     void cancelRun(Pending &pending);
     void stopRequest(Base::Instant now, Pending &pending, const absl::Status &error);
     void backOff(Base::Instant now, Pending &pending, Base::Duration minDelay);
@@ -230,7 +225,7 @@
     std::set<std::string> m_unreachable;
     std::map<std::uint64_t, Pending> m_pending;
     ShardChoice m_shardChoice;
-    std::map<std::uint32_t, Base::TokenBucket> m_retryBudgets; ///< by pool
+    RetryBudgets m_retryBudgets;
     /// Shards that get another report: the last one listed permits, or the connection was lost since.
     std::set<std::uint32_t> m_reportedShards;
     LocalWindow m_localWindow;
--- a/Source/Request/versionhistory.cpp
+++ b/Source/Request/versionhistory.cpp
@@ -23,7 +23,15 @@
             version.present = false;
         }
     }
+    const Configuration::Endpoint *previous = nullptr;
     for (const Configuration::Endpoint &endpoint : catalogue.endpoints()) {
+        // Thousands of endpoints have few pools and versions.
+        const bool isCounted
+            = previous != nullptr && previous->pool == endpoint.pool && previous->softwareVersion == endpoint.softwareVersion;
+        previous = &endpoint;
+        if (isCounted) {
+            continue;
+        }
         Pool &pool = m_pools.try_emplace(endpoint.pool, Pool {now, {}}).first->second;
         pool.versions[Configuration::softwareVersionNumber(endpoint.softwareVersion)].present = true;
     }
