Request: Name the hosts that keep a stream's origin replicas

A keeper is an endpoint that caches a prompt's prefix (GLOSSARY.md); the same word stood for hosts in StreamOrigins.

--- a/Source/Request/streamorigins.cpp
+++ b/Source/Request/streamorigins.cpp
@@ -19,7 +19,7 @@
 
 /// Number of hosts that keep the origin of a stream. Of streams whose hosts were killed together with half of the fleet, one in
 /// eight is then unknown.
-constexpr std::size_t keepers = 3;
+constexpr std::size_t replicaCount = 3;
 /// A host that does not reply within this time is not waited for. It is longer than the pause of a host that has used up its
 /// processor quota for a quota period of 100 ms.
 constexpr Duration replyTimeout = std::chrono::milliseconds(200);
@@ -46,16 +46,16 @@
     m_members = members;
 }
 
-std::vector<std::string> StreamOrigins::keepersOf(std::uint64_t stream) const
+std::vector<std::string> StreamOrigins::replicasOf(std::uint64_t stream) const
 {
-    return Membership::selectMembers(Base::hexadecimal(stream), m_members, keepers);
+    return Membership::selectMembers(Base::hexadecimal(stream), m_members, replicaCount);
 }
 
 void StreamOrigins::record(Instant now, std::uint64_t stream, const StreamOrigin &origin, Duration keepFor)
 {
     ++m_counters.recorded;
     keep(now, stream, origin, keepFor);
-    for (const std::string &host : keepersOf(stream)) {
+    for (const std::string &host : replicasOf(stream)) {
         if (host != m_self) {
             m_messages.push_back({host, Peer::StreamBegan {stream, origin, keepFor}});
         }
@@ -93,7 +93,7 @@
         finish(now, lookUp, known, m_self);
         return;
     }
-    askKeepers(now, lookUp);
+    askReplicas(now, lookUp);
     if (lookUp.asked == 0) {
         finish(now, lookUp, std::nullopt, {});
         return;
@@ -101,12 +101,12 @@
     m_lookUps.push_back(std::move(lookUp));
 }
 
-void StreamOrigins::askKeepers(Instant now, LookUp &lookUp)
+void StreamOrigins::askReplicas(Instant now, LookUp &lookUp)
 {
     ++lookUp.round;
     lookUp.roundBegan = now;
     lookUp.waitingFor.clear();
-    for (const std::string &host : keepersOf(lookUp.stream == unnamedStream ? lookUp.request : lookUp.stream)) {
+    for (const std::string &host : replicasOf(lookUp.stream == unnamedStream ? lookUp.request : lookUp.stream)) {
         if (host != m_self) {
             lookUp.waitingFor.insert(host);
             m_messages.push_back({host, Peer::StreamOriginQuery {lookUp.stream}});
@@ -151,7 +151,7 @@
             finish(now, lookUp, known, m_self);
         } else if (now - lookUp.roundBegan >= (lookUp.waitingFor.empty() ? askAgainDelay : replyTimeout)) {
             if (lookUp.round < maxRounds) {
-                askKeepers(now, lookUp);
+                askReplicas(now, lookUp);
             } else {
                 finish(now, lookUp, std::nullopt, {});
             }
--- a/Source/Request/streamorigins.h
+++ b/Source/Request/streamorigins.h
@@ -94,11 +94,11 @@
         bool ended = false;
     };
 
-    std::vector<std::string> keepersOf(std::uint64_t stream) const;
+    std::vector<std::string> replicasOf(std::uint64_t stream) const;
     void keep(Base::Instant now, std::uint64_t stream, const Peer::StreamOrigin &origin, Base::Duration keepFor);
     std::optional<Peer::StreamOrigin> find(Base::Instant now, std::uint64_t stream) const;
     void removeExpired(Base::Instant now);
-    void askKeepers(Base::Instant now, LookUp &lookUp);
+    void askReplicas(Base::Instant now, LookUp &lookUp);
     void finish(Base::Instant now, LookUp &lookUp, const std::optional<Peer::StreamOrigin> &origin, const std::string &from);
 
     std::string m_self;
