Request: Comments that say no more than is known

A reader was told that waiting for a software version never helps; a crashed endpoint of that version may come back, so the comment now gives the reason that holds: the wait may have no end. The size of the kept origins was worked out and not measured, so the comment no longer names it. Comments only; both files compile and are formatted.

--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -252,7 +252,7 @@
 {
     const std::vector<const ShardInfo *> shards = shardsFor(pending);
     if (shards.empty() && pending.softwareVersion != 0) {
-        // No wait helps: an endpoint that starts now has a newer version.
+        // A wait may have no end, since a release replaces a version for good, and the caller can begin anew.
         fail(now, pending, noEndpointError(pending), minRetryAfter);
         return;
     }
--- a/Source/Request/streamorigins.cpp
+++ b/Source/Request/streamorigins.cpp
@@ -31,7 +31,7 @@
 constexpr std::uint64_t unnamedStream = 0;
 /// Longest time for which another host can have an origin kept here.
 constexpr Duration maxKeepTime = std::chrono::hours(1);
-/// Streams whose origin a host keeps at most; the oldest are dropped first. They take 1 MB.
+/// Streams whose origin a host keeps at most; the oldest are dropped first.
 constexpr std::size_t maxKept = 16'384;
 
 } // namespace
