Observability: Log the parts of a prompt whose run did not complete

A part now has an identity of its own, the value of its ID on the platform, the hash of the message in a conversation, wherever it stands; the last part is the request's own and is left out. `request-ended` tells the parts of a request whose first run did not complete, at most 64. No decision uses them.

--- a/Source/Node/frontend.cpp
+++ b/Source/Node/frontend.cpp
@@ -253,6 +253,8 @@
     request.promptTokens = call.promptTokens;
     request.prefix = call.prefix;
     request.prefixTokens = call.prefixTokens;
+    request.parts = call.parts;
+    admitted.parts = call.parts;
     request.expectedTokens = call.expectedTokens;
     request.rank = admitted.rank;
     request.timeLeft = call.timeLeft;
@@ -725,6 +727,11 @@
         fields["error"] = Base::errorName(Base::errorKind(error));
         fields["reason"] = Base::messageOf(error);
     }
+    if (!succeededAtOnce && !admitted.parts.empty()) {
+        std::vector<std::string> parts;
+        std::ranges::transform(admitted.parts, std::back_inserter(parts), Base::hexadecimal);
+        fields["parts"] = parts;
+    }
     Base::log(Base::LogLevel::Info, Base::LogEvent::RequestEnded, std::move(fields));
 }
 
--- a/Source/Node/frontend.h
+++ b/Source/Node/frontend.h
@@ -23,6 +23,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace Yokepond::Node {
 
@@ -94,6 +95,7 @@
         std::string endpoint; ///< endpoint of the last run; empty before the first run
         int rank = 0; ///< priority; 1 is the highest
         std::uint64_t work = 0; ///< see Request::NewRequest
+        std::vector<std::uint64_t> parts; ///< see Request::NewRequest
         Base::Instant deadline {};
         Request::RunReport lastRun; ///< report of the last run that ended
         bool engine = true; ///< the endpoints are engines, not services
--- a/Source/Relay/call.h
+++ b/Source/Relay/call.h
@@ -46,6 +46,7 @@
     std::uint32_t expectedTokens = 0; ///< expected length of the response in tokens, 0 if unknown
     std::vector<std::uint64_t> prefix; ///< hashes of ever longer prefixes of the prompt
     std::vector<std::uint32_t> prefixTokens; ///< number of prompt tokens up to the end of each entry of prefix; may be empty
+    std::vector<std::uint64_t> parts; ///< parts of the prompt that other prompts may have too; see sharedParts()
     std::string callerRequestId; ///< the caller's id for the request, for logs; empty if the protocol has none
     std::string resumedRequestId; ///< the caller's id for its earlier request that brought the first event of this stream
     std::string lastEventId; ///< id of the last event that the caller holds from earlier requests, empty if it holds none
--- a/Source/Relay/openaiprotocol.cpp
+++ b/Source/Relay/openaiprotocol.cpp
@@ -49,6 +49,7 @@
     event.model = std::move(prompt->model);
     event.promptTokens = prompt->tokens;
     event.prefix = std::move(prompt->prefix);
+    event.parts = std::move(prompt->parts);
     event.streams = prompt->stream;
     state.body = std::move(prompt->body);
 }
--- a/Source/Relay/prompt.cpp
+++ b/Source/Relay/prompt.cpp
@@ -5,6 +5,7 @@
 
 #include "Base/error.h"
 #include "Base/hash.h"
+#include "Relay/promptparts.h"
 
 #include <array>
 
@@ -36,7 +37,8 @@
     }
 }
 
-absl::StatusOr<std::string> chatText(const nlohmann::json &body)
+/// Returns the text of all messages and appends the hash of each to @p messageHashes.
+absl::StatusOr<std::string> chatText(const nlohmann::json &body, std::vector<std::uint64_t> &messageHashes)
 {
     const auto messages = body.find("messages");
     if (messages == body.end() || !messages->is_array() || messages->empty()) {
@@ -49,10 +51,12 @@
         if (!valid) {
             return invalid("messages: expected objects with role and content");
         }
+        const std::size_t begin = text.size();
         text += message["role"].get_ref<const std::string &>();
         text += ':';
         appendContent(text, message["content"]);
         text += '\n';
+        messageHashes.push_back(Base::hash64(std::string_view(text).substr(begin)));
     }
     return text;
 }
@@ -94,7 +98,8 @@
     if (stream != prompt.body.end() && !stream->is_boolean()) {
         return invalid("stream: expected true or false");
     }
-    const absl::StatusOr<std::string> text = chat ? chatText(prompt.body) : completionText(prompt.body);
+    std::vector<std::uint64_t> messageHashes;
+    const absl::StatusOr<std::string> text = chat ? chatText(prompt.body, messageHashes) : completionText(prompt.body);
     if (!text.ok()) {
         return text.status();
     }
@@ -102,6 +107,7 @@
     prompt.stream = stream != prompt.body.end() && stream->get<bool>();
     prompt.tokens = static_cast<std::uint32_t>(text->size() / bytesPerToken) + 1;
     prompt.prefix = prefixHashes(*text);
+    prompt.parts = sharedParts(std::move(messageHashes));
     return prompt;
 }
 
--- a/Source/Relay/prompt.h
+++ b/Source/Relay/prompt.h
@@ -24,6 +24,7 @@
     bool stream = false; ///< whether the request asks for a streamed response
     std::uint32_t tokens = 0; ///< number of prompt tokens, estimated from the prompt's length in bytes
     std::vector<std::uint64_t> prefix; ///< hashes of ever longer prefixes of the prompt
+    std::vector<std::uint64_t> parts; ///< hashes of the messages that other prompts may have too; see sharedParts()
 };
 
 /// Parses the body of a chat completion, or of a text completion if @p chat is false. Fails with ErrorKind::InvalidRequest.
--- a/Source/Request/types.h
+++ b/Source/Request/types.h
@@ -37,6 +37,7 @@
     std::uint32_t promptTokens = 0; ///< estimated tokens of the prompt
     std::vector<std::uint64_t> prefix; ///< hashes of prefixes of the prompt, each longer than the one before
     std::vector<std::uint32_t> prefixTokens; ///< number of tokens up to the end of each entry of prefix; may be empty
+    std::vector<std::uint64_t> parts; ///< parts of the prompt that other prompts may have too; see Relay::sharedParts()
     std::uint32_t expectedTokens = 0; ///< expected tokens of the response, 0 if unknown
     int rank = 0; ///< 0: rank of the class's tier
     Base::Duration timeLeft {}; ///< time that the caller will wait; zero: only the class's deadline applies
--- a/Tests/Platform/requestprotocoltest.cpp
+++ b/Tests/Platform/requestprotocoltest.cpp
@@ -130,6 +130,16 @@
     CHECK_TRUE(first[2] != second[2]);
 }
 
+/// A part has the same identity wherever it stands, and the value of its ID. The last part is the request's own.
+TEST(RequestProtocol, thePartsOfAPromptAreNamedByTheirIds)
+{
+    CHECK_TRUE(describedCall().parts == (std::vector<std::uint64_t> {0x5c, 0x91}));
+    request.headers[6].value = "77:10,91:410,91:410,not-hex:3,e5:1";
+    CHECK_TRUE(describedCall().parts == (std::vector<std::uint64_t> {0x77, 0x91, Base::hash64("not-hex")}));
+    request.headers[6].value = "e5:1";
+    CHECK_TRUE(describedCall().parts.empty());
+}
+
 TEST(RequestProtocol, malformedNumbersAreIgnored)
 {
     request.headers[5].value = "many,";
--- a/Tests/Relay/prompttest.cpp
+++ b/Tests/Relay/prompttest.cpp
@@ -4,10 +4,13 @@
 #include "Relay/prompt.h"
 
 #include "Base/error.h"
+#include "Relay/promptparts.h"
 
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
 
+#include <numeric>
+
 using namespace Yokepond;
 using namespace Yokepond::Relay;
 
@@ -40,3 +43,25 @@
     CHECK_TRUE(prompt->stream);
     CHECK_EQUAL(5U, prompt->tokens);
 }
+
+/// The parts of a conversation are its messages; the last one is the request's own.
+TEST(Prompt, thePartsOfAConversationAreItsMessages)
+{
+    const auto first = parsePrompt(
+        R"({"messages":[{"role":"system","content":"s"},{"role":"user","content":"a"},{"role":"user","content":"b"}]})", true);
+    const auto second = parsePrompt(R"({"messages":[{"role":"user","content":"a"},{"role":"user","content":"c"}]})", true);
+    CHECK_EQUAL(2U, first->parts.size());
+    CHECK_EQUAL(1U, second->parts.size());
+    CHECK_EQUAL(first->parts[1], second->parts[0]);
+    CHECK_TRUE(parsePrompt(R"({"prompt":"all of it"})", false)->parts.empty());
+}
+
+TEST(Prompt, ofVeryManyPartsTheFirstAndTheLastAreKept)
+{
+    std::vector<std::uint64_t> parts(200);
+    std::iota(parts.begin(), parts.end(), 1U);
+    const std::vector<std::uint64_t> kept = sharedParts(parts);
+    CHECK_EQUAL(64U, kept.size());
+    CHECK_EQUAL(1U, kept.front());
+    CHECK_EQUAL(199U, kept.back());
+}
