Test: A part of prompts crashes engine after engine (known red)

Four real hosts, nine engines that crash when they begin an answer to a prompt with one part and are back under other names after 3.5 s, ten sound callers, four with the part; no two requests are alike. The stand-ins had no engine that a part of a prompt crashes.

--- a/Tests/Integration/streamcaller.py
+++ b/Tests/Integration/streamcaller.py
@@ -36,6 +36,7 @@
     name: str
     events: list = dataclasses.field(default_factory=list)
     tries: list = dataclasses.field(default_factory=list)
+    parts: str = ""  # X-Prefix-Hash: the parts of the prompt, as ID:TOKENS by commas
 
     @property
     def whole(self):
@@ -63,8 +64,8 @@
         self.key = key
         self.path = path
 
-    def begin(self, host, name, deadline_ms=5000):
-        stream = Stream(name)
+    def begin(self, host, name, deadline_ms=5000, parts=""):
+        stream = Stream(name, parts=parts)
         self.call(stream, host, name, deadline_ms)
         return stream
 
@@ -76,6 +77,8 @@
         first = next((entry.name for entry in stream.tries if entry.events), "")
         entry = Try(name, host, first if stream.events else "")
         headers = {"Host": "site.example", "X-Request-Id": name, "X-Deadline-Ms": str(deadline_ms), "X-Credential": self.key}
+        if stream.parts:
+            headers["X-Prefix-Hash"] = stream.parts
         if stream.events:
             headers["Last-Event-Id"] = str(stream.events[-1][0])
         if entry.resumes and named:
