--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 56> eventNames = {{
+constexpr NameTable<LogEvent, 57> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -62,6 +62,7 @@
     {LogEvent::ReadinessChanged, "readiness-changed"},
     {LogEvent::WorkQuarantined, "work-held"},
     {LogEvent::WorkCleared, "work-cleared"},
+    {LogEvent::PartsSuspected, "parts-suspected"},
     {LogEvent::LeaseTaken, "lease-taken"},
     {LogEvent::LeaseLost, "lease-lost"},
     {LogEvent::UsageReported, "usage-reported"},
--- a/Source/Base/log.h
+++ b/Source/Base/log.h
@@ -68,6 +68,7 @@
     ReadinessChanged,
     WorkQuarantined,
     WorkCleared,
+    PartsSuspected,
     LeaseTaken,
     LeaseLost,
     UsageReported,
--- a/Source/Configuration/catalogue.cpp
+++ b/Source/Configuration/catalogue.cpp
@@ -29,6 +29,7 @@
     SettingSchema {"guaranteed-percent", {.name = "value", .type = FieldType::Integer, .minimum = 1, .maximum = 50}},
     SettingSchema {"retry-percent", {.name = "value", .type = FieldType::Integer, .minimum = 0, .maximum = 100}},
     SettingSchema {"most-endings", {.name = "value", .type = FieldType::Integer, .minimum = 0, .maximum = 100}},
+    SettingSchema {"quarantine-parts", {.name = "value", .type = FieldType::Flag}},
     SettingSchema {"leaving-kept", {.name = "value", .type = FieldType::Integer, .minimum = 1, .maximum = 86'400}},
 };
 
@@ -137,6 +138,7 @@
     policies.guaranteedPercent = count("guaranteed-percent", policies.guaranteedPercent);
     policies.retryPercent = count("retry-percent", policies.retryPercent);
     policies.maxCrashes = count("most-endings", policies.maxCrashes);
+    policies.quarantineParts = value("quarantine-parts") == "yes";
     policies.leavingTimeout = std::chrono::seconds(count(
         "leaving-kept", static_cast<std::uint32_t>(std::chrono::floor<std::chrono::seconds>(policies.leavingTimeout).count())));
     return policies;
--- a/Source/Configuration/catalogue.h
+++ b/Source/Configuration/catalogue.h
@@ -205,6 +205,7 @@
     /// Number of endpoints that may crash while they run requests with the same content, recognised by the hash called work.
     /// After that no host runs such requests. 0 for no limit.
     std::uint32_t maxCrashes = 3;
+    bool quarantineParts = false; ///< quarantine parts of prompts under which that many endpoints crashed, too
     /// Time for which an endpoint gets no requests after it has announced that it will shut down.
     Base::Duration leavingTimeout = std::chrono::seconds(60);
     bool sameVersionStreams = false; ///< a stream goes on only at endpoints of the software version that began it
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -663,10 +663,14 @@
     m_metrics.set("yokepond_returned_grants_total", "", static_cast<double>(m_home.counters().returnedGrants));
     m_metrics.set("yokepond_runs_turned_away_total", "", static_cast<double>(m_home.counters().rejectedRuns));
     m_metrics.set("yokepond_runs_at_closed_endpoints_total", "", static_cast<double>(m_home.counters().sentToUnavailable));
-    const Request::QuarantineCounters &quarantine = m_home.quarantine().counters();
+    const Request::QuarantineCounters &quarantine = m_home.crashProtection().quarantine().counters();
     m_metrics.set("yokepond_runs_suspected_total", "", static_cast<double>(quarantine.suspected));
     m_metrics.set("yokepond_work_held_total", "", static_cast<double>(quarantine.quarantined));
     m_metrics.set("yokepond_work_cleared_total", "", static_cast<double>(quarantine.cleared));
+    const Request::PartSuspicionCounters &parts = m_home.crashProtection().partCounters();
+    m_metrics.set("yokepond_part_runs_suspected_total", "", static_cast<double>(parts.reported));
+    m_metrics.set("yokepond_part_inquiries_total", "", static_cast<double>(parts.inquiries));
+    m_metrics.set("yokepond_parts_blamed_total", "", static_cast<double>(parts.blamed));
     const Request::StreamOriginCounters &streams = m_home.streamOrigins().counters();
     m_metrics.set("yokepond_stream_origins_recorded_total", "", static_cast<double>(streams.recorded));
     m_metrics.set("yokepond_stream_origins_kept", "", static_cast<double>(m_home.streamOrigins().kept()));
--- a/Source/Node/queries.cpp
+++ b/Source/Node/queries.cpp
@@ -385,9 +385,12 @@
 
 QueryResult Queries::quarantine(Base::Instant now) const
 {
-    QueryResult result {{"work", "state", "round", "left-s", "host"}, {}, {}};
-    for (const Request::QuarantineView &view : m_home.quarantine().view(now)) {
+    QueryResult result {{"work", "part", "pool", "state", "round", "left-s", "host"}, {}, {}};
+    for (const Request::QuarantineView &view : m_home.crashProtection().quarantine().view(now)) {
+        const Configuration::Pool *pool = view.part ? m_fleet.catalogue()->poolByNumber(view.part->pool) : nullptr;
         result.rows.push_back({{"work", Base::hexadecimal(view.work)},
+                               {"part", view.part ? Base::hexadecimal(view.part->id) : ""},
+                               {"pool", pool == nullptr ? "" : pool->name},
                                {"state", view.quarantined ? "held" : "cleared"},
                                {"round", view.round},
                                {"left-s", std::chrono::duration_cast<std::chrono::seconds>(view.remaining).count()},
--- a/Source/Node/settings.cpp
+++ b/Source/Node/settings.cpp
@@ -151,6 +151,7 @@
         policies.retryBudgetIsShared = true;
     }
     policies.maxCrashes = static_cast<std::uint32_t>(ini.number("retries", "most-endings", policies.maxCrashes, 0, 100));
+    policies.quarantineParts = ini.flag("quarantine", "prompt-parts", false);
     // A restarted endpoint has another name on a platform with records, so a long time does no harm.
     constexpr std::int64_t leavingTimeout = 600;
     policies.leavingTimeout = std::chrono::seconds(ini.number("dispatch", "leaving-kept", leavingTimeout, 1, 86'400));
--- a/Source/Peer/codec.cpp
+++ b/Source/Peer/codec.cpp
@@ -136,6 +136,15 @@
     return headers;
 }
 
+std::vector<std::uint64_t> decodeNumbers(capnp::List<std::uint64_t>::Reader list)
+{
+    std::vector<std::uint64_t> numbers;
+    for (const std::uint64_t number : list) {
+        numbers.push_back(number);
+    }
+    return numbers;
+}
+
 capnp::Data::Reader toData(const std::string &bytes)
 {
     return {reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()};
@@ -282,6 +291,38 @@
             entries[index].setHeld(update.entries[index].quarantined);
             entries[index].setFirstEndingMs(toMilliseconds(update.entries[index].firstCrashAge));
             entries[index].setLeftMs(toMilliseconds(update.entries[index].remaining));
+            entries[index].setPartPool(update.entries[index].part.pool);
+            entries[index].setPart(update.entries[index].part.id);
+        }
+    }
+
+    void operator()(const PromptRunBroke &broke)
+    {
+        auto builder = message.initPromptRunBroke();
+        builder.setPool(broke.pool);
+        builder.setEndpoint(broke.endpoint);
+        builder.setBegan(broke.began);
+        builder.setPathInDoubt(broke.pathInDoubt);
+        builder.setSentAgoMs(toMilliseconds(broke.sentAgo));
+        builder.setWork(broke.work);
+        builder.setParts(kj::arrayPtr(broke.parts.data(), broke.parts.size()));
+    }
+
+    void operator()(const SoundPartsQuery &query)
+    {
+        auto builder = message.initSoundPartsQuery();
+        builder.setPool(query.pool);
+        builder.setParts(kj::arrayPtr(query.parts.data(), query.parts.size()));
+    }
+
+    void operator()(const SoundPartsReply &reply)
+    {
+        auto builder = message.initSoundPartsReply();
+        builder.setPool(reply.pool);
+        auto parts = builder.initParts(static_cast<unsigned int>(reply.parts.size()));
+        for (unsigned int index = 0; index < parts.size(); ++index) {
+            parts[index].setPart(reply.parts[index].part);
+            parts[index].setAgoMs(toMilliseconds(reply.parts[index].ago));
         }
     }
 
@@ -420,9 +461,7 @@
     ask.remaining = fromMilliseconds(reader.getRemainingMs());
     ask.sentAt = fromMicroseconds(reader.getSentAtUs());
     ask.promptTokens = reader.getPromptTokens();
-    for (const std::uint64_t hash : reader.getPrefix()) {
-        ask.prefix.push_back(hash);
-    }
+    ask.prefix = decodeNumbers(reader.getPrefix());
     ask.avoid = reader.getAvoid();
     ask.rank = reader.getRank();
     ask.expectedTokens = reader.getExpectedTokens();
@@ -524,12 +563,36 @@
     QuarantineUpdate update;
     update.digest = reader.getDigest();
     for (const auto entry : reader.getEntries()) {
-        update.entries.push_back({entry.getWork(), entry.getRound(), entry.getHeld(), fromMilliseconds(entry.getFirstEndingMs()),
-                                  fromMilliseconds(entry.getLeftMs())});
+        update.entries.push_back({entry.getWork(),
+                                  entry.getRound(),
+                                  entry.getHeld(),
+                                  fromMilliseconds(entry.getFirstEndingMs()),
+                                  fromMilliseconds(entry.getLeftMs()),
+                                  {entry.getPartPool(), entry.getPart()}});
     }
     return update;
 }
 
+PromptRunBroke decodePromptRunBroke(Wire::PromptRunBroke::Reader reader)
+{
+    return {reader.getPool(),
+            reader.getEndpoint(),
+            reader.getBegan(),
+            reader.getPathInDoubt(),
+            fromMilliseconds(reader.getSentAgoMs()),
+            reader.getWork(),
+            decodeNumbers(reader.getParts())};
+}
+
+SoundPartsReply decodeSoundPartsReply(Wire::SoundPartsReply::Reader reader)
+{
+    SoundPartsReply reply {reader.getPool(), {}};
+    for (const auto entry : reader.getParts()) {
+        reply.parts.push_back({entry.getPart(), fromMilliseconds(entry.getAgoMs())});
+    }
+    return reply;
+}
+
 /// Maps the types of messages to categories; a type that is not listed belongs to dispatch.
 struct TrafficCategory
 {
@@ -607,6 +670,12 @@
         return StreamOriginQuery {reader.getStreamOriginQuery().getStream()};
     case Wire::Message::STREAM_ORIGIN_REPLY:
         return decodeStreamOriginReply(reader.getStreamOriginReply());
+    case Wire::Message::PROMPT_RUN_BROKE:
+        return decodePromptRunBroke(reader.getPromptRunBroke());
+    case Wire::Message::SOUND_PARTS_QUERY:
+        return SoundPartsQuery {reader.getSoundPartsQuery().getPool(), decodeNumbers(reader.getSoundPartsQuery().getParts())};
+    case Wire::Message::SOUND_PARTS_REPLY:
+        return decodeSoundPartsReply(reader.getSoundPartsReply());
     case Wire::Message::QUEUED:
         return Queued {decodeId(reader.getQueued())};
     case Wire::Message::RELEASE:
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -327,14 +327,57 @@
     bool justBegan = false; ///< the response had only just begun, or is not streamed and does not show when it begins
 };
 
+/// A part of prompts, such as the text that all prompts of one kind begin with.
+struct PromptPart
+{
+    std::uint32_t pool = 0; ///< number of the pool that runs the prompts
+    std::uint64_t id = 0; ///< see Relay::sharedParts()
+
+    auto operator<=>(const PromptPart &) const = default;
+};
+
+/// Reports a run that broke off before its response had gone on to the hosts that count the crashes of its pool.
+struct PromptRunBroke
+{
+    std::uint32_t pool = 0;
+    std::uint32_t endpoint = 0;
+    bool began = false; ///< the response had begun, or is not streamed and does not show when it begins
+    bool pathInDoubt = false; ///< the path to the endpoint may have failed rather than the endpoint
+    Base::Duration sentAgo {}; ///< time since the run was sent to the endpoint; sent in whole milliseconds
+    std::uint64_t work = 0; ///< see Request::NewRequest
+    std::vector<std::uint64_t> parts; ///< of the prompt, see Request::NewRequest; the last one stands for the work
+};
+
+/// Asks when runs with each of the parts last went on.
+struct SoundPartsQuery
+{
+    std::uint32_t pool = 0;
+    std::vector<std::uint64_t> parts;
+};
+
+/// A part with which a run went on.
+struct SoundPart
+{
+    std::uint64_t part = 0;
+    Base::Duration ago {}; ///< time since the response of the latest such run began; sent in whole milliseconds
+};
+
+/// Reply to SoundPartsQuery. Parts of which the sender knows nothing are left out.
+struct SoundPartsReply
+{
+    std::uint32_t pool = 0;
+    std::vector<SoundPart> parts;
+};
+
 /// State of work that crashed endpoints.
 struct QuarantineEntry
 {
-    std::uint64_t work = 0;
+    std::uint64_t work = 0; ///< for a part of prompts, the key that stands for it
     std::uint32_t round = 0; ///< grows each time that the work is quarantined
     bool quarantined = false; ///< false if the work was cleared, since a run of it completed
     Base::Duration firstCrashAge {}; ///< time since the first crash that was counted; sent in whole milliseconds
     Base::Duration remaining {}; ///< time until the entry expires; sent in whole milliseconds
+    PromptPart part {}; ///< the part that `work` stands for; its pool is 0 if it stands for whole requests
 };
 
 struct QuarantineUpdate
@@ -373,10 +416,10 @@
     std::optional<StreamOrigin> origin; ///< nothing if the sender does not know it
 };
 
-using Message
-    = std::variant<Ask, Grant, Refusal, Withdrawal, Release, RunningReport, Probe, Acknowledgement, ChangesRequest, Changes,
-                   Gather, Gathered, Forward, Forwarded, Queued, UsageCounts, UsageReceived, RunBroke, QuarantineUpdate,
-                   EndpointUpdate, FollowStore, FollowAnswer, PrefillEnded, StreamBegan, StreamOriginQuery, StreamOriginReply>;
+using Message = std::variant<Ask, Grant, Refusal, Withdrawal, Release, RunningReport, Probe, Acknowledgement, ChangesRequest,
+                             Changes, Gather, Gathered, Forward, Forwarded, Queued, UsageCounts, UsageReceived, RunBroke,
+                             QuarantineUpdate, EndpointUpdate, FollowStore, FollowAnswer, PrefillEnded, StreamBegan,
+                             StreamOriginQuery, StreamOriginReply, PromptRunBroke, SoundPartsQuery, SoundPartsReply>;
 
 /// Category of a message. Messages and bytes are counted for each category.
 enum class Traffic { Dispatch, Membership, Configuration, Query, Forwarding, Usage };
--- a/Source/Peer/peer.capnp
+++ b/Source/Peer/peer.capnp
@@ -202,6 +202,8 @@
   held @2 :Bool;               # false if the work was cleared, since a run of it completed
   firstEndingMs @3 :UInt32;    # time since the first crash that was counted
   leftMs @4 :UInt32;           # time until the entry expires
+  partPool @5 :UInt32;         # if the work stands for a part of prompts: the pool that runs them; otherwise 0
+  part @6 :UInt64;             # the part
 }
 
 struct QuarantineNews {
@@ -235,6 +237,31 @@
   softwareVersion @3 :UInt32;
 }
 
+struct PromptRunBroke {
+  pool @0 :UInt32;
+  endpoint @1 :UInt32;
+  began @2 :Bool;              # the response had begun, or is not streamed and does not show when it begins
+  pathInDoubt @3 :Bool;        # the path to the endpoint may have failed rather than the endpoint
+  sentAgoMs @4 :UInt32;        # time since the run was sent to the endpoint
+  parts @5 :List(UInt64);      # parts of the prompt; the last one stands for the work
+  work @6 :UInt64;             # hash of organisation, method, path, query and body
+}
+
+struct SoundPartsQuery {
+  pool @0 :UInt32;
+  parts @1 :List(UInt64);
+}
+
+struct SoundPart {
+  part @0 :UInt64;
+  agoMs @1 :UInt32;            # time since the response of the latest run with the part began that went on
+}
+
+struct SoundPartsReply {
+  pool @0 :UInt32;
+  parts @1 :List(SoundPart);
+}
+
 struct Message {
   union {
     ask @0 :Ask;
@@ -263,6 +290,9 @@
     streamBegan @23 :StreamBegan;
     streamOriginQuery @24 :StreamOriginQuery;
     streamOriginReply @25 :StreamOriginReply;
+    promptRunBroke @26 :PromptRunBroke;
+    soundPartsQuery @27 :SoundPartsQuery;
+    soundPartsReply @28 :SoundPartsReply;
   }
 }
 
--- a/Source/Peer/peer.capnp.h
+++ b/Source/Peer/peer.capnp.h
@@ -51,6 +51,10 @@
 CAPNP_DECLARE_SCHEMA(b9595427960d1a78);
 CAPNP_DECLARE_SCHEMA(b00bde5007b45555);
 CAPNP_DECLARE_SCHEMA(de8348ced475e729);
+CAPNP_DECLARE_SCHEMA(b06cd540f4c1d6af);
+CAPNP_DECLARE_SCHEMA(c761586d8f8d2e24);
+CAPNP_DECLARE_SCHEMA(c721a7ec35920e49);
+CAPNP_DECLARE_SCHEMA(db7171afee668332);
 CAPNP_DECLARE_SCHEMA(96e489aa813b7fb3);
 CAPNP_DECLARE_SCHEMA(9dd4c91cfa0e511d);
 CAPNP_DECLARE_SCHEMA(bc08ee4c84dccee1);
@@ -464,7 +468,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b54ae1b6b421375b, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b54ae1b6b421375b, 5, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -546,6 +550,66 @@
   };
 };
 
+struct PromptRunBroke {
+  PromptRunBroke() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b06cd540f4c1d6af, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SoundPartsQuery {
+  SoundPartsQuery() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c761586d8f8d2e24, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SoundPart {
+  SoundPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c721a7ec35920e49, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SoundPartsReply {
+  SoundPartsReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(db7171afee668332, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Message {
   Message() = delete;
 
@@ -579,6 +643,9 @@
     STREAM_BEGAN,
     STREAM_ORIGIN_QUERY,
     STREAM_ORIGIN_REPLY,
+    PROMPT_RUN_BROKE,
+    SOUND_PARTS_QUERY,
+    SOUND_PARTS_REPLY,
   };
 
   struct _capnpPrivate {
@@ -3251,6 +3318,10 @@
 
   inline  ::uint32_t getLeftMs() const;
 
+  inline  ::uint32_t getPartPool() const;
+
+  inline  ::uint64_t getPart() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3294,6 +3365,12 @@
   inline  ::uint32_t getLeftMs();
   inline void setLeftMs( ::uint32_t value);
 
+  inline  ::uint32_t getPartPool();
+  inline void setPartPool( ::uint32_t value);
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3766,9 +3843,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Message::Reader {
+class PromptRunBroke::Reader {
 public:
-  typedef Message Reads;
+  typedef PromptRunBroke Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3783,110 +3860,122 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isAsk() const;
-  inline bool hasAsk() const;
-  inline  ::Yokepond::Peer::Wire::Ask::Reader getAsk() const;
+  inline  ::uint32_t getPool() const;
 
-  inline bool isGrant() const;
-  inline bool hasGrant() const;
-  inline  ::Yokepond::Peer::Wire::Grant::Reader getGrant() const;
+  inline  ::uint32_t getEndpoint() const;
 
-  inline bool isRefusal() const;
-  inline bool hasRefusal() const;
-  inline  ::Yokepond::Peer::Wire::Refusal::Reader getRefusal() const;
+  inline bool getBegan() const;
 
-  inline bool isWithdrawal() const;
-  inline bool hasWithdrawal() const;
-  inline  ::Yokepond::Peer::Wire::Withdrawal::Reader getWithdrawal() const;
+  inline bool getPathInDoubt() const;
 
-  inline bool isRelease() const;
-  inline bool hasRelease() const;
-  inline  ::Yokepond::Peer::Wire::Release::Reader getRelease() const;
+  inline  ::uint32_t getSentAgoMs() const;
 
-  inline bool isRunning() const;
-  inline bool hasRunning() const;
-  inline  ::Yokepond::Peer::Wire::RunningReport::Reader getRunning() const;
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
 
-  inline bool isProbe() const;
-  inline bool hasProbe() const;
-  inline  ::Yokepond::Peer::Wire::Probe::Reader getProbe() const;
+  inline  ::uint64_t getWork() const;
 
-  inline bool isAcknowledgement() const;
-  inline bool hasAcknowledgement() const;
-  inline  ::Yokepond::Peer::Wire::Acknowledgement::Reader getAcknowledgement() const;
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
 
-  inline bool isChangesRequest() const;
-  inline bool hasChangesRequest() const;
-  inline  ::Yokepond::Peer::Wire::ChangesRequest::Reader getChangesRequest() const;
+class PromptRunBroke::Builder {
+public:
+  typedef PromptRunBroke Builds;
 
-  inline bool isChanges() const;
-  inline bool hasChanges() const;
-  inline  ::Yokepond::Peer::Wire::Changes::Reader getChanges() const;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
 
-  inline bool isGather() const;
-  inline bool hasGather() const;
-  inline  ::Yokepond::Peer::Wire::Gather::Reader getGather() const;
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline bool isGathered() const;
-  inline bool hasGathered() const;
-  inline  ::Yokepond::Peer::Wire::Gathered::Reader getGathered() const;
+  inline  ::uint32_t getPool();
+  inline void setPool( ::uint32_t value);
 
-  inline bool isForward() const;
-  inline bool hasForward() const;
-  inline  ::Yokepond::Peer::Wire::Forward::Reader getForward() const;
+  inline  ::uint32_t getEndpoint();
+  inline void setEndpoint( ::uint32_t value);
 
-  inline bool isForwarded() const;
-  inline bool hasForwarded() const;
-  inline  ::Yokepond::Peer::Wire::Forwarded::Reader getForwarded() const;
+  inline bool getBegan();
+  inline void setBegan(bool value);
 
-  inline bool isQueued() const;
-  inline bool hasQueued() const;
-  inline  ::Yokepond::Peer::Wire::Queued::Reader getQueued() const;
+  inline bool getPathInDoubt();
+  inline void setPathInDoubt(bool value);
 
-  inline bool isUsageCounts() const;
-  inline bool hasUsageCounts() const;
-  inline  ::Yokepond::Peer::Wire::UsageCounts::Reader getUsageCounts() const;
+  inline  ::uint32_t getSentAgoMs();
+  inline void setSentAgoMs( ::uint32_t value);
 
-  inline bool isUsageReceived() const;
-  inline bool hasUsageReceived() const;
-  inline  ::Yokepond::Peer::Wire::UsageReceived::Reader getUsageReceived() const;
+  inline bool hasParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getParts();
+  inline void setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
 
-  inline bool isRunBroke() const;
-  inline bool hasRunBroke() const;
-  inline  ::Yokepond::Peer::Wire::RunBroke::Reader getRunBroke() const;
+  inline  ::uint64_t getWork();
+  inline void setWork( ::uint64_t value);
 
-  inline bool isQuarantineNews() const;
-  inline bool hasQuarantineNews() const;
-  inline  ::Yokepond::Peer::Wire::QuarantineNews::Reader getQuarantineNews() const;
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline bool isEndpointNews() const;
-  inline bool hasEndpointNews() const;
-  inline  ::Yokepond::Peer::Wire::EndpointNews::Reader getEndpointNews() const;
+#if !CAPNP_LITE
+class PromptRunBroke::Pipeline {
+public:
+  typedef PromptRunBroke Pipelines;
 
-  inline bool isFollowStore() const;
-  inline bool hasFollowStore() const;
-  inline  ::Yokepond::Peer::Wire::FollowStore::Reader getFollowStore() const;
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-  inline bool isFollowAnswer() const;
-  inline bool hasFollowAnswer() const;
-  inline  ::Yokepond::Peer::Wire::FollowAnswer::Reader getFollowAnswer() const;
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
 
-  inline bool isPrefillEnded() const;
-  inline bool hasPrefillEnded() const;
-  inline  ::Yokepond::Peer::Wire::PrefillEnded::Reader getPrefillEnded() const;
+class SoundPartsQuery::Reader {
+public:
+  typedef SoundPartsQuery Reads;
 
-  inline bool isStreamBegan() const;
-  inline bool hasStreamBegan() const;
-  inline  ::Yokepond::Peer::Wire::StreamBegan::Reader getStreamBegan() const;
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline bool isStreamOriginQuery() const;
-  inline bool hasStreamOriginQuery() const;
-  inline  ::Yokepond::Peer::Wire::StreamOriginQuery::Reader getStreamOriginQuery() const;
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-  inline bool isStreamOriginReply() const;
-  inline bool hasStreamOriginReply() const;
-  inline  ::Yokepond::Peer::Wire::StreamOriginReply::Reader getStreamOriginReply() const;
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getPool() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3900,9 +3989,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Message::Builder {
+class SoundPartsQuery::Builder {
 public:
-  typedef Message Builds;
+  typedef SoundPartsQuery Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3916,52 +4005,418 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isAsk();
-  inline bool hasAsk();
-  inline  ::Yokepond::Peer::Wire::Ask::Builder getAsk();
-  inline void setAsk( ::Yokepond::Peer::Wire::Ask::Reader value);
-  inline  ::Yokepond::Peer::Wire::Ask::Builder initAsk();
-  inline void adoptAsk(::capnp::Orphan< ::Yokepond::Peer::Wire::Ask>&& value);
-  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::Ask> disownAsk();
+  inline  ::uint32_t getPool();
+  inline void setPool( ::uint32_t value);
 
-  inline bool isGrant();
-  inline bool hasGrant();
-  inline  ::Yokepond::Peer::Wire::Grant::Builder getGrant();
-  inline void setGrant( ::Yokepond::Peer::Wire::Grant::Reader value);
-  inline  ::Yokepond::Peer::Wire::Grant::Builder initGrant();
-  inline void adoptGrant(::capnp::Orphan< ::Yokepond::Peer::Wire::Grant>&& value);
-  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::Grant> disownGrant();
+  inline bool hasParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getParts();
+  inline void setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
 
-  inline bool isRefusal();
-  inline bool hasRefusal();
-  inline  ::Yokepond::Peer::Wire::Refusal::Builder getRefusal();
-  inline void setRefusal( ::Yokepond::Peer::Wire::Refusal::Reader value);
-  inline  ::Yokepond::Peer::Wire::Refusal::Builder initRefusal();
-  inline void adoptRefusal(::capnp::Orphan< ::Yokepond::Peer::Wire::Refusal>&& value);
-  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::Refusal> disownRefusal();
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline bool isWithdrawal();
-  inline bool hasWithdrawal();
-  inline  ::Yokepond::Peer::Wire::Withdrawal::Builder getWithdrawal();
-  inline void setWithdrawal( ::Yokepond::Peer::Wire::Withdrawal::Reader value);
-  inline  ::Yokepond::Peer::Wire::Withdrawal::Builder initWithdrawal();
-  inline void adoptWithdrawal(::capnp::Orphan< ::Yokepond::Peer::Wire::Withdrawal>&& value);
-  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::Withdrawal> disownWithdrawal();
+#if !CAPNP_LITE
+class SoundPartsQuery::Pipeline {
+public:
+  typedef SoundPartsQuery Pipelines;
 
-  inline bool isRelease();
-  inline bool hasRelease();
-  inline  ::Yokepond::Peer::Wire::Release::Builder getRelease();
-  inline void setRelease( ::Yokepond::Peer::Wire::Release::Reader value);
-  inline  ::Yokepond::Peer::Wire::Release::Builder initRelease();
-  inline void adoptRelease(::capnp::Orphan< ::Yokepond::Peer::Wire::Release>&& value);
-  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::Release> disownRelease();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-  inline bool isRunning();
-  inline bool hasRunning();
-  inline  ::Yokepond::Peer::Wire::RunningReport::Builder getRunning();
-  inline void setRunning( ::Yokepond::Peer::Wire::RunningReport::Reader value);
-  inline  ::Yokepond::Peer::Wire::RunningReport::Builder initRunning();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class SoundPart::Reader {
+public:
+  typedef SoundPart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart() const;
+
+  inline  ::uint32_t getAgoMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SoundPart::Builder {
+public:
+  typedef SoundPart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
+  inline  ::uint32_t getAgoMs();
+  inline void setAgoMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SoundPart::Pipeline {
+public:
+  typedef SoundPart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class SoundPartsReply::Reader {
+public:
+  typedef SoundPartsReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getPool() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::Yokepond::Peer::Wire::SoundPart,  ::capnp::Kind::STRUCT>::Reader getParts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SoundPartsReply::Builder {
+public:
+  typedef SoundPartsReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getPool();
+  inline void setPool( ::uint32_t value);
+
+  inline bool hasParts();
+  inline  ::capnp::List< ::Yokepond::Peer::Wire::SoundPart,  ::capnp::Kind::STRUCT>::Builder getParts();
+  inline void setParts( ::capnp::List< ::Yokepond::Peer::Wire::SoundPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Yokepond::Peer::Wire::SoundPart,  ::capnp::Kind::STRUCT>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::Yokepond::Peer::Wire::SoundPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Yokepond::Peer::Wire::SoundPart,  ::capnp::Kind::STRUCT>> disownParts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SoundPartsReply::Pipeline {
+public:
+  typedef SoundPartsReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Message::Reader {
+public:
+  typedef Message Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isAsk() const;
+  inline bool hasAsk() const;
+  inline  ::Yokepond::Peer::Wire::Ask::Reader getAsk() const;
+
+  inline bool isGrant() const;
+  inline bool hasGrant() const;
+  inline  ::Yokepond::Peer::Wire::Grant::Reader getGrant() const;
+
+  inline bool isRefusal() const;
+  inline bool hasRefusal() const;
+  inline  ::Yokepond::Peer::Wire::Refusal::Reader getRefusal() const;
+
+  inline bool isWithdrawal() const;
+  inline bool hasWithdrawal() const;
+  inline  ::Yokepond::Peer::Wire::Withdrawal::Reader getWithdrawal() const;
+
+  inline bool isRelease() const;
+  inline bool hasRelease() const;
+  inline  ::Yokepond::Peer::Wire::Release::Reader getRelease() const;
+
+  inline bool isRunning() const;
+  inline bool hasRunning() const;
+  inline  ::Yokepond::Peer::Wire::RunningReport::Reader getRunning() const;
+
+  inline bool isProbe() const;
+  inline bool hasProbe() const;
+  inline  ::Yokepond::Peer::Wire::Probe::Reader getProbe() const;
+
+  inline bool isAcknowledgement() const;
+  inline bool hasAcknowledgement() const;
+  inline  ::Yokepond::Peer::Wire::Acknowledgement::Reader getAcknowledgement() const;
+
+  inline bool isChangesRequest() const;
+  inline bool hasChangesRequest() const;
+  inline  ::Yokepond::Peer::Wire::ChangesRequest::Reader getChangesRequest() const;
+
+  inline bool isChanges() const;
+  inline bool hasChanges() const;
+  inline  ::Yokepond::Peer::Wire::Changes::Reader getChanges() const;
+
+  inline bool isGather() const;
+  inline bool hasGather() const;
+  inline  ::Yokepond::Peer::Wire::Gather::Reader getGather() const;
+
+  inline bool isGathered() const;
+  inline bool hasGathered() const;
+  inline  ::Yokepond::Peer::Wire::Gathered::Reader getGathered() const;
+
+  inline bool isForward() const;
+  inline bool hasForward() const;
+  inline  ::Yokepond::Peer::Wire::Forward::Reader getForward() const;
+
+  inline bool isForwarded() const;
+  inline bool hasForwarded() const;
+  inline  ::Yokepond::Peer::Wire::Forwarded::Reader getForwarded() const;
+
+  inline bool isQueued() const;
+  inline bool hasQueued() const;
+  inline  ::Yokepond::Peer::Wire::Queued::Reader getQueued() const;
+
+  inline bool isUsageCounts() const;
+  inline bool hasUsageCounts() const;
+  inline  ::Yokepond::Peer::Wire::UsageCounts::Reader getUsageCounts() const;
+
+  inline bool isUsageReceived() const;
+  inline bool hasUsageReceived() const;
+  inline  ::Yokepond::Peer::Wire::UsageReceived::Reader getUsageReceived() const;
+
+  inline bool isRunBroke() const;
+  inline bool hasRunBroke() const;
+  inline  ::Yokepond::Peer::Wire::RunBroke::Reader getRunBroke() const;
+
+  inline bool isQuarantineNews() const;
+  inline bool hasQuarantineNews() const;
+  inline  ::Yokepond::Peer::Wire::QuarantineNews::Reader getQuarantineNews() const;
+
+  inline bool isEndpointNews() const;
+  inline bool hasEndpointNews() const;
+  inline  ::Yokepond::Peer::Wire::EndpointNews::Reader getEndpointNews() const;
+
+  inline bool isFollowStore() const;
+  inline bool hasFollowStore() const;
+  inline  ::Yokepond::Peer::Wire::FollowStore::Reader getFollowStore() const;
+
+  inline bool isFollowAnswer() const;
+  inline bool hasFollowAnswer() const;
+  inline  ::Yokepond::Peer::Wire::FollowAnswer::Reader getFollowAnswer() const;
+
+  inline bool isPrefillEnded() const;
+  inline bool hasPrefillEnded() const;
+  inline  ::Yokepond::Peer::Wire::PrefillEnded::Reader getPrefillEnded() const;
+
+  inline bool isStreamBegan() const;
+  inline bool hasStreamBegan() const;
+  inline  ::Yokepond::Peer::Wire::StreamBegan::Reader getStreamBegan() const;
+
+  inline bool isStreamOriginQuery() const;
+  inline bool hasStreamOriginQuery() const;
+  inline  ::Yokepond::Peer::Wire::StreamOriginQuery::Reader getStreamOriginQuery() const;
+
+  inline bool isStreamOriginReply() const;
+  inline bool hasStreamOriginReply() const;
+  inline  ::Yokepond::Peer::Wire::StreamOriginReply::Reader getStreamOriginReply() const;
+
+  inline bool isPromptRunBroke() const;
+  inline bool hasPromptRunBroke() const;
+  inline  ::Yokepond::Peer::Wire::PromptRunBroke::Reader getPromptRunBroke() const;
+
+  inline bool isSoundPartsQuery() const;
+  inline bool hasSoundPartsQuery() const;
+  inline  ::Yokepond::Peer::Wire::SoundPartsQuery::Reader getSoundPartsQuery() const;
+
+  inline bool isSoundPartsReply() const;
+  inline bool hasSoundPartsReply() const;
+  inline  ::Yokepond::Peer::Wire::SoundPartsReply::Reader getSoundPartsReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Message::Builder {
+public:
+  typedef Message Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isAsk();
+  inline bool hasAsk();
+  inline  ::Yokepond::Peer::Wire::Ask::Builder getAsk();
+  inline void setAsk( ::Yokepond::Peer::Wire::Ask::Reader value);
+  inline  ::Yokepond::Peer::Wire::Ask::Builder initAsk();
+  inline void adoptAsk(::capnp::Orphan< ::Yokepond::Peer::Wire::Ask>&& value);
+  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::Ask> disownAsk();
+
+  inline bool isGrant();
+  inline bool hasGrant();
+  inline  ::Yokepond::Peer::Wire::Grant::Builder getGrant();
+  inline void setGrant( ::Yokepond::Peer::Wire::Grant::Reader value);
+  inline  ::Yokepond::Peer::Wire::Grant::Builder initGrant();
+  inline void adoptGrant(::capnp::Orphan< ::Yokepond::Peer::Wire::Grant>&& value);
+  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::Grant> disownGrant();
+
+  inline bool isRefusal();
+  inline bool hasRefusal();
+  inline  ::Yokepond::Peer::Wire::Refusal::Builder getRefusal();
+  inline void setRefusal( ::Yokepond::Peer::Wire::Refusal::Reader value);
+  inline  ::Yokepond::Peer::Wire::Refusal::Builder initRefusal();
+  inline void adoptRefusal(::capnp::Orphan< ::Yokepond::Peer::Wire::Refusal>&& value);
+  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::Refusal> disownRefusal();
+
+  inline bool isWithdrawal();
+  inline bool hasWithdrawal();
+  inline  ::Yokepond::Peer::Wire::Withdrawal::Builder getWithdrawal();
+  inline void setWithdrawal( ::Yokepond::Peer::Wire::Withdrawal::Reader value);
+  inline  ::Yokepond::Peer::Wire::Withdrawal::Builder initWithdrawal();
+  inline void adoptWithdrawal(::capnp::Orphan< ::Yokepond::Peer::Wire::Withdrawal>&& value);
+  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::Withdrawal> disownWithdrawal();
+
+  inline bool isRelease();
+  inline bool hasRelease();
+  inline  ::Yokepond::Peer::Wire::Release::Builder getRelease();
+  inline void setRelease( ::Yokepond::Peer::Wire::Release::Reader value);
+  inline  ::Yokepond::Peer::Wire::Release::Builder initRelease();
+  inline void adoptRelease(::capnp::Orphan< ::Yokepond::Peer::Wire::Release>&& value);
+  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::Release> disownRelease();
+
+  inline bool isRunning();
+  inline bool hasRunning();
+  inline  ::Yokepond::Peer::Wire::RunningReport::Builder getRunning();
+  inline void setRunning( ::Yokepond::Peer::Wire::RunningReport::Reader value);
+  inline  ::Yokepond::Peer::Wire::RunningReport::Builder initRunning();
   inline void adoptRunning(::capnp::Orphan< ::Yokepond::Peer::Wire::RunningReport>&& value);
   inline ::capnp::Orphan< ::Yokepond::Peer::Wire::RunningReport> disownRunning();
 
@@ -4125,6 +4580,30 @@
   inline void adoptStreamOriginReply(::capnp::Orphan< ::Yokepond::Peer::Wire::StreamOriginReply>&& value);
   inline ::capnp::Orphan< ::Yokepond::Peer::Wire::StreamOriginReply> disownStreamOriginReply();
 
+  inline bool isPromptRunBroke();
+  inline bool hasPromptRunBroke();
+  inline  ::Yokepond::Peer::Wire::PromptRunBroke::Builder getPromptRunBroke();
+  inline void setPromptRunBroke( ::Yokepond::Peer::Wire::PromptRunBroke::Reader value);
+  inline  ::Yokepond::Peer::Wire::PromptRunBroke::Builder initPromptRunBroke();
+  inline void adoptPromptRunBroke(::capnp::Orphan< ::Yokepond::Peer::Wire::PromptRunBroke>&& value);
+  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::PromptRunBroke> disownPromptRunBroke();
+
+  inline bool isSoundPartsQuery();
+  inline bool hasSoundPartsQuery();
+  inline  ::Yokepond::Peer::Wire::SoundPartsQuery::Builder getSoundPartsQuery();
+  inline void setSoundPartsQuery( ::Yokepond::Peer::Wire::SoundPartsQuery::Reader value);
+  inline  ::Yokepond::Peer::Wire::SoundPartsQuery::Builder initSoundPartsQuery();
+  inline void adoptSoundPartsQuery(::capnp::Orphan< ::Yokepond::Peer::Wire::SoundPartsQuery>&& value);
+  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::SoundPartsQuery> disownSoundPartsQuery();
+
+  inline bool isSoundPartsReply();
+  inline bool hasSoundPartsReply();
+  inline  ::Yokepond::Peer::Wire::SoundPartsReply::Builder getSoundPartsReply();
+  inline void setSoundPartsReply( ::Yokepond::Peer::Wire::SoundPartsReply::Reader value);
+  inline  ::Yokepond::Peer::Wire::SoundPartsReply::Builder initSoundPartsReply();
+  inline void adoptSoundPartsReply(::capnp::Orphan< ::Yokepond::Peer::Wire::SoundPartsReply>&& value);
+  inline ::capnp::Orphan< ::Yokepond::Peer::Wire::SoundPartsReply> disownSoundPartsReply();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6637,427 +7116,705 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t UsageReceived::Reader::getClock() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::int64_t UsageReceived::Reader::getClock() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UsageReceived::Builder::getClock() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageReceived::Builder::setClock( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t UsageReceived::Reader::getFixedUpTo() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UsageReceived::Builder::getFixedUpTo() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void UsageReceived::Builder::setFixedUpTo( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UsageReceived::Reader::getHolder() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool UsageReceived::Builder::getHolder() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void UsageReceived::Builder::setHolder(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RunBroke::Reader::getWork() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RunBroke::Builder::getWork() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RunBroke::Builder::setWork( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RunBroke::Reader::getEndpoint() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunBroke::Builder::getEndpoint() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RunBroke::Builder::setEndpoint( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RunBroke::Reader::getJustBegan() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool RunBroke::Builder::getJustBegan() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void RunBroke::Builder::setJustBegan(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuarantineEntry::Reader::getWork() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuarantineEntry::Builder::getWork() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineEntry::Builder::setWork( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuarantineEntry::Reader::getRound() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuarantineEntry::Builder::getRound() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineEntry::Builder::setRound( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuarantineEntry::Reader::getHeld() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool QuarantineEntry::Builder::getHeld() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineEntry::Builder::setHeld(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuarantineEntry::Reader::getFirstEndingMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuarantineEntry::Builder::getFirstEndingMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineEntry::Builder::setFirstEndingMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuarantineEntry::Reader::getLeftMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuarantineEntry::Builder::getLeftMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineEntry::Builder::setLeftMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuarantineEntry::Reader::getPartPool() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuarantineEntry::Builder::getPartPool() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineEntry::Builder::setPartPool( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuarantineEntry::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuarantineEntry::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineEntry::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuarantineNews::Reader::getDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuarantineNews::Builder::getDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuarantineNews::Builder::setDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuarantineNews::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuarantineNews::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader QuarantineNews::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder QuarantineNews::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuarantineNews::Builder::setEntries( ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder QuarantineNews::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuarantineNews::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>> QuarantineNews::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t EndpointNews::Reader::getShard() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t UsageReceived::Builder::getClock() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint32_t EndpointNews::Builder::getShard() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void UsageReceived::Builder::setClock( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void EndpointNews::Builder::setShard( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t UsageReceived::Reader::getFixedUpTo() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint32_t EndpointNews::Reader::getEndpoint() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t UsageReceived::Builder::getFixedUpTo() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint32_t EndpointNews::Builder::getEndpoint() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void UsageReceived::Builder::setFixedUpTo( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void EndpointNews::Builder::setEndpoint( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool UsageReceived::Reader::getHolder() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+inline bool EndpointNews::Reader::hasRate() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool UsageReceived::Builder::getHolder() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+inline bool EndpointNews::Builder::hasRate() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void UsageReceived::Builder::setHolder(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+inline  ::Yokepond::Peer::Wire::RateWord::Reader EndpointNews::Reader::getRate() const {
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateWord>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t RunBroke::Reader::getWork() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::Yokepond::Peer::Wire::RateWord::Builder EndpointNews::Builder::getRate() {
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateWord>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t RunBroke::Builder::getWork() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::Yokepond::Peer::Wire::RateWord::Pipeline EndpointNews::Pipeline::getRate() {
+  return  ::Yokepond::Peer::Wire::RateWord::Pipeline(_typeless.getPointerField(0));
 }
-inline void RunBroke::Builder::setWork( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void EndpointNews::Builder::setRate( ::Yokepond::Peer::Wire::RateWord::Reader value) {
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateWord>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Yokepond::Peer::Wire::RateWord::Builder EndpointNews::Builder::initRate() {
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateWord>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EndpointNews::Builder::adoptRate(
+    ::capnp::Orphan< ::Yokepond::Peer::Wire::RateWord>&& value) {
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateWord>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Yokepond::Peer::Wire::RateWord> EndpointNews::Builder::disownRate() {
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateWord>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t RunBroke::Reader::getEndpoint() const {
+inline  ::uint32_t EndpointNews::Reader::getLeavesForMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t RunBroke::Builder::getEndpoint() {
+inline  ::uint32_t EndpointNews::Builder::getLeavesForMs() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void RunBroke::Builder::setEndpoint( ::uint32_t value) {
+inline void EndpointNews::Builder::setLeavesForMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RunBroke::Reader::getJustBegan() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline  ::uint32_t EndpointNews::Reader::getRestsForMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline bool RunBroke::Builder::getJustBegan() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline  ::uint32_t EndpointNews::Builder::getRestsForMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void RunBroke::Builder::setJustBegan(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+inline void EndpointNews::Builder::setRestsForMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t QuarantineEntry::Reader::getWork() const {
+inline  ::uint64_t StreamBegan::Reader::getStream() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t QuarantineEntry::Builder::getWork() {
+inline  ::uint64_t StreamBegan::Builder::getStream() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void QuarantineEntry::Builder::setWork( ::uint64_t value) {
+inline void StreamBegan::Builder::setStream( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t QuarantineEntry::Reader::getRound() const {
+inline  ::uint32_t StreamBegan::Reader::getPool() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t QuarantineEntry::Builder::getRound() {
+inline  ::uint32_t StreamBegan::Builder::getPool() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void QuarantineEntry::Builder::setRound( ::uint32_t value) {
+inline void StreamBegan::Builder::setPool( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool QuarantineEntry::Reader::getHeld() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline  ::uint32_t StreamBegan::Reader::getSoftwareVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline bool QuarantineEntry::Builder::getHeld() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+inline  ::uint32_t StreamBegan::Builder::getSoftwareVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void QuarantineEntry::Builder::setHeld(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+inline void StreamBegan::Builder::setSoftwareVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t QuarantineEntry::Reader::getFirstEndingMs() const {
+inline  ::uint32_t StreamBegan::Reader::getKeepForMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t QuarantineEntry::Builder::getFirstEndingMs() {
+inline  ::uint32_t StreamBegan::Builder::getKeepForMs() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void QuarantineEntry::Builder::setFirstEndingMs( ::uint32_t value) {
+inline void StreamBegan::Builder::setKeepForMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t QuarantineEntry::Reader::getLeftMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint64_t StreamOriginQuery::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t QuarantineEntry::Builder::getLeftMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint64_t StreamOriginQuery::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void QuarantineEntry::Builder::setLeftMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void StreamOriginQuery::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t QuarantineNews::Reader::getDigest() const {
+inline  ::uint64_t StreamOriginReply::Reader::getStream() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t QuarantineNews::Builder::getDigest() {
+inline  ::uint64_t StreamOriginReply::Builder::getStream() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void QuarantineNews::Builder::setDigest( ::uint64_t value) {
+inline void StreamOriginReply::Builder::setStream( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool QuarantineNews::Reader::hasEntries() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool StreamOriginReply::Reader::getKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline bool QuarantineNews::Builder::hasEntries() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+
+inline bool StreamOriginReply::Builder::getKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader QuarantineNews::Reader::getEntries() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void StreamOriginReply::Builder::setKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder QuarantineNews::Builder::getEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint32_t StreamOriginReply::Reader::getPool() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void QuarantineNews::Builder::setEntries( ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+
+inline  ::uint32_t StreamOriginReply::Builder::getPool() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>::Builder QuarantineNews::Builder::initEntries(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void StreamOriginReply::Builder::setPool( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline void QuarantineNews::Builder::adoptEntries(
-    ::capnp::Orphan< ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t StreamOriginReply::Reader::getSoftwareVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>> QuarantineNews::Builder::disownEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::QuarantineEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint32_t StreamOriginReply::Builder::getSoftwareVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void StreamOriginReply::Builder::setSoftwareVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t EndpointNews::Reader::getShard() const {
+inline  ::uint32_t PromptRunBroke::Reader::getPool() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t EndpointNews::Builder::getShard() {
+inline  ::uint32_t PromptRunBroke::Builder::getPool() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void EndpointNews::Builder::setShard( ::uint32_t value) {
+inline void PromptRunBroke::Builder::setPool( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t EndpointNews::Reader::getEndpoint() const {
+inline  ::uint32_t PromptRunBroke::Reader::getEndpoint() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t EndpointNews::Builder::getEndpoint() {
+inline  ::uint32_t PromptRunBroke::Builder::getEndpoint() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void EndpointNews::Builder::setEndpoint( ::uint32_t value) {
+inline void PromptRunBroke::Builder::setEndpoint( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool EndpointNews::Reader::hasRate() const {
+inline bool PromptRunBroke::Reader::getBegan() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool PromptRunBroke::Builder::getBegan() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void PromptRunBroke::Builder::setBegan(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PromptRunBroke::Reader::getPathInDoubt() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool PromptRunBroke::Builder::getPathInDoubt() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void PromptRunBroke::Builder::setPathInDoubt(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PromptRunBroke::Reader::getSentAgoMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PromptRunBroke::Builder::getSentAgoMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PromptRunBroke::Builder::setSentAgoMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PromptRunBroke::Reader::hasParts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EndpointNews::Builder::hasRate() {
+inline bool PromptRunBroke::Builder::hasParts() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::Yokepond::Peer::Wire::RateWord::Reader EndpointNews::Reader::getRate() const {
-  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateWord>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PromptRunBroke::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::Yokepond::Peer::Wire::RateWord::Builder EndpointNews::Builder::getRate() {
-  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateWord>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PromptRunBroke::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::Yokepond::Peer::Wire::RateWord::Pipeline EndpointNews::Pipeline::getRate() {
-  return  ::Yokepond::Peer::Wire::RateWord::Pipeline(_typeless.getPointerField(0));
+inline void PromptRunBroke::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-#endif  // !CAPNP_LITE
-inline void EndpointNews::Builder::setRate( ::Yokepond::Peer::Wire::RateWord::Reader value) {
-  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateWord>::set(_builder.getPointerField(
+inline void PromptRunBroke::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::Yokepond::Peer::Wire::RateWord::Builder EndpointNews::Builder::initRate() {
-  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateWord>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PromptRunBroke::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void EndpointNews::Builder::adoptRate(
-    ::capnp::Orphan< ::Yokepond::Peer::Wire::RateWord>&& value) {
-  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateWord>::adopt(_builder.getPointerField(
+inline void PromptRunBroke::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::Yokepond::Peer::Wire::RateWord> EndpointNews::Builder::disownRate() {
-  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::RateWord>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PromptRunBroke::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t EndpointNews::Reader::getLeavesForMs() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::uint64_t PromptRunBroke::Reader::getWork() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t EndpointNews::Builder::getLeavesForMs() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint64_t PromptRunBroke::Builder::getWork() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void EndpointNews::Builder::setLeavesForMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void PromptRunBroke::Builder::setWork( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t EndpointNews::Reader::getRestsForMs() const {
+inline  ::uint32_t SoundPartsQuery::Reader::getPool() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t EndpointNews::Builder::getRestsForMs() {
+inline  ::uint32_t SoundPartsQuery::Builder::getPool() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void EndpointNews::Builder::setRestsForMs( ::uint32_t value) {
+inline void SoundPartsQuery::Builder::setPool( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t StreamBegan::Reader::getStream() const {
+inline bool SoundPartsQuery::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SoundPartsQuery::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader SoundPartsQuery::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SoundPartsQuery::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SoundPartsQuery::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void SoundPartsQuery::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SoundPartsQuery::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SoundPartsQuery::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> SoundPartsQuery::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SoundPart::Reader::getPart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t StreamBegan::Builder::getStream() {
+inline  ::uint64_t SoundPart::Builder::getPart() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StreamBegan::Builder::setStream( ::uint64_t value) {
+inline void SoundPart::Builder::setPart( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t StreamBegan::Reader::getPool() const {
+inline  ::uint32_t SoundPart::Reader::getAgoMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t StreamBegan::Builder::getPool() {
+inline  ::uint32_t SoundPart::Builder::getAgoMs() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void StreamBegan::Builder::setPool( ::uint32_t value) {
+inline void SoundPart::Builder::setAgoMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t StreamBegan::Reader::getSoftwareVersion() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t StreamBegan::Builder::getSoftwareVersion() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void StreamBegan::Builder::setSoftwareVersion( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t StreamBegan::Reader::getKeepForMs() const {
+inline  ::uint32_t SoundPartsReply::Reader::getPool() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t StreamBegan::Builder::getKeepForMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void StreamBegan::Builder::setKeepForMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t StreamOriginQuery::Reader::getStream() const {
-  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t StreamOriginQuery::Builder::getStream() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void StreamOriginQuery::Builder::setStream( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t StreamOriginReply::Reader::getStream() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t StreamOriginReply::Builder::getStream() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t SoundPartsReply::Builder::getPool() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StreamOriginReply::Builder::setStream( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void SoundPartsReply::Builder::setPool( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool StreamOriginReply::Reader::getKnown() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool StreamOriginReply::Builder::getKnown() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool SoundPartsReply::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void StreamOriginReply::Builder::setKnown(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline bool SoundPartsReply::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t StreamOriginReply::Reader::getPool() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::Yokepond::Peer::Wire::SoundPart,  ::capnp::Kind::STRUCT>::Reader SoundPartsReply::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::SoundPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t StreamOriginReply::Builder::getPool() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::Yokepond::Peer::Wire::SoundPart,  ::capnp::Kind::STRUCT>::Builder SoundPartsReply::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::SoundPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void StreamOriginReply::Builder::setPool( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void SoundPartsReply::Builder::setParts( ::capnp::List< ::Yokepond::Peer::Wire::SoundPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::SoundPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t StreamOriginReply::Reader::getSoftwareVersion() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::Yokepond::Peer::Wire::SoundPart,  ::capnp::Kind::STRUCT>::Builder SoundPartsReply::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::SoundPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t StreamOriginReply::Builder::getSoftwareVersion() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline void SoundPartsReply::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::Yokepond::Peer::Wire::SoundPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::SoundPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void StreamOriginReply::Builder::setSoftwareVersion( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::Yokepond::Peer::Wire::SoundPart,  ::capnp::Kind::STRUCT>> SoundPartsReply::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Yokepond::Peer::Wire::SoundPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline  ::Yokepond::Peer::Wire::Message::Which Message::Reader::which() const {
@@ -8473,6 +9230,168 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isPromptRunBroke() const {
+  return which() == Message::PROMPT_RUN_BROKE;
+}
+inline bool Message::Builder::isPromptRunBroke() {
+  return which() == Message::PROMPT_RUN_BROKE;
+}
+inline bool Message::Reader::hasPromptRunBroke() const {
+  if (which() != Message::PROMPT_RUN_BROKE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasPromptRunBroke() {
+  if (which() != Message::PROMPT_RUN_BROKE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Yokepond::Peer::Wire::PromptRunBroke::Reader Message::Reader::getPromptRunBroke() const {
+  KJ_IREQUIRE((which() == Message::PROMPT_RUN_BROKE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::PromptRunBroke>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Yokepond::Peer::Wire::PromptRunBroke::Builder Message::Builder::getPromptRunBroke() {
+  KJ_IREQUIRE((which() == Message::PROMPT_RUN_BROKE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::PromptRunBroke>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setPromptRunBroke( ::Yokepond::Peer::Wire::PromptRunBroke::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::PROMPT_RUN_BROKE);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::PromptRunBroke>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Yokepond::Peer::Wire::PromptRunBroke::Builder Message::Builder::initPromptRunBroke() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::PROMPT_RUN_BROKE);
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::PromptRunBroke>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptPromptRunBroke(
+    ::capnp::Orphan< ::Yokepond::Peer::Wire::PromptRunBroke>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::PROMPT_RUN_BROKE);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::PromptRunBroke>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Yokepond::Peer::Wire::PromptRunBroke> Message::Builder::disownPromptRunBroke() {
+  KJ_IREQUIRE((which() == Message::PROMPT_RUN_BROKE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::PromptRunBroke>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isSoundPartsQuery() const {
+  return which() == Message::SOUND_PARTS_QUERY;
+}
+inline bool Message::Builder::isSoundPartsQuery() {
+  return which() == Message::SOUND_PARTS_QUERY;
+}
+inline bool Message::Reader::hasSoundPartsQuery() const {
+  if (which() != Message::SOUND_PARTS_QUERY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasSoundPartsQuery() {
+  if (which() != Message::SOUND_PARTS_QUERY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Yokepond::Peer::Wire::SoundPartsQuery::Reader Message::Reader::getSoundPartsQuery() const {
+  KJ_IREQUIRE((which() == Message::SOUND_PARTS_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::SoundPartsQuery>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Yokepond::Peer::Wire::SoundPartsQuery::Builder Message::Builder::getSoundPartsQuery() {
+  KJ_IREQUIRE((which() == Message::SOUND_PARTS_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::SoundPartsQuery>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setSoundPartsQuery( ::Yokepond::Peer::Wire::SoundPartsQuery::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SOUND_PARTS_QUERY);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::SoundPartsQuery>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Yokepond::Peer::Wire::SoundPartsQuery::Builder Message::Builder::initSoundPartsQuery() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SOUND_PARTS_QUERY);
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::SoundPartsQuery>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptSoundPartsQuery(
+    ::capnp::Orphan< ::Yokepond::Peer::Wire::SoundPartsQuery>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SOUND_PARTS_QUERY);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::SoundPartsQuery>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Yokepond::Peer::Wire::SoundPartsQuery> Message::Builder::disownSoundPartsQuery() {
+  KJ_IREQUIRE((which() == Message::SOUND_PARTS_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::SoundPartsQuery>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isSoundPartsReply() const {
+  return which() == Message::SOUND_PARTS_REPLY;
+}
+inline bool Message::Builder::isSoundPartsReply() {
+  return which() == Message::SOUND_PARTS_REPLY;
+}
+inline bool Message::Reader::hasSoundPartsReply() const {
+  if (which() != Message::SOUND_PARTS_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasSoundPartsReply() {
+  if (which() != Message::SOUND_PARTS_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Yokepond::Peer::Wire::SoundPartsReply::Reader Message::Reader::getSoundPartsReply() const {
+  KJ_IREQUIRE((which() == Message::SOUND_PARTS_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::SoundPartsReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Yokepond::Peer::Wire::SoundPartsReply::Builder Message::Builder::getSoundPartsReply() {
+  KJ_IREQUIRE((which() == Message::SOUND_PARTS_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::SoundPartsReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setSoundPartsReply( ::Yokepond::Peer::Wire::SoundPartsReply::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SOUND_PARTS_REPLY);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::SoundPartsReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Yokepond::Peer::Wire::SoundPartsReply::Builder Message::Builder::initSoundPartsReply() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SOUND_PARTS_REPLY);
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::SoundPartsReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptSoundPartsReply(
+    ::capnp::Orphan< ::Yokepond::Peer::Wire::SoundPartsReply>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SOUND_PARTS_REPLY);
+  ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::SoundPartsReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Yokepond::Peer::Wire::SoundPartsReply> Message::Builder::disownSoundPartsReply() {
+  KJ_IREQUIRE((which() == Message::SOUND_PARTS_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Yokepond::Peer::Wire::SoundPartsReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Session::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -139,6 +139,7 @@
         bool callerLeft = false; ///< whether the caller is gone while the run continues
         int resumeCount = 0;
         bool pathInDoubt = false; ///< see EndpointTransferResult
+        bool endsWithConnection = false; ///< see Request::RunReport
         bool startReported = false; ///< whether RunStarted has been sent for the current run
     };
 
@@ -412,6 +413,7 @@
         call.paused = false;
         call.resumeCount = 0;
         call.pathInDoubt = false;
+        call.endsWithConnection = false;
         call.startReported = false;
         call.errorResponse.reset();
     }
@@ -577,6 +579,7 @@
     {
         const bool closedComplete
             = P::closeEndsBody && result.stage == Http::TransferStage::Closed && !endedBeforeItsContent(call);
+        call.endsWithConnection = result.stage == Http::TransferStage::Closed && !call.lastEventReceived;
         const bool complete = (result.stage == Http::TransferStage::Complete || closedComplete) && !call.bodyTooLarge;
         const bool streamComplete
             = complete && !P::marksLastEvent && call.kind == ResponseKind::Events && call.splitter.pendingBytes() == 0;
@@ -690,6 +693,7 @@
         report.status = call.head.status;
         report.longestGap = call.longestGap;
         report.pathInDoubt = call.pathInDoubt;
+        report.endsWithConnection = call.endsWithConnection;
         report.brittle
             = stage == Request::RunStage::Rejected && m_protocol.advertisement(call.run, call.head).availability.brittle;
         if (call.tokens > 0) {
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -44,32 +44,22 @@
 /// Consecutive refusals because of differing views (the receiver is not the dispatcher in its own view, or does not know the
 /// class) after which the home bypasses the dispatcher. After a restart of the whole fleet, views differ for seconds.
 constexpr unsigned int maxMisdirected = 2;
-/// A run that broke off after at most this many tokens, as the relay counts them in the stream, counts as just begun.
-constexpr std::uint32_t maxTokensJustBegan = 2;
 /// The rate information of two hosts may differ while messages between them are in flight. This host's information counts as
 /// newer only if the endpoint advertised it later by more than this tolerance.
 constexpr Duration rateTimeTolerance = std::chrono::milliseconds(50);
 /// Time added to the time for which a caller waits for a stream, in which it may take the stream up.
 constexpr Duration streamLifetimeMargin = std::chrono::seconds(5);
 
-/// Carries no Retry-After, since a retry would crash another endpoint.
-absl::Status quarantineError()
-{
-    return makeError(ErrorKind::CrashesEndpoints,
-                     "endpoints crashed while they ran this request; it is quarantined and not run again for now");
-}
-
 /// Returns whether the intended endpoint may have received any part of the request.
 bool mayHaveReachedEndpoint(RunStage stage)
 {
     return stage != RunStage::Stale && stage != RunStage::NotSent && stage != RunStage::EndpointReplaced;
 }
 
-/// Returns whether the endpoint closed the connection or stopped responding during the run. An endpoint that responds with an
-/// error has not crashed, and neither has one whose path may have failed.
+/// Returns whether the connection broke or fell silent during the run. An endpoint that responds with an error has not crashed.
 bool connectionBroke(const RunReport &report)
 {
-    return report.stage == RunStage::Sent && report.status < minErrorStatus && !report.callerDisconnected && !report.pathInDoubt;
+    return report.stage == RunStage::Sent && report.status < minErrorStatus && !report.callerDisconnected;
 }
 
 RunResult runResultFor(const RunReport &report)
@@ -104,7 +94,7 @@
     , m_random(seed)
     , m_catalogue(Configuration::Catalogue::build({}))
     , m_shards(std::make_shared<Dispatch::ShardMap>())
-    , m_quarantine(m_self, seed)
+    , m_crashProtection(m_self, seed)
     , m_streamOrigins(m_self)
 {
 }
@@ -137,7 +127,7 @@
     }
     m_streamOrigins.updateView(members);
     m_hadOtherMembers = m_hadOtherMembers || members.size() > 1;
-    m_quarantine.updateView(now, members, m_catalogue->policies().maxCrashes);
+    m_crashProtection.updateView(now, members, m_catalogue->policies());
     m_unreachable.clear();
     for (const Peer::Member &member : members) {
         if (member.state == Peer::MemberState::Suspect) {
@@ -178,9 +168,9 @@
             Fail {request.id, makeError(ErrorKind::UnknownClass, "the class of the request was deleted"), Outcome::NotRun, {}});
         return;
     }
-    if (m_quarantine.isQuarantined(request.work)) {
+    if (const auto quarantined = m_crashProtection.match(request, requestClass->pool)) {
         ++m_counters.failed;
-        m_actions.emplace_back(Fail {request.id, quarantineError(), Outcome::NotRun, {}});
+        m_actions.emplace_back(Fail {request.id, quarantineError(*quarantined), Outcome::NotRun, {}});
         return;
     }
     Pending &pending = m_pending[request.id];
@@ -345,6 +335,9 @@
     pending.phase = Phase::Running;
     pending.reportsPrefill = grant.reportPrefill;
     pending.endpoint = endpoint;
+    pending.runStartedAt = now;
+    pending.firstTokenAt = {};
+    pending.wentOn = false;
     ++pending.runs;
     m_counters.sentToUnavailable += m_availabilities.stateOf(endpoint).isUnavailable(now) ? 1 : 0;
     pending.misdirectedRefusals = 0;
@@ -362,7 +355,8 @@
     addTraceEntry(pending, now, Step::Started, fmt::format("endpoint {}{}{}", nameOf(endpoint), version, transferNote));
     // A dispatcher that enforces a limit must be informed when the limit ends.
     const bool reportRate = pending.grantedRate.isLimited() || m_rates.stateOf(endpoint).isLimited();
-    const bool reportFirstToken = grant.reportPrefill || (isBoundStream(pending) && pending.request.stream != 0);
+    const bool reportFirstToken = grant.reportPrefill || (isBoundStream(pending) && pending.request.stream != 0)
+        || m_crashProtection.needsFirstToken(pending.request);
     m_actions.emplace_back(StartRun {
         {pending.request.id, pending.attempt}, endpoint, startBy, reportRate, keeper, reportFirstToken, pending.softwareVersion});
 }
@@ -576,10 +570,11 @@
 
 void Home::firstTokenReceived(Instant now, const Peer::AttemptId &id)
 {
-    const Pending *pending = find(id.request);
+    Pending *pending = find(id.request);
     if (pending == nullptr || pending->phase != Phase::Running || pending->attempt != id.attempt) {
         return;
     }
+    pending->firstTokenAt = now;
     if (pending->reportsPrefill) {
         m_actions.emplace_back(SendToMember {pending->dispatcher, Peer::PrefillEnded {id, pending->shard}});
     }
@@ -686,7 +681,7 @@
     pending->mayHaveRun = pending->mayHaveRun || report.stage == RunStage::Sent || report.stage == RunStage::ResponseComplete;
     pending->sentRuns += mayHaveReachedEndpoint(report.stage) ? 1 : 0;
     m_counters.rejectedRuns += report.stage == RunStage::Rejected ? 1 : 0;
-    updateQuarantine(now, *pending, report);
+    reportToCrashProtection(now, *pending, report);
     if (report.callerDisconnected) {
         end(report.id.request);
     } else if (report.stage == RunStage::ResponseComplete) {
@@ -697,52 +692,89 @@
     enforceQuarantine(now);
 }
 
-void Home::updateQuarantine(Instant now, const Pending &pending, const RunReport &report)
+void Home::reportToCrashProtection(Instant now, const Pending &pending, const RunReport &report)
 {
+    const std::uint32_t pool = pending.classSettings.pool;
     if (report.stage == RunStage::ResponseComplete) {
-        m_quarantine.runCompleted(now, pending.request.work);
+        m_crashProtection.runCompleted(
+            now, pending.request,
+            {pool, pending.firstTokenAt, report.tokens, pending.request.streams && report.endsWithConnection});
     } else if (connectionBroke(report)) {
-        // A response that is not streamed does not show whether the run had begun.
-        const bool justBegan = !pending.request.streams || (report.status != 0 && report.tokens <= maxTokensJustBegan);
-        m_quarantine.runBroke(now, pending.request.work, pending.endpoint, justBegan);
+        m_crashProtection.runBroke(now, pending.request,
+                                   {pool, pending.endpoint, pending.runStartedAt, pending.firstTokenAt, pending.request.streams,
+                                    report.status != 0, report.pathInDoubt, report.tokens});
+    }
+}
+
+/// Tells the protection of runs that have gone on for long enough to show that the parts of their prompts crash no endpoint.
+void Home::noteRunsThatWentOn(Instant now)
+{
+    for (Pending &pending : m_pending | std::views::values) {
+        if (pending.phase == Phase::Running && !pending.wentOn && CrashProtection::hasGoneOn(now, pending.firstTokenAt)) {
+            pending.wentOn = true;
+            m_crashProtection.runWentOn(now, pending.request, pending.classSettings.pool, pending.firstTokenAt);
+        }
     }
 }
 
 void Home::receive(Instant now, const std::string &from, const Peer::RunBroke &broke)
 {
-    m_quarantine.receive(now, from, broke);
+    m_crashProtection.receive(now, from, broke);
     enforceQuarantine(now);
 }
 
 void Home::receive(Instant now, const std::string &from, const Peer::QuarantineUpdate &update)
 {
-    m_quarantine.receive(now, from, update);
+    m_crashProtection.receive(now, from, update);
+    enforceQuarantine(now);
+}
+
+void Home::receive(Instant now, const std::string &from, const Peer::PromptRunBroke &broke)
+{
+    m_crashProtection.receive(now, from, broke);
+    enforceQuarantine(now);
+}
+
+void Home::receive(Instant now, const std::string &from, const Peer::SoundPartsQuery &query)
+{
+    m_crashProtection.receive(now, from, query);
     enforceQuarantine(now);
 }
 
-/// Sends the messages of the quarantine and ends all requests whose work has been quarantined: a request that is queued at an
-/// endpoint would crash that endpoint too.
+void Home::receive(Instant now, const std::string &from, const Peer::SoundPartsReply &reply)
+{
+    m_crashProtection.receive(now, from, reply);
+    enforceQuarantine(now);
+}
+
+/// Sends the messages of the quarantine and ends all requests that have been quarantined: a request that is queued at an endpoint
+/// would crash that endpoint too. A run with a quarantined part whose response has begun is left alone: either it crashes its
+/// endpoint in any case, or it goes on and clears the part.
 void Home::enforceQuarantine(Instant now)
 {
-    std::ranges::move(m_quarantine.takeMessages(), std::back_inserter(m_actions));
-    const std::vector<std::uint64_t> quarantined = m_quarantine.takeNewlyQuarantined();
-    if (quarantined.empty()) {
+    const bool changed = m_crashProtection.takeQuarantined(now);
+    std::ranges::move(m_crashProtection.takeMessages(), std::back_inserter(m_actions));
+    if (!changed) {
         return;
     }
-    std::vector<std::uint64_t> ids;
+    std::vector<std::pair<std::uint64_t, QuarantineMatch>> matches;
     for (const auto &[id, pending] : m_pending) {
-        if (std::ranges::find(quarantined, pending.request.work) != quarantined.end()) {
-            ids.push_back(id);
+        const bool hasBegun = pending.phase == Phase::Running && pending.firstTokenAt != Instant {};
+        const auto match = m_crashProtection.match(pending.request, pending.classSettings.pool);
+        if (match && !(match->part && hasBegun)) {
+            matches.emplace_back(id, *match);
         }
     }
-    std::ranges::for_each(ids, [&](std::uint64_t id) { stopRequest(now, m_pending.at(id), quarantineError()); });
+    for (const auto &[id, match] : matches) {
+        stopRequest(now, m_pending.at(id), quarantineError(match));
+    }
 }
 
 bool Home::mayRetry(const Pending &pending, const RunReport &report) const
 {
     const bool canResume = !report.callerSawBytes || pending.classSettings.resumable;
     const bool runsLeft = pending.attempt < maxAttempts && pending.sentRuns < pending.classSettings.maxRuns;
-    const bool quarantined = m_quarantine.isQuarantined(pending.request.work);
+    const bool quarantined = m_crashProtection.match(pending.request, pending.classSettings.pool).has_value();
     return canResume && runsLeft && !quarantined && (pending.classSettings.repeatable || !pending.mayHaveRun);
 }
 
@@ -825,7 +857,7 @@
 
 bool Home::releaseWork(Instant now, std::uint64_t work)
 {
-    const bool released = m_quarantine.releaseWork(now, work);
+    const bool released = m_crashProtection.release(now, work);
     enforceQuarantine(now);
     return released;
 }
@@ -937,7 +969,8 @@
 
 void Home::tick(Instant now)
 {
-    m_quarantine.tick(now);
+    noteRunsThatWentOn(now);
+    m_crashProtection.tick(now);
     m_streamOrigins.tick(now);
     applyOrigins(now);
     m_availabilities.tick(now);
@@ -1013,9 +1046,9 @@
     return m_pending.size();
 }
 
-const Quarantine &Home::quarantine() const
+const CrashProtection &Home::crashProtection() const
 {
-    return m_quarantine;
+    return m_crashProtection;
 }
 
 const StreamOrigins &Home::streamOrigins() const
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -10,8 +10,8 @@
 #include "Configuration/catalogue.h"
 #include "Dispatch/shardmap.h"
 #include "Rate/endpointrates.h"
+#include "Request/crashprotection.h"
 #include "Request/localwindow.h"
-#include "Request/quarantine.h"
 #include "Request/retrybudgets.h"
 #include "Request/shardchoice.h"
 #include "Request/streamorigins.h"
@@ -87,7 +87,8 @@
     void updateView(Base::Instant now, std::shared_ptr<const Configuration::Catalogue> catalogue,
                     std::shared_ptr<const Dispatch::ShardMap> shards, const std::vector<Peer::Member> &members);
 
-    /// Accepts a request and asks for an endpoint. Fails the request if its class is unknown or its work is quarantined.
+    /// Accepts a request and asks for an endpoint. Fails the request if its class is unknown, or if its work or a part of its
+    /// prompt is quarantined.
     void start(Base::Instant now, const NewRequest &request);
 
     /// Handles a message of a dispatcher, or of another host's quarantine or record of streams; @p from is the sender.
@@ -96,6 +97,9 @@
     void receive(Base::Instant now, const std::string &from, const Peer::Queued &queued);
     void receive(Base::Instant now, const std::string &from, const Peer::RunBroke &broke);
     void receive(Base::Instant now, const std::string &from, const Peer::QuarantineUpdate &update);
+    void receive(Base::Instant now, const std::string &from, const Peer::PromptRunBroke &broke);
+    void receive(Base::Instant now, const std::string &from, const Peer::SoundPartsQuery &query);
+    void receive(Base::Instant now, const std::string &from, const Peer::SoundPartsReply &reply);
     void receive(Base::Instant now, const std::string &from, const Peer::StreamBegan &began);
     void receive(Base::Instant now, const std::string &from, const Peer::StreamOriginQuery &query);
     void receive(Base::Instant now, const std::string &from, const Peer::StreamOriginReply &reply);
@@ -116,7 +120,7 @@
     /// Cancels a request on an operator's command. Returns false if it is not pending.
     bool cancel(Base::Instant now, std::uint64_t request);
 
-    /// Releases @p work from quarantine. Returns false if it is not quarantined.
+    /// Releases a work or a part of prompts from quarantine. Returns false if it is not quarantined.
     bool releaseWork(Base::Instant now, std::uint64_t work);
 
     /// Fails each request without a current run, that is, in the phases Asking and BackingOff, with @p error.
@@ -134,7 +138,7 @@
     /// Returns the number of pending requests.
     std::size_t active() const;
     const HomeCounters &counters() const;
-    const Quarantine &quarantine() const;
+    const CrashProtection &crashProtection() const;
     const StreamOrigins &streamOrigins() const;
     std::vector<RequestView> requests(Base::Instant now) const;
 
@@ -161,6 +165,9 @@
         std::uint32_t sentRuns = 0; ///< runs that may have reached their endpoint
         bool mayHaveRun = false; ///< an endpoint may have processed the request; never reset
         Rate::RateState grantedRate; ///< rate limit that the dispatcher applied when it granted the run
+        Base::Instant runStartedAt {};
+        Base::Instant firstTokenAt {}; ///< of the latest run; zero if there was none or it was not reported
+        bool wentOn = false; ///< the latest run has gone on for long enough to show that its parts crash no endpoint
         bool reportsPrefill = false; ///< the dispatcher wants to know when the latest run's first token comes
         bool grantReturned = false; ///< a grant was returned because the dispatcher's information was out of date
         bool queuedAtDispatcher = false; ///< the dispatcher has confirmed that it queued the ask
@@ -199,7 +206,8 @@
     void beginRun(Base::Instant now, Pending &pending, std::uint32_t endpoint, Base::Instant startBy,
                   const Peer::Grant &grant = {});
     void release(const Pending &pending, const RunReport &report, Peer::RunResult result);
-    void updateQuarantine(Base::Instant now, const Pending &pending, const RunReport &report);
+    void reportToCrashProtection(Base::Instant now, const Pending &pending, const RunReport &report);
+    void noteRunsThatWentOn(Base::Instant now);
     void enforceQuarantine(Base::Instant now);
     void retryOrFail(Base::Instant now, Pending &pending, const RunReport &report);
     bool mayRetry(const Pending &pending, const RunReport &report) const;
@@ -229,7 +237,7 @@
     /// Shards that get another report: the last one listed permits, or the connection was lost since.
     std::set<std::uint32_t> m_reportedShards;
     LocalWindow m_localWindow;
-    Quarantine m_quarantine;
+    CrashProtection m_crashProtection;
     StreamOrigins m_streamOrigins;
     VersionHistory m_versionHistory;
     bool m_hadOtherMembers = false; ///< the fleet had other hosts at some time
--- a/Source/Request/quarantine.cpp
+++ b/Source/Request/quarantine.cpp
@@ -170,7 +170,9 @@
     if (recentlyCompleted(broke.work, crashes.front().at)) {
         forget(broke.work);
     } else {
-        quarantineWork(now, broke.work, found->second);
+        std::vector<std::uint32_t> endpoints;
+        std::ranges::transform(crashes, std::back_inserter(endpoints), &Crash::endpoint);
+        quarantineWork(now, broke.work, crashes.front().at, endpoints);
     }
 }
 
@@ -189,35 +191,99 @@
     std::erase(m_suspicionOrder, work);
 }
 
-void Quarantine::quarantineWork(Instant now, std::uint64_t work, const Suspicion &suspicion)
+void Quarantine::quarantineWork(Instant now, std::uint64_t work, Instant firstCrash, const std::vector<std::uint32_t> &endpoints)
+{
+    if (work != noWork && !isQuarantined(work)) {
+        quarantineEntry(now, work, firstCrash, endpoints, {});
+    }
+}
+
+void Quarantine::quarantineEntry(Instant now, std::uint64_t work, Instant firstCrash, const std::vector<std::uint32_t> &endpoints,
+                                 const Peer::PromptPart &part)
 {
     Entry &entry = m_entries[work];
     ++entry.round;
     entry.quarantined = true;
-    entry.firstCrash = suspicion.crashes.front().at;
+    entry.firstCrash = firstCrash;
     entry.until = now + quarantineDuration;
+    entry.part = part;
     ++m_counters.quarantined;
     m_newlyQuarantined.push_back(work);
-    std::vector<std::uint32_t> endpoints;
-    std::ranges::transform(suspicion.crashes, std::back_inserter(endpoints), &Crash::endpoint);
-    Base::log(Base::LogLevel::Warning, Base::LogEvent::WorkQuarantined,
-              {{"work", Base::hexadecimal(work)},
-               {"round", entry.round},
-               {"endpoints", endpoints},
-               {"first-s-ago", Base::seconds(now - entry.firstCrash)},
-               {"for-s", Base::seconds(quarantineDuration)}});
+    nlohmann::json fields = logFields(work, entry.round, part);
+    fields["endpoints"] = endpoints;
+    fields["first-s-ago"] = Base::seconds(now - firstCrash);
+    fields["for-s"] = Base::seconds(quarantineDuration);
+    Base::log(Base::LogLevel::Warning, Base::LogEvent::WorkQuarantined, std::move(fields));
     removeExpired(now);
     sendToAll(now, work);
 }
 
+nlohmann::json Quarantine::logFields(std::uint64_t work, std::uint32_t round, const Peer::PromptPart &part)
+{
+    nlohmann::json fields = {{"work", Base::hexadecimal(work)}, {"round", round}};
+    if (part.pool != 0) {
+        fields["part"] = Base::hexadecimal(part.id);
+        fields["pool"] = part.pool;
+    }
+    return fields;
+}
+
+// --- Parts of prompts
+
+std::uint64_t Quarantine::keyOf(const Peer::PromptPart &part)
+{
+    return Base::combineHashes(part.id, part.pool);
+}
+
+void Quarantine::quarantinePart(Instant now, const Peer::PromptPart &part, Instant firstCrash,
+                                const std::vector<std::uint32_t> &endpoints)
+{
+    const std::uint64_t key = keyOf(part);
+    if (!isQuarantined(key)) {
+        quarantineEntry(now, key, firstCrash, endpoints, part);
+    }
+}
+
+std::optional<QuarantinedPart> Quarantine::quarantinedPart(std::uint64_t key) const
+{
+    const auto entry = m_entries.find(key);
+    if (entry == m_entries.end() || !entry->second.quarantined || entry->second.part.pool == 0) {
+        return std::nullopt;
+    }
+    return QuarantinedPart {entry->second.part, entry->second.firstCrash};
+}
+
+std::unordered_set<std::uint64_t> Quarantine::quarantinedWorks() const
+{
+    std::unordered_set<std::uint64_t> found;
+    for (const auto &[work, entry] : m_entries) {
+        if (entry.quarantined && entry.part.pool == 0) {
+            found.insert(work);
+        }
+    }
+    return found;
+}
+
+std::map<std::uint32_t, std::unordered_set<std::uint64_t>> Quarantine::quarantinedParts() const
+{
+    std::map<std::uint32_t, std::unordered_set<std::uint64_t>> found;
+    for (const Entry &entry : m_entries | std::views::values) {
+        if (entry.quarantined && entry.part.pool != 0) {
+            found[entry.part.pool].insert(entry.part.id);
+        }
+    }
+    return found;
+}
+
 void Quarantine::clear(Instant now, std::uint64_t work, Entry &entry)
 {
     entry.quarantined = false;
     ++m_counters.cleared;
     forget(work);
     std::erase(m_newlyQuarantined, work);
-    Base::log(Base::LogLevel::Info, Base::LogEvent::WorkCleared,
-              {{"work", Base::hexadecimal(work)}, {"round", entry.round}, {"from", m_self}});
+    nlohmann::json fields = logFields(work, entry.round, entry.part);
+    fields["from"] = m_self;
+    Base::log(Base::LogLevel::Info, Base::LogEvent::WorkCleared, std::move(fields));
     sendToAll(now, work);
 }
 
@@ -246,21 +312,20 @@
         return;
     }
     Entry &entry = m_entries[update.work];
-    entry = {update.round, update.quarantined, now - update.firstCrashAge, now + std::min(update.remaining, quarantineDuration)};
+    entry = {update.round, update.quarantined, now - update.firstCrashAge, now + std::min(update.remaining, quarantineDuration),
+             update.part};
+    nlohmann::json fields = logFields(update.work, update.round, update.part);
+    fields["from"] = from;
     if (!update.quarantined) {
         forget(update.work);
         std::erase(m_newlyQuarantined, update.work);
-        Base::log(Base::LogLevel::Info, Base::LogEvent::WorkCleared,
-                  {{"work", Base::hexadecimal(update.work)}, {"round", update.round}, {"from", from}});
+        Base::log(Base::LogLevel::Info, Base::LogEvent::WorkCleared, std::move(fields));
         removeExpired(now);
         return;
     }
-    Base::log(Base::LogLevel::Warning, Base::LogEvent::WorkQuarantined,
-              {{"work", Base::hexadecimal(update.work)},
-               {"round", update.round},
-               {"from", from},
-               {"first-s-ago", Base::seconds(update.firstCrashAge)},
-               {"for-s", Base::seconds(update.remaining)}});
+    fields["first-s-ago"] = Base::seconds(update.firstCrashAge);
+    fields["for-s"] = Base::seconds(update.remaining);
+    Base::log(Base::LogLevel::Warning, Base::LogEvent::WorkQuarantined, std::move(fields));
     ++m_counters.quarantined;
     if (recentlyCompleted(update.work, entry.firstCrash)) {
         clear(now, update.work, entry);
@@ -272,7 +337,7 @@
 
 Peer::QuarantineEntry Quarantine::messageEntry(Instant now, std::uint64_t work, const Entry &entry) const
 {
-    return {work, entry.round, entry.quarantined, now - entry.firstCrash, entry.until - now};
+    return {work, entry.round, entry.quarantined, now - entry.firstCrash, entry.until - now, entry.part};
 }
 
 Peer::QuarantineUpdate Quarantine::allEntries(Instant now) const
@@ -352,7 +417,8 @@
 {
     std::vector<QuarantineView> rows;
     std::ranges::transform(m_entries, std::back_inserter(rows), [&](const auto &entry) {
-        return QuarantineView {entry.first, entry.second.quarantined, entry.second.round, entry.second.until - now};
+        const auto part = entry.second.part.pool == 0 ? std::nullopt : std::optional(entry.second.part);
+        return QuarantineView {entry.first, part, entry.second.quarantined, entry.second.round, entry.second.until - now};
     });
     return rows;
 }
--- a/Source/Request/quarantine.h
+++ b/Source/Request/quarantine.h
@@ -9,12 +9,16 @@
 #include "Peer/message.h"
 #include "Request/types.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace Yokepond::Request {
@@ -22,12 +26,20 @@
 /// A quarantined work, or one that has been cleared, as the operators' queries show it.
 struct QuarantineView
 {
-    std::uint64_t work = 0;
+    std::uint64_t work = 0; ///< for a part of prompts, its key
+    std::optional<Peer::PromptPart> part; ///< nothing if the work is whole requests
     bool quarantined = false;
     std::uint32_t round = 0; ///< how often the work has been quarantined
     Base::Duration remaining {}; ///< until the quarantine ends, or the entry of a cleared work is removed
 };
 
+/// A quarantined part of prompts.
+struct QuarantinedPart
+{
+    Peer::PromptPart part;
+    Base::Instant firstCrash {};
+};
+
 struct QuarantineCounters
 {
     std::uint64_t suspected = 0; ///< runs that broke off and were reported to the hosts that count crashes
@@ -39,7 +51,8 @@
 /// (NewRequest::work): all requests with the same content have the same work. A run that breaks off is reported to the two hosts
 /// that count the crashes of its work. When the number of endpoints that crashed under one work reaches the configured limit,
 /// these two quarantine it at all hosts. A host that has seen the work complete, shortly before the first of these crashes or
-/// later, clears it at all hosts. It is a pure state machine: the caller passes in the time, and takeMessages() returns the
+/// later, clears it at all hosts. A part of prompts may be quarantined too, under a key that stands for it; PartSuspicions finds
+/// it. It is a pure state machine: the caller passes in the time, and takeMessages() returns the
 /// messages to send.
 class Quarantine
 {
@@ -60,8 +73,28 @@
     /// Records that a run of @p work has completed.
     void runCompleted(Base::Instant now, std::uint64_t work);
 
-    /// Clears @p work at all hosts on an operator's command. Returns false if it is not quarantined. The same number
-    /// of crashes quarantines it again.
+    /// Returns the key of @p part, which takes the place of a work.
+    static std::uint64_t keyOf(const Peer::PromptPart &part);
+
+    /// Quarantines @p part at all hosts, since @p endpoints crashed under it.
+    void quarantinePart(Base::Instant now, const Peer::PromptPart &part, Base::Instant firstCrash,
+                        const std::vector<std::uint32_t> &endpoints);
+
+    /// Returns the part that is quarantined under @p key; nothing if none is.
+    std::optional<QuarantinedPart> quarantinedPart(std::uint64_t key) const;
+
+    /// Quarantines @p work at all hosts, since @p endpoints crashed under it.
+    void quarantineWork(Base::Instant now, std::uint64_t work, Base::Instant firstCrash,
+                        const std::vector<std::uint32_t> &endpoints);
+
+    /// Returns all quarantined parts, by pool.
+    std::map<std::uint32_t, std::unordered_set<std::uint64_t>> quarantinedParts() const;
+
+    /// Returns all quarantined works that stand for whole requests.
+    std::unordered_set<std::uint64_t> quarantinedWorks() const;
+
+    /// Clears @p work at all hosts, by an operator or since it was shown not to crash endpoints. Returns false if it is not
+    /// quarantined. The same number of crashes quarantines it again.
     bool releaseWork(Base::Instant now, std::uint64_t work);
 
     /// Handles a message of another host's quarantine; @p from is the sender.
@@ -102,13 +135,17 @@
         bool quarantined = false;
         Base::Instant firstCrash {};
         Base::Instant until {}; ///< time at which the entry is removed
+        Peer::PromptPart part {}; ///< see Peer::QuarantineEntry
     };
 
     static bool supersedes(const Peer::QuarantineEntry &update, const Entry &current);
     void recordCrash(Base::Instant now, const Peer::RunBroke &broke);
     bool recentlyCompleted(std::uint64_t work, Base::Instant firstCrash) const;
     void forget(std::uint64_t work);
-    void quarantineWork(Base::Instant now, std::uint64_t work, const Suspicion &suspicion);
+    /// Quarantines a work or the key of a part.
+    void quarantineEntry(Base::Instant now, std::uint64_t work, Base::Instant firstCrash,
+                         const std::vector<std::uint32_t> &endpoints, const Peer::PromptPart &part);
+    static nlohmann::json logFields(std::uint64_t work, std::uint32_t round, const Peer::PromptPart &part);
     void clear(Base::Instant now, std::uint64_t work, Entry &entry);
     void applyEntry(Base::Instant now, const std::string &from, const Peer::QuarantineEntry &update);
     void sendToAll(Base::Instant now, std::uint64_t work);
--- a/Source/Request/types.h
+++ b/Source/Request/types.h
@@ -81,6 +81,8 @@
     Base::Duration longestGap {}; ///< longest time between tokens
     bool brittle = false; ///< a brittle endpoint rejected the run; see Availability::AdvertisedAvailability
     bool pathInDoubt = false; ///< the path to the endpoint may have failed rather than the endpoint
+    bool endsWithConnection = false; ///< the end of the response was not marked, by its length for example; it ended with its
+                                     ///< connection
 };
 
 // Actions that the home requests from the daemon.
--- a/Tests/Integration/test_parts.py
+++ b/Tests/Integration/test_parts.py
@@ -12,10 +12,14 @@
 HOSTS = 4
 ENGINES = 9
 BAD = "bad0c0de"
+OTHER_BAD = "bad1"
+SETTINGS = "[quarantine]\nprompt-parts = yes\n"
+# A caller whose prompt is quarantined is told so in less time than this.
+PROMPT_SECONDS = 0.5
 
 
 class Site:
-    def __init__(self, settings="", **pool):
+    def __init__(self, settings=SETTINGS, **pool):
         self.settings = settings
         self.pool_options = pool
 
@@ -39,24 +43,72 @@
     def play_until_known(self):
         """Waits until there were enough crashes, and for some seconds more than it may take until all hosts know the part."""
         wait_until(lambda: self.pool.crash_times, "an engine to crash", 10)
-        end = time.monotonic() + 3 * CONTACT_SECONDS
-        while time.monotonic() < min(end, time.monotonic() + 1) or time.monotonic() < self.pool.all_known_from() + 2.5 * CONTACT_SECONDS:
+        # Later crashes up to the fifth move the end.
+        while time.monotonic() < self.pool.all_known_from() + 2.5 * CONTACT_SECONDS:
             time.sleep(0.2)
 
+    def play(self, start_bad):
+        """Plays sound callers, then with them what `start_bad` starts, and asserts the platform's rules."""
+        began = time.monotonic()
+        self.callers.start_sound(10)
+        time.sleep(3)
+        start_bad()
+        self.play_until_known()
+        end = time.monotonic()
+        assert_part_reaches_few_engines(self.pool)
+        assert_sound_requests_begin(self.callers, self.pool, began, end)
+
+    def held_parts(self):
+        """The quarantined parts by host, as the hosts' own logs tell."""
+        held = {}
+        for index in range(HOSTS):
+            entries = [entry for entry in self.hosts.log(index) if entry["event"] in ("work-held", "work-cleared") and "part" in entry]
+            last = {entry["part"]: entry["event"] for entry in entries}
+            held[index] = {part.lstrip("0") for part, event in last.items() if event == "work-held"}
+        return held
+
+    def assert_nothing_held(self):
+        assert not any(self.held_parts().values()), self.held_parts()
+
 
 # Guards against requests of which no two are alike, but for one part of their prompts, that crash one engine after the other.
 def test_a_part_that_crashes_engines_reaches_few():
     with Site() as site:
         site.pool.bad_parts = {BAD}
-        site.callers.start_sound(10)
-        time.sleep(3)
-        began = time.monotonic() - 3
+        site.play(lambda: site.callers.start_bad(4, BAD))
+        assert all(held == {BAD} for held in site.held_parts().values()), site.held_parts()
+
+
+# Guards against callers that are invited back, or wait, with a prompt that no engine may get.
+def test_a_quarantined_prompt_is_refused_at_once_and_not_run():
+    with Site() as site:
+        site.pool.bad_parts = {BAD}
         site.callers.start_bad(4, BAD)
         site.play_until_known()
-        end = time.monotonic()
         site.callers.stop()
-        assert_part_reaches_few_engines(site.pool)
-        assert_sound_requests_begin(site.callers, site.pool, began, end)
+        arrivals = len(site.pool.arrivals)
+        for number in range(8):
+            answer = site.hosts.send(number % HOSTS, "POST", "/stream/held", f"held-{number}", **{"X-Prefix-Hash": site.callers.prompt(BAD)})
+            assert answer.status == 503 and "retry-after" not in answer.headers, (answer.status, answer.headers)
+        refused = [stream.tries[-1] for stream in site.callers.bad[-8:]]
+        assert all(entry.status == 503 and entry.seconds < PROMPT_SECONDS for entry in refused), refused
+        assert len(site.pool.arrivals) == arrivals
+
+
+# Guards against a part that is not found since it is the first one of its prompts.
+def test_a_first_part_that_crashes_engines_reaches_few():
+    with Site() as site:
+        site.pool.bad_parts = {BAD}
+        site.play(lambda: site.callers.start_bad(4, BAD, first=True))
+
+
+# Guards against a part that seems sound since an answer without a length ends with its connection, and so does a crash.
+def test_a_part_reaches_few_engines_whose_answers_end_with_their_connections():
+    with Site(framed=False) as site:
+        site.pool.bad_parts = {BAD}
+        site.play(lambda: site.callers.start_bad(4, BAD))
+        empty = [stream for stream in site.callers.bad if stream.tries[-1].status == 200 and not stream.tries[-1].broken and not stream.events]
+        assert not empty, [stream.tries for stream in empty[:3]]
 
 
 # Guards against an empty answer for a whole one when an engine crashes after the head of a stream without length and chunks.
@@ -70,5 +122,51 @@
         assert all(stream.whole for stream in streams[3:]), [stream.tries for stream in streams[3:]]
 
 
+# Guards against one part that hides another one.
+def test_two_parts_that_crash_engines_reach_few():
+    with Site() as site:
+        site.pool.bad_parts = {BAD, OTHER_BAD}
+        site.play(lambda: (site.callers.start_bad(3, BAD), site.callers.start_bad(3, OTHER_BAD)))
+        assert all(held == {BAD, OTHER_BAD} for held in site.held_parts().values()), site.held_parts()
+
+
+# Guards against a host that starts anew and sends prompts with a part that the others hold.
+def test_a_host_that_was_killed_learns_of_the_part():
+    with Site() as site:
+        site.pool.bad_parts = {BAD}
+        site.callers.start_bad(4, BAD)
+        site.play_until_known()
+        site.callers.stop()
+        site.hosts.processes[1].kill()
+        site.hosts.processes[1].wait()
+        site.hosts.start(1)
+        wait_until(lambda: site.hosts.ready(1), "the killed host to be ready")
+        wait_until(lambda: BAD in site.held_parts()[1], "the killed host to learn of the part", CONTACT_SECONDS)
+        arrivals = len(site.pool.arrivals)
+        answer = site.hosts.send(1, "POST", "/stream/held", "held-anew", **{"X-Prefix-Hash": site.callers.prompt(BAD)})
+        assert answer.status == 503, answer.status
+        assert len(site.pool.arrivals) == arrivals
+
+
+# Guards against sound prompts that are refused since engines crash for another reason: some in turn, then all at once.
+def test_crashes_for_another_reason_hold_no_part():
+    with Site() as site:
+        site.callers.start_sound(12)
+        time.sleep(2)
+        for _ in range(5):
+            site.pool.kill(list(site.pool.engines)[:3])
+            time.sleep(1.2)
+        for _ in range(2):
+            wait_until(lambda: len(site.pool.engines) == ENGINES, "all engines to be back", 10)
+            time.sleep(1)
+            site.pool.kill(list(site.pool.engines))
+        wait_until(lambda: len(site.pool.engines) == ENGINES, "all engines to be back", 10)
+        time.sleep(2)
+        served, sent = site.callers.share_that_begins(time.monotonic() - 1.5, time.monotonic())
+        site.callers.stop()
+        site.assert_nothing_held()
+        assert served > 0.9, (served, sent)
+
+
 if __name__ == "__main__":
     run_tests(globals())
--- a/Tests/Peer/codectest.cpp
+++ b/Tests/Peer/codectest.cpp
@@ -162,8 +162,9 @@
 {
     const RunBroke broke = roundTrip(RunBroke {0xfedcba9876543210U, 17, true});
     CHECK_TRUE(broke.work == 0xfedcba9876543210U && broke.endpoint == 17 && broke.justBegan);
-    const QuarantineUpdate update {
-        99, {{5, 2, true, milliseconds(1200), milliseconds(600'000)}, {6, 1, false, milliseconds(1), milliseconds(2)}}};
+    const QuarantineUpdate update {99,
+                                   {{5, 2, true, milliseconds(1200), milliseconds(600'000), {}},
+                                    {6, 1, false, milliseconds(1), milliseconds(2), {3, 0xbad}}}};
     const QuarantineUpdate got = roundTrip(update);
     CHECK_EQUAL(update.digest, got.digest);
     CHECK_EQUAL(2U, got.entries.size());
@@ -172,9 +173,24 @@
         const QuarantineEntry &entry = got.entries[index];
         CHECK_TRUE(entry.work == sent.work && entry.round == sent.round && entry.quarantined == sent.quarantined);
         CHECK_TRUE(entry.firstCrashAge == sent.firstCrashAge && entry.remaining == sent.remaining);
+        CHECK_TRUE(entry.part == sent.part);
     }
 }
 
+TEST(Codec, messagesOnPartsOfPromptsKeepAllFields)
+{
+    const PromptRunBroke broke = roundTrip(PromptRunBroke {3, 17, true, false, milliseconds(321), 77, {5, 0xfedcba9876543210U}});
+    CHECK_TRUE(broke.pool == 3 && broke.endpoint == 17 && broke.began && !broke.pathInDoubt);
+    CHECK_TRUE(broke.sentAgo == milliseconds(321) && broke.work == 77);
+    CHECK_TRUE(broke.parts == (std::vector<std::uint64_t> {5, 0xfedcba9876543210U}));
+    CHECK_TRUE(roundTrip(PromptRunBroke {3, 17, false, true, {}, 0, {}}).pathInDoubt);
+    const SoundPartsQuery query = roundTrip(SoundPartsQuery {4, {1, 2}});
+    CHECK_TRUE(query.pool == 4 && query.parts == (std::vector<std::uint64_t> {1, 2}));
+    const SoundPartsReply reply = roundTrip(SoundPartsReply {4, {{1, milliseconds(15)}}});
+    CHECK_TRUE(reply.pool == 4 && reply.parts.size() == 1);
+    CHECK_TRUE(reply.parts[0].part == 1 && reply.parts[0].ago == milliseconds(15));
+}
+
 TEST(Codec, followMessagesBelongToConfigurationTraffic)
 {
     CHECK_TRUE(roundTrip(FollowAnswer {true}).follows);
--- a/Tests/Request/fleetload.h
+++ b/Tests/Request/fleetload.h
@@ -74,6 +74,8 @@
     Base::Duration deadline {};
     bool sameWork = false; ///< all requests have the same path, organisation and body
     bool crashesEngines = false; ///< an engine crashes as soon as it starts one of the requests
+    std::uint64_t badPart = 0; ///< a part of all their prompts, between the shared part and the request's own; 0 for none
+    bool sharesFirstPart = false; ///< their prompts begin with the same part as those of all streams that have this set
 };
 
 /// Results of a simulation.
@@ -93,6 +95,8 @@
     std::uint32_t enginesCrashed = 0; ///< engines crashed by requests of a stream with crashesEngines
     /// Crashing requests sent to engines more than `propagationTime` after the third crash.
     std::uint64_t crashingRunsSentLate = 0;
+    /// Crashing requests sent to engines more than `propagationTime` after the fifth crash.
+    std::uint64_t crashingRunsSentAfterFifth = 0;
     std::uint64_t othersRefused = 0; ///< requests of other streams that ended as not run
     std::uint64_t othersQuarantined = 0; ///< requests of other streams that were refused because their work was quarantined
     /// Largest excess, in requests within 4 s at an engine, over what its advertised rate allows; negative: never exceeded.
@@ -255,6 +259,7 @@
     static constexpr std::uint32_t organisationNumber = 1;
     static constexpr std::uint32_t firstEndpoint = 100;
     static constexpr std::uint32_t firstClass = 10;
+    static constexpr std::uint64_t firstPart = 0xf1a57;
 
     struct Event
     {
@@ -393,9 +398,9 @@
         if (engine.generation != generation || std::ranges::find(engine.runs, run) == engine.runs.end()) {
             return;
         }
-        if (++m_counts.enginesCrashed == 3) {
-            m_thirdCrash = m_now;
-        }
+        ++m_counts.enginesCrashed;
+        m_thirdCrash = m_counts.enginesCrashed == 3 ? m_now : m_thirdCrash;
+        m_fifthCrash = m_counts.enginesCrashed == 5 ? m_now : m_fifthCrash;
         crashEngine(index, m_options.engineRestart);
     }
 
@@ -435,6 +440,13 @@
         request.prefix = {prefixId, (std::uint64_t {1} << 63U) + id};
         request.prefixTokens = {parameters.sharedTokens, request.promptTokens};
         request.expectedTokens = parameters.events * 8;
+        if (parameters.sharesFirstPart) {
+            request.parts.push_back(firstPart);
+        }
+        request.parts.push_back(prefixId);
+        if (parameters.badPart != 0) {
+            request.parts.push_back(parameters.badPart);
+        }
         request.streams = true;
         request.work = parameters.sameWork ? prefixId : id;
         m_hosts[host].home->start(m_now, request);
@@ -549,6 +561,8 @@
         const Call &call = m_calls.at(start.id.request);
         const Stream &parameters = m_streams[call.stream];
         m_counts.crashingRunsSentLate += parameters.crashesEngines && m_now > m_thirdCrash + m_options.propagationTime ? 1 : 0;
+        m_counts.crashingRunsSentAfterFifth
+            += parameters.crashesEngines && m_now > m_fifthCrash + m_options.propagationTime ? 1 : 0;
         engine.runs.push_back(run);
         m_counts.maxAtOneEngine = std::max(m_counts.maxAtOneEngine, static_cast<std::uint32_t>(engine.runs.size()));
         const bool cached = !engine.cachedPrefixes.insert(call.prefixId).second;
@@ -717,6 +731,7 @@
     std::map<std::uint64_t, Call> m_calls;
     std::set<std::uint64_t> m_prefilledPrefixes;
     Base::Instant m_thirdCrash = Base::Instant(std::chrono::hours(24 * 365));
+    Base::Instant m_fifthCrash = m_thirdCrash;
     Base::Instant m_now = Base::Instant(std::chrono::seconds(1000));
     std::uint64_t m_nextRequest = 1;
     bool m_dropMessages = false;
--- a/Tests/Request/fleetloadtest.cpp
+++ b/Tests/Request/fleetloadtest.cpp
@@ -190,6 +190,115 @@
     }
 }
 
+namespace {
+
+/// The streams of a small site, of which all prompts begin with the same part.
+std::vector<Stream> streamsWithSharedPart()
+{
+    std::vector<Stream> streams = smallSiteStreams();
+    std::ranges::for_each(streams, [](Stream &stream) { stream.sharesFirstPart = true; });
+    return streams;
+}
+
+/// Requests of which no two are alike, but for a part that crashes engines.
+Stream requestsWithBadPart(double perSecond, std::uint64_t badPart)
+{
+    return {.name = "fatal",
+            .perSecond = perSecond,
+            .prefixCount = 145,
+            .sharedTokens = 350,
+            .ownTokens = 1110,
+            .events = 25,
+            .firstToken = std::chrono::milliseconds(1200),
+            .deadline = std::chrono::milliseconds(8000),
+            .crashesEngines = true,
+            .badPart = badPart,
+            .sharesFirstPart = true};
+}
+
+} // namespace
+
+// Guards against requests of which no two are alike, but for one part of their prompts, that crash one engine after the other.
+TEST(FleetLoad, aPartThatCrashesEnginesIsQuarantined)
+{
+    constexpr std::uint64_t sendsAllowed = 3;
+    for (const double perSecond : {1.0, 8.0, 25.0}) {
+        for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+            std::vector<Stream> streams = streamsWithSharedPart();
+            streams.push_back(requestsWithBadPart(perSecond, 0xbad));
+            Tests::FleetLoadOptions options = smallSite();
+            options.policies.quarantineParts = true;
+            FleetLoad load(options, streams, seed);
+            load.run(std::chrono::seconds(20));
+            const FleetLoadCounts &counts = load.counts();
+            print("a part of prompts crashes engines", seed, counts);
+            fmt::print(
+                "  {} requests with the part per second, engines crashed {}, sent after the fifth {}, others quarantined {}, "
+                "others refused {}\n",
+                perSecond, counts.enginesCrashed, counts.crashingRunsSentAfterFifth, counts.othersQuarantined,
+                counts.othersRefused);
+            CHECK_TRUE(counts.enginesCrashed >= 3);
+            CHECK_TRUE(counts.crashingRunsSentAfterFifth <= sendsAllowed);
+            CHECK_EQUAL(0U, counts.othersQuarantined);
+        }
+    }
+}
+
+// Guards against two such parts at once, of which one hides the other.
+TEST(FleetLoad, twoPartsThatCrashEnginesAreQuarantined)
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        std::vector<Stream> streams = streamsWithSharedPart();
+        streams.push_back(requestsWithBadPart(4.0, 0xbad));
+        streams.push_back(requestsWithBadPart(4.0, 0xbad2));
+        Tests::FleetLoadOptions options = smallSite();
+        options.policies.quarantineParts = true;
+        FleetLoad load(options, streams, seed);
+        load.run(std::chrono::seconds(20));
+        const FleetLoadCounts &counts = load.counts();
+        print("two parts of prompts crash engines", seed, counts);
+        CHECK_TRUE(counts.crashingRunsSentAfterFifth <= 3);
+        CHECK_EQUAL(0U, counts.othersQuarantined);
+    }
+}
+
+// Guards against sound prompts that are refused since engines crash for another reason: a third of them, or all, again and again.
+TEST(FleetLoad, noPartIsQuarantinedForUnrelatedCrashes)
+{
+    for (const std::size_t crashed : {1U, 3U, 9U}) {
+        for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+            Tests::FleetLoadOptions options = smallSite();
+            options.policies.quarantineParts = true;
+            FleetLoad load(options, streamsWithSharedPart(), seed);
+            for (int wave = 0; wave < 10; ++wave) {
+                load.run(std::chrono::milliseconds(1500));
+                load.crash(crashed, std::chrono::milliseconds(1000));
+            }
+            load.run(std::chrono::seconds(2));
+            print("engines crash for another reason, in ten waves", seed, load.counts());
+            CHECK_EQUAL(0U, load.counts().othersQuarantined);
+        }
+    }
+}
+
+/// The large fleet: 295 hosts that each see few requests, and a part that fifty requests a second hold.
+TEST(FleetLoad, aHotPartThatCrashesEnginesIsQuarantinedInALargeFleet)
+{
+    std::vector<Stream> streams = usualStreams();
+    std::ranges::for_each(streams, [](Stream &stream) { stream.sharesFirstPart = true; });
+    streams.push_back(requestsWithBadPart(50.0, 0xbad));
+    Tests::FleetLoadOptions options;
+    options.policies.quarantineParts = true;
+    FleetLoad load(options, streams, 1);
+    load.run(std::chrono::seconds(6));
+    const FleetLoadCounts &counts = load.counts();
+    print("a hot part crashes engines of a large fleet", 1, counts);
+    fmt::print("  engines crashed {}, sent after the fifth {}, others quarantined {}\n", counts.enginesCrashed,
+               counts.crashingRunsSentAfterFifth, counts.othersQuarantined);
+    CHECK_TRUE(counts.crashingRunsSentAfterFifth <= 3);
+    CHECK_EQUAL(0U, counts.othersQuarantined);
+}
+
 /// Pattern: a class of identical lookups (one path, no body), and a third of the engines crash for an unrelated reason, six
 /// times, 1.5 s apart. All lookups have run at crashed engines; the quarantine must not refuse any.
 TEST(FleetLoad, identicalRequestsAreNotQuarantinedForUnrelatedCrashes)
