Mend: A host at its limit of connections makes room, or says no at once

What callers saw, when most new connections of a data centre went to one host: at its limit of open connections they waited unread until they gave up, a second later, though the host called itself ready; idle kept connections kept the others out for up to a minute.

Cause: libmicrohttpd stops accepting at its limit and leaves new connections in the kernel's queue, and nothing tells an idle connection from a busy one.

Change: the server counts its connections itself. For one beyond the limit the one that has been idle for longest is closed; if all have requests, the new one is closed at once, unread, so that its caller tries another host. A log line a second at most, two metrics.

--- a/Source/Base/log.h
+++ b/Source/Base/log.h
@@ -38,6 +38,7 @@
     LinesDropped,
     RequestAbandoned,
     SlowCallerCut,
+    ConnectionsOverLimit,
     PathLost,
     PathRecovered,
     TunnelRefused,
--- a/Source/Http/server.cpp
+++ b/Source/Http/server.cpp
@@ -3,6 +3,7 @@
 
 #include "Http/server.h"
 
+#include "Base/log.h"
 #include "Base/text.h"
 
 #include <arpa/inet.h>
@@ -16,8 +17,11 @@
 #include <unistd.h>
 
 #include <array>
+#include <list>
 #include <map>
 #include <optional>
+#include <set>
+#include <unordered_map>
 #include <utility>
 
 namespace Yokepond::Http {
@@ -33,6 +37,9 @@
 constexpr std::size_t maxWholeBodyBytes = 16U << 10U;
 /// The buffer of a stream gives its memory back when it is empty and was larger than this.
 constexpr std::size_t maxIdleBufferBytes = 16U << 10U;
+/// Connections that libmicrohttpd may have beyond our limit: those that are being closed. At its own limit it would leave new
+/// ones in the kernel's queue, where their callers wait unread.
+constexpr std::size_t closingConnections = 256;
 /// Limit on the calls of MHD_run in one turn of the loop. If libmicrohttpd still has buffered input, it runs again in the next
 /// turn.
 constexpr int maxLibraryRunsPerTurn = 4;
@@ -145,6 +152,11 @@
         return m_address;
     }
 
+    const ConnectionCounters &connectionCounters() const override
+    {
+        return m_connectionCounters;
+    }
+
     std::size_t connections() const override
     {
         const auto *info = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
@@ -189,9 +201,18 @@
     static MHD_Result storeHeader(void *exchange, MHD_ValueKind kind, const char *name, const char *value);
     static MHD_Result storeArgument(void *exchange, MHD_ValueKind kind, const char *name, const char *value);
 
+    /// Returns whether a new connection may stay.
+    static MHD_Result acceptConnection(void *self, const sockaddr *address, socklen_t length);
+    static void onConnection(void *self, MHD_Connection *connection, void **state, MHD_ConnectionNotificationCode code);
+
+    /// Closes the connection that has been idle for longest. Returns false if none is idle.
+    bool closeLongestIdle();
     MHD_Result beginRequest(MHD_Connection *connection, const char *method, const char *url, void **state);
     MHD_Result receive(const std::shared_ptr<MhdExchange> &exchange, const char *data, std::size_t *size);
     MHD_Result reject(MhdExchange &exchange, const absl::Status &error);
+    void markIdle(MHD_Connection *connection);
+    void markBusy(MHD_Connection *connection);
+    void logTurnedAway();
     /// Writes the error response to the socket and closes the connection.
     void rejectOnSocket(MhdExchange &exchange, const absl::Status &error);
     void limitSendBuffers();
@@ -207,6 +228,11 @@
     Base::Address m_address;
     MHD_Daemon *m_daemon = nullptr;
     bool m_closeAfterResponses = false;
+    std::set<MHD_Connection *> m_connections; ///< open connections but those that are being closed to make room
+    std::list<MHD_Connection *> m_idle; ///< those without a request, the one that has been idle for longest first
+    std::unordered_map<MHD_Connection *, std::list<MHD_Connection *>::iterator> m_idlePositions;
+    ConnectionCounters m_connectionCounters;
+    ConnectionCounters m_loggedCounters; ///< as of the last line in the log
     std::map<MHD_Connection *, std::string> m_targets; ///< request targets of requests whose head is incomplete
     int m_watchDescriptor = -1;
     std::map<MhdExchange *, std::shared_ptr<MhdExchange>> m_openExchanges;
@@ -468,9 +494,10 @@
     inet_pton(AF_INET, address.ip.c_str(), &socketAddress.sin_addr);
     const auto idleSeconds = static_cast<unsigned int>(std::chrono::duration_cast<std::chrono::seconds>(m_limits.idle).count());
     m_daemon = MHD_start_daemon(
-        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, address.port, nullptr, nullptr, &MhdServer::access, this, MHD_OPTION_SOCK_ADDR,
-        &socketAddress, MHD_OPTION_NOTIFY_COMPLETED, &MhdServer::onRequestFinished, this, MHD_OPTION_CONNECTION_LIMIT,
-        static_cast<unsigned int>(m_limits.connections), MHD_OPTION_CONNECTION_TIMEOUT, idleSeconds,
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, address.port, &MhdServer::acceptConnection, this, &MhdServer::access, this,
+        MHD_OPTION_NOTIFY_CONNECTION, &MhdServer::onConnection, this, MHD_OPTION_SOCK_ADDR, &socketAddress,
+        MHD_OPTION_NOTIFY_COMPLETED, &MhdServer::onRequestFinished, this, MHD_OPTION_CONNECTION_LIMIT,
+        static_cast<unsigned int>(m_limits.connections + closingConnections), MHD_OPTION_CONNECTION_TIMEOUT, idleSeconds,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::size_t>(m_limits.headerBytes + streamBlockBytes),
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_URI_LOG_CALLBACK, &MhdServer::storeTarget, this, MHD_OPTION_END);
     if (m_daemon == nullptr) {
@@ -489,6 +516,77 @@
     return absl::OkStatus();
 }
 
+MHD_Result MhdServer::acceptConnection(void *self, const sockaddr *, socklen_t)
+{
+    auto &server = *static_cast<MhdServer *>(self);
+    if (server.m_connections.size() < server.m_limits.connections) {
+        return MHD_YES;
+    }
+    // Those that are being closed have to leave room too.
+    if (server.connections() < server.m_limits.connections + closingConnections && server.closeLongestIdle()) {
+        return MHD_YES;
+    }
+    ++server.m_connectionCounters.turnedAway;
+    return MHD_NO;
+}
+
+void MhdServer::onConnection(void *self, MHD_Connection *connection, void **, MHD_ConnectionNotificationCode code)
+{
+    auto &server = *static_cast<MhdServer *>(self);
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        server.m_connections.insert(connection);
+        server.markIdle(connection);
+    } else {
+        server.m_connections.erase(connection);
+        server.markBusy(connection);
+    }
+}
+
+void MhdServer::markIdle(MHD_Connection *connection)
+{
+    if (!m_idlePositions.contains(connection) && m_connections.contains(connection)) {
+        m_idlePositions[connection] = m_idle.insert(m_idle.end(), connection);
+    }
+}
+
+void MhdServer::markBusy(MHD_Connection *connection)
+{
+    if (const auto position = m_idlePositions.find(connection); position != m_idlePositions.end()) {
+        m_idle.erase(position->second);
+        m_idlePositions.erase(position);
+    }
+}
+
+bool MhdServer::closeLongestIdle()
+{
+    if (m_idle.empty()) {
+        return false;
+    }
+    MHD_Connection *connection = m_idle.front();
+    markBusy(connection);
+    m_connections.erase(connection);
+    ++m_connectionCounters.idleClosed;
+    // libmicrohttpd notices the end of the connection when it runs next.
+    ::shutdown(MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd, SHUT_RDWR);
+    return true;
+}
+
+void MhdServer::logTurnedAway()
+{
+    const std::uint64_t idleClosed = m_connectionCounters.idleClosed - m_loggedCounters.idleClosed;
+    const std::uint64_t turnedAway = m_connectionCounters.turnedAway - m_loggedCounters.turnedAway;
+    if (idleClosed == 0 && turnedAway == 0) {
+        return;
+    }
+    m_loggedCounters = m_connectionCounters;
+    Base::log(Base::LogLevel::Warning, Base::LogEvent::ConnectionsOverLimit,
+              {{"idle-closed", idleClosed},
+               {"turned-away", turnedAway},
+               {"open", m_connections.size()},
+               {"idle", m_idle.size()},
+               {"limit", m_limits.connections}});
+}
+
 /// Applies ServerLimits::sendBufferBytes to the listener, from which each connection inherits it.
 void MhdServer::limitSendBuffers()
 {
@@ -569,13 +667,16 @@
     }
     // libmicrohttpd checks the timeouts of idle connections only when it runs.
     run();
+    logTurnedAway();
 }
 
 /// Stores the request target. libmicrohttpd calls this when it has read the request line, and the return value becomes the
 /// initial state of the request.
 void *MhdServer::storeTarget(void *self, const char *target, MHD_Connection *connection)
 {
-    static_cast<MhdServer *>(self)->m_targets[connection] = target;
+    auto &server = *static_cast<MhdServer *>(self);
+    server.m_targets[connection] = target;
+    server.markBusy(connection);
     return nullptr;
 }
 
@@ -681,6 +782,7 @@
 {
     auto &server = *static_cast<MhdServer *>(self);
     server.m_targets.erase(connection);
+    server.markIdle(connection);
     const auto entry = server.m_openExchanges.find(static_cast<MhdExchange *>(*state));
     if (entry == server.m_openExchanges.end()) {
         return;
--- a/Source/Http/server.h
+++ b/Source/Http/server.h
@@ -21,7 +21,9 @@
 /// Limits on callers' connections and requests.
 struct ServerLimits
 {
-    std::size_t connections = 4096; ///< maximum number of open connections
+    /// Maximum number of open connections. For a new one beyond it, the one that has been idle for longest is closed. If none is
+    /// idle, the new one is closed at once with its request unread, so that its caller can try another host.
+    std::size_t connections = 4096;
     std::size_t bodyBytes = 4U << 20U; ///< maximum size of a request's body
     std::size_t headerBytes = 16U << 10U; ///< memory for the head of a request
     Base::Duration idle = std::chrono::seconds(60); ///< timeout without traffic, unless a response is pending
@@ -31,6 +33,13 @@
     std::size_t sendBufferBytes = 0;
 };
 
+/// What became of connections for which there was no room.
+struct ConnectionCounters
+{
+    std::uint64_t idleClosed = 0; ///< connections without a request that were closed to make room for new ones
+    std::uint64_t turnedAway = 0; ///< new connections that were closed at once, since all others had requests
+};
+
 /// A request and its response. All functions must be called on the loop's thread.
 class Exchange
 {
@@ -103,6 +112,8 @@
     /// Returns the number of open connections.
     virtual std::size_t connections() const = 0;
 
+    virtual const ConnectionCounters &connectionCounters() const = 0;
+
     /// Stops accepting connections. Open connections stay open.
     virtual void closeListener() = 0;
 
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -645,6 +645,8 @@
     m_metrics.set("yokepond_runs_total", "", static_cast<double>(m_relay->counters().runs));
     m_metrics.set("yokepond_streams_resumed_total", "", static_cast<double>(m_relay->counters().resumes));
     m_metrics.set("yokepond_open_calls", "", static_cast<double>(m_relay->counters().open));
+    m_metrics.set("yokepond_idle_connections_closed_total", "", static_cast<double>(m_relay->counters().idleClosed));
+    m_metrics.set("yokepond_connections_turned_away_total", "", static_cast<double>(m_relay->counters().turnedAway));
     m_metrics.set("yokepond_held_bytes", "", static_cast<double>(m_relay->counters().heldBytes));
     m_metrics.set("yokepond_tunnels", "", static_cast<double>(m_relay->counters().tunnels));
     m_metrics.set("yokepond_tunnels_opened_total", "", static_cast<double>(m_relay->counters().tunnelsOpened));
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -42,6 +42,8 @@
     std::atomic<std::uint64_t> events = 0; ///< server-sent events passed on
     std::atomic<std::uint64_t> open = 0; ///< calls received completely and not yet ended
     std::atomic<std::uint64_t> unsent = 0; ///< requests, also incomplete ones, whose responses have not been sent to the kernel
+    std::atomic<std::uint64_t> idleClosed = 0; ///< see Http::ConnectionCounters
+    std::atomic<std::uint64_t> turnedAway = 0; ///< see Http::ConnectionCounters
     std::atomic<std::uint64_t> heldBytes = 0; ///< bytes held for callers: requests, and responses that they have not read
     std::atomic<std::uint64_t> pausedStreams = 0; ///< streams whose endpoint is not read now
     std::atomic<std::uint64_t> cutUnread = 0; ///< callers cut for CutReason::Unread
--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -211,6 +211,8 @@
         m_counters.processorMicroseconds = used.tv_sec * 1'000'000 + used.tv_nsec / 1'000;
         m_counters.open = m_calls.size();
         m_counters.unsent = m_server->openRequests();
+        m_counters.idleClosed = m_server->connectionCounters().idleClosed;
+        m_counters.turnedAway = m_server->connectionCounters().turnedAway;
         if (m_tunnelServer != nullptr) {
             m_counters.tunnels = m_tunnelServer->busy();
             m_counters.tunnelsOpened = m_tunnelServer->opened();
