--- a/Tests/Integration/soakchecks.py
+++ b/Tests/Integration/soakchecks.py
@@ -58,6 +58,15 @@
         return self.host in (None, host) and self.begin <= end and begin <= self.end
 
 
+@dataclasses.dataclass
+class PartHistory:
+    """A part of prompts that crashes engines: when it crashed them, and the requests with it that reached engines."""
+
+    part: str
+    crashes: list = dataclasses.field(default_factory=list)  # times
+    arrivals: list = dataclasses.field(default_factory=list)  # (name of the request, time)
+
+
 @dataclasses.dataclass
 class Record:
     requests: list
@@ -68,6 +77,13 @@
     stops: list  # (host, incarnation, begin, end) of planned stops
     streams: list = dataclasses.field(default_factory=list)  # streamcaller.Stream, of callers that take broken streams up
     bound: float = 3.0  # seconds within which a host must apply a change; a host must be undisturbed as long before it is checked
+    parts: list = dataclasses.field(default_factory=list)  # PartHistory
+    crashes: dict = dataclasses.field(default_factory=dict)  # endpoint name -> time at which it crashed
+
+    def broken_off_by_endpoint(self, entry):
+        """Whether the endpoint of the request's last run crashed during it: it was not the host then that cut the request."""
+        last = max((run for run in self.runs if run.name == entry.name), key=lambda run: run.arrived, default=None)
+        return last is not None and last.arrived <= self.crashes.get(last.endpoint, float("inf")) <= entry.ended
 
     def undisturbed(self, host, begin, end):
         return not any(disturbance.overlaps(host, begin, end) for disturbance in self.disturbances)
@@ -165,7 +181,8 @@
             during = begin - 5 < entry.sent < end - STOP_MARGIN and entry.ended > begin
             ran = any(run.name == entry.name for run in record.runs)
             undisturbed = record.undisturbed(host, entry.sent - record.bound, entry.ended)
-            if (entry.host, entry.incarnation) == (host, incarnation) and during and undisturbed and entry.status == 0 and ran:
+            if (entry.host, entry.incarnation) == (host, incarnation) and during and undisturbed and entry.status == 0 and ran \
+                    and not record.broken_off_by_endpoint(entry):
                 yield f"{entry.name}: cut off by the planned stop of host {host}"
 
 
@@ -194,8 +211,25 @@
             yield f"{stream.name}: {stream.events}"
 
 
+# Crashes after which a part of prompts has to be known, and requests with it that may reach engines from then on.
+PART_CRASHES = 5
+PART_REQUESTS_ALLOWED = 3
+
+
+def parts_that_crash_engines(record):
+    """Finds parts with which undisturbed hosts send too many requests to engines after engines have crashed under them."""
+    hosts = {entry.name: entry.host for entry in record.requests}
+    for history in record.parts:
+        if len(history.crashes) < PART_CRASHES:
+            continue
+        known = sorted(history.crashes)[PART_CRASHES - 1] + record.bound
+        late = [name for name, at in history.arrivals if at > known and record.undisturbed(hosts.get(name), at - record.bound, at)]
+        if len(late) > PART_REQUESTS_ALLOWED:
+            yield f"{history.part}: {len(late)} requests reached engines more than {record.bound} s after the fifth crash: {late[:5]}"
+
+
 CHECKS = (wrong_responses, duplicate_runs, unrequested_runs, false_not_run, stale_configuration, reverted_configuration, runs_at_leaving_endpoints,
-          requests_cut_by_stops, unserved_paths, streams_of_two_versions, streams_out_of_order)
+          requests_cut_by_stops, unserved_paths, streams_of_two_versions, streams_out_of_order, parts_that_crash_engines)
 
 
 def find_violations(record):
--- a/Tests/Integration/test_soakchecks.py
+++ b/Tests/Integration/test_soakchecks.py
@@ -3,7 +3,7 @@
 """Each check of soakchecks.py reports the violation that it is written for, and nothing on a record without one."""
 
 from fleet import run_tests
-from soakchecks import AcceptedConfiguration, CallerRequest, Disturbance, Record, Run, find_violations
+from soakchecks import AcceptedConfiguration, CallerRequest, Disturbance, PartHistory, Record, Run, find_violations
 from streamcaller import Stream
 
 FIRST = AcceptedConfiguration(0.0, frozenset({"k1"}), frozenset({"/once/"}))
@@ -73,6 +73,10 @@
     requests = [caller_request("a", 10.0, 0)]
     assert_only_violation("requests_cut_by_stops", record_of(requests, [Run("a", "e1", 10.05)], stops=[(0, 0, 10.02, 14.0)]))
     assert not find_violations(record_of(requests, [Run("a", "e1", 10.05)], stops=[(1, 0, 10.02, 14.0)]))
+    crashed = {"stops": [(0, 0, 10.02, 14.0)], "crashes": {"e1": 10.08}}
+    assert not find_violations(record_of(requests, [Run("a", "e1", 10.05)], **crashed))
+    went_on = [caller_request("a", 10.0, 0, path="/stream/x")]
+    assert_only_violation("requests_cut_by_stops", record_of(went_on, [Run("a", "e1", 10.05), Run("a", "e2", 10.09)], **crashed))
 
 
 def test_unserved_paths():
@@ -89,5 +93,16 @@
     assert_only_violation("streams_out_of_order", record_of([], streams=[stream((1, "v1"), (1, "v1"))]))
 
 
+def test_parts_that_crash_engines():
+    requests = [caller_request(f"p{number}", 20.0 + number, 502, path="/stream/x") for number in range(4)]
+    arrivals = [(entry.name, entry.sent + 0.1) for entry in requests]
+    history = PartHistory("bad", [10.0, 10.5, 11.0, 11.5, 12.0], arrivals)
+    runs = [Run(name, "e1", at) for name, at in arrivals]
+    assert_only_violation("parts_that_crash_engines", record_of(requests, runs, parts=[history]))
+    assert not find_violations(record_of(requests[:3], runs[:3], parts=[PartHistory("bad", history.crashes, arrivals[:3])]))
+    assert not find_violations(record_of(requests, runs, parts=[PartHistory("bad", history.crashes[:4], arrivals)]))
+    assert not find_violations(record_of(requests, runs, parts=[history], disturbances=[Disturbance(18.0, 24.0, 0)]))
+
+
 if __name__ == "__main__":
     run_tests(globals())
