--- a/Source/Http/server.cpp
+++ b/Source/Http/server.cpp
@@ -5,6 +5,7 @@
 
 #include "Base/log.h"
 #include "Base/text.h"
+#include "Http/callerconnections.h"
 
 #include <arpa/inet.h>
 #include <curl/curl.h>
@@ -17,11 +18,8 @@
 #include <unistd.h>
 
 #include <array>
-#include <list>
 #include <map>
 #include <optional>
-#include <set>
-#include <unordered_map>
 #include <utility>
 
 namespace Yokepond::Http {
@@ -210,8 +208,6 @@
     MHD_Result beginRequest(MHD_Connection *connection, const char *method, const char *url, void **state);
     MHD_Result receive(const std::shared_ptr<MhdExchange> &exchange, const char *data, std::size_t *size);
     MHD_Result reject(MhdExchange &exchange, const absl::Status &error);
-    void markIdle(MHD_Connection *connection);
-    void markBusy(MHD_Connection *connection);
     void logTurnedAway();
     /// Writes the error response to the socket and closes the connection.
     void rejectOnSocket(MhdExchange &exchange, const absl::Status &error);
@@ -228,9 +224,7 @@
     Base::Address m_address;
     MHD_Daemon *m_daemon = nullptr;
     bool m_closeAfterResponses = false;
-    std::set<MHD_Connection *> m_connections; ///< open connections but those that are being closed to make room
-    std::list<MHD_Connection *> m_idle; ///< those without a request, the one that has been idle for longest first
-    std::unordered_map<MHD_Connection *, std::list<MHD_Connection *>::iterator> m_idlePositions;
+    CallerConnections<MHD_Connection *> m_connections; ///< but those that are being closed to make room
     ConnectionCounters m_connectionCounters;
     ConnectionCounters m_loggedCounters; ///< as of the last line in the log
     std::map<MHD_Connection *, std::string> m_targets; ///< request targets of requests whose head is incomplete
@@ -519,7 +513,7 @@
 MHD_Result MhdServer::acceptConnection(void *self, const sockaddr *, socklen_t)
 {
     auto &server = *static_cast<MhdServer *>(self);
-    if (server.m_connections.size() < server.m_limits.connections) {
+    if (server.m_connections.open() < server.m_limits.connections) {
         return MHD_YES;
     }
     // Those that are being closed have to leave room too.
@@ -534,40 +528,21 @@
 {
     auto &server = *static_cast<MhdServer *>(self);
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-        server.m_connections.insert(connection);
-        server.markIdle(connection);
+        server.m_connections.opened(connection);
     } else {
-        server.m_connections.erase(connection);
-        server.markBusy(connection);
-    }
-}
-
-void MhdServer::markIdle(MHD_Connection *connection)
-{
-    if (!m_idlePositions.contains(connection) && m_connections.contains(connection)) {
-        m_idlePositions[connection] = m_idle.insert(m_idle.end(), connection);
-    }
-}
-
-void MhdServer::markBusy(MHD_Connection *connection)
-{
-    if (const auto position = m_idlePositions.find(connection); position != m_idlePositions.end()) {
-        m_idle.erase(position->second);
-        m_idlePositions.erase(position);
+        server.m_connections.closed(connection);
     }
 }
 
 bool MhdServer::closeLongestIdle()
 {
-    if (m_idle.empty()) {
+    const auto idle = m_connections.takeLongestIdle();
+    if (!idle) {
         return false;
     }
-    MHD_Connection *connection = m_idle.front();
-    markBusy(connection);
-    m_connections.erase(connection);
     ++m_connectionCounters.idleClosed;
     // libmicrohttpd notices the end of the connection when it runs next.
-    ::shutdown(MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd, SHUT_RDWR);
+    ::shutdown(MHD_get_connection_info(*idle, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd, SHUT_RDWR);
     return true;
 }
 
@@ -582,8 +557,8 @@
     Base::log(Base::LogLevel::Warning, Base::LogEvent::ConnectionsOverLimit,
               {{"idle-closed", idleClosed},
                {"turned-away", turnedAway},
-               {"open", m_connections.size()},
-               {"idle", m_idle.size()},
+               {"open", m_connections.open()},
+               {"idle", m_connections.idle()},
                {"limit", m_limits.connections}});
 }
 
@@ -676,7 +651,7 @@
 {
     auto &server = *static_cast<MhdServer *>(self);
     server.m_targets[connection] = target;
-    server.markBusy(connection);
+    server.m_connections.becameBusy(connection);
     return nullptr;
 }
 
@@ -782,7 +757,7 @@
 {
     auto &server = *static_cast<MhdServer *>(self);
     server.m_targets.erase(connection);
-    server.markIdle(connection);
+    server.m_connections.becameIdle(connection);
     const auto entry = server.m_openExchanges.find(static_cast<MhdExchange *>(*state));
     if (entry == server.m_openExchanges.end()) {
         return;
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -6,6 +6,7 @@
 #include "Base/hash.h"
 #include "Base/invariant.h"
 #include "Dispatch/preference.h"
+#include "Request/runresult.h"
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
@@ -27,7 +28,6 @@
 using Peer::RefusalReason;
 using Peer::RunResult;
 
-constexpr int minErrorStatus = 400; ///< lowest HTTP status that is an error
 constexpr std::uint8_t maxAttempts = 8;
 constexpr std::size_t maxTraceEntries = 32;
 constexpr std::size_t maxEndedTraces = 2048;
@@ -50,43 +50,6 @@
 /// Time added to the time for which a caller waits for a stream, in which it may take the stream up.
 constexpr Duration streamLifetimeMargin = std::chrono::seconds(5);
 
-/// Returns whether the intended endpoint may have received any part of the request.
-bool mayHaveReachedEndpoint(RunStage stage)
-{
-    return stage != RunStage::Stale && stage != RunStage::NotSent && stage != RunStage::EndpointReplaced;
-}
-
-/// Returns whether the connection broke or fell silent during the run. An endpoint that responds with an error has not crashed.
-bool connectionBroke(const RunReport &report)
-{
-    return report.stage == RunStage::Sent && report.status < minErrorStatus && !report.callerDisconnected;
-}
-
-RunResult runResultFor(const RunReport &report)
-{
-    if (report.callerDisconnected) {
-        return RunResult::Cancelled;
-    }
-    switch (report.stage) {
-    case RunStage::Stale:
-        return RunResult::NotStarted;
-    case RunStage::NotSent:
-        return report.pathInDoubt ? RunResult::PathLost : RunResult::Unreachable;
-    case RunStage::Rejected:
-        return RunResult::Rejected;
-    case RunStage::EndpointReplaced:
-        return RunResult::EndpointReplaced;
-    case RunStage::Sent:
-        if (report.status >= minErrorStatus) {
-            return RunResult::ErrorResponse;
-        }
-        return report.pathInDoubt ? RunResult::PathLost : RunResult::Failed;
-    case RunStage::ResponseComplete:
-        return RunResult::Completed;
-    }
-    return RunResult::Failed;
-}
-
 } // namespace
 
 Home::Home(std::string self, std::uint64_t seed)
