Mend: A released part counts from nothing, and most suspected parts are asked about

The hosts that count crashes forgot what counted against a part only where the operator released it or a sound run cleared it, so that one more crash held it again; they forget it now with the news that it was cleared (anOperatorReleasesThePartByItsName, extended). An inquiry asks about 32 parts at most and took any of them; now those against which most counts (thePartsAgainstWhichMostCountsAreSuspectedFirst). With most-endings = 1 a part needed two crashes; it needs as many as the setting says.

--- a/Source/Request/crashattribution.cpp
+++ b/Source/Request/crashattribution.cpp
@@ -4,6 +4,8 @@
 #include "Request/crashattribution.h"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 #include <ranges>
 #include <tuple>
 
@@ -131,16 +133,19 @@
             weights[suspect.part] += suspect.weight;
         }
     }
-    std::vector<std::uint64_t> found;
-    bool anyInFull = false;
+    std::vector<std::pair<std::uint32_t, std::uint64_t>> charged;
     for (const auto &[part, most] : weights) {
         const Charge charge = most >= maxCrashes ? chargeAgainst(part, quarantined) : Charge {};
-        if (charge.unexplained >= minUnexplained && charge.weight >= maxCrashes) {
-            anyInFull = anyInFull || charge.weight >= maxCrashes * fullWeight;
-            found.push_back(part);
+        if (charge.weight >= maxCrashes && charge.unexplained >= std::min(minUnexplained, maxCrashes)) {
+            charged.emplace_back(charge.weight, part);
         }
     }
-    return anyInFull ? found : std::vector<std::uint64_t> {};
+    std::ranges::sort(charged, std::greater());
+    std::vector<std::uint64_t> found;
+    if (!charged.empty() && charged.front().first >= maxCrashes * fullWeight) {
+        std::ranges::copy(charged | std::views::values, std::back_inserter(found));
+    }
+    return found;
 }
 
 std::optional<BlamedPart> CrashAttribution::blame(std::uint32_t maxCrashes, const QuarantinedIds &quarantined,
@@ -150,7 +155,7 @@
     auto worstKey = std::tuple<Instant, std::int64_t, std::int64_t>();
     for (const std::uint64_t part : candidates) {
         Charge charge = chargeAgainst(part, quarantined);
-        if (charge.unexplained < minUnexplained || charge.weight < maxCrashes * fullWeight) {
+        if (charge.unexplained < std::min(minUnexplained, maxCrashes) || charge.weight < maxCrashes * fullWeight) {
             continue;
         }
         const auto sound = lastSound(part);
--- a/Source/Request/crashattribution.h
+++ b/Source/Request/crashattribution.h
@@ -64,7 +64,8 @@
     void recordSound(std::uint64_t part, Base::Instant began);
 
     /// Returns the parts that may be to blame, so that hosts are to be asked about them: those against which at least half as
-    /// much counts as @p maxCrashes crashes, if at least one of them is suspected in full; otherwise none.
+    /// much counts as @p maxCrashes crashes, if at least one of them is suspected in full; otherwise none. Those against
+    /// which most counts come first.
     std::vector<std::uint64_t> suspects(std::uint32_t maxCrashes, const QuarantinedIds &quarantined) const;
 
     /// Returns the part among @p candidates that is to blame, once the hosts were asked; nothing if there is none. Of several
--- a/Source/Request/crashprotection.cpp
+++ b/Source/Request/crashprotection.cpp
@@ -159,6 +159,12 @@
 void CrashProtection::receive(Instant now, const std::string &from, const Peer::QuarantineUpdate &update)
 {
     m_quarantine.receive(now, from, update);
+    for (const Peer::QuarantineEntry &entry : update.entries) {
+        // The same number of crashes quarantines a cleared part again.
+        if (entry.part.pool != 0 && !m_quarantine.isQuarantined(entry.work)) {
+            m_parts.forget(entry.part);
+        }
+    }
 }
 
 void CrashProtection::receive(Instant now, const std::string &from, const Peer::PromptRunBroke &broke)
--- a/Tests/Request/crashattributiontest.cpp
+++ b/Tests/Request/crashattributiontest.cpp
@@ -211,6 +211,21 @@
     CHECK_EQUAL(bad, blamed({second}));
 }
 
+// Guards against a part that is not asked about since so many others stand beside it.
+TEST(CrashAttribution, thePartsAgainstWhichMostCountsAreSuspectedFirst)
+{
+    for (int ms = 0; ms < 3000; ms += 300) {
+        std::vector<std::uint64_t> parts = {bad};
+        for (std::uint64_t other = 0; other < 30; ++other) {
+            parts.push_back(1000 + (static_cast<std::uint64_t>(ms / 300) * 20 + other) % 60);
+        }
+        crash(ms, parts);
+    }
+    const auto suspects = attribution.suspects(maxCrashes, {});
+    CHECK_TRUE(suspects.size() > 32);
+    CHECK_EQUAL(bad, suspects.front());
+}
+
 TEST(CrashAttribution, runsThatHadNotBegunCountHalf)
 {
     for (int ms = 0; ms < 900; ms += 300) {
--- a/Tests/Request/partsuspicionstest.cpp
+++ b/Tests/Request/partsuspicionstest.cpp
@@ -237,6 +237,12 @@
     CHECK_TRUE(hosts.host(2).release(at(hosts.now), bad));
     hosts.run(500);
     CHECK_EQUAL(0U, hosts.countRefusing({bad}));
+    crashes(2);
+    hosts.run(500);
+    CHECK_EQUAL(0U, hosts.countRefusing({bad}));
+    crashes(1);
+    hosts.run(500);
+    CHECK_EQUAL(8U, hosts.countRefusing({bad}));
 }
 
 TEST(PartSuspicions, crashesThatHostsTakeForLostPathsCount)
