Mend: A part that was sound needs three times as many crashes, and is held shortly

Cause: a crash under a run of another host that does not report is charged to the sound runs beside it; where engines crash all the time no sound run goes on between three of them, and what is held cannot show that it is sound.

Change: a part with which a run went on in the minute before needs three times as many crashes since its last sound run, and is held for 30 s. Parts that were never sound are held as before. Both numbers are chosen.

--- a/Source/Request/crashattribution.cpp
+++ b/Source/Request/crashattribution.cpp
@@ -22,6 +22,8 @@
 /// Crashes that are reported within this time count as one. The time is longer than the connections to endpoints that are lost
 /// together take to break.
 constexpr Duration simultaneous = std::chrono::milliseconds(100);
+/// A part that was sound shortly before is blamed for this many times as many crashes as others.
+constexpr std::uint32_t crashesPerSoundPart = 3;
 /// Where more other endpoints crash at the same time, it is not due to a part that was sound until then.
 constexpr std::size_t maxOthersAtOnce = 1;
 /// An endpoint that keeps its name has started anew, and may crash again, if it began a response to a run that was sent this long
@@ -116,6 +118,7 @@
         }
         charge.first = isFirst ? crash.at : charge.first;
         charge.last = crash.at;
+        charge.wasSound = charge.wasSound || wasSound;
         charge.weight += suspect->weight;
         charge.work = suspect->work;
         charge.position = std::max(charge.position, suspect->position);
@@ -124,6 +127,13 @@
     return charge;
 }
 
+/// Returns whether enough counts against a part to quarantine it.
+bool CrashAttribution::isInFull(const Charge &charge, std::uint32_t maxCrashes)
+{
+    const std::uint32_t crashes = charge.wasSound ? maxCrashes * crashesPerSoundPart : maxCrashes;
+    return charge.weight >= crashes * fullWeight && charge.unexplained >= std::min(minUnexplained, maxCrashes);
+}
+
 std::vector<std::uint64_t> CrashAttribution::suspects(std::uint32_t maxCrashes, const QuarantinedIds &quarantined) const
 {
     // Most parts stand under one crash only, and are not worth a closer look.
@@ -133,16 +143,18 @@
             weights[suspect.part] += suspect.weight;
         }
     }
+    bool anyInFull = false;
     std::vector<std::pair<std::uint32_t, std::uint64_t>> charged;
     for (const auto &[part, most] : weights) {
         const Charge charge = most >= maxCrashes ? chargeAgainst(part, quarantined) : Charge {};
         if (charge.weight >= maxCrashes && charge.unexplained >= std::min(minUnexplained, maxCrashes)) {
+            anyInFull = anyInFull || isInFull(charge, maxCrashes);
             charged.emplace_back(charge.weight, part);
         }
     }
     std::ranges::sort(charged, std::greater());
     std::vector<std::uint64_t> found;
-    if (!charged.empty() && charged.front().first >= maxCrashes * fullWeight) {
+    if (anyInFull) {
         std::ranges::copy(charged | std::views::values, std::back_inserter(found));
     }
     return found;
@@ -155,14 +167,14 @@
     auto worstKey = std::tuple<Instant, std::int64_t, std::int64_t>();
     for (const std::uint64_t part : candidates) {
         Charge charge = chargeAgainst(part, quarantined);
-        if (charge.unexplained < std::min(minUnexplained, maxCrashes) || charge.weight < maxCrashes * fullWeight) {
+        if (!isInFull(charge, maxCrashes)) {
             continue;
         }
         const auto sound = lastSound(part);
         const auto key
             = std::tuple(sound.value_or(Instant {}), -std::int64_t {charge.weight}, -static_cast<std::int64_t>(charge.position));
         if (!worst || key < worstKey) {
-            worst = BlamedPart {part, charge.work, charge.first, std::move(charge.endpoints), sound};
+            worst = BlamedPart {part, charge.work, charge.first, std::move(charge.endpoints), charge.wasSound};
             worstKey = key;
         }
     }
--- a/Source/Request/crashattribution.h
+++ b/Source/Request/crashattribution.h
@@ -34,7 +34,7 @@
     std::uint64_t work = 0; ///< if the part stands for whole requests: their work; otherwise 0
     Base::Instant firstCrash {}; ///< the first crash that counts against it
     std::vector<std::uint32_t> endpoints; ///< the endpoints whose crashes count
-    std::optional<Base::Instant> lastSound; ///< when a run with it last began that went on
+    bool wasSound = false; ///< a run with it went on shortly before the crashes
 };
 
 /// Records the crashes of the endpoints of one pool, with the parts of the prompts that the endpoint was about to answer, and
@@ -50,6 +50,9 @@
 /// - and, for a part that was sound shortly before, if the run was sent after the crash counted before (the endpoint may have
 /// been
 ///   lost already when it got an earlier one), and no more than one other endpoint crashed at the same time.
+/// A part that was sound shortly before needs three times as many crashes: it may have been unlucky, since hosts that do not
+/// report may run the part that is to blame.
+///
 /// What is quarantined explains the crashes under it. They go on counting against another part only if that part stands under two
 /// crashes that nothing explains: two parts may crash endpoints at the same time.
 class CrashAttribution
@@ -106,6 +109,7 @@
     struct Charge
     {
         std::uint32_t weight = 0;
+        bool wasSound = false; ///< see BlamedPart
         std::uint32_t unexplained = 0; ///< number of crashes with the part that nothing quarantined explains
         std::uint64_t work = 0; ///< see BlamedPart
         std::size_t position = 0;
@@ -116,6 +120,7 @@
 
     /// Returns whether anything that is quarantined was to run when the endpoint crashed.
     static bool isExplained(const Crash &crash, const QuarantinedIds &quarantined);
+    static bool isInFull(const Charge &charge, std::uint32_t maxCrashes);
     Crash &addCrash(Base::Instant now, std::uint32_t endpoint, const std::string &from);
     Charge chargeAgainst(std::uint64_t part, const QuarantinedIds &quarantined) const;
     std::optional<Base::Instant> lastSound(std::uint64_t part) const;
--- a/Source/Request/crashprotection.cpp
+++ b/Source/Request/crashprotection.cpp
@@ -207,7 +207,7 @@
         if (blame.work != 0) {
             m_quarantine.quarantineWork(now, blame.work, blame.firstCrash, blame.endpoints);
         } else {
-            m_quarantine.quarantinePart(now, verdict.part, blame.firstCrash, blame.endpoints);
+            m_quarantine.quarantinePart(now, verdict.part, blame.firstCrash, blame.endpoints, blame.wasSound);
         }
     }
 }
--- a/Source/Request/quarantine.cpp
+++ b/Source/Request/quarantine.cpp
@@ -32,6 +32,8 @@
 /// Duration of a quarantine. The work may run again afterwards, in case its endpoints have been repaired; one more crash then
 /// quarantines it again.
 constexpr Duration quarantineDuration = std::chrono::minutes(10);
+/// The same for a part that was sound before, and that many prompts may share.
+constexpr Duration soundPartQuarantineDuration = std::chrono::seconds(30);
 /// Time for which crashes count. It is longer than a quarantine, so that earlier crashes count when the work runs again.
 constexpr Duration crashRetention = quarantineDuration * 2;
 /// A crashed endpoint leaves a suspicion for each of about 100 runs in its slots and queue. The limit is enough for 40 endpoints
@@ -194,25 +196,25 @@
 void Quarantine::quarantineWork(Instant now, std::uint64_t work, Instant firstCrash, const std::vector<std::uint32_t> &endpoints)
 {
     if (work != noWork && !isQuarantined(work)) {
-        quarantineEntry(now, work, firstCrash, endpoints, {});
+        quarantineEntry(now, work, firstCrash, endpoints, {}, quarantineDuration);
     }
 }
 
 void Quarantine::quarantineEntry(Instant now, std::uint64_t work, Instant firstCrash, const std::vector<std::uint32_t> &endpoints,
-                                 const Peer::PromptPart &part)
+                                 const Peer::PromptPart &part, Duration duration)
 {
     Entry &entry = m_entries[work];
     ++entry.round;
     entry.quarantined = true;
     entry.firstCrash = firstCrash;
-    entry.until = now + quarantineDuration;
+    entry.until = now + duration;
     entry.part = part;
     ++m_counters.quarantined;
     m_newlyQuarantined.push_back(work);
     nlohmann::json fields = logFields(work, entry.round, part);
     fields["endpoints"] = endpoints;
     fields["first-s-ago"] = Base::seconds(now - firstCrash);
-    fields["for-s"] = Base::seconds(quarantineDuration);
+    fields["for-s"] = Base::seconds(duration);
     Base::log(Base::LogLevel::Warning, Base::LogEvent::WorkQuarantined, std::move(fields));
     removeExpired(now);
     sendToAll(now, work);
@@ -236,11 +238,11 @@
 }
 
 void Quarantine::quarantinePart(Instant now, const Peer::PromptPart &part, Instant firstCrash,
-                                const std::vector<std::uint32_t> &endpoints)
+                                const std::vector<std::uint32_t> &endpoints, bool wasSound)
 {
     const std::uint64_t key = keyOf(part);
     if (!isQuarantined(key)) {
-        quarantineEntry(now, key, firstCrash, endpoints, part);
+        quarantineEntry(now, key, firstCrash, endpoints, part, wasSound ? soundPartQuarantineDuration : quarantineDuration);
     }
 }
 
--- a/Source/Request/quarantine.h
+++ b/Source/Request/quarantine.h
@@ -76,9 +76,9 @@
     /// Returns the key of @p part, which takes the place of a work.
     static std::uint64_t keyOf(const Peer::PromptPart &part);
 
-    /// Quarantines @p part at all hosts, since @p endpoints crashed under it.
+    /// Quarantines @p part at all hosts, since @p endpoints crashed under it: for a shorter time if it was sound before.
     void quarantinePart(Base::Instant now, const Peer::PromptPart &part, Base::Instant firstCrash,
-                        const std::vector<std::uint32_t> &endpoints);
+                        const std::vector<std::uint32_t> &endpoints, bool wasSound);
 
     /// Returns the part that is quarantined under @p key; nothing if none is.
     std::optional<QuarantinedPart> quarantinedPart(std::uint64_t key) const;
@@ -144,7 +144,7 @@
     void forget(std::uint64_t work);
     /// Quarantines a work or the key of a part.
     void quarantineEntry(Base::Instant now, std::uint64_t work, Base::Instant firstCrash,
-                         const std::vector<std::uint32_t> &endpoints, const Peer::PromptPart &part);
+                         const std::vector<std::uint32_t> &endpoints, const Peer::PromptPart &part, Base::Duration duration);
     static nlohmann::json logFields(std::uint64_t work, std::uint32_t round, const Peer::PromptPart &part);
     void clear(Base::Instant now, std::uint64_t work, Entry &entry);
     void applyEntry(Base::Instant now, const std::string &from, const Peer::QuarantineEntry &update);
--- a/Tests/Request/crashattributiontest.cpp
+++ b/Tests/Request/crashattributiontest.cpp
@@ -80,8 +80,10 @@
     attribution.recordSound(bad, at(400));
     attribution.recordSound(first, at(400));
     CHECK_EQUAL(0U, blamed());
-    crash(900, {first, bad});
-    crash(1200, {first, bad});
+    for (int ms = 900; ms < 3300; ms += 300) {
+        CHECK_EQUAL(0U, blamed());
+        crash(ms, {first, bad});
+    }
     CHECK_EQUAL(bad, blamed());
 }
 
@@ -162,12 +164,15 @@
     CHECK_EQUAL(0U, blamed());
 }
 
-TEST(CrashAttribution, aPartThatWasSoundIsBlamedOnceRunsSentSinceCrash)
+// Guards against sound parts that are blamed for crashes under a part that other hosts run and do not report.
+TEST(CrashAttribution, aPartThatWasSoundIsBlamedForThreeTimesAsManyCrashes)
 {
     attribution.recordSound(bad, at(-100));
-    for (int ms = 0; ms < 900; ms += 300) {
+    for (int ms = 0; ms < 2400; ms += 300) {
         crash(ms, {bad}, milliseconds(100));
     }
+    CHECK_EQUAL(0U, blamed());
+    crash(2400, {bad}, milliseconds(100));
     CHECK_EQUAL(bad, blamed());
 }
 
