--- a/Source/Request/crashattribution.h
+++ b/Source/Request/crashattribution.h
@@ -47,9 +47,8 @@
 /// A crash counts against a part
 /// - if no run with the part has begun since that went on,
 /// - if it came some time after the crash counted before, since what ends many endpoints at once is not one request,
-/// - and, for a part that was sound shortly before, if the run was sent after the crash counted before (the endpoint may have
-/// been
-///   lost already when it got an earlier one), and no more than one other endpoint crashed at the same time.
+/// - and, for a part that was sound shortly before, if the run was sent after the crash counted before, since the endpoint may
+///   have been lost already when it got an earlier one, and if no more than one other endpoint crashed at the same time.
 /// A part that was sound shortly before needs three times as many crashes: it may have been unlucky, since hosts that do not
 /// report may run the part that is to blame.
 ///
--- a/Tests/Integration/crashingengines.py
+++ b/Tests/Integration/crashingengines.py
@@ -64,36 +64,28 @@
         time.sleep(self.pool.prefill_seconds)
         if not bad:
             if next(self.pool.streams) < self.pool.cut_first:
-                self.send_head_only(handler, head)
+                self.send_head(handler, head, {"Connection": "close"})
             elif self.pool.framed:
                 super().stream(handler, head)
             else:
                 self.stream_until_close(handler, head)
             return
-        handler.send_response(200)
-        framing = {"Transfer-Encoding": "chunked"} if self.pool.framed else {"Connection": "close"}
-        for name, value in {**head, "Content-Type": "text/event-stream", **framing}.items():
-            handler.send_header(name, value)
-        handler.end_headers()
+        self.send_head(handler, head, {"Transfer-Encoding": "chunked"} if self.pool.framed else {"Connection": "close"})
         time.sleep(CRASH_SECONDS)
-        handler.close_connection = True
         self.pool.crash(self, bad)
 
-    def send_head_only(self, handler, head):
-        """Sends the head of a stream that ends with its connection, and closes the connection."""
+    @staticmethod
+    def send_head(handler, head, framing):
+        """Sends the head of a stream, after whose end the connection is closed."""
         handler.send_response(200)
-        for name, value in {**head, "Content-Type": "text/event-stream", "Connection": "close"}.items():
+        for name, value in {**head, "Content-Type": "text/event-stream", **framing}.items():
             handler.send_header(name, value)
         handler.end_headers()
         handler.close_connection = True
 
     def stream_until_close(self, handler, head):
         """Sends a whole stream without a length and without chunks, which ends with its connection."""
-        handler.send_response(200)
-        for name, value in {**head, "Content-Type": "text/event-stream", "Connection": "close"}.items():
-            handler.send_header(name, value)
-        handler.end_headers()
-        handler.close_connection = True
+        self.send_head(handler, head, {"Connection": "close"})
         for number in range(1, 6):
             time.sleep(self.event_pause)
             handler.wfile.write(f"id: {number}\ndata: token {number} of {self.version}\n\n".encode())
