--- a/Tests/Node/settingstest.cpp
+++ b/Tests/Node/settingstest.cpp
@@ -67,6 +67,20 @@
     STRCMP_CONTAINS("[operator a] key-sha256", errorOf(std::string(validText) + "[operator a]\nkey-sha256 = plain\n").c_str());
 }
 
+// Guards against parts of prompts that are held, or not, by a setting that was misread.
+TEST(Settings, partsOfPromptsAreQuarantinedOnlyIfASettingAsksForIt)
+{
+    const auto quarantinesParts = [](const std::string &section) {
+        auto ini = Base::IniFile::parse(std::string(validText) + section, "y.ini");
+        const auto settings = Node::parseSettings(std::move(*ini));
+        return settings.ok() && settings->policies.quarantineParts;
+    };
+    CHECK_FALSE(quarantinesParts(""));
+    CHECK_FALSE(quarantinesParts("[quarantine]\nprompt-parts = no\n"));
+    CHECK_TRUE(quarantinesParts("[quarantine]\nprompt-parts = yes\n"));
+    STRCMP_CONTAINS("[quarantine] prompt-parts", errorOf(std::string(validText) + "[quarantine]\nprompt-parts = some\n").c_str());
+}
+
 TEST(Settings, unknownKeyIsRejected)
 {
     STRCMP_CONTAINS("[host] colour: unknown key",
