Request, tests: Four comments without figures of speech

Cause: read as a newcomer, they said that a part hides or is unlucky. Change: they say what is not found and why.

--- a/Source/Request/crashattribution.h
+++ b/Source/Request/crashattribution.h
@@ -49,8 +49,8 @@
 /// - if it came some time after the crash counted before, since what ends many endpoints at once is not one request,
 /// - and, for a part that was sound shortly before, if the run was sent after the crash counted before, since the endpoint may
 ///   have been lost already when it got an earlier one, and if no more than one other endpoint crashed at the same time.
-/// A part that was sound shortly before needs three times as many crashes: it may have been unlucky, since hosts that do not
-/// report may run the part that is to blame.
+/// A part that was sound shortly before needs three times as many crashes: they may be due to another part, which runs at hosts
+/// that do not report.
 ///
 /// What is quarantined explains the crashes under it. They go on counting against another part only if that part stands under two
 /// crashes that nothing explains: two parts may crash endpoints at the same time.
--- a/Tests/Integration/test_parts.py
+++ b/Tests/Integration/test_parts.py
@@ -124,7 +124,7 @@
         assert all(stream.whole for stream in streams[3:]), [stream.tries for stream in streams[3:]]
 
 
-# Guards against a second part that crashes engines and hides behind the first one.
+# Guards against a second part that crashes engines and is not found after the first one.
 def test_two_parts_that_crash_engines_reach_few():
     with Site() as site:
         site.pool.bad_parts = {BAD, OTHER_BAD}
--- a/Tests/Request/crashattributiontest.cpp
+++ b/Tests/Request/crashattributiontest.cpp
@@ -202,7 +202,7 @@
     CHECK_EQUAL(0U, blamed());
 }
 
-// Guards against a part that hides behind another one, at whose crashes it was present too.
+// Guards against a part that is not found since its crashes are explained by another one that was to run there too.
 TEST(CrashAttribution, aPartIsBlamedForExplainedCrashesOnceTwoAreNot)
 {
     for (int ms = 0; ms < 900; ms += 300) {
--- a/Tests/Request/fleetloadtest.cpp
+++ b/Tests/Request/fleetloadtest.cpp
@@ -244,7 +244,7 @@
     }
 }
 
-// Guards against two such parts at once, of which one hides the other.
+// Guards against two such parts at once, of which only one is found.
 TEST(FleetLoad, twoPartsThatCrashEnginesAreQuarantined)
 {
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
