Request: Collect what is quarantined only while crashes are counted

Cause: each tick of 50 ms copied all quarantined parts and works for a search that has nothing to search in, at every host. Change: it is collected only at hosts that count crashes of some pool at that time. Behaviour as before, since nothing reads it otherwise.

--- a/Source/Request/crashprotection.cpp
+++ b/Source/Request/crashprotection.cpp
@@ -195,7 +195,9 @@
 void CrashProtection::tick(Instant now)
 {
     m_quarantine.tick(now);
-    m_parts.setQuarantined(m_quarantine.quarantinedParts(), m_quarantine.quarantinedWorks());
+    if (m_parts.countsCrashes()) {
+        m_parts.setQuarantined(m_quarantine.quarantinedParts(), m_quarantine.quarantinedWorks());
+    }
     m_parts.tick(now);
     applyVerdicts(now);
 }
--- a/Source/Request/partsuspicions.cpp
+++ b/Source/Request/partsuspicions.cpp
@@ -51,6 +51,11 @@
     return m_maxCrashes > 0;
 }
 
+bool PartSuspicions::countsCrashes() const
+{
+    return !m_pools.empty();
+}
+
 // --- Runs of this host
 
 void PartSuspicions::runBroke(Instant now, const Peer::PromptRunBroke &broke)
--- a/Source/Request/partsuspicions.h
+++ b/Source/Request/partsuspicions.h
@@ -50,6 +50,9 @@
 
     bool isEnabled() const;
 
+    /// Returns whether this host counts crashes of any pool now.
+    bool countsCrashes() const;
+
     /// Records that a run broke off before its response had gone on.
     void runBroke(Base::Instant now, const Peer::PromptRunBroke &broke);
 
