Observability: Log the ranks of classes, requests and organisations, and why a dispatcher refused

The logs told one rank a refusal and none of what was served, so that nobody could tell whether the order of classes was in force, and the reason of a refusal stood behind the end of a cut line.

A request's end now tells the rank of its tier and its own, and first of all why a dispatcher refused it (`cause`); a refusal tells the class and both ranks; a configuration that comes into force tells how many organisations have which rank. No logic is changed.

--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -403,9 +403,12 @@
 void Shard::refuse(const QueuedAsk &ask, RefusalReason reason, Duration retryAfter)
 {
     ++m_counters.refused;
+    const RequestClass *requestClass = m_catalogue->classByNumber(ask.ask.requestClass);
     Base::log(Base::LogLevel::Info, Base::LogEvent::AskRefused,
               {{"request", requestName(ask.home, ask.key)},
                {"reason", Base::nameOf(Peer::refusalReasonNames, reason)},
+               {"class", requestClass == nullptr ? std::string() : requestClass->name},
+               {"class-rank", requestClass == nullptr ? 0 : requestClass->rank},
                {"rank", ask.parameters.rank},
                {"waited-ms", Base::milliseconds(ask.received - ask.arrival)},
                {"tokens", ask.ask.promptTokens},
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -12,6 +12,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <map>
 #include <ranges>
 #include <type_traits>
 
@@ -46,6 +47,16 @@
     return std::min(maxPause, took * pauseFactor);
 }
 
+/// Returns how many organisations have each rank, for the log. Those without a rank of their own stand under "none".
+nlohmann::json organisationsByRank(const Configuration::Catalogue &catalogue)
+{
+    std::map<std::string, std::size_t> counts;
+    for (const Configuration::Organisation &organisation : catalogue.organisations()) {
+        ++counts[organisation.rank ? fmt::format("{}", *organisation.rank) : "none"];
+    }
+    return counts;
+}
+
 /// Whether Fleet handles messages of type @p Kind. A test for a callable overload would not work here: any kind of message
 /// converts to Peer::Message, so it would hold for all of them.
 template<typename Kind>
@@ -505,6 +516,7 @@
                    {"endpoints-version", m_records.revisions().endpoints},
                    {"evacuated", m_recordCatalogue->evacuatedDataCentres()},
                    {"routes", m_recordCatalogue->routes().size()},
+                   {"organisations-by-rank", organisationsByRank(*m_recordCatalogue)},
                    {"endpoints", m_recordCatalogue->endpoints().size()}});
         rebuild();
     } else {
--- a/Source/Node/frontend.cpp
+++ b/Source/Node/frontend.cpp
@@ -607,7 +607,7 @@
         ClassMetrics &metrics = m_metrics.forClass(admitted.requestClass.name);
         ++metrics.failed;
         metrics.refused += fail.outcome == Outcome::NotRun ? 1 : 0;
-        logRequestEnd(admitted, fail.outcome, fail.error);
+        logRequestEnd(admitted, fail.outcome, fail.error, fail.refusal);
         finishOperation(admitted, fail.outcome, std::nullopt, fail.error);
     }
     Relay::Respond failure {fail.request, errorResponseFor(fail.error, fail.outcome, fail.request, fail.retryAfter)};
@@ -695,12 +695,15 @@
 }
 
 /// Logs one line for a request that ended. The line has all steps of its trace, unless the first attempt succeeded.
-void Frontend::logRequestEnd(const AdmittedRequest &admitted, Outcome outcome, const absl::Status &error) const
+void Frontend::logRequestEnd(const AdmittedRequest &admitted, Outcome outcome, const absl::Status &error,
+                             std::optional<Peer::RefusalReason> refusal) const
 {
     const Base::Instant now = Base::now();
     const Request::RunReport &run = admitted.lastRun;
     nlohmann::json fields = {{"request", requestName(admitted.id)},
                              {"class", admitted.requestClass.name},
+                             {"class-rank", admitted.requestClass.rank},
+                             {"rank", admitted.rank},
                              {"work", Base::hexadecimal(admitted.work)},
                              {"outcome", Base::nameOf(Request::outcomeNames, outcome)},
                              {"ms", Base::milliseconds(now - admitted.arrived)},
@@ -727,6 +730,9 @@
         fields["error"] = Base::errorName(Base::errorKind(error));
         fields["reason"] = Base::messageOf(error);
     }
+    if (refusal) {
+        fields["cause"] = Base::nameOf(Peer::refusalReasonNames, *refusal);
+    }
     if (!succeededAtOnce && !admitted.parts.empty()) {
         std::vector<std::string> parts;
         std::ranges::transform(admitted.parts, std::back_inserter(parts), Base::hexadecimal);
--- a/Source/Node/frontend.h
+++ b/Source/Node/frontend.h
@@ -138,7 +138,9 @@
     /// Responds with @p error to a call that was not passed to the home, and logs that.
     void refuse(std::uint64_t call, const absl::Status &error, Request::Outcome outcome = Request::Outcome::NotRun,
                 Base::Duration retryAfter = {}, const std::string &callerRequestId = {});
-    void logRequestEnd(const AdmittedRequest &admitted, Request::Outcome outcome, const absl::Status &error) const;
+    /// @p refusal tells why a dispatcher refused the request, if one did.
+    void logRequestEnd(const AdmittedRequest &admitted, Request::Outcome outcome, const absl::Status &error,
+                       std::optional<Peer::RefusalReason> refusal = {}) const;
     nlohmann::json traceSteps(const AdmittedRequest &admitted) const;
     void logRefusal(std::uint64_t call, const absl::Status &error, Request::Outcome outcome,
                     const std::string &callerRequestId) const;
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -449,15 +449,15 @@
     switch (refusal.reason) {
     case RefusalReason::QueueFull:
         fail(now, *pending, makeError(ErrorKind::Overloaded, "the queue is full of requests of this tier or above; retry later"),
-             refusal.retryAfter);
+             refusal.retryAfter, refusal.reason);
         break;
     case RefusalReason::DeadlinePassed:
         fail(now, *pending, makeError(ErrorKind::DeadlineExceeded, "the request cannot start before its deadline"),
-             refusal.retryAfter);
+             refusal.retryAfter, refusal.reason);
         break;
     case RefusalReason::TooLate:
         fail(now, *pending, makeError(ErrorKind::Overloaded, "the request cannot meet its latency target now; retry later"),
-             refusal.retryAfter);
+             refusal.retryAfter, refusal.reason);
         break;
     case RefusalReason::NoEndpoint:
     case RefusalReason::EndpointsDown:
@@ -493,7 +493,7 @@
     }
     pending.shardsWithout.insert(pending.shard);
     if (shardsFor(pending).empty()) {
-        fail(now, pending, noEndpointError(pending), refusal.retryAfter);
+        fail(now, pending, noEndpointError(pending), refusal.retryAfter, refusal.reason);
     } else {
         requestEndpoint(now, pending);
     }
@@ -872,13 +872,14 @@
          std::chrono::seconds(1));
 }
 
-void Home::fail(Instant now, Pending &pending, const absl::Status &error, Duration retryAfter)
+void Home::fail(Instant now, Pending &pending, const absl::Status &error, Duration retryAfter,
+                std::optional<RefusalReason> refusal)
 {
     const Outcome outcome = pending.mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
     ++m_counters.failed;
     addTraceEntry(pending, now, Step::Failed,
                   fmt::format("{}: {}", Base::errorName(Base::errorKind(error)), Base::nameOf(outcomeNames, outcome)));
-    m_actions.emplace_back(Fail {pending.request.id, error, outcome, retryAfter});
+    m_actions.emplace_back(Fail {pending.request.id, error, outcome, retryAfter, refusal});
     end(pending.request.id);
 }
 
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -217,7 +217,9 @@
     void stopRequest(Base::Instant now, Pending &pending, const absl::Status &error);
     void backOff(Base::Instant now, Pending &pending, Base::Duration minDelay);
     void withdraw(Pending &pending);
-    void fail(Base::Instant now, Pending &pending, const absl::Status &error, Base::Duration retryAfter);
+    /// Ends a request with an error. @p refusal tells why a dispatcher refused it, if that is the reason.
+    void fail(Base::Instant now, Pending &pending, const absl::Status &error, Base::Duration retryAfter,
+              std::optional<Peer::RefusalReason> refusal = {});
     void finish(std::uint64_t request);
     void end(std::uint64_t request);
     void reportRunning(std::uint32_t shard);
--- a/Source/Request/types.h
+++ b/Source/Request/types.h
@@ -13,6 +13,7 @@
 #include "Peer/message.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -119,6 +120,7 @@
     absl::Status error;
     Outcome outcome = Outcome::NotRun;
     Base::Duration retryAfter {}; ///< zero: no Retry-After is sent
+    std::optional<Peer::RefusalReason> refusal; ///< why a dispatcher refused the request, if that is why it fails
 };
 
 /// The complete response has been relayed to the caller.
