Test: Urgent requests get nothing where organisations have equal priorities (known red)

Four real hosts before four engines of one slot; two organisations of equal priority. 228 of 228 requests of the most urgent class got nothing in five seconds, while 24 of the least urgent began; a twelfth of ten or more is allowed. The priority that engines are told is one for all classes of an organisation.

A third test, that an organisation of higher priority goes before classes, passes and is to hold on.

--- /dev/null
+++ b/Tests/Integration/test_urgency.py
@@ -0,0 +1,151 @@
+# SPDX-License-Identifier: BSD-3-Clause
+# SPDX-FileCopyrightText: 2026 yokepond maintainers
+"""Requests of classes and organisations with priorities, on real hosts before engines that cannot serve all of them at once.
+
+`priority` is the platform's word for both; 0 is the most urgent.
+"""
+
+import collections
+import itertools
+import threading
+import time
+
+from fleet import parse_options, run_tests, wait_until
+from recordsplatform import Endpoint, Hosts, Store
+from streamcaller import StreamCaller
+
+HOSTS = 4
+ENGINES = 4
+EVENT_SECONDS = 0.16
+# Of ten or more requests of a class in five seconds, the platform allows so many to get nothing while less urgent ones begin.
+UNSERVED_SHARE = 1 / 12
+MIN_REQUESTS = 10
+WINDOW_SECONDS = 5.0
+
+
+def route(name, priority, target_ms, timeout_ms):
+    return {"name": name, "host": "site.example", "path_prefix": f"/stream/{name}/", "type": "streaming", "timeout_ms": timeout_ms,
+            "target_latency_ms": target_ms, "priority": priority, "service": "model", "max_attempts": 2, "public": False,
+            "stream_resume": True, "target_gap_ms": 1500}
+
+
+ROUTES = [route("urgent", 0, 250, 2000), route("middle", 1, 1500, 8000), route("bulk", 2, 8000, 12000)]
+
+
+def organisation(name, **more):
+    return {"name": name, "api_keys": ["key-of-" + name], **more}
+
+
+class OneByOneEngine(Endpoint):
+    """An engine with one slot. `begun` tells the path and the priority header of each request, in the order in which they began."""
+
+    def __init__(self, name, begun):
+        self.begun = begun
+        super().__init__(name)
+        self.event_pause = EVENT_SECONDS
+
+    def row(self, service, state="ready"):
+        return {**super().row(service, state), "slots": 1}
+
+    def stream(self, handler, head):
+        self.begun.append((time.monotonic(), handler.path, int(handler.headers["X-Request-Priority"])))
+        super().stream(handler, head)
+
+
+class Site:
+    def __init__(self, organisations, engines=ENGINES):
+        self.organisations = organisations
+        self.engine_count = engines
+
+    def __enter__(self):
+        self.begun = []
+        self.ended = collections.defaultdict(list)
+        self.stopping = threading.Event()
+        self.names = itertools.count()
+        self.threads = []
+        self.store = Store()
+        self.hosts = Hosts(parse_options().bin, [self.store.address] * HOSTS)
+        self.store.put("op", "config", {"version": 1, "routes": ROUTES, "services": [{"name": "model", "engine": {"slots": 1, "kv_capacity": 100000}}],
+                                        "limits": {}, "tenants": self.organisations})
+        for number in range(self.engine_count):
+            engine = OneByOneEngine(f"i-engine-{number}", self.begun)
+            self.store.put("servers", engine.name, engine.row("model"))
+        self.hosts.wait_ready()
+        for index in range(HOSTS):
+            wait_until(lambda index=index: self.call("urgent", self.organisations[0]["name"], index).whole, f"host {index} to serve")
+        return self
+
+    def __exit__(self, *_):
+        self.stopping.set()
+        self.store.closing.set()
+        for thread in self.threads:
+            thread.join()
+        for process in self.hosts.processes:
+            process.kill()
+
+    def call(self, route_name, organisation_name, host, deadline_ms=12000):
+        name = f"{route_name}-{organisation_name}-{next(self.names)}"
+        caller = StreamCaller(self.hosts.callers, f"key-of-{organisation_name}", f"/stream/{route_name}/{name}")
+        return caller.begin(host, name, deadline_ms)
+
+    def keep_calling(self, count, route_name, organisation_name, pause=0.05):
+        """Starts callers that send one request after the other."""
+        def loop(host):
+            while not self.stopping.is_set():
+                stream = self.call(route_name, organisation_name, host)
+                self.ended[(organisation_name, route_name)].append(stream)
+                time.sleep(pause)
+
+        for number in range(count):
+            self.threads.append(threading.Thread(target=loop, args=(number % HOSTS,), daemon=True))
+            self.threads[-1].start()
+
+    def assert_served(self, organisation_name, route_name, begin, less_urgent):
+        """Asserts the platform's rule on requests that get nothing while less urgent ones begin, from the time `begin` on."""
+        streams = self.ended[(organisation_name, route_name)]
+        while begin + WINDOW_SECONDS <= time.monotonic():
+            window = [stream for stream in streams if begin <= stream.tries[0].sent < begin + WINDOW_SECONDS]
+            nothing = [stream for stream in window if not stream.whole]
+            lower = sum(1 for at, path, _ in self.begun if begin <= at < begin + WINDOW_SECONDS and path.split("/")[2] in less_urgent)
+            print(f"{organisation_name} {route_name}: {len(nothing)} of {len(window)} got nothing; {lower} less urgent began", flush=True)
+            assert len(window) >= MIN_REQUESTS and len(nothing) <= UNSERVED_SHARE * len(window), [stream.tries for stream in nothing[:3]]
+            begin += WINDOW_SECONDS
+
+
+# Guards against an order of classes that is lost where the organisations have priorities and these are equal.
+def test_urgent_requests_of_equal_organisations_go_first():
+    with Site([organisation("city", priority=1), organisation("county", priority=1)]) as site:
+        site.keep_calling(8, "bulk", "city")
+        site.keep_calling(8, "bulk", "county")
+        time.sleep(3)
+        begin = time.monotonic()
+        site.keep_calling(4, "urgent", "city")
+        time.sleep(2 * WINDOW_SECONDS)
+        site.assert_served("city", "urgent", begin, {"bulk"})
+
+
+# Guards against a class that goes before an organisation of higher priority.
+def test_an_organisation_of_higher_priority_goes_before_classes():
+    with Site([organisation("city", priority=1), organisation("fire", priority=0)]) as site:
+        site.keep_calling(6, "bulk", "city")
+        site.keep_calling(6, "urgent", "city")
+        time.sleep(3)
+        begin = time.monotonic()
+        site.keep_calling(5, "bulk", "fire")
+        time.sleep(2 * WINDOW_SECONDS)
+        site.assert_served("fire", "bulk", begin, {"urgent", "bulk"})
+
+
+# Guards against engines whose own order differs from that of the hosts.
+def test_engines_are_told_the_order_of_the_hosts():
+    organisations = [organisation("fire", priority=0), organisation("city", priority=1), organisation("club", priority=5)]
+    with Site(organisations) as site:
+        order = []
+        for name, route_name in itertools.product(("fire", "city", "club"), ("urgent", "middle", "bulk")):
+            assert site.call(route_name, name, 0).whole
+            order.append(site.begun[-1][2])
+        assert order == sorted(set(order)) and 0 <= order[0] and order[-1] <= 9, order
+
+
+if __name__ == "__main__":
+    run_tests(globals())
