Mend: A class has its own limit of late refusals, within a twelfth of its asks

Cause, found by reading: the limit was kept by rank, not by class, so that the asks of a class with many requests allowed refusals of another class of the same rank; and four refusals were saved up beside a share of 0.07, which for 86 to 300 asks exceeds a twelfth.

Change: the limit is kept by class, one refusal is saved up (chosen from the bound: 0.07 n + 1 is below ten up to 128 asks, and below n/12 from 76 on), and of the late asks the least urgent are refused first.

--- a/Source/Dispatch/laterefusals.cpp
+++ b/Source/Dispatch/laterefusals.cpp
@@ -7,25 +7,25 @@
 
 namespace {
 
-/// Share of the asks of an urgency above the least one that may be refused as too late, and the most that may be refused at once.
+/// Share of the asks of a class that may be refused as too late, and the most that may be refused at once.
 constexpr double refusableShare = 0.07;
-constexpr double maxSavedRefusals = 4.0;
+constexpr double maxSavedRefusals = 1.0;
 
 } // namespace
 
-Base::TokenBucket &LateRefusals::bucketOf(const Configuration::Urgency &urgency)
+Base::TokenBucket &LateRefusals::bucketOf(std::uint32_t requestClass)
 {
-    return m_buckets.try_emplace(urgency, 0.0, maxSavedRefusals).first->second;
+    return m_buckets.try_emplace(requestClass, 0.0, maxSavedRefusals).first->second;
 }
 
-void LateRefusals::earn(const Configuration::Urgency &urgency)
+void LateRefusals::earn(std::uint32_t requestClass)
 {
-    bucketOf(urgency).earn(refusableShare);
+    bucketOf(requestClass).earn(refusableShare);
 }
 
-bool LateRefusals::spend(const Configuration::Urgency &urgency, const Configuration::Urgency &leastUrgent)
+bool LateRefusals::spend(const ClassParameters &parameters, const Configuration::Urgency &leastUrgent)
 {
-    return urgency >= leastUrgent || bucketOf(urgency).spend();
+    return parameters.urgency >= leastUrgent || bucketOf(parameters.number).spend();
 }
 
 } // namespace Yokepond::Dispatch
--- a/Source/Dispatch/laterefusals.h
+++ b/Source/Dispatch/laterefusals.h
@@ -8,26 +8,29 @@
 
 #include "Base/tokenbucket.h"
 #include "Configuration/urgency.h"
+#include "Dispatch/queuedask.h"
 
+#include <cstdint>
 #include <map>
 
 namespace Yokepond::Dispatch {
 
-/// A token bucket for each urgency above the least one. Only few of these asks are refused as too late, since that gives their
-/// slots to less urgent ones; further late asks are served late. The least urgent ones have no limit.
+/// A token bucket for each class. Only few of the asks that are more urgent than the least urgent ones of the pool are refused as
+/// too late, since that gives their slots to less urgent ones; further late asks are served late. The least urgent ones have no
+/// limit.
 class LateRefusals
 {
 public:
-    /// Adds the refusals that a new ask of @p urgency allows.
-    void earn(const Configuration::Urgency &urgency);
+    /// Adds the refusals that a new ask of the class with number @p requestClass allows.
+    void earn(std::uint32_t requestClass);
 
-    /// Returns whether an ask of @p urgency may be refused as too late now, and counts the refusal if so.
-    bool spend(const Configuration::Urgency &urgency, const Configuration::Urgency &leastUrgent);
+    /// Returns whether an ask with @p parameters may be refused as too late now, and counts the refusal if so.
+    bool spend(const ClassParameters &parameters, const Configuration::Urgency &leastUrgent);
 
 private:
-    Base::TokenBucket &bucketOf(const Configuration::Urgency &urgency);
+    Base::TokenBucket &bucketOf(std::uint32_t requestClass);
 
-    std::map<Configuration::Urgency, Base::TokenBucket> m_buckets;
+    std::map<std::uint32_t, Base::TokenBucket> m_buckets; ///< by number of the class
 };
 
 } // namespace Yokepond::Dispatch
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <functional>
 #include <ranges>
 
 namespace Yokepond::Dispatch {
@@ -281,7 +282,7 @@
         refuse(queued, RefusalReason::DeadlinePassed);
         return;
     }
-    m_lateRefusals.earn(queued.parameters.urgency);
+    m_lateRefusals.earn(queued.parameters.number);
     if (const WaitEstimate estimate = estimateFor(now, queued); tryLateRefusal(queued, estimate)) {
         refuse(queued, RefusalReason::TooLate, retryAfterLate(queued, estimate));
         return;
@@ -332,7 +333,7 @@
 bool Shard::tryLateRefusal(const QueuedAsk &ask, const WaitEstimate &estimate)
 {
     return estimate.missesDeadline
-        || (estimate.lateness > Duration::zero() && m_lateRefusals.spend(ask.parameters.urgency, poolParameters().leastUrgent()));
+        || (estimate.lateness > Duration::zero() && m_lateRefusals.spend(ask.parameters, poolParameters().leastUrgent()));
 }
 
 /// Counts @p ask among those ahead.
@@ -383,6 +384,8 @@
         }
         addTo(ahead, *ask);
     }
+    // Few of a class may be refused as late, and those are to be the least urgent ones.
+    std::ranges::stable_sort(late, std::ranges::greater(), [](const auto &entry) { return entry.first.parameters.urgency; });
     for (const auto &[ask, estimate] : late) {
         if (tryLateRefusal(ask, estimate)) {
             m_queue.remove(ask.key);
