Observability, test: The organisation's rank in the trace of a request; the order after a take-over

`why request` and the steps of `request-ended` tell the rank of the request's organisation beside its tier, since both make its urgency.

--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -145,9 +145,10 @@
         pending.deadline = std::min(pending.deadline, now + request.timeLeft);
     }
     m_retryBudgets.earn(m_catalogue->policies(), requestClass->pool);
-    addTraceEntry(
-        pending, now, Step::Arrived,
-        fmt::format("class {}, tier {}, {} prompt tokens", requestClass->name, requestClass->tier, request.promptTokens));
+    const std::string organisationRank = request.rank == 0 ? "" : fmt::format("organisation rank {}, ", request.rank);
+    addTraceEntry(pending, now, Step::Arrived,
+                  fmt::format("class {}, tier {}, {}{} prompt tokens", requestClass->name, requestClass->tier, organisationRank,
+                              request.promptTokens));
     if (!request.continuesStream || !isBoundStream(pending)) {
         requestEndpoint(now, pending);
         return;
--- a/Tests/Integration/test_urgency.py
+++ b/Tests/Integration/test_urgency.py
@@ -7,6 +7,7 @@
 
 import collections
 import itertools
+import signal
 import threading
 import time
 
@@ -26,6 +27,10 @@
 LONGEST_SECONDS = 2.5
 
 
+# As long as the platform allows until all hosts act on the end of one of them.
+CONTACT_SECONDS = 4.0
+
+
 def route(name, priority, target_ms, timeout_ms):
     return {"name": name, "host": "site.example", "path_prefix": f"/stream/{name}/", "type": "streaming", "timeout_ms": timeout_ms,
             "target_latency_ms": target_ms, "priority": priority, "service": "model", "max_attempts": 2, "public": False,
@@ -66,6 +71,7 @@
         self.stopping = threading.Event()
         self.names = itertools.count()
         self.threads = []
+        self.live = list(range(HOSTS))
         self.store = Store()
         self.hosts = Hosts(parse_options().bin, [self.store.address] * HOSTS)
         self.store.put("op", "config", {"version": 1, "routes": ROUTES, "services": [{"name": "model", "engine": {"slots": 1, "kv_capacity": 100000}}],
@@ -93,16 +99,32 @@
 
     def keep_calling(self, count, route_name, organisation_name, pause=0.05):
         """Starts callers that send one request after the other."""
-        def loop(host):
+        def loop(number):
             while not self.stopping.is_set():
-                stream = self.call(route_name, organisation_name, host)
+                stream = self.call(route_name, organisation_name, self.live[number % len(self.live)])
                 self.ended[(organisation_name, route_name)].append(stream)
                 time.sleep(pause)
 
         for number in range(count):
-            self.threads.append(threading.Thread(target=loop, args=(number % HOSTS,), daemon=True))
+            self.threads.append(threading.Thread(target=loop, args=(number,), daemon=True))
             self.threads[-1].start()
 
+    def dispatcher(self):
+        """The host that dispatches to the engines, as its state dump says."""
+        for index in self.live:
+            self.hosts.processes[index].send_signal(signal.SIGUSR1)
+
+        def find():
+            dumps = {index: entry for index in self.live for entry in self.hosts.log(index) if entry["event"] == "dump"}
+            return [index for index, dump in dumps.items() if dump["shards"]]
+
+        wait_until(find, "a host to name its shard")
+        return find()[0]
+
+    def kill(self, index):
+        self.live.remove(index)
+        self.hosts.processes[index].kill()
+
     def assert_served(self, organisation_name, route_name, begin, less_urgent):
         """Asserts the platform's rule on requests that get nothing while less urgent ones begin, from the time `begin` on."""
         streams = self.ended[(organisation_name, route_name)]
@@ -127,6 +149,20 @@
         site.assert_served("city", "urgent", begin, {"bulk"})
 
 
+# Guards against a dispatcher that takes over and knows no order of the asks that it is sent anew.
+def test_urgent_requests_go_first_when_a_dispatcher_has_taken_over():
+    with Site([organisation("city", priority=1), organisation("county", priority=1)]) as site:
+        site.keep_calling(8, "bulk", "city")
+        site.keep_calling(8, "bulk", "county")
+        site.keep_calling(4, "urgent", "county")
+        time.sleep(2)
+        site.kill(site.dispatcher())
+        time.sleep(CONTACT_SECONDS)
+        begin = time.monotonic()
+        time.sleep(WINDOWS * WINDOW_SECONDS + LONGEST_SECONDS)
+        site.assert_served("county", "urgent", begin, {"bulk"})
+
+
 # Guards against a class that goes before an organisation of higher priority.
 def test_an_organisation_of_higher_priority_goes_before_classes():
     with Site([organisation("city", priority=1), organisation("fire", priority=0)]) as site:
