Configuration: Look for the most urgent requests of a class once, not in the whole scale

Each ask asks of each class of its pool whether it can be more urgent. The scale is sorted, so the first entry with the class's tier answers that; with five ranks of organisations and five tiers that is five steps at most, not 25. The result is the same (test-configuration, Urgency).

--- a/Source/Configuration/urgency.cpp
+++ b/Source/Configuration/urgency.cpp
@@ -50,8 +50,8 @@
 
 bool UrgencyScale::mayBeMoreUrgent(const RequestClass &requestClass, const Urgency &urgency) const
 {
-    return std::ranges::any_of(
-        m_urgencies, [&](const Urgency &candidate) { return candidate < urgency && candidate.tierRank == requestClass.rank; });
+    const auto mostUrgent = std::ranges::find(m_urgencies, requestClass.rank, &Urgency::tierRank);
+    return mostUrgent != m_urgencies.end() && *mostUrgent < urgency;
 }
 
 Urgency UrgencyScale::leastUrgent() const
