--- a/Tests/Integration/test_urgency.py
+++ b/Tests/Integration/test_urgency.py
@@ -18,6 +18,7 @@
 HOSTS = 4
 ENGINES = 4
 EVENT_SECONDS = 0.16
+PAUSE_SECONDS = 0.05  # between two requests of a caller
 # Of ten or more requests of a class in five seconds, the platform allows so many to get nothing while less urgent ones begin.
 UNSERVED_SHARE = 1 / 12
 MIN_REQUESTS = 10
@@ -61,9 +62,8 @@
 
 
 class Site:
-    def __init__(self, organisations, engines=ENGINES):
+    def __init__(self, organisations):
         self.organisations = organisations
-        self.engine_count = engines
 
     def __enter__(self):
         self.begun = []
@@ -76,7 +76,7 @@
         self.hosts = Hosts(parse_options().bin, [self.store.address] * HOSTS)
         self.store.put("op", "config", {"version": 1, "routes": ROUTES, "services": [{"name": "model", "engine": {"slots": 1, "kv_capacity": 100000}}],
                                         "limits": {}, "tenants": self.organisations})
-        for number in range(self.engine_count):
+        for number in range(ENGINES):
             engine = OneByOneEngine(f"i-engine-{number}", self.begun)
             self.store.put("servers", engine.name, engine.row("model"))
         self.hosts.wait_ready()
@@ -97,13 +97,13 @@
         caller = StreamCaller(self.hosts.callers, f"key-of-{organisation_name}", f"/stream/{route_name}/{name}")
         return caller.begin(host, name, deadline_ms)
 
-    def keep_calling(self, count, route_name, organisation_name, pause=0.05):
+    def keep_calling(self, count, route_name, organisation_name):
         """Starts callers that send one request after the other."""
         def loop(number):
             while not self.stopping.is_set():
                 stream = self.call(route_name, organisation_name, self.live[number % len(self.live)])
                 self.ended[(organisation_name, route_name)].append(stream)
-                time.sleep(pause)
+                time.sleep(PAUSE_SECONDS)
 
         for number in range(count):
             self.threads.append(threading.Thread(target=loop, args=(number,), daemon=True))
