Dispatch: The order's groups of equally urgent asks are called so; one look-up for all classes

The groups of asks in TieredOrder were called tiers, though an organisation's rank makes them too. The scale of a pool's urgencies is looked up once for an ask and not once for each class, and PoolParameters has one forClass() in place of two.

--- a/Source/Dispatch/order.cpp
+++ b/Source/Dispatch/order.cpp
@@ -118,9 +118,9 @@
 {
     remove(ask.key);
     m_asks.emplace(ask.key, ask);
-    Tier &tier = m_tiers[ask.parameters.urgency];
-    tier.byDeadline.emplace(ask.deadline, ask.key);
-    ClassQueue &queue = tier.classes[ask.parameters.number];
+    UrgencyGroup &group = m_groups[ask.parameters.urgency];
+    group.byDeadline.emplace(ask.deadline, ask.key);
+    ClassQueue &queue = group.classes[ask.parameters.number];
     queue.parameters = ask.parameters;
     queue.byArrival.emplace(ask.arrival, ask.key);
     OrganisationQueue &organisation = queue.organisations[ask.ask.organisation];
@@ -141,9 +141,9 @@
     }
     QueuedAsk ask = std::move(entry->second);
     m_asks.erase(entry);
-    Tier &tier = m_tiers.at(ask.parameters.urgency);
-    tier.byDeadline.erase({ask.deadline, key});
-    ClassQueue &queue = tier.classes.at(ask.parameters.number);
+    UrgencyGroup &group = m_groups.at(ask.parameters.urgency);
+    group.byDeadline.erase({ask.deadline, key});
+    ClassQueue &queue = group.classes.at(ask.parameters.number);
     queue.byArrival.erase({ask.arrival, key});
     OrganisationQueue &organisation = queue.organisations.at(ask.ask.organisation);
     organisation.byArrival.erase({ask.arrival, key});
@@ -157,8 +157,8 @@
 {
     const ClassQueue *found = nullptr;
     double longest = 1.0;
-    for (const Tier &tier : m_tiers | std::views::values) {
-        for (const ClassQueue &queue : tier.classes | std::views::values) {
+    for (const UrgencyGroup &group : m_groups | std::views::values) {
+        for (const ClassQueue &queue : group.classes | std::views::values) {
             if (queue.byArrival.empty()) {
                 continue;
             }
@@ -173,11 +173,12 @@
     return found;
 }
 
-const TieredOrder::ClassQueue *TieredOrder::classWithMinSlack(const Tier &tier, Base::Instant now, Base::Duration expected)
+const TieredOrder::ClassQueue *TieredOrder::classWithMinSlack(const UrgencyGroup &group, Base::Instant now,
+                                                              Base::Duration expected)
 {
     const ClassQueue *best = nullptr;
     std::pair<bool, Base::Instant> bestRank;
-    for (const ClassQueue &queue : tier.classes | std::views::values) {
+    for (const ClassQueue &queue : group.classes | std::views::values) {
         if (queue.byArrival.empty()) {
             continue;
         }
@@ -222,8 +223,8 @@
     if (overdue == nullptr) {
         m_overdueCredit = 0;
     }
-    const auto tier = std::ranges::find_if(m_tiers, [](const auto &entry) { return !entry.second.byDeadline.empty(); });
-    return nextByFairness(*classWithMinSlack(tier->second, now, expected), now, expected);
+    const auto group = std::ranges::find_if(m_groups, [](const auto &entry) { return !entry.second.byDeadline.empty(); });
+    return nextByFairness(*classWithMinSlack(group->second, now, expected), now, expected);
 }
 
 bool TieredOrder::nextIsGuaranteed() const
@@ -242,7 +243,7 @@
         m_overdueCredit = 0;
         m_nextIsOverdue = false;
     }
-    charge(m_tiers.at(ask->parameters.urgency).classes.at(ask->parameters.number), *ask);
+    charge(m_groups.at(ask->parameters.urgency).classes.at(ask->parameters.number), *ask);
     return ask;
 }
 
@@ -262,14 +263,14 @@
 
 AskKey TieredOrder::evictionCandidate(const QueuedAsk &newAsk) const
 {
-    const auto lowest
-        = std::find_if(m_tiers.rbegin(), m_tiers.rend(), [](const auto &entry) { return !entry.second.byDeadline.empty(); });
-    if (lowest == m_tiers.rend() || newAsk.parameters.urgency > lowest->first) {
+    const auto leastUrgent
+        = std::find_if(m_groups.rbegin(), m_groups.rend(), [](const auto &entry) { return !entry.second.byDeadline.empty(); });
+    if (leastUrgent == m_groups.rend() || newAsk.parameters.urgency > leastUrgent->first) {
         return newAsk.key;
     }
-    const auto &[deadline, key] = *lowest->second.byDeadline.begin();
-    const bool sameTier = newAsk.parameters.urgency == lowest->first;
-    return sameTier && newAsk.deadline < deadline ? newAsk.key : key;
+    const auto &[deadline, key] = *leastUrgent->second.byDeadline.begin();
+    const bool isAsUrgent = newAsk.parameters.urgency == leastUrgent->first;
+    return isAsUrgent && newAsk.deadline < deadline ? newAsk.key : key;
 }
 
 const QueuedAsk *TieredOrder::find(AskKey key) const
@@ -286,8 +287,8 @@
 std::size_t TieredOrder::countAtLeastAsUrgent(const Configuration::Urgency &urgency) const
 {
     std::size_t count = 0;
-    for (const auto &[tierUrgency, tier] : m_tiers) {
-        count += tierUrgency <= urgency ? tier.byDeadline.size() : 0;
+    for (const auto &[groupUrgency, group] : m_groups) {
+        count += groupUrgency <= urgency ? group.byDeadline.size() : 0;
     }
     return count;
 }
@@ -295,9 +296,9 @@
 std::vector<AskKey> TieredOrder::expired(Base::Instant now) const
 {
     std::vector<AskKey> keys;
-    for (const Tier &tier : m_tiers | std::views::values) {
-        const auto end = std::ranges::find_if(tier.byDeadline, [&](const auto &entry) { return entry.first > now; });
-        std::transform(tier.byDeadline.begin(), end, std::back_inserter(keys), [](const auto &entry) { return entry.second; });
+    for (const UrgencyGroup &group : m_groups | std::views::values) {
+        const auto end = std::ranges::find_if(group.byDeadline, [&](const auto &entry) { return entry.first > now; });
+        std::transform(group.byDeadline.begin(), end, std::back_inserter(keys), [](const auto &entry) { return entry.second; });
     }
     return keys;
 }
--- a/Source/Dispatch/order.h
+++ b/Source/Dispatch/order.h
@@ -78,9 +78,9 @@
     std::set<std::pair<Base::Instant, AskKey>> m_byArrival;
 };
 
-/// Serves the most urgent asks first. A tier here is all asks of one urgency. Within a tier it serves the class with the least
-/// slack to its first-token target, and asks that can still meet the target before late ones. Within a class it shares among
-/// organisations by weight (start-time fair queueing), and it serves the asks of an organisation by arrival.
+/// Serves the most urgent asks first. Among equally urgent ones it serves the class with the least slack to its first-token
+/// target, and asks that can still meet the target before late ones. Within a class it shares among organisations by weight
+/// (start-time fair queueing), and it serves the asks of an organisation by arrival.
 ///
 /// A class whose oldest ask has waited longer than the starvation bound gets a guaranteed share of the served asks. This share
 /// affects the order only, not which ask is evicted.
@@ -103,7 +103,7 @@
     /// Removes the ask that next() returned and charges its class and organisation for it.
     std::optional<QueuedAsk> serve(AskKey key);
 
-    /// Returns the ask to evict, which may be @p newAsk: the one with the nearest deadline in the lowest tier.
+    /// Returns the ask to evict, which may be @p newAsk: the one with the nearest deadline among the least urgent ones.
     AskKey evictionCandidate(const QueuedAsk &newAsk) const;
 
     const QueuedAsk *find(AskKey key) const;
@@ -136,7 +136,7 @@
     };
 
     /// The asks of one urgency.
-    struct Tier
+    struct UrgencyGroup
     {
         std::map<std::uint32_t, ClassQueue> classes;
         ByTime byDeadline;
@@ -144,8 +144,8 @@
 
     /// Returns the class that has waited longest relative to its starvation bound, or null if none is past it.
     const ClassQueue *overdueClass(Base::Instant now) const;
-    /// Returns the class of the tier with the least slack; classes that only have late asks come last.
-    static const ClassQueue *classWithMinSlack(const Tier &tier, Base::Instant now, Base::Duration expected);
+    /// Returns the class of the group with the least slack; classes that only have late asks come last.
+    static const ClassQueue *classWithMinSlack(const UrgencyGroup &group, Base::Instant now, Base::Duration expected);
     /// Returns the next ask of the class by fair queueing, preferring one that can still meet its target.
     static AskKey nextByFairness(const ClassQueue &queue, Base::Instant now, Base::Duration expected);
     /// Adds the cost of a served ask to the virtual time of its organisation.
@@ -155,7 +155,7 @@
     double m_overdueCredit = 0; ///< an overdue class is served when this reaches 1
     bool m_nextIsOverdue = false; ///< the last next() returned an ask of an overdue class
     std::unordered_map<AskKey, QueuedAsk, AskKeyHash> m_asks;
-    std::map<Configuration::Urgency, Tier> m_tiers;
+    std::map<Configuration::Urgency, UrgencyGroup> m_groups;
 };
 
 static_assert(OrderPolicy<FifoOrder>);
--- a/Source/Dispatch/poolparameters.cpp
+++ b/Source/Dispatch/poolparameters.cpp
@@ -30,22 +30,18 @@
 
 Duration PoolParameters::tightestAbove(const Configuration::Urgency &urgency) const
 {
+    const Configuration::UrgencyScale &scale = m_catalogue->urgencyScale(m_pool);
     Duration tightest = Duration::max();
     for (const RequestClass *requestClass : classes()) {
-        const bool isAbove = m_catalogue->urgencyScale(m_pool).mayBeMoreUrgent(*requestClass, urgency);
+        const bool isAbove = scale.mayBeMoreUrgent(*requestClass, urgency);
         tightest = isAbove ? std::min(tightest, requestClass->firstToken) : tightest;
     }
     return tightest == Duration::max() ? Duration::zero() : tightest;
 }
 
-ClassParameters PoolParameters::forClass(const RequestClass &requestClass) const
+ClassParameters PoolParameters::forClass(const RequestClass &requestClass, int organisationRank) const
 {
-    return forClass(requestClass, 0);
-}
-
-ClassParameters PoolParameters::forClass(const RequestClass &requestClass, int rank) const
-{
-    const Configuration::Urgency urgency = urgencyOf(requestClass, rank);
+    const Configuration::Urgency urgency = urgencyOf(requestClass, organisationRank);
     return {requestClass.number,          urgency,
             requestClass.firstToken,      requestClass.tokenGap,
             requestClass.starvationBound, tightestAbove(urgency),
--- a/Source/Dispatch/poolparameters.h
+++ b/Source/Dispatch/poolparameters.h
@@ -22,11 +22,8 @@
 public:
     PoolParameters(std::shared_ptr<const Configuration::Catalogue> catalogue, std::uint32_t pool);
 
-    /// Returns the parameters of the class with the rank of its own tier.
-    ClassParameters forClass(const Configuration::RequestClass &requestClass) const;
-
-    /// Returns the parameters for an ask with Peer::Ask::rank @p rank.
-    ClassParameters forClass(const Configuration::RequestClass &requestClass, int rank) const;
+    /// Returns the parameters for an ask of the class from an organisation of rank @p organisationRank; 0 stands for no rank.
+    ClassParameters forClass(const Configuration::RequestClass &requestClass, int organisationRank = 0) const;
 
     /// Returns the urgency of the pool's least urgent requests.
     Configuration::Urgency leastUrgent() const;
