--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 58> eventNames = {{
+constexpr NameTable<LogEvent, 60> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -51,6 +51,8 @@
     {LogEvent::MemberChanged, "member-changed"},
     {LogEvent::PeerConnected, "peer-connected"},
     {LogEvent::PeerLost, "peer-lost"},
+    {LogEvent::PeerMessagesDropped, "peer-messages-dropped"},
+    {LogEvent::ProcessReplaced, "process-replaced"},
     {LogEvent::ConfigurationApplied, "configuration-applied"},
     {LogEvent::ConfigurationIgnored, "configuration-ignored"},
     {LogEvent::RecordRejected, "record-rejected"},
--- a/Source/Base/log.h
+++ b/Source/Base/log.h
@@ -57,6 +57,8 @@
     MemberChanged,
     PeerConnected,
     PeerLost,
+    PeerMessagesDropped,
+    ProcessReplaced,
     ConfigurationApplied,
     ConfigurationIgnored,
     RecordRejected,
--- a/Source/Dispatch/dispatcher.cpp
+++ b/Source/Dispatch/dispatcher.cpp
@@ -89,6 +89,13 @@
     }
 }
 
+void Dispatcher::removeProcess(Base::Instant now, const Home &ended)
+{
+    for (Shard &shard : m_shards | std::views::values) {
+        shard.removeProcess(now, ended);
+    }
+}
+
 void Dispatcher::setLeaving(Base::Instant now, std::vector<std::uint32_t> endpoints)
 {
     m_leaving = std::move(endpoints);
--- a/Source/Dispatch/dispatcher.h
+++ b/Source/Dispatch/dispatcher.h
@@ -34,6 +34,9 @@
     /// Drops all asks and permits of the home called @p name, except those of its incarnation @p keep (0: drops all).
     void removeHome(Base::Instant now, const std::string &name, std::uint64_t keep);
 
+    /// Drops all asks and permits of the process @p ended of a home, which another one has replaced.
+    void removeProcess(Base::Instant now, const Home &ended);
+
     /// Sets the endpoints that the platform lists as leaving.
     void setLeaving(Base::Instant now, std::vector<std::uint32_t> endpoints);
 
--- a/Source/Dispatch/queuedask.h
+++ b/Source/Dispatch/queuedask.h
@@ -18,13 +18,7 @@
 namespace Yokepond::Dispatch {
 
 /// The home that sent an ask: a host that accepted the request, in one of its incarnations.
-struct Home
-{
-    std::string name;
-    std::uint64_t incarnation = 0;
-
-    auto operator<=>(const Home &) const = default;
-};
+using Home = Peer::Process;
 
 /// Identifies one attempt of one request in the whole fleet.
 struct AskKey
--- a/Source/Dispatch/shard.cpp
+++ b/Source/Dispatch/shard.cpp
@@ -72,7 +72,7 @@
 /// Returns the name that the home uses for the request in its own log.
 std::string requestName(const Home &home, const AskKey &key)
 {
-    return fmt::format("{}.{:x}.{}", home.name, home.incarnation, key.id.request);
+    return Peer::requestName(home, key.id.request);
 }
 
 /// Returns why none of @p endpoints, pairs of a number and a state, takes work; nothing if one does.
@@ -696,7 +696,16 @@
 
 void Shard::removeHome(Instant now, const std::string &name, std::uint64_t keep)
 {
-    const auto isRemoved = [&](const Home &home) { return home.name == name && home.incarnation != keep; };
+    removeHomes(now, [&](const Home &home) { return home.name == name && home.incarnation != keep; });
+}
+
+void Shard::removeProcess(Instant now, const Home &ended)
+{
+    removeHomes(now, [&](const Home &home) { return home == ended; });
+}
+
+void Shard::removeHomes(Instant now, const std::function<bool(const Home &)> &isRemoved)
+{
     std::vector<AskKey> keys;
     for (const auto &[key, permit] : m_permits) {
         if (isRemoved(permit.home)) {
--- a/Source/Dispatch/shard.h
+++ b/Source/Dispatch/shard.h
@@ -19,6 +19,7 @@
 #include "Dispatch/waitestimates.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -94,6 +95,9 @@
     /// Drops all asks and permits of the home called @p name, except those of its incarnation @p keep (0: drops all).
     void removeHome(Base::Instant now, const std::string &name, std::uint64_t keep);
 
+    /// Drops all asks and permits of the process @p ended of a home, which another one has replaced.
+    void removeProcess(Base::Instant now, const Home &ended);
+
     /// Sets the endpoints that the platform lists as leaving.
     void setLeaving(Base::Instant now, const std::vector<std::uint32_t> &endpoints);
 
@@ -167,6 +171,8 @@
     /// Returns the free slots in the window of an endpoint.
     std::uint32_t freeSlots(const EndpointState &state, Base::Instant now) const;
     void grant(Base::Instant now, const QueuedAsk &ask, std::uint32_t endpoint);
+    /// Drops all asks and permits of the homes that @p isRemoved names.
+    void removeHomes(Base::Instant now, const std::function<bool(const Home &)> &isRemoved);
     void dropPermit(Base::Instant now, const AskKey &key, const ObservedTokens &seen = {});
     /// Returns whether a late ask is to be refused. A refusal because of its target uses up one of those that LateRefusals allows
     /// its tier.
--- a/Source/Membership/swim.cpp
+++ b/Source/Membership/swim.cpp
@@ -428,37 +428,37 @@
     }
 }
 
-void Swim::receive(Base::Instant now, const std::string &from, const Probe &probe)
+void Swim::receive(Base::Instant now, const Peer::Process &from, const Probe &probe)
 {
-    const auto sender = m_members.find(from);
+    const auto sender = m_members.find(from.name);
     // A host that asks for the full table, knows no other member than those that it names, or was considered dead gets the full
     // table at once.
     const bool knowsNoOther = probe.digest == digestOf(probe.members);
     const bool wasDead = sender != m_members.end() && !isPresent(sender->second);
     mergeAll(now, probe.members);
     if ((probe.digest == emptyDigest || knowsNoOther || wasDead) && probe.digest != m_digest) {
-        m_fullTableDue.insert(from);
+        m_fullTableDue.insert(from.name);
     }
-    recordContact(now, from, probe.digest);
+    recordContact(now, from.name, probe.digest);
     if (probe.target.empty()) {
-        send(from, Acknowledgement {probe.sequence, selectUpdates(from), m_revision, m_digest, {}});
+        send(from, Acknowledgement {probe.sequence, selectUpdates(from.name), m_revision, m_digest, {}});
         return;
     }
     m_relayed[++m_sequence] = {from, probe.sequence, probe.target, now};
     send(probe.target, Probe {m_sequence, selectUpdates(probe.target), m_revision, m_digest, {}});
 }
 
-void Swim::receive(Base::Instant now, const std::string &from, const Acknowledgement &acknowledgement)
+void Swim::receive(Base::Instant now, const Peer::Process &from, const Acknowledgement &acknowledgement)
 {
     mergeAll(now, acknowledgement.members);
-    recordContact(now, from, acknowledgement.digest);
-    const std::string &acknowledging = acknowledgement.target.empty() ? from : acknowledgement.target;
+    recordContact(now, from.name, acknowledgement.digest);
+    const std::string &acknowledging = acknowledgement.target.empty() ? from.name : acknowledgement.target;
     std::erase_if(m_pending, [&](const Pending &pending) {
         return pending.sequence == acknowledgement.sequence && pending.target == acknowledging;
     });
     const auto relayed = m_relayed.find(acknowledgement.sequence);
-    if (relayed != m_relayed.end() && relayed->second.target == from) {
-        send(relayed->second.requester, Acknowledgement {relayed->second.requesterSequence, {}, m_revision, m_digest, from});
+    if (relayed != m_relayed.end() && relayed->second.target == from.name) {
+        send(relayed->second.requester, Acknowledgement {relayed->second.requesterSequence, {}, m_revision, m_digest, from.name});
         m_relayed.erase(relayed);
     }
 }
@@ -477,11 +477,11 @@
     }
 }
 
-void Swim::send(const std::string &name, Peer::Message message)
+void Swim::send(const Peer::Process &to, Peer::Message message)
 {
-    const auto member = m_members.find(name);
+    const auto member = m_members.find(to.name);
     if (member != m_members.end()) {
-        m_outgoing.push_back({member->second.address, std::move(message)});
+        m_outgoing.push_back({member->second.address, std::move(message), to.incarnation});
     }
 }
 
--- a/Source/Membership/swim.h
+++ b/Source/Membership/swim.h
@@ -42,6 +42,7 @@
 {
     std::string address;
     Peer::Message message;
+    std::uint64_t incarnation = 0; ///< the only process that may receive it, see Peer::Recipient
 };
 
 /// Implements SWIM as a pure state machine. The caller passes in the time and a random seed, and sends the messages that
@@ -67,8 +68,8 @@
     /// Sends the probes that are due and checks timeouts. Must be called at least once per probe timeout.
     void tick(Base::Instant now);
 
-    void receive(Base::Instant now, const std::string &from, const Peer::Probe &probe);
-    void receive(Base::Instant now, const std::string &from, const Peer::Acknowledgement &acknowledgement);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::Probe &probe);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::Acknowledgement &acknowledgement);
 
     /// Announces that this host will shut down. The other hosts give it no new duties, and mark it dead without suspecting it
     /// first when it stops responding.
@@ -111,7 +112,7 @@
     /// A probe that this host sent because another member asked for it.
     struct Relayed
     {
-        std::string requester;
+        Peer::Process requester;
         std::uint32_t requesterSequence = 0;
         std::string target;
         Base::Instant sentAt;
@@ -145,7 +146,7 @@
     std::vector<std::string> randomOthers(std::size_t count, const std::string &except);
     std::string nextTarget();
     Base::Duration suspicionTime() const;
-    void send(const std::string &name, Peer::Message message);
+    void send(const Peer::Process &to, Peer::Message message);
 
     Peer::Member m_self;
     SwimOptions m_options;
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -101,9 +101,9 @@
                              m_settings.milliCores};
     m_fleet = std::make_unique<Fleet>(m_settings, m_client, m_incarnation, self,
                                       FleetCallbacks {.send =
-                                                          [this](const std::string &address, Peer::Message message) {
-                                                              if (!address.empty()) {
-                                                                  m_peers->send(address, std::move(message));
+                                                          [this](const Peer::Recipient &to, Peer::Message message) {
+                                                              if (!to.address.empty()) {
+                                                                  m_peers->send(to, std::move(message));
                                                               }
                                                           },
                                                       .changed = [this] { fleetChanged(); },
@@ -112,6 +112,10 @@
                                                               m_dispatcher.removeHome(Base::now(), member, kept);
                                                               executePendingActions();
                                                           },
+                                                      .processReplaced =
+                                                          [this](const Peer::Process &ended, std::uint64_t current) {
+                                                              recordReplaced({ended, current, 0});
+                                                          },
                                                       .endpointsLeaving =
                                                           [this](std::vector<std::uint32_t> endpoints) {
                                                               m_dispatcher.setLeaving(Base::now(), std::move(endpoints));
@@ -120,15 +124,15 @@
                                       Platform::decodeSite);
     m_frontend = std::make_unique<Frontend>(
         m_settings, m_incarnation, *m_fleet, m_home, m_metrics,
-        FrontendCallbacks {
-            .relay = [this](Relay::Command command) { m_relay->command(std::move(command)); },
-            .send = [this](const std::string &member, Peer::Message message) { sendToMember(member, std::move(message)); }});
+        FrontendCallbacks {.relay = [this](Relay::Command command) { m_relay->command(std::move(command)); },
+                           .send
+                           = [this](const Peer::Process &to, Peer::Message message) { sendToMember(to, std::move(message)); }});
     m_queries = std::make_unique<Queries>(m_settings, *m_fleet, m_dispatcher, m_home, *m_frontend, [this](Base::Instant now) {
         return Queries::Duties {m_usage == nullptr ? std::nullopt : std::optional(m_usage->view(now)),
                                 m_scaling == nullptr ? std::nullopt : std::optional(m_scaling->view(now))};
     });
     m_gatherer = std::make_unique<Gatherer>(
-        [this](const std::string &member, Peer::Message message) { sendToMember(member, std::move(message)); });
+        m_incarnation, [this](const Peer::Process &to, Peer::Message message) { sendToMember(to, std::move(message)); });
     m_operatorServer = std::make_unique<OperatorServer>(
         m_settings, *m_fleet, *m_queries, *m_gatherer,
         OperatorServerCallbacks {.readiness = [this] { return readiness(); },
@@ -177,6 +181,7 @@
                                        .sourceAddress = m_settings.endpointSource,
                                        .tunnelListen = {m_settings.peerListen.ip, m_settings.tunnelPort},
                                        .buffers = m_settings.responseBuffers,
+                                       .incarnation = m_incarnation,
                                        .reportRunStarts = m_settings.dutyAddress.port != 0};
     const auto handler = [this](Relay::Event event) { m_mailbox->post(std::move(event)); };
     const auto body = [](const absl::Status &error) { return errorBody(error, Request::Outcome::NotRun); };
@@ -195,7 +200,7 @@
             .platform = m_settings.platform.text(),
             .watcher = {.holdTime = maxHoldTime(m_settings.platformSettledAfter, m_settings.platformTimeout)},
             .seed = m_incarnation,
-            .send = [this](const std::string &member, Peer::Message message) { sendToMember(member, std::move(message)); },
+            .send = [this](const Peer::Process &to, Peer::Message message) { sendToMember(to, std::move(message)); },
         });
 }
 
@@ -209,7 +214,7 @@
     options.reporter.lease.validity = m_settings.dutyTakeoverDelay - dutyMargin * 2;
     m_usage = std::make_unique<UsageDuty<Platform::DutyClient>>(
         *m_dutyClient, options, Base::now(), Base::wallMicroseconds(),
-        [this](const std::string &member, Peer::Message message) { sendToMember(member, std::move(message)); });
+        [this](const Peer::Process &to, Peer::Message message) { sendToMember(to, std::move(message)); });
     if (m_settings.scaling != ScalingMode::Off) {
         ScalingDutyOptions scaling {.host = m_settings.name, .incarnation = m_incarnation};
         scaling.scaler.lease = options.reporter.lease;
@@ -262,41 +267,50 @@
 void Daemon::handlePeer(const Peer::MessagesReceived &received)
 {
     const Base::Instant now = Base::now();
-    const Dispatch::Home from {received.from, received.incarnation};
+    const Peer::Process &from = received.from;
+    if (m_endedProcesses.contains(from)) {
+        m_messagesOfEnded += received.messages.size();
+        Base::log(Base::LogLevel::Info, Base::LogEvent::PeerMessagesDropped,
+                  {{"direction", "received"},
+                   {"peer", from.name},
+                   {"incarnation", fmt::format("{:x}", from.incarnation)},
+                   {"messages", received.messages.size()}});
+        return;
+    }
     for (const Peer::Message &message : received.messages) {
         std::visit(
             [&](const auto &entry) {
                 if constexpr (requires { m_dispatcher.receive(now, from, entry); }) {
                     m_dispatcher.receive(now, from, entry);
-                } else if constexpr (requires { m_home.receive(now, received.from, entry); }) {
-                    m_home.receive(now, received.from, entry);
-                } else if constexpr (requires { m_frontend->forwarder().receive(received.from, entry); }) {
-                    m_frontend->forwarder().receive(received.from, entry);
-                } else if constexpr (requires { m_follower->receive(now, received.from, entry); }) {
+                } else if constexpr (requires { m_home.receive(now, from, entry); }) {
+                    m_home.receive(now, from, entry);
+                } else if constexpr (requires { m_frontend->forwarder().receive(from, entry); }) {
+                    m_frontend->forwarder().receive(from, entry);
+                } else if constexpr (requires { m_follower->receive(now, from, entry); }) {
                     if (m_follower != nullptr) {
-                        m_follower->receive(now, received.from, entry);
+                        m_follower->receive(now, from, entry);
                     }
                 } else if constexpr (std::is_same_v<std::decay_t<decltype(entry)>, Peer::UsageCounts>) {
                     if (m_usage != nullptr) {
-                        m_usage->receive(now, received.from, received.incarnation, entry);
+                        m_usage->receive(now, from, entry);
                     }
                 } else if constexpr (std::is_same_v<std::decay_t<decltype(entry)>, Peer::UsageReceived>) {
                     if (m_usage != nullptr) {
-                        m_usage->receive(now, received.from, entry);
+                        m_usage->receive(now, from, entry);
                     }
                 } else if constexpr (std::is_same_v<std::decay_t<decltype(entry)>, Peer::Gathered>) {
-                    m_gatherer->receive(received.from, entry);
+                    m_gatherer->receive(from, entry);
                 } else if constexpr (std::is_same_v<std::decay_t<decltype(entry)>, Peer::Gather>) {
-                    replyToGather(received.from, entry);
+                    replyToGather(from, entry);
                 } else {
-                    m_fleet->receive(now, received.from, message);
+                    m_fleet->receive(now, from, message);
                 }
             },
             message);
     }
 }
 
-void Daemon::replyToGather(const std::string &from, const Peer::Gather &gather)
+void Daemon::replyToGather(const Peer::Process &from, const Peer::Gather &gather)
 {
     nlohmann::json rows = nlohmann::json::array();
     if (gather.statement == "revision") {
@@ -316,6 +330,31 @@
     }
 }
 
+void Daemon::handlePeer(const Peer::ProcessReplaced &replaced)
+{
+    m_messagesForEnded += replaced.messages;
+    Base::log(Base::LogLevel::Info, Base::LogEvent::PeerMessagesDropped,
+              {{"direction", "sent"},
+               {"peer", replaced.ended.name},
+               {"incarnation", fmt::format("{:x}", replaced.ended.incarnation)},
+               {"current", fmt::format("{:x}", replaced.currentIncarnation)},
+               {"messages", replaced.messages}});
+    recordReplaced(replaced);
+}
+
+void Daemon::recordReplaced(const Peer::ProcessReplaced &replaced)
+{
+    if (m_endedProcesses.add(replaced.ended)) {
+        Base::log(Base::LogLevel::Info, Base::LogEvent::ProcessReplaced,
+                  {{"peer", replaced.ended.name},
+                   {"incarnation", fmt::format("{:x}", replaced.ended.incarnation)},
+                   {"current", fmt::format("{:x}", replaced.currentIncarnation)},
+                   {"source", replaced.messages > 0 ? "connection" : "membership"}});
+    }
+    m_dispatcher.removeProcess(Base::now(), replaced.ended);
+    executePendingActions();
+}
+
 void Daemon::handleRelay(Relay::Event event)
 {
     struct Handler
@@ -363,25 +402,25 @@
     std::visit(Handler {*this, *m_frontend, m_home, m_usage.get()}, event);
 }
 
-void Daemon::sendToMember(const std::string &member, Peer::Message message)
+void Daemon::sendToMember(const Peer::Process &to, Peer::Message message)
 {
-    if (member == m_settings.name) {
+    if (to.name == m_settings.name) {
         const Base::Instant now = Base::now();
-        const Dispatch::Home self {m_settings.name, m_incarnation};
+        const Peer::Process self {m_settings.name, m_incarnation};
         std::visit(
             [&](const auto &entry) {
                 if constexpr (requires { m_dispatcher.receive(now, self, entry); }) {
                     m_dispatcher.receive(now, self, entry);
-                } else if constexpr (requires { m_home.receive(now, member, entry); }) {
-                    m_home.receive(now, member, entry);
+                } else if constexpr (requires { m_home.receive(now, self, entry); }) {
+                    m_home.receive(now, self, entry);
                 }
             },
             message);
         return;
     }
-    const std::string address = m_fleet->addressOf(member);
+    const std::string address = m_fleet->addressOf(to.name);
     if (!address.empty()) {
-        m_peers->send(address, std::move(message));
+        m_peers->send({address, to.incarnation}, std::move(message));
     }
 }
 
@@ -428,7 +467,7 @@
             execute(std::move(action));
         }
         for (Dispatch::Reply &reply : replies) {
-            sendToMember(reply.home.name, std::move(reply.message));
+            sendToMember(reply.home, std::move(reply.message));
         }
     }
     m_executingActions = false;
@@ -630,6 +669,8 @@
     m_metrics.set("yokepond_peer_bytes_total", label("direction", "sent"), static_cast<double>(m_peers->counters().bytesSent));
     m_metrics.set("yokepond_peer_bytes_total", label("direction", "received"),
                   static_cast<double>(m_peers->counters().bytesReceived));
+    m_metrics.set("yokepond_peer_messages_dropped_total", label("direction", "sent"), static_cast<double>(m_messagesForEnded));
+    m_metrics.set("yokepond_peer_messages_dropped_total", label("direction", "received"), static_cast<double>(m_messagesOfEnded));
     m_metrics.set("yokepond_peer_frames_total", label("direction", "sent"), static_cast<double>(m_peers->counters().framesSent));
     for (const auto &[kind, name] : Peer::trafficNames) {
         m_metrics.set("yokepond_peer_messages_sent_total", label("kind", name),
--- a/Source/Node/daemon.h
+++ b/Source/Node/daemon.h
@@ -22,6 +22,7 @@
 #include "Node/storefollower.h"
 #include "Node/usageduty.h"
 #include "Peer/edge.h"
+#include "Peer/endedprocesses.h"
 #include "Relay/relay.h"
 #include "Request/home.h"
 #include "platform/dutyclient.h"
@@ -62,9 +63,12 @@
     void handle(ThreadEvent event);
     void handlePeer(const Peer::MessagesReceived &received);
     void handlePeer(const Peer::MessagesLost &lost);
+    void handlePeer(const Peer::ProcessReplaced &replaced);
+    /// Drops what a process that has ended left behind here.
+    void recordReplaced(const Peer::ProcessReplaced &replaced);
     void handleRelay(Relay::Event event);
-    void replyToGather(const std::string &from, const Peer::Gather &gather);
-    void sendToMember(const std::string &member, Peer::Message message);
+    void replyToGather(const Peer::Process &from, const Peer::Gather &gather);
+    void sendToMember(const Peer::Process &to, Peer::Message message);
     void execute(Request::Action action);
     /// Executes the actions of the home and sends the replies of the dispatcher until neither has any left.
     void executePendingActions();
@@ -98,6 +102,9 @@
     Http::Client m_client;
     std::unique_ptr<Base::Mailbox<ThreadEvent>> m_mailbox;
     std::unique_ptr<Peer::Edge> m_peers;
+    Peer::EndedProcesses m_endedProcesses;
+    std::uint64_t m_messagesForEnded = 0; ///< messages that were not sent, since their recipient had ended
+    std::uint64_t m_messagesOfEnded = 0; ///< messages that were ignored, since their sender had ended
     std::unique_ptr<Relay::Relay> m_relay;
     std::vector<Relay::TunnelHelper> m_tunnelHelpers;
     Metrics m_metrics;
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -177,7 +177,7 @@
     m_callbacks.endpointsLeaving(std::move(leaving));
 }
 
-void Fleet::receive(Base::Instant now, const std::string &from, const Peer::Message &message)
+void Fleet::receive(Base::Instant now, const Peer::Process &from, const Peer::Message &message)
 {
     std::visit(
         [&](const auto &entry) {
@@ -188,18 +188,18 @@
         message);
 }
 
-void Fleet::receive(Base::Instant now, const std::string &from, const Peer::Probe &probe)
+void Fleet::receive(Base::Instant now, const Peer::Process &from, const Peer::Probe &probe)
 {
     m_swim.receive(now, from, probe);
     flushMembership();
-    pullIfBehind(now, from, probe.revision);
+    pullIfBehind(now, from.name, probe.revision);
 }
 
-void Fleet::receive(Base::Instant now, const std::string &from, const Peer::Acknowledgement &acknowledgement)
+void Fleet::receive(Base::Instant now, const Peer::Process &from, const Peer::Acknowledgement &acknowledgement)
 {
     m_swim.receive(now, from, acknowledgement);
     flushMembership();
-    pullIfBehind(now, from, acknowledgement.revision);
+    pullIfBehind(now, from.name, acknowledgement.revision);
 }
 
 void Fleet::pullIfBehind(Base::Instant now, const std::string &from, std::uint64_t revision)
@@ -212,23 +212,24 @@
         return;
     }
     const Configuration::RecordRevisions current = m_records.revisions();
-    m_callbacks.send(address,
+    m_callbacks.send({address},
                      usesRecords() ? Peer::ChangesRequest {m_baseMissing ? 0 : current.configuration, current.endpoints,
                                                            pull == Pull::Endpoints}
                                    : Peer::ChangesRequest {this->revision()});
 }
 
-void Fleet::receive(Base::Instant, const std::string &from, const Peer::ChangesRequest &request)
+void Fleet::receive(Base::Instant, const Peer::Process &from, const Peer::ChangesRequest &request)
 {
     if (usesRecords()) {
         replyWithRecords(from, request);
         return;
     }
     Configuration::Update update = m_replica.updateSince(request.since);
-    m_callbacks.send(addressOf(from), Peer::Changes {std::move(update.snapshot), std::move(update.log), {}, 0});
+    m_callbacks.send({addressOf(from.name), from.incarnation},
+                     Peer::Changes {std::move(update.snapshot), std::move(update.log), {}, 0});
 }
 
-void Fleet::replyWithRecords(const std::string &from, const Peer::ChangesRequest &request)
+void Fleet::replyWithRecords(const Peer::Process &from, const Peer::ChangesRequest &request)
 {
     const Configuration::RecordRevisions since {request.since, request.endpointsSince};
     if (m_records.revisions().endpoints > since.endpoints) {
@@ -240,31 +241,31 @@
     }
 }
 
-void Fleet::sendRecords(const std::string &to, const Configuration::RecordRevisions &since, Configuration::RecordKind kind)
+void Fleet::sendRecords(const Peer::Process &to, const Configuration::RecordRevisions &since, Configuration::RecordKind kind)
 {
     auto packed = m_codec.pack(m_records, since, kind);
     if (!packed.ok()) {
         Base::log(Base::LogLevel::Error, Base::LogEvent::ConfigurationIgnored,
-                  {{"to", to}, {"reason", Base::messageOf(packed.status())}});
+                  {{"to", to.name}, {"reason", Base::messageOf(packed.status())}});
         return;
     }
     Base::log(Base::LogLevel::Info, Base::LogEvent::ChangesSent,
-              {{"to", to},
+              {{"to", to.name},
                {"kind", Base::nameOf(Configuration::recordKindNames, kind)},
                {"since", since.forKind(kind)},
                {"version", m_records.revisions().forKind(kind)},
                {"base", packed->base},
                {"bytes", packed->bytes.size()}});
-    m_callbacks.send(addressOf(to), Peer::Changes {{}, {}, std::move(packed->bytes), packed->base});
+    m_callbacks.send({addressOf(to.name), to.incarnation}, Peer::Changes {{}, {}, std::move(packed->bytes), packed->base});
 }
 
-void Fleet::receive(Base::Instant now, const std::string &from, const Peer::Changes &changes)
+void Fleet::receive(Base::Instant now, const Peer::Process &from, const Peer::Changes &changes)
 {
     if (usesRecords()) {
         applyRecordChanges(now, from, changes);
         return;
     }
-    m_pullScheduler.receiveReply(from);
+    m_pullScheduler.receiveReply(from.name);
     const std::uint64_t before = m_replica.revision();
     const bool grown = m_replica.update({changes.snapshot, changes.log});
     Base::checkInvariant(m_replica.revision() >= before, Base::Invariant::RevisionGrows);
@@ -273,28 +274,28 @@
     }
 }
 
-void Fleet::applyRecordChanges(Base::Instant now, const std::string &from, const Peer::Changes &changes)
+void Fleet::applyRecordChanges(Base::Instant now, const Peer::Process &from, const Peer::Changes &changes)
 {
     const auto records = Configuration::ChangesCodec::unpack(m_records, {changes.packed, changes.base});
     // If the delta cannot be applied, the next request asks for the whole configuration.
     m_baseMissing = !records.ok();
     if (!records.ok()) {
-        m_pullScheduler.receiveReply(from);
+        m_pullScheduler.receiveReply(from.name);
         Base::log(Base::LogLevel::Warning, Base::LogEvent::ConfigurationIgnored,
-                  {{"from", from}, {"reason", Base::messageOf(records.status())}});
+                  {{"from", from.name}, {"reason", Base::messageOf(records.status())}});
         return;
     }
     // A message with endpoint records has no configuration revision, and the reply to a request for all changes ends with a
     // message of the configuration, even if that has no records. Only the latter completes the request.
     const bool ofConfiguration = records->revisions.endpoints == 0;
     if (ofConfiguration) {
-        m_pullScheduler.receiveReply(from);
+        m_pullScheduler.receiveReply(from.name);
     }
     const std::uint64_t before = m_records.revisions().configuration;
     const bool changed = m_records.merge(*records);
-    updateConfigurationSource(before, from);
+    updateConfigurationSource(before, from.name);
     Base::log(Base::LogLevel::Info, Base::LogEvent::ChangesReceived,
-              {{"from", from},
+              {{"from", from.name},
                {"configuration-version", records->revisions.configuration},
                {"endpoints-version", records->revisions.endpoints},
                {"records", records->records.size()},
@@ -331,14 +332,14 @@
     std::vector<Peer::Member> selected;
     std::ranges::sample(others, std::back_inserter(selected), gossipFanout, m_random);
     for (const Peer::Member &member : selected) {
-        m_callbacks.send(member.address, changes);
+        m_callbacks.send({member.address}, changes);
     }
 }
 
 void Fleet::flushMembership()
 {
     for (Membership::Outgoing &outgoing : m_swim.takeOutgoing()) {
-        m_callbacks.send(outgoing.address, std::move(outgoing.message));
+        m_callbacks.send({std::move(outgoing.address), outgoing.incarnation}, std::move(outgoing.message));
     }
 }
 
@@ -408,6 +409,7 @@
         m_callbacks.incarnationEnded(name, 0);
     } else if (!isDead && now->second.incarnation != before.incarnation) {
         m_callbacks.incarnationEnded(name, now->second.incarnation);
+        m_callbacks.processReplaced({name, before.incarnation}, now->second.incarnation);
     }
     if (!isDead && now->second.state != before.state) {
         Base::log(Base::LogLevel::Info, Base::LogEvent::MemberChanged,
--- a/Source/Node/fleet.h
+++ b/Source/Node/fleet.h
@@ -31,10 +31,12 @@
 /// Callbacks of Fleet; all are called on the event loop's thread.
 struct FleetCallbacks
 {
-    std::function<void(const std::string &address, Peer::Message message)> send;
+    std::function<void(const Peer::Recipient &to, Peer::Message message)> send;
     std::function<void()> changed; ///< the members, the configuration or the shards have changed
     /// A member has died or restarted. currentIncarnation is the incarnation after a restart, 0 after a death.
     std::function<void(const std::string &member, std::uint64_t currentIncarnation)> incarnationEnded;
+    /// A host has another process than @p ended, which therefore has ended for certain.
+    std::function<void(const Peer::Process &ended, std::uint64_t currentIncarnation)> processReplaced;
     std::function<void(std::vector<std::uint32_t> endpoints)> endpointsLeaving; ///< all that the platform lists as leaving
 };
 
@@ -81,7 +83,7 @@
     void tick(Base::Instant now);
 
     /// Handles messages about the membership and the configuration, and ignores all others.
-    void receive(Base::Instant now, const std::string &from, const Peer::Message &message);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::Message &message);
 
     /// Adds the seeds of the settings to the membership, after the settings were reloaded.
     void addSeeds();
@@ -151,17 +153,17 @@
         Peer::MemberState state {};
     };
 
-    void receive(Base::Instant now, const std::string &from, const Peer::Probe &probe);
-    void receive(Base::Instant now, const std::string &from, const Peer::Acknowledgement &acknowledgement);
-    void receive(Base::Instant now, const std::string &from, const Peer::ChangesRequest &request);
-    void receive(Base::Instant now, const std::string &from, const Peer::Changes &changes);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::Probe &probe);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::Acknowledgement &acknowledgement);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::ChangesRequest &request);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::Changes &changes);
 
     void pollStore(Base::Instant now);
     void pollHostList(Base::Instant now);
     void applyHostList(const std::vector<Platform::ListedHost> &hosts);
-    void replyWithRecords(const std::string &from, const Peer::ChangesRequest &request);
-    void sendRecords(const std::string &to, const Configuration::RecordRevisions &since, Configuration::RecordKind kind);
-    void applyRecordChanges(Base::Instant now, const std::string &from, const Peer::Changes &changes);
+    void replyWithRecords(const Peer::Process &from, const Peer::ChangesRequest &request);
+    void sendRecords(const Peer::Process &to, const Configuration::RecordRevisions &since, Configuration::RecordKind kind);
+    void applyRecordChanges(Base::Instant now, const Peer::Process &from, const Peer::Changes &changes);
     void pullIfBehind(Base::Instant now, const std::string &from, std::uint64_t revision);
     void configurationUpdated();
     void gossipConfiguration();
--- a/Source/Node/forwarder.cpp
+++ b/Source/Node/forwarder.cpp
@@ -35,9 +35,10 @@
 
 } // namespace
 
-Forwarder::Forwarder(const Fleet &fleet, ForwarderCallbacks callbacks)
+Forwarder::Forwarder(const Fleet &fleet, std::uint64_t incarnation, ForwarderCallbacks callbacks)
     : m_fleet(fleet)
     , m_callbacks(std::move(callbacks))
+    , m_numbers(incarnation)
 {
 }
 
@@ -51,17 +52,17 @@
 void Forwarder::forward(const OperationCall &call, const Http::Request &request, const std::string &member,
                         std::uint64_t incarnation)
 {
-    const std::uint64_t id = m_nextId++;
+    const std::uint64_t id = m_numbers.next();
     const std::string path = request.path + (request.query.empty() ? "" : "?" + request.query);
     Peer::Forward message {id, request.method, path, toPeer(request.headers), request.body};
     const PendingForward &pending = m_pending[id] = {call, member, incarnation, std::move(message), Base::now()};
     m_callbacks.send(member, pending.message);
 }
 
-void Forwarder::receive(const std::string &from, const Peer::Forward &forward)
+void Forwarder::receive(const Peer::Process &from, const Peer::Forward &forward)
 {
     Relay::Adopt adopt;
-    adopt.token = m_nextId++;
+    adopt.token = m_numbers.next();
     m_adopted[adopt.token] = {from, forward.id};
     const std::size_t queryMark = forward.path.find('?');
     adopt.request.method = forward.method;
@@ -79,12 +80,12 @@
         return;
     }
     const auto status = static_cast<std::uint16_t>(answer.response.status);
-    m_callbacks.send(entry->second.member,
+    m_callbacks.send(entry->second.process,
                      Peer::Forwarded {entry->second.id, status, toPeer(answer.response.headers), answer.response.body});
     m_adopted.erase(entry);
 }
 
-void Forwarder::receive(const std::string &, const Peer::Forwarded &forwarded)
+void Forwarder::receive(const Peer::Process &, const Peer::Forwarded &forwarded)
 {
     const auto entry = m_pending.find(forwarded.id);
     if (entry == m_pending.end()) {
--- a/Source/Node/forwarder.h
+++ b/Source/Node/forwarder.h
@@ -31,7 +31,7 @@
 struct ForwarderCallbacks
 {
     std::function<void(Relay::Command)> relay;
-    std::function<void(const std::string &member, Peer::Message message)> send;
+    std::function<void(const Peer::Process &to, Peer::Message message)> send;
     std::function<void(std::uint64_t call, Http::Response response)> respond;
     std::function<void(const OperationCall &call)> homeLost; ///< the call's home died or restarted and cannot respond
 };
@@ -41,7 +41,8 @@
 class Forwarder
 {
 public:
-    Forwarder(const Fleet &fleet, ForwarderCallbacks callbacks);
+    /// @p incarnation is that of this process.
+    Forwarder(const Fleet &fleet, std::uint64_t incarnation, ForwarderCallbacks callbacks);
 
     /// Returns whether @p member is present with this incarnation.
     bool isPresent(const std::string &member, std::uint64_t incarnation) const;
@@ -49,8 +50,8 @@
     /// Forwards @p request to @p member. The call fails with ForwarderCallbacks::homeLost if that incarnation of it is lost.
     void forward(const OperationCall &call, const Http::Request &request, const std::string &member, std::uint64_t incarnation);
 
-    void receive(const std::string &from, const Peer::Forward &forward);
-    void receive(const std::string &from, const Peer::Forwarded &forwarded);
+    void receive(const Peer::Process &from, const Peer::Forward &forward);
+    void receive(const Peer::Process &from, const Peer::Forwarded &forwarded);
     void sendAdoptedResponse(const Relay::AdoptedResponse &answer);
 
     void membersChanged();
@@ -73,10 +74,10 @@
         Base::Instant sentAt {};
     };
 
-    /// The host that forwarded a request to this one, and its number for the request.
+    /// The process that forwarded a request to this host, and its number for the request.
     struct Requester
     {
-        std::string member;
+        Peer::Process process;
         std::uint64_t id = 0;
     };
 
@@ -86,7 +87,7 @@
     ForwarderCallbacks m_callbacks;
     std::map<std::uint64_t, PendingForward> m_pending;
     std::map<std::uint64_t, Requester> m_adopted;
-    std::uint64_t m_nextId = 1;
+    Peer::ProcessNumbers m_numbers;
 };
 
 } // namespace Yokepond::Node
--- a/Source/Node/frontend.cpp
+++ b/Source/Node/frontend.cpp
@@ -56,7 +56,7 @@
     , m_callbacks(std::move(callbacks))
     , m_operations(settings.operations)
     , m_journal(fleet.table(), settings.name, incarnation)
-    , m_forwarder(fleet,
+    , m_forwarder(fleet, incarnation,
                   {.relay = m_callbacks.relay,
                    .send = m_callbacks.send,
                    .respond = [this](std::uint64_t call, Http::Response response) { respond(call, std::move(response)); },
@@ -66,17 +66,12 @@
 
 std::string Frontend::requestName(std::uint64_t id) const
 {
-    return fmt::format("{}.{:x}.{}", m_settings.name, m_incarnation, id);
+    return Peer::requestName({m_settings.name, m_incarnation}, id);
 }
 
 std::optional<std::uint64_t> Frontend::requestNumber(const std::string &name) const
 {
-    const std::string prefix = fmt::format("{}.{:x}.", m_settings.name, m_incarnation);
-    std::uint64_t id = 0;
-    if (!name.starts_with(prefix) || !Base::parseInteger(name.substr(prefix.size()), &id)) {
-        return std::nullopt;
-    }
-    return id;
+    return Peer::requestNumber({m_settings.name, m_incarnation}, name);
 }
 
 // --- Arrival of requests
--- a/Source/Node/frontend.h
+++ b/Source/Node/frontend.h
@@ -31,7 +31,7 @@
 struct FrontendCallbacks
 {
     std::function<void(Relay::Command)> relay;
-    std::function<void(const std::string &member, Peer::Message message)> send;
+    std::function<void(const Peer::Process &to, Peer::Message message)> send;
 };
 
 /// Turns calls of the relay into requests of Request::Home, and the actions of the home into commands for the relay. The home of
--- a/Source/Node/queries.cpp
+++ b/Source/Node/queries.cpp
@@ -455,17 +455,9 @@
             }
         }
     }
-    // Dispatchers identify a request by the incarnation of its home and its number, which are both parts of the name.
-    const std::vector<std::string_view> parts = Base::split(name, '.');
-    std::uint64_t incarnation = 0;
-    std::uint64_t number = 0;
-    if (parts.size() < 3 || !Base::parseHexadecimal(parts[parts.size() - 2], &incarnation)
-        || !Base::parseInteger(parts.back(), &number)) {
-        return result;
-    }
     for (const auto &[id, shard] : m_dispatcher.shards()) {
         for (const Dispatch::QueuedAsk *ask : shard.queuedAsks()) {
-            if (ask->key.home == incarnation && ask->key.id.request == number) {
+            if (Peer::requestName(ask->home, ask->key.id.request) == name) {
                 const Dispatch::AskView view = shard.find(ask->key);
                 result.rows.push_back(
                     {{"at-ms", ""},
@@ -552,15 +544,16 @@
 
 // --- Gatherer
 
-Gatherer::Gatherer(Send send)
+Gatherer::Gatherer(std::uint64_t incarnation, Send send)
     : m_send(std::move(send))
+    , m_numbers(incarnation)
 {
 }
 
 void Gatherer::gather(Base::Instant now, const std::string &statement, const std::vector<std::string> &members,
                       QueryResult ownResult, Callback callback)
 {
-    const std::uint64_t id = m_nextId++;
+    const std::uint64_t id = m_numbers.next();
     m_pendingQueries.emplace(id, PendingQuery {std::move(ownResult), members, now + gatherTimeout, std::move(callback)});
     for (const std::string &member : members) {
         m_send(member, Peer::Gather {id, statement});
@@ -570,10 +563,10 @@
     }
 }
 
-void Gatherer::receive(const std::string &from, const Peer::Gathered &gathered)
+void Gatherer::receive(const Peer::Process &from, const Peer::Gathered &gathered)
 {
     const auto entry = m_pendingQueries.find(gathered.id);
-    if (entry == m_pendingQueries.end() || std::erase(entry->second.pending, from) == 0) {
+    if (entry == m_pendingQueries.end() || std::erase(entry->second.pending, from.name) == 0) {
         return;
     }
     const nlohmann::json rows = nlohmann::json::parse(gathered.answer, nullptr, false);
--- a/Source/Node/queries.h
+++ b/Source/Node/queries.h
@@ -93,16 +93,17 @@
 class Gatherer
 {
 public:
-    using Send = std::function<void(const std::string &member, Peer::Message message)>;
+    using Send = std::function<void(const Peer::Process &to, Peer::Message message)>;
     using Callback = std::function<void(QueryResult)>;
 
-    explicit Gatherer(Send send);
+    /// @p incarnation is that of this process.
+    Gatherer(std::uint64_t incarnation, Send send);
 
     /// Sends @p statement to @p members. Calls @p callback with @p ownResult and the rows of their replies.
     void gather(Base::Instant now, const std::string &statement, const std::vector<std::string> &members, QueryResult ownResult,
                 Callback callback);
 
-    void receive(const std::string &from, const Peer::Gathered &gathered);
+    void receive(const Peer::Process &from, const Peer::Gathered &gathered);
 
     /// Completes queries whose time is over, with the hosts that did not reply in QueryResult::missing.
     void tick(Base::Instant now);
@@ -120,7 +121,7 @@
 
     Send m_send;
     std::map<std::uint64_t, PendingQuery> m_pendingQueries;
-    std::uint64_t m_nextId = 1;
+    Peer::ProcessNumbers m_numbers;
 };
 
 } // namespace Yokepond::Node
--- a/Source/Node/storefollower.h
+++ b/Source/Node/storefollower.h
@@ -29,7 +29,7 @@
     std::string platform; ///< address of the platform, for logs
     RecordWatcherOptions watcher;
     std::uint64_t seed = 0;
-    std::function<void(const std::string &member, Peer::Message message)> send;
+    std::function<void(const Peer::Process &to, Peer::Message message)> send;
 };
 
 /// Follows the store while Fleet::followReason() or another host's request says so, and passes the records that it reads to
@@ -68,7 +68,7 @@
     }
 
     /// Handles a request of host @p from, a selected follower to which the store does not respond, to follow in its place.
-    void receive(Base::Instant now, const std::string &from, const Peer::FollowStore &)
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::FollowStore &)
     {
         const Base::Instant failure = m_watcher.lastFailure();
         if (failure != Base::Instant {} && now - failure < recentFailureTime) {
@@ -86,9 +86,9 @@
     }
 
     /// Handles the reply of host @p from to a request to follow in place of this host.
-    void receive(Base::Instant, const std::string &from, const Peer::FollowAnswer &answer)
+    void receive(Base::Instant, const Peer::Process &from, const Peer::FollowAnswer &answer)
     {
-        m_delegation.receiveReply(from, answer.follows);
+        m_delegation.receiveReply(from.name, answer.follows);
     }
 
     /// Returns why this host follows the store, or nothing if it does not.
@@ -122,7 +122,7 @@
         if (m_requesters.empty() || !responded) {
             return;
         }
-        for (const std::string &requester : std::exchange(m_requesters, {})) {
+        for (const Peer::Process &requester : std::exchange(m_requesters, {})) {
             m_options.send(requester, Peer::FollowAnswer {*responded});
         }
         if (!*responded) {
@@ -160,7 +160,7 @@
     RecordWatcher<F> m_watcher;
     Delegation m_delegation;
     std::optional<FollowReason> m_reason;
-    std::set<std::string> m_requesters; ///< hosts that have not been sent a reply yet
+    std::set<Peer::Process> m_requesters; ///< processes that have not been sent a reply yet
     Base::Instant m_requestedAt {}; ///< a response of the store since then is an answer to the requesting hosts
     Base::Instant m_requestedUntil {};
 };
--- a/Source/Node/usageduty.h
+++ b/Source/Node/usageduty.h
@@ -61,7 +61,7 @@
 class UsageDuty
 {
 public:
-    using Send = std::function<void(const std::string &member, Peer::Message message)>;
+    using Send = std::function<void(const Peer::Process &to, Peer::Message message)>;
 
     UsageDuty(P &platform, const UsageDutyOptions &options, Base::Instant now, Usage::FleetTime timeOfDay, Send send)
         : m_platform(platform)
@@ -102,24 +102,24 @@
     }
 
     /// Adds the counts of host @p from, and replies with the fleet's time and the newest fixed window.
-    void receive(Base::Instant now, const std::string &from, std::uint64_t incarnation, const Peer::UsageCounts &counts)
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::UsageCounts &counts)
     {
         const Base::Duration offset(counts.clock - m_clock.at(now));
-        m_fleetCounts.update(now, from, incarnation, offset, counts.entries);
+        m_fleetCounts.update(now, from.name, from.incarnation, offset, counts.entries);
         const Usage::FleetTime fleetTime = m_clock.at(now) + m_fleetCounts.clockOffset(now).count();
         m_send(from, Peer::UsageReceived {fleetTime, m_reporter.fixedUpTo(), m_reporter.isHolder()});
     }
 
     /// Corrects the clock by the fleet's time, and notes which host holds the duty.
-    void receive(Base::Instant now, const std::string &from, const Peer::UsageReceived &received)
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::UsageReceived &received)
     {
         if (const Base::Duration by = m_clock.correct(now, received.clock); by != Base::Duration::zero()) {
             Base::log(Base::LogLevel::Warning, Base::LogEvent::ClockCorrected,
-                      {{"by-ms", Base::milliseconds(by)}, {"from", from}});
+                      {{"by-ms", Base::milliseconds(by)}, {"from", from.name}});
             m_ownCounts.clear();
         }
-        if (received.holder && from != m_options.host) {
-            m_holder = from;
+        if (received.holder && from.name != m_options.host) {
+            m_holder = from.name;
             m_holderPresent = true;
             m_reporter.updateFixedUpTo(received.fixedUpTo);
         }
--- a/Source/Peer/edge.cpp
+++ b/Source/Peer/edge.cpp
@@ -18,6 +18,7 @@
 #include <future>
 #include <map>
 #include <mutex>
+#include <ranges>
 #include <thread>
 
 namespace Yokepond::Peer {
@@ -33,7 +34,7 @@
 
 struct Outgoing
 {
-    std::string address;
+    Recipient to;
     Message message;
 };
 
@@ -45,14 +46,15 @@
 
 using Command = std::variant<Outgoing, ReturnCall>;
 
-/// Encodes the first @p count of @p messages into a list and adds their sizes to @p sentBytes.
-template<typename ListBuilder>
-void encodeAll(const std::vector<Message> &messages, std::size_t count, ListBuilder list, TrafficCounts &sentBytes)
+/// Encodes @p messages into a list and adds their sizes to @p sentBytes.
+template<std::ranges::input_range Messages, typename ListBuilder>
+void encodeAll(const Messages &messages, ListBuilder list, TrafficCounts &sentBytes)
 {
-    for (std::size_t index = 0; index < count; ++index) {
-        auto entry = list[static_cast<unsigned int>(index)];
-        encode(messages[index], entry);
-        sentBytes.at(static_cast<std::size_t>(trafficOf(messages[index])))
+    unsigned int index = 0;
+    for (const Message &message : messages) {
+        auto entry = list[index++];
+        encode(message, entry);
+        sentBytes.at(static_cast<std::size_t>(trafficOf(message)))
             += entry.asReader().totalSize().wordCount * sizeof(capnp::word);
     }
 }
@@ -68,6 +70,31 @@
     return messages;
 }
 
+/// The process that was last seen at each address of a peer. Used on the edge's thread only.
+class LatestProcesses
+{
+public:
+    void update(const std::string &address, std::uint64_t incarnation)
+    {
+        m_incarnations[address] = incarnation;
+    }
+
+    bool isLatest(const Recipient &recipient) const
+    {
+        const auto latest = m_incarnations.find(recipient.address);
+        return latest != m_incarnations.end() && latest->second == recipient.incarnation;
+    }
+
+private:
+    std::map<std::string, std::uint64_t> m_incarnations;
+};
+
+/// Returns whether the process @p incarnation may receive what is for @p wanted, 0 for any process.
+bool mayReceive(std::uint64_t incarnation, std::uint64_t wanted)
+{
+    return wanted == 0 || wanted == incarnation;
+}
+
 /// Incoming calls that have not returned yet. A call returns when its messages have been handled, and its result carries what was
 /// sent to that peer in the meantime. Used on the edge's thread only.
 class OpenCalls
@@ -80,24 +107,29 @@
     {
     }
 
-    /// Adds a call from the peer at @p address. Returns its token and a promise that is fulfilled by returnCall().
-    std::pair<std::uint64_t, kj::Promise<void>> open(const std::string &address, PostContext context)
+    /// Adds a call from the process @p caller. Returns its token and a promise that is fulfilled by returnCall().
+    std::pair<std::uint64_t, kj::Promise<void>> open(const Recipient &caller, PostContext context)
     {
         auto pair = kj::newPromiseAndFulfiller<void>();
         const std::uint64_t token = m_nextToken++;
-        m_calls.emplace(token, Call {address, context, kj::mv(pair.fulfiller), {}});
-        m_byAddress[address] = token;
+        m_calls.emplace(token, Call {caller, context, kj::mv(pair.fulfiller), {}});
+        m_byAddress[caller.address] = token;
         return {token, kj::mv(pair.promise)};
     }
 
-    /// Adds @p message to the result of the latest open call from @p address. Returns false if there is none.
-    bool add(const std::string &address, Message &message)
+    /// Adds @p message to the result of the latest open call from the recipient's address, if the calling process may receive it.
+    /// Returns false if there is no such call.
+    bool add(const Recipient &to, Message &message)
     {
-        const auto token = m_byAddress.find(address);
+        const auto token = m_byAddress.find(to.address);
         if (token == m_byAddress.end()) {
             return false;
         }
-        m_calls.at(token->second).messages.push_back(std::move(message));
+        Call &call = m_calls.at(token->second);
+        if (!mayReceive(call.caller.incarnation, to.incarnation)) {
+            return false;
+        }
+        call.messages.push_back(std::move(message));
         return true;
     }
 
@@ -111,11 +143,10 @@
         Call &call = entry->second;
         const std::size_t count = call.messages.size();
         if (count > 0) {
-            encodeAll(call.messages, count, call.context.getResults().initMessages(static_cast<unsigned int>(count)),
-                      m_sentBytes);
+            encodeAll(call.messages, call.context.getResults().initMessages(static_cast<unsigned int>(count)), m_sentBytes);
         }
         call.fulfiller->fulfill();
-        const auto latest = m_byAddress.find(call.address);
+        const auto latest = m_byAddress.find(call.caller.address);
         if (latest != m_byAddress.end() && latest->second == token) {
             m_byAddress.erase(latest);
         }
@@ -125,7 +156,7 @@
 private:
     struct Call
     {
-        std::string address;
+        Recipient caller;
         PostContext context;
         kj::Own<kj::PromiseFulfiller<void>> fulfiller;
         std::vector<Message> messages;
@@ -141,12 +172,10 @@
 class SessionServer final : public Wire::Session::Server
 {
 public:
-    SessionServer(const Edge::Handler &handler, OpenCalls &calls, std::string from, std::uint64_t incarnation,
-                  std::string address)
+    SessionServer(const Edge::Handler &handler, OpenCalls &calls, Process from, std::string address)
         : m_handler(handler)
         , m_calls(calls)
         , m_from(std::move(from))
-        , m_incarnation(incarnation)
         , m_address(std::move(address))
     {
     }
@@ -155,16 +184,15 @@
     {
         auto messages = decodeAll(context.getParams().getMessages());
         context.releaseParams();
-        auto [token, returned] = m_calls.open(m_address, context);
-        m_handler(MessagesReceived {m_from, m_incarnation, std::move(messages), token});
+        auto [token, returned] = m_calls.open({m_address, m_from.incarnation}, context);
+        m_handler(MessagesReceived {m_from, std::move(messages), token});
         return kj::mv(returned);
     }
 
 private:
     const Edge::Handler &m_handler;
     OpenCalls &m_calls;
-    std::string m_from;
-    std::uint64_t m_incarnation;
+    Process m_from;
     std::string m_address;
 };
 
@@ -172,10 +200,11 @@
 class HostServer final : public Wire::Host::Server
 {
 public:
-    HostServer(const EdgeOptions &options, const Edge::Handler &handler, OpenCalls &calls)
+    HostServer(const EdgeOptions &options, const Edge::Handler &handler, OpenCalls &calls, LatestProcesses &latest)
         : m_options(options)
         , m_handler(handler)
         , m_calls(calls)
+        , m_latest(latest)
     {
     }
 
@@ -185,7 +214,8 @@
         auto results = context.getResults();
         const std::string from(params.getName().begin(), params.getName().size());
         const std::string address(params.getAddress().begin(), params.getAddress().size());
-        results.setSession(kj::heap<SessionServer>(m_handler, m_calls, from, params.getIncarnation(), address));
+        m_latest.update(address, params.getIncarnation());
+        results.setSession(kj::heap<SessionServer>(m_handler, m_calls, Process(from, params.getIncarnation()), address));
         results.setName(m_options.name);
         results.setIncarnation(m_options.incarnation);
         return kj::READY_NOW;
@@ -195,6 +225,7 @@
     const EdgeOptions &m_options;
     const Edge::Handler &m_handler;
     OpenCalls &m_calls;
+    LatestProcesses &m_latest;
 };
 
 /// A connection that a peer opened. It exists until the peer closes it.
@@ -244,29 +275,44 @@
 {
 public:
     PeerLink(const EdgeOptions &options, const Edge::Handler &handler, LinkCounters &counters, TrafficCounts &sentBytes,
-             kj::AsyncIoContext &io, std::string address)
+             LatestProcesses &latest, kj::AsyncIoContext &io, std::string address)
         : m_options(options)
         , m_handler(handler)
         , m_counters(counters)
         , m_sentBytes(sentBytes)
+        , m_latest(latest)
         , m_io(io)
         , m_address(std::move(address))
         , m_tasks(*this)
     {
     }
 
-    void send(Message message)
+    /// Queues @p message for the process @p incarnation of the peer, 0 for any.
+    void send(Message message, std::uint64_t incarnation)
     {
+        if (m_state == State::Ready && !mayReceive(m_peer.incarnation, incarnation)) {
+            if (!m_latest.isLatest({m_address, incarnation})) {
+                reportReplaced(incarnation, 1);
+                return;
+            }
+            fail("the peer has another process now");
+        }
         if (m_queue.size() >= maxQueuedMessages) {
             fail("too many messages are queued for the peer");
         }
-        m_queue.push_back(std::move(message));
+        m_queue.push_back({std::move(message), incarnation});
         sendQueued();
     }
 
 private:
     enum class State { Idle, Connecting, Ready };
 
+    struct Queued
+    {
+        Message message;
+        std::uint64_t incarnation = 0;
+    };
+
     void taskFailed(kj::Exception &&exception) override
     {
         fail(exception.getDescription().cStr());
@@ -327,20 +373,44 @@
             if (generation != m_generation) {
                 return;
             }
-            m_peerName.assign(results.getName().begin(), results.getName().size());
-            m_peerIncarnation = results.getIncarnation();
+            m_peer.name.assign(results.getName().begin(), results.getName().size());
+            m_peer.incarnation = results.getIncarnation();
+            m_latest.update(m_address, m_peer.incarnation);
             m_session = results.getSession();
             m_state = State::Ready;
+            dropMessagesForEndedProcesses();
             Base::log(Base::LogLevel::Debug, Base::LogEvent::PeerConnected, {{"address", m_address}});
             sendQueued();
         });
     }
 
+    /// Removes the queued messages that the process of the new connection may not receive.
+    void dropMessagesForEndedProcesses()
+    {
+        std::map<std::uint64_t, std::size_t> dropped; // messages by incarnation
+        std::erase_if(m_queue, [&](const Queued &queued) {
+            const bool drop = !mayReceive(m_peer.incarnation, queued.incarnation);
+            if (drop) {
+                ++dropped[queued.incarnation];
+            }
+            return drop;
+        });
+        for (const auto &[incarnation, messages] : dropped) {
+            reportReplaced(incarnation, messages);
+        }
+    }
+
+    void reportReplaced(std::uint64_t ended, std::size_t messages)
+    {
+        m_handler(ProcessReplaced {{m_peer.name, ended}, m_peer.incarnation, messages});
+    }
+
     void post()
     {
         auto request = KJ_ASSERT_NONNULL(m_session).postRequest();
         const std::size_t count = std::min(m_queue.size(), maxMessagesPerCall);
-        encodeAll(m_queue, count, request.initMessages(static_cast<unsigned int>(count)), m_sentBytes);
+        encodeAll(m_queue | std::views::take(count) | std::views::transform(&Queued::message),
+                  request.initMessages(static_cast<unsigned int>(count)), m_sentBytes);
         m_queue.erase(m_queue.begin(), m_queue.begin() + static_cast<std::ptrdiff_t>(count));
         ++m_inFlight;
         const auto generation = m_generation;
@@ -349,7 +419,7 @@
                 return;
             }
             if (results.hasMessages()) {
-                m_handler(MessagesReceived {m_peerName, m_peerIncarnation, decodeAll(results.getMessages()), 0});
+                m_handler(MessagesReceived {m_peer, decodeAll(results.getMessages()), 0});
             }
             --m_inFlight;
             sendQueued();
@@ -383,14 +453,14 @@
     const Edge::Handler &m_handler;
     LinkCounters &m_counters;
     TrafficCounts &m_sentBytes;
+    LatestProcesses &m_latest;
     kj::AsyncIoContext &m_io;
     std::string m_address;
-    std::string m_peerName;
-    std::uint64_t m_peerIncarnation = 0;
+    Process m_peer; ///< the process that the connection leads to
     State m_state = State::Idle;
     std::uint64_t m_generation = 0; ///< number of the current connection; grows when it is closed
     unsigned int m_inFlight = 0;
-    std::vector<Message> m_queue;
+    std::vector<Queued> m_queue;
     kj::Own<OpenedConnection> m_connection;
     kj::Maybe<Wire::Session::Client> m_session;
     kj::TaskSet m_tasks;
@@ -474,13 +544,14 @@
         }
         m_port = static_cast<std::uint16_t>(receiver->getPort());
         OpenCalls calls(m_sentBytes);
-        Wire::Host::Client bootstrap = kj::heap<HostServer>(m_options, m_handler, calls);
+        LatestProcesses latest;
+        Wire::Host::Client bootstrap = kj::heap<HostServer>(m_options, m_handler, calls, latest);
         tasks.add(acceptNext(*receiver, bootstrap, tasks));
         started.set_value(absl::OkStatus());
         std::map<std::string, std::unique_ptr<PeerLink>> links;
         kj::UnixEventPort::FdObserver observer(io.unixEventPort, m_wake, kj::UnixEventPort::FdObserver::OBSERVE_READ);
         while (!m_stopping) {
-            processCommands(io, links, calls);
+            processCommands(io, links, calls, latest);
             timespec used {};
             clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
             m_processorMicroseconds = used.tv_sec * 1'000'000 + used.tv_nsec / 1'000;
@@ -502,7 +573,8 @@
         });
     }
 
-    void processCommands(kj::AsyncIoContext &io, std::map<std::string, std::unique_ptr<PeerLink>> &links, OpenCalls &calls)
+    void processCommands(kj::AsyncIoContext &io, std::map<std::string, std::unique_ptr<PeerLink>> &links, OpenCalls &calls,
+                         LatestProcesses &latest)
     {
         std::vector<Command> commands;
         {
@@ -515,14 +587,14 @@
                 continue;
             }
             auto &outgoing = std::get<Outgoing>(command);
-            if (calls.add(outgoing.address, outgoing.message)) {
+            if (calls.add(outgoing.to, outgoing.message)) {
                 continue;
             }
-            auto &link = links[outgoing.address];
+            auto &link = links[outgoing.to.address];
             if (!link) {
-                link = std::make_unique<PeerLink>(m_options, m_handler, m_counters, m_sentBytes, io, outgoing.address);
+                link = std::make_unique<PeerLink>(m_options, m_handler, m_counters, m_sentBytes, latest, io, outgoing.to.address);
             }
-            link->send(std::move(outgoing.message));
+            link->send(std::move(outgoing.message), outgoing.to.incarnation);
         }
     }
 
@@ -549,9 +621,9 @@
     return std::unique_ptr<Edge>(new Edge(std::move(implementation)));
 }
 
-void Edge::send(std::string address, Message message)
+void Edge::send(Recipient to, Message message)
 {
-    m_implementation->enqueue(Outgoing {std::move(address), std::move(message)});
+    m_implementation->enqueue(Outgoing {std::move(to), std::move(message)});
 }
 
 void Edge::markHandled(std::uint64_t token)
--- a/Source/Peer/edge.h
+++ b/Source/Peer/edge.h
@@ -24,8 +24,7 @@
 /// Messages from one peer, in the order in which it sent them.
 struct MessagesReceived
 {
-    std::string from;
-    std::uint64_t incarnation = 0;
+    Process from;
     std::vector<Message> messages;
     std::uint64_t token = 0; ///< to be passed to Edge::markHandled() afterwards; 0 if that is not needed
 };
@@ -37,7 +36,15 @@
     std::string address; ///< ip:port
 };
 
-using Event = std::variant<MessagesReceived, MessagesLost>;
+/// Messages for a process were not sent, since its host has another process by now.
+struct ProcessReplaced
+{
+    Process ended;
+    std::uint64_t currentIncarnation = 0;
+    std::size_t messages = 0; ///< number of the messages
+};
+
+using Event = std::variant<MessagesReceived, MessagesLost, ProcessReplaced>;
 
 struct EdgeOptions
 {
@@ -51,7 +58,9 @@
 using TrafficCounts = std::array<std::atomic<std::uint64_t>, trafficNames.size()>;
 
 /// Sends messages to other hosts and receives theirs. Each message arrives at most once, and those for one peer arrive in order.
-/// Nothing is sent again: a MessagesLost event reports that some messages may not have arrived.
+/// Nothing is sent again: a MessagesLost event reports that some messages may not have arrived. A message for one process never
+/// reaches another one of its host: the peer names its incarnation when a connection is opened, and a connection leads to one
+/// process for as long as it exists.
 class Edge
 {
 public:
@@ -65,8 +74,8 @@
     Edge(const Edge &) = delete;
     Edge &operator=(const Edge &) = delete;
 
-    /// Queues @p message for the host listening on @p address (ip:port); callable from any thread.
-    void send(std::string address, Message message);
+    /// Queues @p message for the host that listens on the recipient's address; callable from any thread.
+    void send(Recipient to, Message message);
 
     /// Returns the RPC call that brought the messages with @p token. Messages that send() got for that peer while the call was
     /// open go back as the call's result, which saves a call in the other direction. Callable from any thread.
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -16,6 +16,7 @@
 #include "Availability/availabilitystate.h"
 #include "Base/names.h"
 #include "Base/time.h"
+#include "Peer/process.h"
 #include "Rate/ratestate.h"
 
 #include <cstdint>
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -27,6 +27,7 @@
     std::string sourceAddress; ///< IP address from which connections to endpoints are opened; empty: the system chooses
     Base::Address tunnelListen; ///< where tunnels for other hosts are accepted; port 0: nowhere
     ResponseBufferLimits buffers; ///< limits on what is held for callers that read slowly
+    std::uint64_t incarnation = 0; ///< of this process; the numbers of its calls begin behind it, see Peer::ProcessNumbers
     bool reportRunStarts = false; ///< whether to send RunStarted
     std::size_t maxReportedResponseBytes = 1U << 20U; ///< largest response that is reported for Run::reportResponse
 };
--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -62,6 +62,7 @@
         , m_protocol(std::move(protocol))
         , m_handler(std::move(handler))
         , m_formatErrorBody(std::move(formatErrorBody))
+        , m_callNumbers(m_options.incarnation)
     {
     }
 
@@ -257,7 +258,7 @@
         ++m_counters.calls;
         const Http::Request &request = exchange->request();
         auto call = std::make_unique<Call>();
-        call->id = m_nextId++;
+        call->id = m_callNumbers.next();
         CallArrived event;
         event.id = call->id;
         event.method = request.method;
@@ -721,7 +722,7 @@
     std::unique_ptr<Base::Loop::Registration> m_overBoundCheck;
     std::atomic<std::uint16_t> m_port = 0;
     RelayCounters m_counters;
-    std::uint64_t m_nextId = 1;
+    Peer::ProcessNumbers m_callNumbers;
     std::size_t m_peakCalls = 0; ///< largest number of open calls since free memory was last returned to the system
     std::unordered_map<std::uint64_t, std::unique_ptr<Call>> m_calls;
 };
--- a/Source/Request/crashprotection.cpp
+++ b/Source/Request/crashprotection.cpp
@@ -161,12 +161,12 @@
 
 // --- Messages
 
-void CrashProtection::receive(Instant now, const std::string &from, const Peer::RunBroke &broke)
+void CrashProtection::receive(Instant now, const Peer::Process &from, const Peer::RunBroke &broke)
 {
     m_quarantine.receive(now, from, broke);
 }
 
-void CrashProtection::receive(Instant now, const std::string &from, const Peer::QuarantineUpdate &update)
+void CrashProtection::receive(Instant now, const Peer::Process &from, const Peer::QuarantineUpdate &update)
 {
     m_quarantine.receive(now, from, update);
     for (const Peer::QuarantineEntry &entry : update.entries) {
@@ -177,17 +177,17 @@
     }
 }
 
-void CrashProtection::receive(Instant now, const std::string &from, const Peer::PromptRunBroke &broke)
+void CrashProtection::receive(Instant now, const Peer::Process &from, const Peer::PromptRunBroke &broke)
 {
     m_parts.receive(now, from, broke);
 }
 
-void CrashProtection::receive(Instant now, const std::string &from, const Peer::SoundPartsQuery &query)
+void CrashProtection::receive(Instant now, const Peer::Process &from, const Peer::SoundPartsQuery &query)
 {
     m_parts.receive(now, from, query);
 }
 
-void CrashProtection::receive(Instant now, const std::string &from, const Peer::SoundPartsReply &reply)
+void CrashProtection::receive(Instant now, const Peer::Process &from, const Peer::SoundPartsReply &reply)
 {
     m_parts.receive(now, from, reply);
 }
--- a/Source/Request/crashprotection.h
+++ b/Source/Request/crashprotection.h
@@ -82,11 +82,11 @@
     bool release(Base::Instant now, std::uint64_t id);
 
     /// Handles a message of another host; @p from is the sender.
-    void receive(Base::Instant now, const std::string &from, const Peer::RunBroke &broke);
-    void receive(Base::Instant now, const std::string &from, const Peer::QuarantineUpdate &update);
-    void receive(Base::Instant now, const std::string &from, const Peer::PromptRunBroke &broke);
-    void receive(Base::Instant now, const std::string &from, const Peer::SoundPartsQuery &query);
-    void receive(Base::Instant now, const std::string &from, const Peer::SoundPartsReply &reply);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::RunBroke &broke);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::QuarantineUpdate &update);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::PromptRunBroke &broke);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::SoundPartsQuery &query);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::SoundPartsReply &reply);
 
     /// To be called regularly.
     void tick(Base::Instant now);
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -325,9 +325,9 @@
         {pending.request.id, pending.attempt}, endpoint, startBy, reportRate, keeper, reportFirstToken, pending.softwareVersion});
 }
 
-void Home::receive(Instant, const std::string &from, const Peer::Queued &queued)
+void Home::receive(Instant, const Peer::Process &from, const Peer::Queued &queued)
 {
-    m_unreachable.erase(from);
+    m_unreachable.erase(from.name);
     Pending *pending = find(queued.id.request);
     if (pending != nullptr && pending->phase == Phase::Asking && pending->attempt == queued.id.attempt) {
         pending->queuedAtDispatcher = true;
@@ -344,9 +344,9 @@
     tryLocalWindow(now, pending);
 }
 
-void Home::receive(Instant now, const std::string &from, const Peer::Grant &grant)
+void Home::receive(Instant now, const Peer::Process &from, const Peer::Grant &grant)
 {
-    m_unreachable.erase(from);
+    m_unreachable.erase(from.name);
     Pending *pending = find(grant.id.request);
     const bool expected = pending != nullptr && pending->phase == Phase::Asking && pending->attempt == grant.id.attempt;
     if (!expected) {
@@ -374,20 +374,20 @@
     }
     if (m_availabilities.stateOf(grant.endpoint).isUnavailable(now)) {
         sendEndpointUpdate(now, *pending, grant.endpoint);
-        returnGrant(now, *pending, grant, fmt::format("{} had no information that the endpoint is unavailable", from));
+        returnGrant(now, *pending, grant, fmt::format("{} had no information that the endpoint is unavailable", from.name));
         return;
     }
     if (correctDispatcherRate(now, *pending, grant)) {
-        returnGrant(now, *pending, grant, fmt::format("{} had no information on the endpoint's rate limit", from));
+        returnGrant(now, *pending, grant, fmt::format("{} had no information on the endpoint's rate limit", from.name));
         return;
     }
     if (m_catalogue->restrictsEndpoints(criteriaOf(*pending)) && !mayServe(*pending, grant.endpoint)) {
         // A dispatcher of an older release does not know of software versions.
-        returnGrant(now, *pending, grant, fmt::format("{} granted an endpoint that may not serve the request", from));
+        returnGrant(now, *pending, grant, fmt::format("{} granted an endpoint that may not serve the request", from.name));
         return;
     }
     pending->grantedRate = Rate::rateStateFrom(grant.rate, now);
-    addTraceEntry(*pending, now, Step::Granted, fmt::format("by {}, pressure {}/1000", from, grant.pressure));
+    addTraceEntry(*pending, now, Step::Granted, fmt::format("by {}, pressure {}/1000", from.name, grant.pressure));
     beginRun(now, *pending, grant.endpoint, grant.startBy, grant);
 }
 
@@ -436,15 +436,15 @@
                                                                m_availabilities.stateOf(endpoint).info(now)}});
 }
 
-void Home::receive(Instant now, const std::string &from, const Peer::Refusal &refusal)
+void Home::receive(Instant now, const Peer::Process &from, const Peer::Refusal &refusal)
 {
-    m_unreachable.erase(from);
+    m_unreachable.erase(from.name);
     Pending *pending = find(refusal.id.request);
     if (pending == nullptr || pending->phase != Phase::Asking || pending->attempt != refusal.id.attempt) {
         return;
     }
     addTraceEntry(*pending, now, Step::Refused,
-                  fmt::format("by {}: {}, pressure {}/1000", from, Base::nameOf(Peer::refusalReasonNames, refusal.reason),
+                  fmt::format("by {}: {}, pressure {}/1000", from.name, Base::nameOf(Peer::refusalReasonNames, refusal.reason),
                               refusal.pressure));
     m_shardChoice.updatePressure(now, pending->shard, refusal.pressure);
     switch (refusal.reason) {
@@ -561,18 +561,18 @@
     return std::max(pending.request.timeLeft, pending.classSettings.deadline) + streamLifetimeMargin;
 }
 
-void Home::receive(Instant now, const std::string &from, const Peer::StreamBegan &began)
+void Home::receive(Instant now, const Peer::Process &from, const Peer::StreamBegan &began)
 {
     m_streamOrigins.receive(now, from, began);
 }
 
-void Home::receive(Instant now, const std::string &from, const Peer::StreamOriginQuery &query)
+void Home::receive(Instant now, const Peer::Process &from, const Peer::StreamOriginQuery &query)
 {
     m_streamOrigins.receive(now, from, query);
     applyOrigins(now);
 }
 
-void Home::receive(Instant now, const std::string &from, const Peer::StreamOriginReply &reply)
+void Home::receive(Instant now, const Peer::Process &from, const Peer::StreamOriginReply &reply)
 {
     m_streamOrigins.receive(now, from, reply);
     applyOrigins(now);
@@ -685,31 +685,31 @@
     }
 }
 
-void Home::receive(Instant now, const std::string &from, const Peer::RunBroke &broke)
+void Home::receive(Instant now, const Peer::Process &from, const Peer::RunBroke &broke)
 {
     m_crashProtection.receive(now, from, broke);
     enforceQuarantine(now);
 }
 
-void Home::receive(Instant now, const std::string &from, const Peer::QuarantineUpdate &update)
+void Home::receive(Instant now, const Peer::Process &from, const Peer::QuarantineUpdate &update)
 {
     m_crashProtection.receive(now, from, update);
     enforceQuarantine(now);
 }
 
-void Home::receive(Instant now, const std::string &from, const Peer::PromptRunBroke &broke)
+void Home::receive(Instant now, const Peer::Process &from, const Peer::PromptRunBroke &broke)
 {
     m_crashProtection.receive(now, from, broke);
     enforceQuarantine(now);
 }
 
-void Home::receive(Instant now, const std::string &from, const Peer::SoundPartsQuery &query)
+void Home::receive(Instant now, const Peer::Process &from, const Peer::SoundPartsQuery &query)
 {
     m_crashProtection.receive(now, from, query);
     enforceQuarantine(now);
 }
 
-void Home::receive(Instant now, const std::string &from, const Peer::SoundPartsReply &reply)
+void Home::receive(Instant now, const Peer::Process &from, const Peer::SoundPartsReply &reply)
 {
     m_crashProtection.receive(now, from, reply);
     enforceQuarantine(now);
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -92,17 +92,17 @@
     void start(Base::Instant now, const NewRequest &request);
 
     /// Handles a message of a dispatcher, or of another host's quarantine or record of streams; @p from is the sender.
-    void receive(Base::Instant now, const std::string &from, const Peer::Grant &grant);
-    void receive(Base::Instant now, const std::string &from, const Peer::Refusal &refusal);
-    void receive(Base::Instant now, const std::string &from, const Peer::Queued &queued);
-    void receive(Base::Instant now, const std::string &from, const Peer::RunBroke &broke);
-    void receive(Base::Instant now, const std::string &from, const Peer::QuarantineUpdate &update);
-    void receive(Base::Instant now, const std::string &from, const Peer::PromptRunBroke &broke);
-    void receive(Base::Instant now, const std::string &from, const Peer::SoundPartsQuery &query);
-    void receive(Base::Instant now, const std::string &from, const Peer::SoundPartsReply &reply);
-    void receive(Base::Instant now, const std::string &from, const Peer::StreamBegan &began);
-    void receive(Base::Instant now, const std::string &from, const Peer::StreamOriginQuery &query);
-    void receive(Base::Instant now, const std::string &from, const Peer::StreamOriginReply &reply);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::Grant &grant);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::Refusal &refusal);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::Queued &queued);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::RunBroke &broke);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::QuarantineUpdate &update);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::PromptRunBroke &broke);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::SoundPartsQuery &query);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::SoundPartsReply &reply);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::StreamBegan &began);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::StreamOriginQuery &query);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::StreamOriginReply &reply);
 
     /// Applies what the head of a response from @p endpoint advertises, and informs the dispatcher if that is new.
     void endpointAdvertised(Base::Instant now, const Peer::AttemptId &id, std::uint32_t endpoint,
--- a/Source/Request/partsuspicions.cpp
+++ b/Source/Request/partsuspicions.cpp
@@ -88,11 +88,11 @@
 
 // --- Counting of crashes
 
-void PartSuspicions::receive(Instant now, const std::string &from, const Peer::PromptRunBroke &broke)
+void PartSuspicions::receive(Instant now, const Peer::Process &from, const Peer::PromptRunBroke &broke)
 {
     if (isEnabled()) {
         Pool &pool = m_pools[broke.pool];
-        pool.attribution.recordBroken(now, from, broke);
+        pool.attribution.recordBroken(now, from.name, broke);
         pool.changed = true;
     }
 }
@@ -186,7 +186,7 @@
     return found;
 }
 
-void PartSuspicions::receive(Instant now, const std::string &from, const Peer::SoundPartsQuery &query)
+void PartSuspicions::receive(Instant now, const Peer::Process &from, const Peer::SoundPartsQuery &query)
 {
     Peer::SoundPartsReply reply {query.pool, soundParts(now, query)};
     if (!reply.parts.empty()) {
@@ -194,7 +194,7 @@
     }
 }
 
-void PartSuspicions::receive(Instant now, const std::string &, const Peer::SoundPartsReply &reply)
+void PartSuspicions::receive(Instant now, const Peer::Process &, const Peer::SoundPartsReply &reply)
 {
     const auto pool = m_pools.find(reply.pool);
     if (pool == m_pools.end()) {
--- a/Source/Request/partsuspicions.h
+++ b/Source/Request/partsuspicions.h
@@ -69,9 +69,9 @@
     void forget(const Peer::PromptPart &part);
 
     /// Handles a message of another host; @p from is the sender.
-    void receive(Base::Instant now, const std::string &from, const Peer::PromptRunBroke &broke);
-    void receive(Base::Instant now, const std::string &from, const Peer::SoundPartsQuery &query);
-    void receive(Base::Instant now, const std::string &from, const Peer::SoundPartsReply &reply);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::PromptRunBroke &broke);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::SoundPartsQuery &query);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::SoundPartsReply &reply);
 
     /// Begins and ends inquiries; to be called regularly.
     void tick(Base::Instant now);
--- a/Source/Request/quarantine.cpp
+++ b/Source/Request/quarantine.cpp
@@ -139,7 +139,7 @@
 
 // --- Counting of crashes
 
-void Quarantine::receive(Instant now, const std::string &, const Peer::RunBroke &broke)
+void Quarantine::receive(Instant now, const Peer::Process &, const Peer::RunBroke &broke)
 {
     recordCrash(now, broke);
 }
@@ -298,9 +298,9 @@
     return update.round > current.round || cleared;
 }
 
-void Quarantine::receive(Instant now, const std::string &from, const Peer::QuarantineUpdate &update)
+void Quarantine::receive(Instant now, const Peer::Process &from, const Peer::QuarantineUpdate &update)
 {
-    std::ranges::for_each(update.entries, [&](const Peer::QuarantineEntry &entry) { applyEntry(now, from, entry); });
+    std::ranges::for_each(update.entries, [&](const Peer::QuarantineEntry &entry) { applyEntry(now, from.name, entry); });
     if (update.digest != digest() && now - m_lastFullReply >= minReplyInterval) {
         m_lastFullReply = now;
         m_messages.push_back({from, allEntries(now)});
--- a/Source/Request/quarantine.h
+++ b/Source/Request/quarantine.h
@@ -98,8 +98,8 @@
     bool releaseWork(Base::Instant now, std::uint64_t work);
 
     /// Handles a message of another host's quarantine; @p from is the sender.
-    void receive(Base::Instant now, const std::string &from, const Peer::RunBroke &broke);
-    void receive(Base::Instant now, const std::string &from, const Peer::QuarantineUpdate &update);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::RunBroke &broke);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::QuarantineUpdate &update);
 
     /// Removes expired entries and sends digests to other hosts; to be called regularly.
     void tick(Base::Instant now);
--- a/Source/Request/streamorigins.cpp
+++ b/Source/Request/streamorigins.cpp
@@ -123,22 +123,22 @@
         {lookUp.request, origin, from, lookUp.asked, lookUp.asked - lookUp.waitingFor.size(), now - lookUp.began});
 }
 
-void StreamOrigins::receive(Instant now, const std::string &, const Peer::StreamBegan &began)
+void StreamOrigins::receive(Instant now, const Peer::Process &, const Peer::StreamBegan &began)
 {
     keep(now, began.stream, began.origin, began.keepFor);
 }
 
-void StreamOrigins::receive(Instant now, const std::string &from, const Peer::StreamOriginQuery &query)
+void StreamOrigins::receive(Instant now, const Peer::Process &from, const Peer::StreamOriginQuery &query)
 {
     m_messages.push_back({from, Peer::StreamOriginReply {query.stream, find(now, query.stream)}});
 }
 
-void StreamOrigins::receive(Instant now, const std::string &from, const Peer::StreamOriginReply &reply)
+void StreamOrigins::receive(Instant now, const Peer::Process &from, const Peer::StreamOriginReply &reply)
 {
     for (LookUp &lookUp : m_lookUps) {
-        const bool replies = lookUp.stream == reply.stream && lookUp.waitingFor.erase(from) > 0;
+        const bool replies = lookUp.stream == reply.stream && lookUp.waitingFor.erase(from.name) > 0;
         if (replies && (reply.origin || lookUp.stream == unnamedStream)) {
-            finish(now, lookUp, reply.origin, from);
+            finish(now, lookUp, reply.origin, from.name);
         }
     }
     std::erase_if(m_lookUps, &LookUp::ended);
--- a/Source/Request/streamorigins.h
+++ b/Source/Request/streamorigins.h
@@ -58,9 +58,9 @@
     void lookUp(Base::Instant now, std::uint64_t stream, std::uint64_t request);
 
     /// Handles a message of another host; @p from is the sender.
-    void receive(Base::Instant now, const std::string &from, const Peer::StreamBegan &began);
-    void receive(Base::Instant now, const std::string &from, const Peer::StreamOriginQuery &query);
-    void receive(Base::Instant now, const std::string &from, const Peer::StreamOriginReply &reply);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::StreamBegan &began);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::StreamOriginQuery &query);
+    void receive(Base::Instant now, const Peer::Process &from, const Peer::StreamOriginReply &reply);
 
     /// Ends look-ups that have waited long enough, and removes expired origins; to be called regularly.
     void tick(Base::Instant now);
--- a/Source/Request/types.h
+++ b/Source/Request/types.h
@@ -88,10 +88,10 @@
 
 // Actions that the home requests from the daemon.
 
-/// Sends a message to another host.
+/// Sends a message to another host, or to one process of it.
 struct SendToMember
 {
-    std::string member;
+    Peer::Process member;
     Peer::Message message;
 };
 
--- a/Tests/Dispatch/randomtest.cpp
+++ b/Tests/Dispatch/randomtest.cpp
@@ -263,7 +263,7 @@
     {
         const std::uint64_t incarnation = m_hosts.at(host).self.incarnation;
         if (const auto *message = std::get_if<Yokepond::Request::SendToMember>(&action)) {
-            send(host, message->member, message->message);
+            send(host, message->member.name, message->message);
         } else if (const auto *run = std::get_if<Yokepond::Request::StartRun>(&action)) {
             ++m_runs;
             m_running.push_back({m_now + std::chrono::milliseconds(m_random() % 1500), host, incarnation, run->id});
--- a/Tests/Dispatch/shardtest.cpp
+++ b/Tests/Dispatch/shardtest.cpp
@@ -190,6 +190,17 @@
     CHECK_EQUAL(1U, shard->permits());
 }
 
+TEST(Shard, onlyThePermitsAndAsksOfAReplacedProcessAreDropped)
+{
+    ask("alert", 0);
+    home.incarnation = 8;
+    ask("alert", 0);
+    shard->removeProcess(at(1), {"h1", 7});
+    CHECK_EQUAL(1U, shard->permits());
+    shard->removeProcess(at(1), {"h2", 8});
+    CHECK_EQUAL(1U, shard->permits());
+}
+
 TEST(Shard, reportRebuildsPermitsAndDropsThoseWhoseReleaseWasLost)
 {
     const auto id = ask("alert", 0);
--- a/Tests/Integration/recordsplatform.py
+++ b/Tests/Integration/recordsplatform.py
@@ -326,14 +326,16 @@
     """Starts one daemon for each address of the store in `store_addresses`; `extra_settings` is appended to the settings of each.
 
     `ips`: the address of each host for peers, from which it also connects to endpoints; without it all hosts have 127.0.0.1.
+    `seeds`: the indices of the hosts that are seeds; without it all are.
     """
 
-    def __init__(self, program_directory, store_addresses, extra_settings="", ips=None):
+    def __init__(self, program_directory, store_addresses, extra_settings="", ips=None, seeds=None):
         count = len(store_addresses)
         self.ips = ips or ["127.0.0.1"] * count
         self.directory = tempfile.mkdtemp(prefix="yokepond-records-")
         ports = [localfleet.reserve_ports(3) for _ in range(count)]
-        seeds = ", ".join(f"{ip}:{entry[2]}" for ip, entry in zip(self.ips, ports))
+        seed_indices = range(count) if seeds is None else seeds
+        seeds = ", ".join(f"{self.ips[index]}:{ports[index][2]}" for index in seed_indices)
         self.callers = [f"127.0.0.1:{entry[0]}" for entry in ports]
         self.operators = [f"127.0.0.1:{entry[1]}" for entry in ports]
         self.program_directory = program_directory
--- a/Tests/Node/linkedfleet.h
+++ b/Tests/Node/linkedfleet.h
@@ -233,8 +233,8 @@
                             .clock = [this] { return m_now; }},
                 .seed = seed,
                 .send
-                = [this, index](const std::string &member,
-                                const Peer::Message &message) { send(index, addressOf(std::stoul(member.substr(1))), message); },
+                = [this, index](const Peer::Process &to,
+                                const Peer::Message &message) { send(index, addressOf(std::stoul(to.name.substr(1))), message); },
             });
     }
 
@@ -253,10 +253,11 @@
         host.appliedRevisions = {};
         host.fleet = std::make_unique<Node::Fleet>(
             settings, m_client, incarnation, self,
-            Node::FleetCallbacks {.send = [this, index](const std::string &address,
-                                                        const Peer::Message &message) { send(index, address, message); },
+            Node::FleetCallbacks {.send = [this, index](const Peer::Recipient &to,
+                                                        const Peer::Message &message) { send(index, to.address, message); },
                                   .changed = [] {},
                                   .incarnationEnded = [](const std::string &, std::uint64_t) {},
+                                  .processReplaced = [](const Peer::Process &, std::uint64_t) {},
                                   .endpointsLeaving = [](const std::vector<std::uint32_t> &) {}},
             [&host](const Configuration::SiteRecords &records,
                     const Configuration::Catalogue *) -> absl::StatusOr<Configuration::CatalogueParts> {
--- a/Tests/Request/fleetload.h
+++ b/Tests/Request/fleetload.h
@@ -505,7 +505,7 @@
     void handleAction(std::size_t host, const Request::Action &action)
     {
         if (const auto *message = std::get_if<Request::SendToMember>(&action)) {
-            send(host, indexOf(message->member), message->message);
+            send(host, indexOf(message->member.name), message->message);
         } else if (const auto *run = std::get_if<Request::StartRun>(&action)) {
             startRun(host, *run);
         } else if (const auto *cancel = std::get_if<Request::CancelRun>(&action)) {
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -123,13 +123,13 @@
     start(1, "alert");
     const auto asked = actions<SendToMember>();
     CHECK_EQUAL(1U, asked.size());
-    const std::string dispatcher = asked.front().member;
+    const std::string dispatcher = asked.front().member.name;
     const Peer::Ask ask = std::get<Peer::Ask>(asked.front().message);
     const auto reports = [&] {
         std::vector<Peer::PrefillEnded> found;
         for (const SendToMember &sent : actions<SendToMember>()) {
             if (const auto *ended = std::get_if<Peer::PrefillEnded>(&sent.message)) {
-                CHECK_TRUE(sent.member == dispatcher);
+                CHECK_TRUE(sent.member.name == dispatcher);
                 found.push_back(*ended);
             }
         }
--- a/Tests/Request/homeversionstest.cpp
+++ b/Tests/Request/homeversionstest.cpp
@@ -62,7 +62,7 @@
         for (const SendToMember &sent : actions<SendToMember>()) {
             if (const auto *message = std::get_if<Peer::Ask>(&sent.message)) {
                 ask = *message;
-                dispatcher = sent.member;
+                dispatcher = sent.member.name;
             }
         }
         return ask;
--- a/Tests/Request/partsuspicionstest.cpp
+++ b/Tests/Request/partsuspicionstest.cpp
@@ -125,8 +125,8 @@
                 for (const Request::SendToMember &sent : host->takeMessages()) {
                     ++messages;
                     more = true;
-                    if (name != cutOff && sent.member != cutOff) {
-                        receive(*m_hosts.at(sent.member), name, sent.message);
+                    if (name != cutOff && sent.member.name != cutOff) {
+                        receive(*m_hosts.at(sent.member.name), name, sent.message);
                     }
                 }
             }
--- a/Tests/Request/quarantinetest.cpp
+++ b/Tests/Request/quarantinetest.cpp
@@ -109,10 +109,10 @@
                 for (const Request::SendToMember &sent : host->takeMessages()) {
                     ++messages;
                     more = true;
-                    if (name == cutOff || sent.member == cutOff || sent.member == frozen) {
+                    if (name == cutOff || sent.member.name == cutOff || sent.member.name == frozen) {
                         continue;
                     }
-                    const auto receiver = m_hosts.find(sent.member);
+                    const auto receiver = m_hosts.find(sent.member.name);
                     if (const auto *broke = std::get_if<Peer::RunBroke>(&sent.message)) {
                         receiver->second->receive(at(now), name, *broke);
                     } else {
--- a/Tests/Request/streamoriginstest.cpp
+++ b/Tests/Request/streamoriginstest.cpp
@@ -71,11 +71,11 @@
 
     void deliver(double now, const std::string &from, const SendToMember &sent)
     {
-        if (down.contains(from) || down.contains(sent.member)) {
+        if (down.contains(from) || down.contains(sent.member.name)) {
             return;
         }
-        ++received[sent.member];
-        StreamOrigins &receiver = hosts.at(sent.member);
+        ++received[sent.member.name];
+        StreamOrigins &receiver = hosts.at(sent.member.name);
         std::visit(
             [&](const auto &message) {
                 if constexpr (requires { receiver.receive(at(now), from, message); }) {
--- a/Tests/Usage/usagereportertest.cpp
+++ b/Tests/Usage/usagereportertest.cpp
@@ -232,7 +232,7 @@
         options.reporter.lease = m_options.lease;
         host.duty = std::make_unique<Node::UsageDuty<PlatformConnection>>(
             *host.connection, options, m_now, trueTime(m_now) + clockError.count(),
-            [this, index](const std::string &to, Peer::Message message) { send(index, to, std::move(message)); });
+            [this, index](const Peer::Process &to, Peer::Message message) { send(index, to.name, std::move(message)); });
     }
 
     void kill(std::size_t index)
@@ -357,7 +357,7 @@
         const std::uint64_t toIncarnation = m_hosts[index].incarnation;
         deliver(index, toIncarnation, m_now + milliseconds(1), [this, from, index, incarnation, message = std::move(message)] {
             if (const auto *counts = std::get_if<Peer::UsageCounts>(&message)) {
-                m_hosts[index].duty->receive(m_now, nameOf(from), incarnation, *counts);
+                m_hosts[index].duty->receive(m_now, {nameOf(from), incarnation}, *counts);
             } else if (const auto *received = std::get_if<Peer::UsageReceived>(&message)) {
                 m_hosts[index].duty->receive(m_now, nameOf(from), *received);
             }
