Mend: A handle whose timer has fired cancels no other timer

Cause: the handle of a one-time timer cancelled its timer by ACE's number when it was destroyed, also after the timer had fired. ACE gives such numbers to later timers, in turn. libcurl's timer and the HTTP server's next turn are on the relay's loop, so a destroyed handle of the first could cancel the second, for which the server then waited for ever.

Change: the handle forgets the number at the moment when the timer fires, before its task runs. All holders of such handles use this class: the HTTP client and what calls through it (store, leases, leaving, probes), the HTTP server, the relay and the stand-ins.

Why it works: a number that a handle still holds belongs to a timer that has not fired, and ACE gives such a number to no other one.

Not shown: a process test of our own with such bodies did not fail on the code before in four runs, so there is none in the suite.

--- a/Source/Base/loop.cpp
+++ b/Source/Base/loop.cpp
@@ -33,17 +33,24 @@
     TimerHandler(ACE_Reactor &reactor, Duration delay, Duration period, Loop::Task task)
         : ACE_Event_Handler(&reactor)
         , m_task(std::move(task))
+        , m_isPeriodic(period > Duration::zero())
         , m_id(reactor.schedule_timer(this, nullptr, toAce(delay), toAce(period)))
     {
     }
 
     ~TimerHandler() override
     {
-        reactor()->cancel_timer(m_id);
+        if (m_id != noTimer) {
+            reactor()->cancel_timer(m_id);
+        }
     }
 
     int handle_timeout(const ACE_Time_Value &, const void *) override
     {
+        if (!m_isPeriodic) {
+            // The timer does not exist any more, and ACE may give its number to the next one.
+            m_id = noTimer;
+        }
         // The task may destroy this handler.
         const Loop::Task task = m_task;
         task();
@@ -51,8 +58,11 @@
     }
 
 private:
+    static constexpr long noTimer = -1;
+
     Loop::Task m_task;
-    long m_id;
+    bool m_isPeriodic;
+    long m_id; ///< ACE's number of the timer
 };
 
 class ReadableHandler : public Loop::Registration, public ACE_Event_Handler
