Mend: Heads within the limits leave room for the answer

Cause: libmicrohttpd has one piece of memory a connection for the head of the request, its table of fields and the head of the response. It had the limit of a request's head and 4 KB. If the response's head finds no room there, the library closes the connection. No limit bounded an endpoint's head.

Change: a connection's memory is the sum of what each use may take. The host checks a request's head itself, before it is run (431). [limits] response-header-bytes bounds the head of an endpoint's response, with interim responses and trailers, which may come without end: it is closed at once, logged with request, address and bytes, counted, and ends as a failed run that is no crash; what a 503 or 421 had said of the run holds.

Why it works: no use of the memory can take another one's part, since each is checked before it.

--- a/Source/Base/error.cpp
+++ b/Source/Base/error.cpp
@@ -26,6 +26,7 @@
     KindInfo {ErrorKind::InvalidSettings, "invalid-settings", 500, absl::StatusCode::kInvalidArgument},
     KindInfo {ErrorKind::InvalidRequest, "invalid-request", 400, absl::StatusCode::kInvalidArgument},
     KindInfo {ErrorKind::RequestTooLarge, "request-too-large", 413, absl::StatusCode::kOutOfRange},
+    KindInfo {ErrorKind::RequestHeadTooLarge, "request-head-too-large", 431, absl::StatusCode::kOutOfRange},
     KindInfo {ErrorKind::RequestTimeout, "request-timeout", 408, absl::StatusCode::kDeadlineExceeded},
     KindInfo {ErrorKind::Unauthenticated, "unauthenticated", 401, absl::StatusCode::kUnauthenticated},
     KindInfo {ErrorKind::Forbidden, "forbidden", 403, absl::StatusCode::kPermissionDenied},
--- a/Source/Base/error.h
+++ b/Source/Base/error.h
@@ -20,6 +20,7 @@
     InvalidSettings,
     InvalidRequest,
     RequestTooLarge,
+    RequestHeadTooLarge,
     RequestTimeout,
     Unauthenticated,
     Forbidden,
--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 60> eventNames = {{
+constexpr NameTable<LogEvent, 61> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -32,6 +32,7 @@
     {LogEvent::LinesDropped, "lines-left-out"},
     {LogEvent::RequestAbandoned, "request-abandoned"},
     {LogEvent::SlowCallerCut, "slow-caller-cut"},
+    {LogEvent::ResponseOverLimit, "response-over-limit"},
     {LogEvent::ConnectionsOverLimit, "connections-over-limit"},
     {LogEvent::PathLost, "path-lost"},
     {LogEvent::PathRecovered, "path-back"},
--- a/Source/Base/log.h
+++ b/Source/Base/log.h
@@ -38,6 +38,7 @@
     LinesDropped,
     RequestAbandoned,
     SlowCallerCut,
+    ResponseOverLimit,
     ConnectionsOverLimit,
     PathLost,
     PathRecovered,
--- a/Source/Http/client.cpp
+++ b/Source/Http/client.cpp
@@ -48,6 +48,7 @@
     TransferEvents events;
     Headers responseHeaders;
     int status = 0;
+    std::size_t headBytes = 0; ///< of all heads and trailers received
     bool headersReported = false;
     bool cancelled = false;
     std::unique_ptr<curl_slist, HeaderListDeleter> headerList;
@@ -65,9 +66,19 @@
     }
 }
 
+bool headTooLarge(const ActiveTransfer &running)
+{
+    return running.headBytes > running.transfer.maxHeadBytes;
+}
+
+/// libcurl passes the lines of trailers as well.
 std::size_t onHeaderLine(char *data, std::size_t, std::size_t size, void *user)
 {
     auto &running = *static_cast<ActiveTransfer *>(user);
+    running.headBytes += size;
+    if (headTooLarge(running)) {
+        return 0; // makes libcurl close the connection
+    }
     const std::string_view line = Base::trimmed(std::string_view(data, size));
     if (line.starts_with("HTTP/")) {
         // An interim response (100) is followed by the final one.
@@ -150,9 +161,12 @@
     const bool tunnelMissing = !running.transfer.tunnelHost.empty() && tunnelStatus != tunnelOpened;
     TransferResult result;
     result.tunnelStatus = static_cast<int>(tunnelStatus);
-    result.failure = failureOf(code);
+    result.failure = headTooLarge(running) ? TransferFailure::HeadTooLarge : failureOf(code);
     result.status = running.status;
-    result.detail = curl_easy_strerror(code);
+    result.detail = headTooLarge(running)
+        ? fmt::format("the head of the response is over the limit of {} bytes", running.transfer.maxHeadBytes)
+        : curl_easy_strerror(code);
+    result.headBytes = running.headBytes;
     if (code == CURLE_OK && running.status != 0) {
         result.stage = successStage(running);
     } else if (running.status != 0) {
--- a/Source/Http/client.h
+++ b/Source/Http/client.h
@@ -31,6 +31,7 @@
     None,
     Connect, ///< the connection could not be opened
     Timeout, ///< the connection or the transfer took longer than its timeout
+    HeadTooLarge, ///< the head and the trailers exceeded Transfer::maxHeadBytes, so the connection was closed
     Broken, ///< any other error of libcurl
     Cancelled, ///< not reported at present, because a cancelled transfer has no onEnd
 };
@@ -42,7 +43,8 @@
     TransferFailure failure = TransferFailure::None;
     int status = 0; ///< status code, 0 if no status line was received
     int tunnelStatus = 0; ///< status of the response to the request for a tunnel; 0 if there was none
-    std::string detail; ///< libcurl's message, for logs
+    std::string detail; ///< a message for logs
+    std::size_t headBytes = 0; ///< bytes of the head received, with interim responses and trailers
 };
 
 /// A request to send, and how to send it.
@@ -65,6 +67,7 @@
     bool connectOnly = false; ///< whether to end the transfer when the connection is open, without sending a request
     bool detectSilence = false; ///< whether to give up the connection if the other system is silent; see socketoptions.h
     std::string sourceAddress; ///< IP address of this host from which the connection is opened; empty: the system chooses
+    std::size_t maxHeadBytes = 64U << 10U; ///< limit for the head of the response, with interim responses and trailers
 };
 
 /// Callbacks of a transfer, called on the loop's thread. onEnd is called exactly once, as the last one, unless the transfer is
--- a/Source/Http/server.cpp
+++ b/Source/Http/server.cpp
@@ -26,6 +26,12 @@
 
 namespace {
 
+/// Maximum number of header fields of a request.
+constexpr std::size_t maxHeaderFields = 288;
+/// What libmicrohttpd 0.9.75 takes of a connection's memory for each header field besides its text.
+constexpr std::size_t bytesPerHeaderField = 64;
+/// Room for the header fields that this host adds to those of an endpoint's response.
+constexpr std::size_t ownHeaderBytes = 2U << 10U;
 constexpr std::size_t streamBlockBytes = 4U << 10U; ///< size of the buffer that libmicrohttpd allocates for each stream
 constexpr std::size_t bodyBlockBytes = 16U << 10U; ///< the same for a complete response that is read block by block
 constexpr Base::Duration sweepPeriod = std::chrono::seconds(1);
@@ -237,6 +243,27 @@
     std::unique_ptr<Base::Loop::Registration> m_timer;
 };
 
+/// Returns the memory that libmicrohttpd needs for a connection, which the heads of a request and of its response share. It
+/// closes the connection without a response if the head of the response finds no room. The memory is touched only as far as it is
+/// used.
+std::size_t connectionMemory(const ServerLimits &limits)
+{
+    const std::size_t request = limits.headerBytes + maxHeaderFields * bytesPerHeaderField;
+    return request + limits.responseHeaderBytes + ownHeaderBytes + streamBlockBytes;
+}
+
+/// Returns the size of the request's head as it was sent, but for optional white space.
+std::size_t headBytes(const Request &request)
+{
+    constexpr std::size_t requestLineRest = std::string_view("  HTTP/1.1\r\n").size();
+    constexpr std::size_t fieldRest = std::string_view(": \r\n").size();
+    std::size_t size = request.method.size() + request.target.size() + requestLineRest;
+    for (const Header &header : request.headers) {
+        size += header.name.size() + header.value.size() + fieldRest;
+    }
+    return size;
+}
+
 std::string rawResponse(const absl::Status &error, std::string_view body)
 {
     return fmt::format(
@@ -492,8 +519,8 @@
         MHD_OPTION_NOTIFY_CONNECTION, &MhdServer::onConnection, this, MHD_OPTION_SOCK_ADDR, &socketAddress,
         MHD_OPTION_NOTIFY_COMPLETED, &MhdServer::onRequestFinished, this, MHD_OPTION_CONNECTION_LIMIT,
         static_cast<unsigned int>(m_limits.connections + closingConnections), MHD_OPTION_CONNECTION_TIMEOUT, idleSeconds,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::size_t>(m_limits.headerBytes + streamBlockBytes),
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_URI_LOG_CALLBACK, &MhdServer::storeTarget, this, MHD_OPTION_END);
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, connectionMemory(m_limits), MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+        MHD_OPTION_URI_LOG_CALLBACK, &MhdServer::storeTarget, this, MHD_OPTION_END);
     if (m_daemon == nullptr) {
         return makeError(
             Base::ErrorKind::InvalidSettings,
@@ -682,7 +709,14 @@
     m_openExchanges.emplace(exchange.get(), exchange);
     exchange->m_request.target = std::exchange(m_targets[connection], {});
     m_targets.erase(connection);
-    const auto length = headerValue(exchange->m_request.headers, "content-length");
+    const Request &request = exchange->m_request;
+    if (headBytes(request) > m_limits.headerBytes || request.headers.size() > maxHeaderFields) {
+        return reject(
+            *exchange,
+            makeError(Base::ErrorKind::RequestHeadTooLarge,
+                      fmt::format("the head is over the limit of {} bytes or {} fields", m_limits.headerBytes, maxHeaderFields)));
+    }
+    const auto length = headerValue(request.headers, "content-length");
     if (length && std::strtoull(std::string(*length).c_str(), nullptr, 10) > m_limits.bodyBytes) {
         return reject(*exchange,
                       makeError(Base::ErrorKind::RequestTooLarge,
--- a/Source/Http/server.h
+++ b/Source/Http/server.h
@@ -25,7 +25,8 @@
     /// idle, the new one is closed at once with its request unread, so that its caller can try another host.
     std::size_t connections = 4096;
     std::size_t bodyBytes = 4U << 20U; ///< maximum size of a request's body
-    std::size_t headerBytes = 16U << 10U; ///< memory for the head of a request
+    std::size_t headerBytes = 16U << 10U; ///< maximum size of the head of a request
+    std::size_t responseHeaderBytes = 16U << 10U; ///< maximum size of the head of an endpoint's response that is passed on
     Base::Duration idle = std::chrono::seconds(60); ///< timeout without traffic, unless a response is pending
     Base::Duration receive = std::chrono::seconds(30); ///< time limit for receiving the body, from the end of the request's head
     /// Size of the kernel's send buffer of each connection, which the kernel doubles for its own overhead; 0: the system's
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -699,6 +699,12 @@
                   static_cast<double>(m_relay->counters().cutUnread));
     m_metrics.set("yokepond_callers_cut_total", label("reason", Base::nameOf(Relay::cutReasonNames, Relay::CutReason::Memory)),
                   static_cast<double>(m_relay->counters().cutForMemory));
+    for (const auto &[limit, name] : Request::responseLimitNames) {
+        if (limit != Request::ResponseLimit::None) {
+            m_metrics.set("yokepond_responses_over_limit_total", label("limit", name),
+                          static_cast<double>(m_relay->counters().overLimit.at(static_cast<std::size_t>(limit))));
+        }
+    }
     m_metrics.set("yokepond_retries_total", "", static_cast<double>(m_home.counters().retried));
     updateDispatcherMetrics();
     m_metrics.set("yokepond_local_runs_total", "", static_cast<double>(m_home.counters().localRuns));
--- a/Source/Node/settings.cpp
+++ b/Source/Node/settings.cpp
@@ -81,6 +81,7 @@
     limits.connections = static_cast<std::size_t>(ini.number("limits", "connections", 4096, 1, 1'000'000));
     limits.bodyBytes = static_cast<std::size_t>(ini.number("limits", "body-bytes", 4 << 20, 1024, 1 << 30));
     limits.headerBytes = static_cast<std::size_t>(ini.number("limits", "header-bytes", 16 << 10, 1024, 1 << 20));
+    limits.responseHeaderBytes = static_cast<std::size_t>(ini.number("limits", "response-header-bytes", 16 << 10, 1024, 1 << 20));
     limits.idle = milliseconds(ini, "limits", "idle-ms", 60'000, 1000);
     limits.receive = milliseconds(ini, "limits", "receive-ms", 30'000, 100);
     return limits;
--- a/Source/Relay/endpointtransfers.cpp
+++ b/Source/Relay/endpointtransfers.cpp
@@ -34,7 +34,8 @@
 
 bool connectionBroke(const TransferResult &result)
 {
-    return result.stage == TransferStage::Sent || result.stage == TransferStage::ResponseStarted;
+    const bool closedHere = result.failure == TransferFailure::HeadTooLarge;
+    return !closedHere && (result.stage == TransferStage::Sent || result.stage == TransferStage::ResponseStarted);
 }
 
 } // namespace
@@ -118,6 +119,7 @@
 void EndpointTransfers::startHttp(Id id, Active &active, Http::Transfer transfer, bool reportsBytes)
 {
     transfer.sourceAddress = m_options.sourceAddress;
+    transfer.maxHeadBytes = m_options.maxHeadBytes;
     transfer.detectSilence = true;
     transfer.tunnelHost = active.way.helper;
     Http::TransferEvents events;
--- a/Source/Relay/endpointtransfers.h
+++ b/Source/Relay/endpointtransfers.h
@@ -56,6 +56,7 @@
 {
     Base::Duration connectTimeout {}; ///< time for connecting on all ways together
     std::string sourceAddress; ///< see Http::Transfer
+    std::size_t maxHeadBytes = Http::Transfer {}.maxHeadBytes; ///< see Http::Transfer
 };
 
 class EndpointTransfers
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -13,6 +13,7 @@
 #include "Relay/endpointtransfers.h"
 #include "Relay/responsebuffers.h"
 
+#include <array>
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -51,6 +52,8 @@
     std::atomic<std::uint64_t> cutForMemory = 0; ///< callers cut for CutReason::Memory
     std::atomic<std::uint64_t> tunnels = 0; ///< tunnels that may carry another host's request now
     std::atomic<std::uint64_t> tunnelsOpened = 0; ///< tunnels opened for other hosts
+    std::array<std::atomic<std::uint64_t>, Request::responseLimitNames.size()>
+        overLimit {}; ///< runs ended for each ResponseLimit
     PathCounters paths;
     std::atomic<std::int64_t> processorMicroseconds = 0; ///< processor time of the relay's thread
 };
--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -141,6 +141,7 @@
         int resumeCount = 0;
         bool pathInDoubt = false; ///< see EndpointTransferResult
         bool endsWithConnection = false; ///< see Request::RunReport
+        Request::ResponseLimit overLimit = Request::ResponseLimit::None; ///< that the endpoint exceeded in this run
         bool startReported = false; ///< whether RunStarted has been sent for the current run
     };
 
@@ -164,7 +165,9 @@
             started.set_value(server.status());
             return;
         }
-        EndpointTransfers transfers(loop, client, {m_options.connectTimeout, m_options.sourceAddress}, m_counters.paths);
+        EndpointTransfers transfers(loop, client,
+                                    {m_options.connectTimeout, m_options.sourceAddress, m_options.limits.responseHeaderBytes},
+                                    m_counters.paths);
         m_transfers = &transfers;
         if (absl::Status status = startTunnelServer(loop); !status.ok()) {
             started.set_value(status);
@@ -417,6 +420,7 @@
         call.resumeCount = 0;
         call.pathInDoubt = false;
         call.endsWithConnection = false;
+        call.overLimit = Request::ResponseLimit::None;
         call.startReported = false;
         call.errorResponse.reset();
     }
@@ -580,6 +584,10 @@
     /// response. RunStage::Sent is reported for every failure after which the endpoint may have run the request.
     void transferEnded(Call &call, const Http::TransferResult &result)
     {
+        if (result.failure == Http::TransferFailure::HeadTooLarge && !call.lastEventReceived) {
+            endRunOverLimit(call, Request::ResponseLimit::Head, result.headBytes);
+            return;
+        }
         const bool closedComplete
             = P::closeEndsBody && result.stage == Http::TransferStage::Closed && !endedBeforeItsContent(call);
         call.endsWithConnection = result.stage == Http::TransferStage::Closed && !call.lastEventReceived;
@@ -609,6 +617,29 @@
         }
     }
 
+    /// Ends the run of a call whose endpoint sent @p bytes, more than the limit allows. What the head of the response said of the
+    /// run holds, and otherwise the endpoint may have run the request.
+    void endRunOverLimit(Call &call, Request::ResponseLimit limit, std::size_t bytes)
+    {
+        m_transfers->cancel(std::exchange(call.transfer, 0));
+        call.overLimit = limit;
+        ++m_counters.overLimit.at(static_cast<std::size_t>(limit));
+        Base::log(Base::LogLevel::Warning, Base::LogEvent::ResponseOverLimit,
+                  {{"request", call.run.requestName},
+                   {"address", call.run.address},
+                   {"limit", Base::nameOf(Request::responseLimitNames, limit)},
+                   {"bytes", bytes},
+                   {"status", call.head.status}});
+        if (call.kind == ResponseKind::Rejected) {
+            reportRunEnd(call, Request::RunStage::Rejected);
+        } else if (call.kind == ResponseKind::EndpointReplaced) {
+            reportRunEnd(call, Request::RunStage::EndpointReplaced);
+        } else {
+            reportRunStart(call, call.startedAt);
+            reportRunEnd(call, Request::RunStage::Sent);
+        }
+    }
+
     /// Resumes an interrupted stream at the same endpoint if the protocol supports it; otherwise reports the end of the run.
     void resumeOrFail(Call &call)
     {
@@ -697,6 +728,7 @@
         report.longestGap = call.longestGap;
         report.pathInDoubt = call.pathInDoubt;
         report.endsWithConnection = call.endsWithConnection;
+        report.overLimit = call.overLimit;
         report.brittle
             = stage == Request::RunStage::Rejected && m_protocol.advertisement(call.run, call.head).availability.brittle;
         if (call.tokens > 0) {
--- a/Source/Request/runresult.cpp
+++ b/Source/Request/runresult.cpp
@@ -20,7 +20,8 @@
 
 bool connectionBroke(const RunReport &report)
 {
-    return report.stage == RunStage::Sent && report.status < minErrorStatus && !report.callerDisconnected;
+    const bool broke = report.stage == RunStage::Sent && report.status < minErrorStatus;
+    return broke && !report.callerDisconnected && report.overLimit == ResponseLimit::None;
 }
 
 RunResult runResultFor(const RunReport &report)
--- a/Source/Request/runresult.h
+++ b/Source/Request/runresult.h
@@ -14,7 +14,8 @@
 /// Returns whether the intended endpoint may have received any part of the request.
 bool mayHaveReachedEndpoint(RunStage stage);
 
-/// Returns whether the connection broke or fell silent during the run. An endpoint that responds with an error has not crashed.
+/// Returns whether the connection broke or fell silent during the run. An endpoint that responds with an error, or with more than
+/// the limits allow, has not crashed.
 bool connectionBroke(const RunReport &report);
 
 /// Returns the result of the run for its dispatcher.
--- a/Source/Request/types.h
+++ b/Source/Request/types.h
@@ -67,6 +67,14 @@
     ResponseComplete, ///< the complete response has been received
 };
 
+/// The limit of a response that its endpoint exceeded, for which the relay closed the connection.
+enum class ResponseLimit { None, Head };
+
+inline constexpr Base::NameTable<ResponseLimit, 2> responseLimitNames = {{
+    {ResponseLimit::None, "none"},
+    {ResponseLimit::Head, "head"},
+}};
+
 /// The end of a run as the relay observed it.
 struct RunReport
 {
@@ -84,6 +92,7 @@
     bool pathInDoubt = false; ///< the path to the endpoint may have failed rather than the endpoint
     bool endsWithConnection = false; ///< the end of the response was not marked, by its length for example; it ended with its
                                      ///< connection
+    ResponseLimit overLimit = ResponseLimit::None;
 };
 
 // Actions that the home requests from the daemon.
