Mend: A response over a limit ends its run at once

What callers saw: before endpoints whose bodies or comments never end, callers got a 504 after their whole deadline, also where the head of a 503 had said that nothing was run and another endpoint could have run the request; the host read at full speed meanwhile.

Cause: what a host holds of a body was bounded, what it reads was not: a body over the limit was marked and read on. A comment is a whole event, so a stream of comments never exceeded the limit of an event.

Change: one way to end a run whose endpoint exceeds a limit, for heads, bodies, events and streams without data: the connection is closed, the request, address, limit and bytes are logged and counted, and the run ends as failed, or as what its head had said. The body of a response whose head says that nothing was run may have 64 KiB, a stream 1 MiB between two events with data (both chosen: far above what honest endpoints send there).

Why it works: each byte that arrives is counted against a limit when it arrives, and the run ends there and not at its deadline.

--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -36,6 +36,11 @@
 inline constexpr std::size_t minCallsToTrim = 200;
 /// Size limit of one event. A longer one fails its run.
 inline constexpr std::size_t maxEventBytes = 1U << 20U;
+/// Limit for the comments and events without data that an endpoint sends between two events with data. Comments that keep a
+/// connection open have a few bytes a second.
+inline constexpr std::size_t maxBytesWithoutData = 1U << 20U;
+/// Limit for the body of a response whose head says that the request was not run.
+inline constexpr std::size_t maxUnusedBodyBytes = 64U << 10U;
 inline constexpr Base::Duration counterUpdatePeriod = std::chrono::milliseconds(250);
 /// Least time from noticing that too much is held for callers to cutting some. What arrives meanwhile exceeds the bound.
 inline constexpr Base::Duration overBoundCheckDelay = std::chrono::milliseconds(10);
@@ -134,7 +139,7 @@
         ResponseKind kind = ResponseKind::Failed;
         EventSplitter splitter;
         std::string body; ///< body of a response that is not a stream, or events of a stream that is to be reported
-        bool bodyTooLarge = false; ///< whether a response that is not a stream exceeded the limit in appendToBody()
+        std::size_t bytesWithoutData = 0; ///< of a stream, since its last event with data
         bool lastEventReceived = false; ///< whether the marked last event has been received
         bool paused = false; ///< whether reading from the endpoint is paused because the caller reads slowly
         bool callerLeft = false; ///< whether the caller is gone while the run continues
@@ -414,7 +419,7 @@
         call.body = {};
         m_slowCallers->measure(call.id, 0);
         m_slowCallers->setPaused(call.id, false);
-        call.bodyTooLarge = false;
+        call.bytesWithoutData = 0;
         call.lastEventReceived = false;
         call.paused = false;
         call.resumeCount = 0;
@@ -482,23 +487,30 @@
             pauseStream(call);
         }
         if (call.splitter.pendingBytes() > maxEventBytes) {
-            call.splitter.reset();
-            m_transfers->cancel(std::exchange(call.transfer, 0));
-            reportRunEnd(call, Request::RunStage::Sent);
+            endRunOverLimit(call, Request::ResponseLimit::Event, call.splitter.pendingBytes());
+        } else if (call.bytesWithoutData > maxBytesWithoutData) {
+            endRunOverLimit(call, Request::ResponseLimit::Comments, call.bytesWithoutData);
         }
     }
 
-    /// Appends @p bytes to the body of a response that is not a stream, or marks the body as too large. The limit is the larger
-    /// of the limits for reported responses and for requests' bodies.
+    /// Appends @p bytes to the body of a response that is not a stream, or ends the run if the body is too large.
     void appendToBody(Call &call, std::string_view bytes)
     {
-        const bool fits
-            = call.body.size() + bytes.size() <= std::max(m_options.maxReportedResponseBytes, m_options.limits.bodyBytes);
-        call.bodyTooLarge = call.bodyTooLarge || !fits;
-        if (fits) {
-            call.body.append(bytes);
-            measure(call, call.body.size());
+        const std::size_t size = call.body.size() + bytes.size();
+        if (size > maxBodyBytes(call)) {
+            endRunOverLimit(call, Request::ResponseLimit::Body, size);
+            return;
         }
+        call.body.append(bytes);
+        measure(call, call.body.size());
+    }
+
+    /// Returns the limit for the body of a response that is not a stream: the larger of the limits for reported responses and for
+    /// requests' bodies. The body of a response whose head says that the request was not run is not used.
+    std::size_t maxBodyBytes(const Call &call) const
+    {
+        const bool unused = call.kind == ResponseKind::Rejected || call.kind == ResponseKind::EndpointReplaced;
+        return unused ? maxUnusedBodyBytes : std::max(m_options.maxReportedResponseBytes, m_options.limits.bodyBytes);
     }
 
     void forwardEvent(Call &call, const ServerSentEvent &event)
@@ -510,6 +522,7 @@
             recordToken(call);
             reportRunStart(call, call.firstTokenAt);
         }
+        call.bytesWithoutData = event.hasData ? 0 : call.bytesWithoutData + event.bytes.size();
         if (!event.id.empty()) {
             call.lastEventId = event.id;
         }
@@ -591,7 +604,7 @@
         const bool closedComplete
             = P::closeEndsBody && result.stage == Http::TransferStage::Closed && !endedBeforeItsContent(call);
         call.endsWithConnection = result.stage == Http::TransferStage::Closed && !call.lastEventReceived;
-        const bool complete = (result.stage == Http::TransferStage::Complete || closedComplete) && !call.bodyTooLarge;
+        const bool complete = result.stage == Http::TransferStage::Complete || closedComplete;
         const bool streamComplete
             = complete && !P::marksLastEvent && call.kind == ResponseKind::Events && call.splitter.pendingBytes() == 0;
         if (call.lastEventReceived || streamComplete) {
@@ -622,6 +635,7 @@
     void endRunOverLimit(Call &call, Request::ResponseLimit limit, std::size_t bytes)
     {
         m_transfers->cancel(std::exchange(call.transfer, 0));
+        call.splitter.reset();
         call.overLimit = limit;
         ++m_counters.overLimit.at(static_cast<std::size_t>(limit));
         Base::log(Base::LogLevel::Warning, Base::LogEvent::ResponseOverLimit,
--- a/Source/Request/types.h
+++ b/Source/Request/types.h
@@ -68,11 +68,20 @@
 };
 
 /// The limit of a response that its endpoint exceeded, for which the relay closed the connection.
-enum class ResponseLimit { None, Head };
+enum class ResponseLimit {
+    None,
+    Head, ///< the head, with interim responses and trailers
+    Body, ///< the body of a response that is not a stream
+    Event, ///< one event of a stream
+    Comments, ///< a stream without an event that has data
+};
 
-inline constexpr Base::NameTable<ResponseLimit, 2> responseLimitNames = {{
+inline constexpr Base::NameTable<ResponseLimit, 5> responseLimitNames = {{
     {ResponseLimit::None, "none"},
     {ResponseLimit::Head, "head"},
+    {ResponseLimit::Body, "body"},
+    {ResponseLimit::Event, "event"},
+    {ResponseLimit::Comments, "comments"},
 }};
 
 /// The end of a run as the relay observed it.
