--- a/Tests/Integration/test_records.py
+++ b/Tests/Integration/test_records.py
@@ -3,6 +3,7 @@
 """Hosts that use a platform with `form = records`, which stores the configuration and the endpoints, during outages of its store."""
 
 import copy
+import http.client
 
 from fleet import parse_options, run_tests, wait_until
 from recordsplatform import CONFIGURATION, Endpoint, Hosts, Store, StoreAddress
@@ -37,6 +38,7 @@
         store.put("servers", app.name, app.row("app"))
         hosts.wait_ready()
         check_complete_responses(hosts, app)
+        check_bodies(hosts, app)
         check_refusals(hosts, app)
         check_streams(hosts, models)
         check_leaving(hosts, store, models)
@@ -75,6 +77,21 @@
     assert hosts.send(1, "POST", "/nowhere/x", "route").status == 404
 
 
+def check_bodies(hosts, app):
+    """The body of a request reaches its endpoint whatever the method, with a length or in chunks."""
+    for method in ("GET", "POST"):
+        for chunked in (False, True):
+            name = f"body-{method}-{chunked}"
+            connection = http.client.HTTPConnection(hosts.callers[1], timeout=10)
+            headers = {"Host": "site.example", "X-Request-Id": name, "X-Deadline-Ms": "5000", "X-Credential": "good-key"}
+            connection.request(method, "/once/x", iter([b"pay", b"load"]) if chunked else b"payload", headers, encode_chunked=chunked)
+            response = connection.getresponse()
+            response.read()
+            connection.close()
+            arrived = [(run[0], run[3]) for run in app.runs if run[2]["x-request-id"] == name]
+            assert response.status == 200 and arrived == [(method, b"payload")], (name, response.status, arrived)
+
+
 def check_refusals(hosts, app):
     app.reject = True
     runs = len(app.runs)
