--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -290,11 +290,7 @@
                     if (m_follower != nullptr) {
                         m_follower->receive(now, from, entry);
                     }
-                } else if constexpr (std::is_same_v<std::decay_t<decltype(entry)>, Peer::UsageCounts>) {
-                    if (m_usage != nullptr) {
-                        m_usage->receive(now, from, entry);
-                    }
-                } else if constexpr (std::is_same_v<std::decay_t<decltype(entry)>, Peer::UsageReceived>) {
+                } else if constexpr (requires { m_usage->receive(now, from, entry); }) {
                     if (m_usage != nullptr) {
                         m_usage->receive(now, from, entry);
                     }
--- a/Source/Peer/edge.cpp
+++ b/Source/Peer/edge.cpp
@@ -14,11 +14,11 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <ctime>
 #include <future>
 #include <map>
 #include <mutex>
-#include <ranges>
 #include <thread>
 
 namespace Yokepond::Peer {
@@ -47,8 +47,8 @@
 using Command = std::variant<Outgoing, ReturnCall>;
 
 /// Encodes @p messages into a list and adds their sizes to @p sentBytes.
-template<std::ranges::input_range Messages, typename ListBuilder>
-void encodeAll(const Messages &messages, ListBuilder list, TrafficCounts &sentBytes)
+template<typename ListBuilder>
+void encodeAll(const std::vector<Message> &messages, ListBuilder list, TrafficCounts &sentBytes)
 {
     unsigned int index = 0;
     for (const Message &message : messages) {
@@ -409,9 +409,13 @@
     {
         auto request = KJ_ASSERT_NONNULL(m_session).postRequest();
         const std::size_t count = std::min(m_queue.size(), maxMessagesPerCall);
-        encodeAll(m_queue | std::views::take(count) | std::views::transform(&Queued::message),
-                  request.initMessages(static_cast<unsigned int>(count)), m_sentBytes);
-        m_queue.erase(m_queue.begin(), m_queue.begin() + static_cast<std::ptrdiff_t>(count));
+        const auto end = m_queue.begin() + static_cast<std::ptrdiff_t>(count);
+        std::vector<Message> messages;
+        messages.reserve(count);
+        std::transform(m_queue.begin(), end, std::back_inserter(messages),
+                       [](Queued &queued) { return std::move(queued.message); });
+        m_queue.erase(m_queue.begin(), end);
+        encodeAll(messages, request.initMessages(static_cast<unsigned int>(count)), m_sentBytes);
         ++m_inFlight;
         const auto generation = m_generation;
         auto sent = request.send().then([this, generation](capnp::Response<Wire::Session::PostResults> results) {
--- a/Tests/Http/headstest.cpp
+++ b/Tests/Http/headstest.cpp
@@ -46,8 +46,8 @@
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        ::bind(m_listener, reinterpret_cast<const sockaddr *>(&address), sizeof address);
-        ::listen(m_listener, 1);
+        CHECK_EQUAL(0, ::bind(m_listener, reinterpret_cast<const sockaddr *>(&address), sizeof address));
+        CHECK_EQUAL(0, ::listen(m_listener, 1));
         socklen_t length = sizeof address;
         ::getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &length);
         m_port = ntohs(address.sin_port);
