Mend: A request that arrives at the end of a planned stop ends no process by SIGABRT

What was seen: a host that was told to stop and had answered everything ended with exit code 134 in place of 0, if a caller sent a request on a kept connection between the last turn of the relay's loop and the end of the server.

Cause: the server's destructor lets libmicrohttpd run once more, to close connections whose requests have no answer. That run reads new requests too; they are suspended until they get an answer, and libmicrohttpd aborts when it is stopped with a suspended connection. The time is short on an idle machine, and most of a tenth of a second where the process has used up its share of a core.

Evidence: ServerStop.aRequestThatArrivesAfterTheLastTurnEndsNoProcess ended the test program by SIGABRT on the code before ("MHD_stop_daemon() called while we have suspended connections").

Change: a server that stops reads no further requests; it closes their connections.

Not tried with a whole daemon: the moment can't be hit on purpose from outside. It works because only a request that is passed to the handler can be suspended.

--- a/Source/Http/server.cpp
+++ b/Source/Http/server.cpp
@@ -230,6 +230,7 @@
     Base::Address m_address;
     MHD_Daemon *m_daemon = nullptr;
     bool m_closeAfterResponses = false;
+    bool m_stopped = false; ///< whether requests that arrive are not read any more
     CallerConnections<MHD_Connection *> m_connections; ///< but those that are being closed to make room
     ConnectionCounters m_connectionCounters;
     ConnectionCounters m_loggedCounters; ///< as of the last line in the log
@@ -495,6 +496,7 @@
     m_readable.reset();
     m_watchReadable.reset();
     if (m_daemon != nullptr) {
+        m_stopped = true;
         for (const auto &[pointer, exchange] : m_openExchanges) {
             exchange->onClosed(nullptr);
             exchange->abort();
@@ -780,6 +782,10 @@
                              const char *data, std::size_t *size, void **state)
 {
     auto &server = *static_cast<MhdServer *>(self);
+    if (server.m_stopped) {
+        // libmicrohttpd aborts the process if it is stopped while a request waits for its answer.
+        return MHD_NO;
+    }
     if (*state == nullptr) {
         return server.beginRequest(connection, method, url, state);
     }
