Mend: Connections of other hosts are accepted again after descriptors ran out

What was seen: a host whose table of file descriptors is full for a moment, for example since many connections are opened at its port for peers, accepts no connection of another host any more, for good. It hears nothing that others send on connections of theirs.

Cause: accepting the next connection was chained to the success of the one before; an error of accept() ended the chain. Cap'n Proto's accept() may throw as well as return a promise that fails.

Evidence: Edge.connectionsAreAcceptedAgainAfterDescriptorsRanOut failed on the code before: nothing arrived in 20 s after descriptors were free again.

Change: after an error the edge accepts again 100 ms later, as long as it runs.

It works because no error can leave the chain without a next attempt.

--- a/Source/Peer/edge.cpp
+++ b/Source/Peer/edge.cpp
@@ -31,6 +31,8 @@
 constexpr auto connectTimeout = 1 * kj::SECONDS;
 constexpr auto callTimeout = 4 * kj::SECONDS;
 constexpr auto destroyDelay = 100 * kj::MILLISECONDS;
+/// Time until a connection is accepted again after it failed, which happens when there are no file descriptors left.
+constexpr auto acceptRetryDelay = 100 * kj::MILLISECONDS;
 
 struct Outgoing
 {
@@ -550,7 +552,7 @@
         OpenCalls calls(m_sentBytes);
         LatestProcesses latest;
         Wire::Host::Client bootstrap = kj::heap<HostServer>(m_options, m_handler, calls, latest);
-        tasks.add(acceptNext(*receiver, bootstrap, tasks));
+        tasks.add(acceptNext(*receiver, io.provider->getTimer(), bootstrap, tasks));
         started.set_value(absl::OkStatus());
         std::map<std::string, std::unique_ptr<PeerLink>> links;
         kj::UnixEventPort::FdObserver observer(io.unixEventPort, m_wake, kj::UnixEventPort::FdObserver::OBSERVE_READ);
@@ -565,16 +567,27 @@
         }
     }
 
-    kj::Promise<void> acceptNext(kj::ConnectionReceiver &receiver, Wire::Host::Client bootstrap, kj::TaskSet &tasks)
+    kj::Promise<void> acceptNext(kj::ConnectionReceiver &receiver, kj::Timer &timer, Wire::Host::Client bootstrap,
+                                 kj::TaskSet &tasks)
     {
-        return receiver.accept().then([this, &receiver, bootstrap, &tasks](kj::Own<kj::AsyncIoStream> stream) mutable {
-            int on = 1;
-            stream->setsockopt(IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-            auto incoming = kj::heap<AcceptedConnection>(kj::mv(stream), m_counters, bootstrap);
-            auto &network = incoming->network;
-            tasks.add(network.onDisconnect().attach(kj::mv(incoming)));
-            return acceptNext(receiver, kj::mv(bootstrap), tasks);
-        });
+        // accept() may throw as well as return a promise that fails.
+        return kj::evalNow([&receiver] { return receiver.accept(); })
+            .then(
+                [this, bootstrap, &tasks](kj::Own<kj::AsyncIoStream> stream) mutable { serve(kj::mv(stream), bootstrap, tasks); })
+            .catch_([&timer](kj::Exception &&) { return timer.afterDelay(acceptRetryDelay); })
+            .then([this, &receiver, &timer, bootstrap, &tasks]() mutable {
+                return acceptNext(receiver, timer, kj::mv(bootstrap), tasks);
+            });
+    }
+
+    /// Serves a connection that a peer has opened until the peer closes it.
+    void serve(kj::Own<kj::AsyncIoStream> stream, Wire::Host::Client bootstrap, kj::TaskSet &tasks)
+    {
+        int on = 1;
+        stream->setsockopt(IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        auto incoming = kj::heap<AcceptedConnection>(kj::mv(stream), m_counters, kj::mv(bootstrap));
+        auto &network = incoming->network;
+        tasks.add(network.onDisconnect().attach(kj::mv(incoming)));
     }
 
     void processCommands(kj::AsyncIoContext &io, std::map<std::string, std::unique_ptr<PeerLink>> &links, OpenCalls &calls,
--- a/Tests/Peer/edgetest.cpp
+++ b/Tests/Peer/edgetest.cpp
@@ -3,11 +3,16 @@
 
 #include "Peer/edge.h"
 
-#include <CppUTest/TestHarness.h>
+#include <netinet/in.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <thread>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace Yokepond;
 using namespace Yokepond::Peer;
 
@@ -61,6 +66,31 @@
     }
 }
 
+/// Leaves the process no free file descriptor while it exists.
+class NoFreeDescriptors
+{
+public:
+    NoFreeDescriptors()
+    {
+        getrlimit(RLIMIT_NOFILE, &m_before);
+        const int next = ::dup(STDERR_FILENO);
+        ::close(next);
+        const rlimit none {static_cast<rlim_t>(next), m_before.rlim_max};
+        setrlimit(RLIMIT_NOFILE, &none);
+    }
+
+    NoFreeDescriptors(const NoFreeDescriptors &) = delete;
+    NoFreeDescriptors &operator=(const NoFreeDescriptors &) = delete;
+
+    ~NoFreeDescriptors()
+    {
+        setrlimit(RLIMIT_NOFILE, &m_before);
+    }
+
+private:
+    rlimit m_before {};
+};
+
 std::string addressOf(const Edge &edge)
 {
     return "127.0.0.1:" + std::to_string(edge.port());
@@ -179,3 +209,29 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(600));
     CHECK_EQUAL(1, lost.load());
 }
+
+/// Guards against a host that accepts no connection of another host any more, once accepting one has failed for want of file
+/// descriptors.
+TEST(Edge, connectionsAreAcceptedAgainAfterDescriptorsRanOut)
+{
+    constexpr auto timeToFail = std::chrono::milliseconds(300);
+    Events receiverEvents;
+    Events senderEvents;
+    auto receiver = startEdge(receiverEvents, 1);
+    auto sender = startEdge(senderEvents, 2);
+    const int stranger = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(receiver->port());
+    {
+        const NoFreeDescriptors none;
+        CHECK_EQUAL(0, ::connect(stranger, reinterpret_cast<const sockaddr *>(&address), sizeof address));
+        std::this_thread::sleep_for(timeToFail);
+    }
+    ::close(stranger);
+    waitUntil([&] {
+        sender->send({addressOf(*receiver)}, Queued {});
+        return receiverEvents.queued > 0;
+    });
+}
