Mend: A listener for tunnels that finds no descriptor rests instead of taking a core

What was seen: while a host has no free file descriptor and a connection waits at its port for tunnels, the relay's thread takes a whole core, which callers miss.

Cause: epoll reports the waiting connection as long as it waits, and accepting it fails at once.

Evidence: TunnelServer.aTunnelThatFindsNoDescriptorWaitsWithoutWork failed on the code before (over a tenth of a core in 0.4 s).

Change: after such an error the listener is not watched for 100 ms.

It works because the timer, not the connection that waits, brings the next attempt.

--- a/Source/Http/tunnelserver.cpp
+++ b/Source/Http/tunnelserver.cpp
@@ -39,6 +39,8 @@
 /// Time for which the host may take to read the last bytes after the endpoint has closed its connection.
 constexpr Base::Duration lingerTime = std::chrono::seconds(10);
 constexpr Base::Duration sweepPeriod = std::chrono::milliseconds(50);
+/// Time until connections are accepted again after there were no file descriptors left.
+constexpr Base::Duration acceptRetryDelay = std::chrono::milliseconds(100);
 
 constexpr std::string_view connected = "HTTP/1.1 200 Connection established\r\n\r\n";
 constexpr std::string_view forbidden = "HTTP/1.1 403 Forbidden\r\nContent-Length: 0\r\n\r\n";
@@ -105,10 +107,7 @@
         , m_listener(listener)
         , m_poll(epoll_create1(EPOLL_CLOEXEC))
     {
-        epoll_event event {};
-        event.events = EPOLLIN;
-        event.data.u64 = listenerTag;
-        epoll_ctl(m_poll, EPOLL_CTL_ADD, m_listener, &event);
+        watchListener(EPOLL_CTL_ADD, EPOLLIN);
         m_readable = m_loop.whenReadable(m_poll, [this] { handleEvents(); });
     }
 
@@ -129,6 +128,7 @@
 
     void closeListener()
     {
+        m_acceptRetry.reset();
         if (m_listener >= 0) {
             ::close(std::exchange(m_listener, -1));
         }
@@ -211,6 +211,25 @@
         watch(tunnel, tunnel.endpoint, eventsOf(tunnel.endpoint, tunnel.host, open));
     }
 
+    void watchListener(int operation, std::uint32_t events)
+    {
+        epoll_event event {};
+        event.events = events;
+        event.data.u64 = listenerTag;
+        epoll_ctl(m_poll, operation, m_listener, &event);
+    }
+
+    /// Leaves new connections waiting for a while. Without a free descriptor none can be accepted, and epoll would report them
+    /// all the time.
+    void pauseListener()
+    {
+        watchListener(EPOLL_CTL_MOD, 0);
+        m_acceptRetry = m_loop.after(acceptRetryDelay, [this] {
+            m_acceptRetry.reset();
+            watchListener(EPOLL_CTL_MOD, EPOLLIN);
+        });
+    }
+
     void handleEvents()
     {
         std::array<epoll_event, eventsPerCall> events {};
@@ -256,6 +275,9 @@
         for (int count = 0; count < acceptsPerTurn; ++count) {
             const int descriptor = accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
             if (descriptor < 0) {
+                if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+                    pauseListener();
+                }
                 return;
             }
             constexpr int enabled = 1;
@@ -546,6 +568,7 @@
     std::unordered_map<std::uint64_t, std::unique_ptr<Tunnel>> m_tunnels;
     std::unique_ptr<Base::Loop::Registration> m_readable;
     std::unique_ptr<Base::Loop::Registration> m_sweep;
+    std::unique_ptr<Base::Loop::Registration> m_acceptRetry; ///< while new connections are left waiting
 };
 
 absl::StatusOr<std::unique_ptr<TunnelServer>> TunnelServer::listen(Base::Loop &loop, TunnelServerOptions options,
--- a/Tests/Http/tunnelservertest.cpp
+++ b/Tests/Http/tunnelservertest.cpp
@@ -10,9 +10,12 @@
 #include <ace/Timer_Queue.h>
 
 #include <arpa/inet.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <ctime>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace Yokepond;
@@ -33,6 +36,23 @@
     return {descriptor, {"127.0.0.1", ntohs(address.sin_port)}};
 }
 
+sockaddr_in addressOf(const Base::Address &listener)
+{
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(listener.port);
+    return address;
+}
+
+/// Returns the processor time that this thread has used.
+std::chrono::nanoseconds processorTime()
+{
+    timespec used {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    return std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
+}
+
 /// Returns an address at which nothing listens.
 Base::Address freeAddress()
 {
@@ -232,3 +252,29 @@
     CHECK_TRUE(runUntilEnd());
     CHECK_TRUE(result.stage == TransferStage::NotSent);
 }
+
+/// Guards against a relay thread that takes a whole core while there are no file descriptors for a tunnel that waits.
+TEST(TunnelServer, aTunnelThatFindsNoDescriptorWaitsWithoutWork)
+{
+    constexpr auto waitTime = std::chrono::milliseconds(400);
+    constexpr auto mostProcessorTime = std::chrono::milliseconds(40); // a tenth of a core
+    const int host = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    rlimit before {};
+    getrlimit(RLIMIT_NOFILE, &before);
+    const int next = ::dup(host);
+    ::close(next);
+    const rlimit none {static_cast<rlim_t>(next), before.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &none);
+    const sockaddr_in address = addressOf(tunnels);
+    CHECK_EQUAL(0, ::connect(host, reinterpret_cast<const sockaddr *>(&address), sizeof address));
+    const auto began = processorTime();
+    const Base::Instant end = Base::now() + waitTime;
+    runUntil([end] { return Base::now() > end; });
+    const auto used = processorTime() - began;
+    setrlimit(RLIMIT_NOFILE, &before);
+    CHECK_TRUE(used < mostProcessorTime);
+    ::close(host);
+    start(endpoint->address());
+    CHECK_TRUE(runUntilEnd());
+    CHECK_TRUE(result.stage == TransferStage::Complete);
+}
