Mend: Signals are taken over before the libraries are loaded

What callers saw: a host to which the platform says SIGHUP just after its start ends by the signal, and its callers find nobody there. SIGUSR1 and SIGPIPE did the same; SIGTERM ended it by the signal and not with exit code 0.

Cause: the signals were taken over when the settings had been read. Until then their default action ended the process, and most of that time is spent on loading 70 libraries, before the first instruction of the program.

Change: the program needs the C library only. Its first function, in .preinit_array, blocks the signals that a loop reads and ignores ten that say nothing to a daemon (SIGUSR2, SIGXFSZ and others); only then it loads the daemon, now a library. SIGSYS, real-time signals and those of faults stay as they are. The log's thread blocks the loop's signals only, and no longer SIGSYS and real-time signals.

Why it works: a blocked signal stays pending until the loop reads it, and no library is loaded before the mask is set. What remains is the time in which the system loads the program and the C library.

--- a/Source/Base/logwriter.cpp
+++ b/Source/Base/logwriter.cpp
@@ -3,12 +3,12 @@
 
 #include "Base/logwriter.h"
 
-#include <pthread.h>
+#include "Base/signals.h"
+
 #include <unistd.h>
 
 #include <cerrno>
 #include <chrono>
-#include <csignal>
 #include <utility>
 
 namespace Yokepond::Base {
@@ -23,14 +23,9 @@
 LogWriter::LogWriter(int descriptor)
     : m_descriptor(descriptor)
 {
-    // A thread inherits the signal mask of its creator. Signals must reach the loop, which blocks them and reads them from a
-    // descriptor. Delivered to this thread, they would end the process.
-    sigset_t all;
-    sigset_t before;
-    sigfillset(&all);
-    pthread_sigmask(SIG_BLOCK, &all, &before);
+    // A thread inherits the signal mask of its creator. Delivered to this thread, the loop's signals would end the process.
+    const LoopSignalsBlocked blocked;
     m_thread = std::thread([this] { run(); });
-    pthread_sigmask(SIG_SETMASK, &before, nullptr);
 }
 
 LogWriter::~LogWriter()
--- a/Source/Base/loop.cpp
+++ b/Source/Base/loop.cpp
@@ -4,6 +4,7 @@
 #include "Base/loop.h"
 
 #include "Base/log.h"
+#include "Base/signals.h"
 #include "Base/time.h"
 
 #include <ace/Event_Handler.h>
@@ -106,12 +107,7 @@
     SignalHandler(Loop &loop, SignalTasks tasks)
         : m_tasks(std::move(tasks))
     {
-        sigset_t set;
-        sigemptyset(&set);
-        sigaddset(&set, SIGTERM);
-        sigaddset(&set, SIGINT);
-        sigaddset(&set, SIGUSR1);
-        sigaddset(&set, SIGHUP);
+        const sigset_t set = loopSignals();
         pthread_sigmask(SIG_BLOCK, &set, nullptr);
         m_descriptor = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
         m_handler = loop.whenReadable(m_descriptor, [this] { read(); });
--- a/Source/Base/program.cpp
+++ b/Source/Base/program.cpp
@@ -3,6 +3,8 @@
 
 #include "Base/program.h"
 
+#include "Base/signals.h"
+
 #include <fmt/format.h>
 
 #include <cstdio>
@@ -36,6 +38,7 @@
         const auto parsed = boost::program_options::command_line_parser(argc, argv).options(options).positional(positional).run();
         store(parsed, values);
         if (values.contains("help")) {
+            releaseSignals();
             printHelp(info, options);
             return exitOk;
         }
--- a/Source/Node/daemonprogram.cpp
+++ b/Source/Node/daemonprogram.cpp
@@ -5,6 +5,7 @@
 
 #include "Base/log.h"
 #include "Base/program.h"
+#include "Base/signals.h"
 #include "Base/text.h"
 #include "Node/daemon.h"
 #include "Node/settings.h"
@@ -57,6 +58,11 @@
     if (const auto code = Base::parseCommandLine(info, argc, argv, description, {}, values)) {
         return *code;
     }
+    if (values.contains("check")) {
+        Base::releaseSignals();
+    } else {
+        Base::endOnStopSignals();
+    }
     SettingsFile file(values["config"].as<std::string>());
     auto settings = file.load();
     if (!settings.ok()) {
--- /dev/null
+++ b/Tests/Integration/test_starts.py
@@ -0,0 +1,166 @@
+# SPDX-License-Identifier: BSD-3-Clause
+# SPDX-FileCopyrightText: 2026 yokepond maintainers
+"""A process of the daemon ends only when told, or for a stated reason: signals at any moment of its start, descriptors that it was not given."""
+
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import time
+
+from fleet import parse_options, run_tests, wait_until
+from recordsplatform import CONFIGURATION, Endpoint, Hosts, Store
+
+SIGNALLED_STARTS = 210
+STOPPED_STARTS = 70
+LATEST_MOMENT_SECONDS = 0.040
+# Libraries that only the daemon needs: once one of them is loaded, the process has run instructions of ours.
+DAEMON_LIBRARIES = ("libcurl", "libmicrohttpd", "libACE", "libkj", "libcapnp", "libyokepond")
+OPTIONS = parse_options()
+
+
+class OneHost:
+    """A host that is started again and again before a store with one endpoint."""
+
+    def __init__(self, extra_settings=""):
+        self.store = Store()
+        self.app = Endpoint("i-a1")
+        self.store.put("op", "config", CONFIGURATION)
+        self.store.put("servers", self.app.name, self.app.row("app"))
+        self.hosts = Hosts(OPTIONS.bin, [self.store.address], extra_settings)
+        self.hosts.wait_ready()
+        self.kill()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.store.closing.set()
+        self.kill()
+
+    @property
+    def process(self):
+        return self.hosts.processes[0]
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+
+    def settings(self):
+        return pathlib.Path(self.hosts.directory) / "h0.ini"
+
+    def log_size(self):
+        return len(self.hosts.log(0))
+
+    def events(self, since):
+        return [entry["event"] for entry in self.hosts.log(0)[since:]]
+
+    def wait_for_event(self, event, since):
+        """Waits until the host has logged the event; returns whether it did before its process ended."""
+        wait_until(lambda: event in self.events(since) or self.process.poll() is not None, f"event {event}", 30)
+        return self.process.poll() is None
+
+
+def ran_own_instructions(pid):
+    """Returns whether a process ignores SIGPIPE already, or has loaded more than what a program needs to take signals over."""
+    try:
+        status = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+        ignored = int(next(line for line in status.splitlines() if line.startswith("SigIgn:")).split()[1], 16)
+        maps = pathlib.Path(f"/proc/{pid}/maps").read_text(encoding="ascii")
+    except (OSError, StopIteration):
+        return True
+    return bool(ignored & 1 << (signal.SIGPIPE - 1)) or any(library in maps for library in DAEMON_LIBRARIES)
+
+
+def needed_libraries():
+    """Returns the names of the libraries that are loaded before the program's first instruction."""
+    output = subprocess.run([os.path.join(OPTIONS.bin, "yokepondd")], env={"LD_TRACE_LOADED_OBJECTS": "1"}, capture_output=True, text=True, check=True)
+    return [line.split()[0] for line in output.stdout.splitlines()]
+
+
+def is_sanitized():
+    return any(name.startswith("libasan") for name in needed_libraries())
+
+
+def test_signals_at_every_moment_of_a_start_do_no_harm():
+    """Guards against hosts that end when the platform says SIGHUP within the first 16 ms, before the daemon had taken the signals over.
+
+    An early SIGHUP is kept until the loop runs, and the settings are read again then.
+    """
+    generator = random.Random(OPTIONS.seed)
+    effects = {signal.SIGHUP: "settings-reloaded", signal.SIGUSR1: "dump", signal.SIGPIPE: "started"}
+    ended, before_first_instruction = [], 0
+    with OneHost() as host:
+        for number in range(SIGNALLED_STARTS):
+            sent = list(effects)[number % len(effects)]
+            moment = generator.uniform(0, LATEST_MOMENT_SECONDS)
+            since = host.log_size()
+            host.hosts.start(0)
+            time.sleep(moment)
+            judged = ran_own_instructions(host.process.pid)
+            host.process.send_signal(sent)
+            if not host.wait_for_event("started", since) or not host.wait_for_event(effects[sent], since):
+                if judged:
+                    ended.append((sent.name, round(moment * 1000, 1), host.process.returncode))
+                else:
+                    before_first_instruction += 1
+            host.kill()
+    print(f"seed {OPTIONS.seed}: {SIGNALLED_STARTS} starts, {len(ended)} ended, {before_first_instruction} ended before their first instruction")
+    assert not ended, f"{len(ended)} of {SIGNALLED_STARTS} ended: {ended}"
+
+
+def test_signals_are_taken_over_before_the_libraries_are_loaded():
+    """Guards against a program that loads 70 libraries, for 15 ms, before its first instruction can take the signals over."""
+    early = [name for name in needed_libraries() if any(library in name for library in DAEMON_LIBRARIES)]
+    assert not early, early
+
+
+def test_sigterm_at_every_moment_of_a_start_ends_it_with_zero():
+    """Guards against hosts that end by SIGTERM itself, as if they had failed, when they are stopped within their start."""
+    generator = random.Random(OPTIONS.seed + 1)
+    failed = []
+    with OneHost() as host:
+        for _ in range(STOPPED_STARTS):
+            moment = generator.uniform(0, LATEST_MOMENT_SECONDS)
+            host.hosts.start(0)
+            time.sleep(moment)
+            judged = ran_own_instructions(host.process.pid)
+            host.process.send_signal(signal.SIGTERM)
+            code = host.process.wait(timeout=20)
+            if code != 0 and (judged or code != -signal.SIGTERM):
+                failed.append((round(moment * 1000, 1), code))
+    print(f"seed {OPTIONS.seed}: {STOPPED_STARTS} starts, {len(failed)} did not end with 0")
+    assert not failed, f"{len(failed)} of {STOPPED_STARTS}: {failed}"
+
+
+def test_signals_without_a_meaning_end_no_host():
+    """Guards against hosts that end by a signal which says nothing to them, such as SIGXFSZ of a log file at its largest size."""
+    ended = []
+    with OneHost() as host:
+        for sent in (signal.SIGUSR2, signal.SIGALRM, signal.SIGVTALRM, signal.SIGPROF, signal.SIGIO, signal.SIGXFSZ, signal.SIGXCPU,
+                     signal.SIGPWR, signal.SIGPIPE, signal.SIGSTKFLT):
+            since = host.log_size()
+            host.hosts.start(0)
+            host.wait_for_event("started", since)
+            host.process.send_signal(sent)
+            host.process.send_signal(signal.SIGUSR1)
+            if not host.wait_for_event("dump", since):
+                ended.append(sent.name)
+            host.kill()
+    assert not ended, ended
+
+
+def test_check_is_interruptible():
+    """A command that only checks the settings ends by Ctrl-C, here while it waits for its file, a pipe that nobody writes to."""
+    with OneHost() as host:
+        pipe = host.settings().with_name("pipe.ini")
+        os.mkfifo(pipe)
+        for sent in (signal.SIGINT, signal.SIGTERM):
+            with subprocess.Popen([os.path.join(OPTIONS.bin, "yokepondd"), "--check", "--config", str(pipe)]) as process:
+                time.sleep(0.5)
+                process.send_signal(sent)
+                assert process.wait(timeout=5) == -sent
+
+if __name__ == "__main__":
+    run_tests(globals())
