Mend: Missing standard descriptors are opened before anything else

What callers saw: a host that is started with standard input and output closed, or with all three, runs and never gets ready. With one of them closed it serves, but a socket has the number, and what is written to standard output or error goes into a connection.

Cause: nothing opened the missing numbers, so that the first sockets and files of the process got them.

Change: the program's first function opens /dev/null as each of the three that is closed, right after it has taken the signals over.

Evidence: test_missing_standard_descriptors_do_no_harm on the code before: not ready after 10 s without [0, 1] and [0, 1, 2], sockets as the missing numbers in the other five cases. Now ready in all seven, with /dev/null as 0 to 2.

Why it works: the system gives the lowest free number, and no library has opened anything by then.

--- a/Source/yokepondd.cpp
+++ b/Source/yokepondd.cpp
@@ -6,6 +6,7 @@
 /// over before the daemon's many libraries are loaded, which takes milliseconds.
 
 #include "Base/signals.h"
+#include "Base/standarddescriptors.h"
 
 #include <dlfcn.h>
 
@@ -20,6 +21,7 @@
 void prepareProcess(int, char **, char **)
 {
     Yokepond::Base::takeOverSignals();
+    Yokepond::Base::openStandardDescriptors();
 }
 
 /// Runs before the constructors of all libraries.
--- a/Tests/Integration/test_starts.py
+++ b/Tests/Integration/test_starts.py
@@ -162,5 +162,28 @@
                 process.send_signal(sent)
                 assert process.wait(timeout=5) == -sent
 
+
+def close_descriptors(missing):
+    return lambda: [os.close(descriptor) for descriptor in missing]
+
+
+def test_missing_standard_descriptors_do_no_harm():
+    """Guards against hosts that never get ready when they are started without standard input, output or error: sockets took their numbers."""
+    failed = []
+    with OneHost() as host:
+        for missing in ([0], [1], [2], [0, 1], [1, 2], [0, 2], [0, 1, 2]):
+            host.hosts.processes[0] = subprocess.Popen([os.path.join(OPTIONS.bin, "yokepondd"), "--config", str(host.settings())],
+                                                       stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
+                                                       preexec_fn=close_descriptors(missing))
+            try:
+                wait_until(lambda: host.hosts.ready(0), f"readiness without {missing}", 10)
+                targets = [os.readlink(f"/proc/{host.process.pid}/fd/{descriptor}") for descriptor in range(3)]
+                if targets != ["/dev/null"] * 3:
+                    failed.append((missing, targets))
+            except AssertionError as failure:
+                failed.append((missing, str(failure)))
+            host.kill()
+    assert not failed, failed
+
 if __name__ == "__main__":
     run_tests(globals())
