Log: A process that ends by a fault says what it was doing

What callers saw: processes ended by themselves, and nothing told why: a signal of a fault, an exception that nobody caught or a violated invariant left no line (the log's own lines were still queued in its thread).

Change: SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGTRAP and SIGABRT, uncaught exceptions and violated invariants leave one JSON line on standard error, `process-ends`, with the signal, the thread, what it was doing, the exception's text or the invariant, and the address or the process that sent the signal. Each thread of the daemon has a second stack for it, unless it has one already. A handler that is there, such as a sanitizer's, stays. Then the default action takes place, so that the exit status is the signal's.

Why it works: the handler only formats into a buffer of its own and calls write, and memory for what it tells is static; the name of an activity is a literal in a thread's static storage.

--- a/Source/Base/invariant.cpp
+++ b/Source/Base/invariant.cpp
@@ -3,10 +3,12 @@
 
 #include "Base/invariant.h"
 
+#include "Base/crashreport.h"
 #include "Base/log.h"
 
+#include <fmt/format.h>
+
 #include <atomic>
-#include <cstdlib>
 
 namespace Yokepond::Base {
 
@@ -35,7 +37,7 @@
     ++violations;
     log(LogLevel::Error, LogEvent::InvariantViolated, {{"invariant", nameOf(invariantNames, invariant)}});
     if (fatal) {
-        std::abort();
+        abortBecause(fmt::format("invariant {}", nameOf(invariantNames, invariant)));
     }
 }
 
--- a/Source/Base/logwriter.cpp
+++ b/Source/Base/logwriter.cpp
@@ -3,6 +3,7 @@
 
 #include "Base/logwriter.h"
 
+#include "Base/crashreport.h"
 #include "Base/signals.h"
 
 #include <unistd.h>
@@ -60,6 +61,7 @@
 
 void LogWriter::run()
 {
+    const CrashReportThread thread("log");
     std::unique_lock lock(m_mutex);
     while (!m_stopping || !m_queue.empty()) {
         m_wake.wait(lock, [this] { return m_stopping || !m_queue.empty(); });
--- a/Source/Base/loop.cpp
+++ b/Source/Base/loop.cpp
@@ -3,6 +3,7 @@
 
 #include "Base/loop.h"
 
+#include "Base/crashreport.h"
 #include "Base/log.h"
 #include "Base/signals.h"
 #include "Base/time.h"
@@ -54,6 +55,7 @@
         }
         // The task may destroy this handler.
         const Loop::Task task = m_task;
+        const Activity activity("a timer");
         task();
         return 0;
     }
@@ -89,6 +91,7 @@
 
     int handle_input(ACE_HANDLE) override
     {
+        const Activity activity("input of a descriptor");
         m_task();
         return 0;
     }
--- a/Source/Base/mailbox.h
+++ b/Source/Base/mailbox.h
@@ -6,6 +6,8 @@
 
 #pragma once
 
+#include "Base/crashreport.h"
+
 #include <ace/Event_Handler.h>
 #include <ace/Reactor.h>
 
@@ -66,6 +68,7 @@
 
     int handle_input(ACE_HANDLE) override
     {
+        const Activity activity("a message of another thread");
         eventfd_t count = 0;
         eventfd_read(m_descriptor, &count);
         std::vector<Message> messages;
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -3,6 +3,7 @@
 
 #include "Node/daemon.h"
 
+#include "Base/crashreport.h"
 #include "Base/error.h"
 #include "Base/hash.h"
 #include "Base/invariant.h"
@@ -226,6 +227,7 @@
 
 void Daemon::reloadSettings()
 {
+    const Base::Activity activity("the settings");
     const auto loaded = m_settingsFile.load();
     if (!loaded.ok()) {
         // The current settings stay in effect.
@@ -277,6 +279,7 @@
                    {"messages", received.messages.size()}});
         return;
     }
+    const Base::Activity activity("messages of a peer");
     for (const Peer::Message &message : received.messages) {
         std::visit(
             [&](const auto &entry) {
--- a/Source/Node/daemonprogram.cpp
+++ b/Source/Node/daemonprogram.cpp
@@ -3,6 +3,7 @@
 
 #include "Node/daemonprogram.h"
 
+#include "Base/crashreport.h"
 #include "Base/log.h"
 #include "Base/program.h"
 #include "Base/signals.h"
@@ -47,6 +48,8 @@
 
 int runDaemonProgram(int argc, const char *const *argv)
 {
+    Base::installCrashReports();
+    const Base::CrashReportThread thread("decisions");
     namespace options = boost::program_options;
     options::options_description description("Options");
     description.add_options()("config,c", options::value<std::string>()->required(),
@@ -73,6 +76,7 @@
         return Base::exitOk;
     }
     Base::configureLog(settings->logLevel, settings->name);
+    Base::setCrashReportHost(settings->name);
     raiseDescriptorLimit();
     Base::startLogWriter();
     const int code = runDaemon(std::move(*settings), std::move(file));
--- a/Source/Node/operatorserver.cpp
+++ b/Source/Node/operatorserver.cpp
@@ -3,6 +3,7 @@
 
 #include "Node/operatorserver.h"
 
+#include "Base/crashreport.h"
 #include "Base/error.h"
 #include "Base/hash.h"
 #include "Base/log.h"
@@ -96,6 +97,7 @@
 
 void OperatorServer::handle(const Exchange &exchange)
 {
+    const Base::Activity activity("a request of an operator");
     const Http::Request &request = exchange->request();
     if (request.path == "/healthz") {
         respond(exchange, httpOk, {{"healthy", true}});
--- a/Source/Peer/edge.cpp
+++ b/Source/Peer/edge.cpp
@@ -3,6 +3,7 @@
 
 #include "Peer/edge.h"
 
+#include "Base/crashreport.h"
 #include "Base/log.h"
 #include "Peer/codec.h"
 
@@ -184,6 +185,7 @@
 
     kj::Promise<void> post(PostContext context) override
     {
+        const Base::Activity activity("messages of a peer");
         auto messages = decodeAll(context.getParams().getMessages());
         context.releaseParams();
         auto [token, returned] = m_calls.open({m_address, m_from.incarnation}, context);
@@ -537,6 +539,7 @@
 
     void run(std::promise<absl::Status> &started)
     {
+        const Base::CrashReportThread thread("peers");
         auto io = kj::setupAsyncIo();
         kj::TaskSet tasks(*this);
         kj::Own<kj::ConnectionReceiver> receiver;
--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include "Base/crashreport.h"
 #include "Base/hash.h"
 #include "Base/mailbox.h"
 #include "Base/text.h"
@@ -160,6 +161,7 @@
 
     void runThread(std::promise<absl::Status> &started)
     {
+        const Base::CrashReportThread thread("data");
         Base::Loop loop;
         Base::Mailbox<std::function<void()>> mailbox(loop.reactor(), [](std::function<void()> &&task) { task(); });
         Http::Client client(loop);
@@ -263,6 +265,7 @@
 
     void requestReceived(const std::shared_ptr<Http::Exchange> &exchange, bool forwarded = false)
     {
+        const Base::Activity activity("a request of a caller");
         ++m_counters.calls;
         const Http::Request &request = exchange->request();
         auto call = std::make_unique<Call>();
--- a/Tests/Integration/test_starts.py
+++ b/Tests/Integration/test_starts.py
@@ -2,6 +2,7 @@
 # SPDX-FileCopyrightText: 2026 yokepond maintainers
 """A process of the daemon ends only when told, or for a stated reason: signals at any moment of its start, descriptors that it was not given."""
 
+import json
 import os
 import pathlib
 import random
@@ -185,5 +186,25 @@
             host.kill()
     assert not failed, failed
 
+
+def test_a_fault_leaves_a_line_and_stays_the_exit_status():
+    """Guards against hosts that end without a word of why. In a sanitized build the sanitizer's own report takes the line's place."""
+    with OneHost() as host:
+        for sent in (signal.SIGSEGV, signal.SIGBUS, signal.SIGFPE, signal.SIGILL, signal.SIGABRT):
+            with open(os.path.join(host.hosts.directory, "errors"), "w+b") as errors:
+                host.hosts.processes[0] = subprocess.Popen([os.path.join(OPTIONS.bin, "yokepondd"), "--config", str(host.settings())],
+                                                           stdout=subprocess.DEVNULL, stderr=errors)
+                wait_until(lambda: host.hosts.ready(0), "readiness")
+                host.process.send_signal(sent)
+                code = host.process.wait(timeout=20)
+                errors.seek(0)
+                text = errors.read().decode(errors="replace")
+            if "AddressSanitizer" in text and is_sanitized():
+                continue
+            lines = [json.loads(line) for line in text.splitlines() if line.startswith("{")]
+            assert code == -sent, (sent.name, code)
+            assert [(line["event"], line["signal"], line["host"], line["thread"], line["sender"]) for line in lines] == [
+                ("process-ends", sent.name, "h0", "decisions", os.getpid())], (sent.name, text)
+
 if __name__ == "__main__":
     run_tests(globals())
