Mend: A stop ends although nobody reads the log

What callers saw: a host that was told to stop and whose standard output was a pipe that nobody read, blocking or not, finished its requests, said so and never ended, until it was killed.

Cause: the end of the log's writer waited for its reader without a bound. A pipe that does not block was also written to in a loop that took a core while the pipe was full.

Change: the end waits a second; then the thread, which owns what it needs, is left behind for the end of the process. A full pipe that does not block is waited for with poll.

Evidence: test_no_standard_output_ends_or_holds_a_host on the code before: both unread pipes timed out 10 s after SIGTERM; a closed pipe, a full device and a file at its limit of size passed. Now all five end with 0.

Why it works: nothing that the process waits for at its end depends on a reader any more for longer than that second.

--- a/Source/Base/logwriter.cpp
+++ b/Source/Base/logwriter.cpp
@@ -6,6 +6,7 @@
 #include "Base/crashreport.h"
 #include "Base/signals.h"
 
+#include <poll.h>
 #include <unistd.h>
 
 #include <cerrno>
@@ -21,22 +22,42 @@
 
 } // namespace
 
+struct LogWriter::State
+{
+    void run();
+    void writeAll(const std::string &bytes) const;
+
+    int descriptor = -1;
+    std::mutex mutex;
+    std::condition_variable wake;
+    std::condition_variable hasEnded;
+    std::string queue;
+    std::uint64_t dropped = 0; ///< lines since the last queued one
+    bool stopping = false;
+    bool ended = false;
+};
+
 LogWriter::LogWriter(int descriptor)
-    : m_descriptor(descriptor)
+    : m_state(std::make_shared<State>())
 {
+    m_state->descriptor = descriptor;
     // A thread inherits the signal mask of its creator. Delivered to this thread, the loop's signals would end the process.
     const LoopSignalsBlocked blocked;
-    m_thread = std::thread([this] { run(); });
+    m_thread = std::thread([state = m_state] { state->run(); });
 }
 
 LogWriter::~LogWriter()
 {
-    {
-        const std::lock_guard lock(m_mutex);
-        m_stopping = true;
+    std::unique_lock lock(m_state->mutex);
+    m_state->stopping = true;
+    m_state->wake.notify_one();
+    const bool ended = m_state->hasEnded.wait_for(lock, endTime, [this] { return m_state->ended; });
+    lock.unlock();
+    if (ended) {
+        m_thread.join();
+    } else {
+        m_thread.detach();
     }
-    m_wake.notify_one();
-    m_thread.join();
 }
 
 std::uint64_t LogWriter::append(const std::string &line)
@@ -44,42 +65,48 @@
     bool wake = false;
     std::uint64_t dropped = 0;
     {
-        const std::lock_guard lock(m_mutex);
-        if (m_queue.size() + line.size() > maxQueuedBytes) {
-            ++m_dropped;
+        const std::lock_guard lock(m_state->mutex);
+        if (m_state->queue.size() + line.size() > maxQueuedBytes) {
+            ++m_state->dropped;
             return 0;
         }
-        dropped = std::exchange(m_dropped, 0);
-        wake = m_queue.empty();
-        m_queue += line;
+        dropped = std::exchange(m_state->dropped, 0);
+        wake = m_state->queue.empty();
+        m_state->queue += line;
     }
     if (wake) {
-        m_wake.notify_one();
+        m_state->wake.notify_one();
     }
     return dropped;
 }
 
-void LogWriter::run()
+void LogWriter::State::run()
 {
     const CrashReportThread thread("log");
-    std::unique_lock lock(m_mutex);
-    while (!m_stopping || !m_queue.empty()) {
-        m_wake.wait(lock, [this] { return m_stopping || !m_queue.empty(); });
+    std::unique_lock lock(mutex);
+    while (!stopping || !queue.empty()) {
+        wake.wait(lock, [this] { return stopping || !queue.empty(); });
         // Only the end of the writer cuts this wait short.
-        m_wake.wait_for(lock, batchTime, [this] { return m_stopping; });
-        const std::string bytes = std::exchange(m_queue, {});
+        wake.wait_for(lock, batchTime, [this] { return stopping; });
+        const std::string bytes = std::exchange(queue, {});
         lock.unlock();
         writeAll(bytes);
         lock.lock();
     }
+    ended = true;
+    hasEnded.notify_one();
 }
 
-void LogWriter::writeAll(const std::string &bytes) const
+void LogWriter::State::writeAll(const std::string &bytes) const
 {
     std::size_t written = 0;
     while (written < bytes.size()) {
-        const ssize_t count = ::write(m_descriptor, bytes.data() + written, bytes.size() - written);
-        if (count < 0 && errno != EINTR && errno != EAGAIN) {
+        const ssize_t count = ::write(descriptor, bytes.data() + written, bytes.size() - written);
+        if (count < 0 && errno == EAGAIN) {
+            // Whoever shares the descriptor has made it non-blocking.
+            pollfd writable {descriptor, POLLOUT, 0};
+            ::poll(&writable, 1, -1);
+        } else if (count < 0 && errno != EINTR) {
             // The write failed, for example because the reader has closed its end. There is no other place to report that.
             return;
         }
--- a/Source/Base/logwriter.h
+++ b/Source/Base/logwriter.h
@@ -6,8 +6,10 @@
 
 #pragma once
 
+#include <chrono>
 #include <condition_variable>
 #include <cstdint>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -24,7 +26,10 @@
     /// Writes to @p descriptor, which is not closed.
     explicit LogWriter(int descriptor);
 
-    /// Writes the queued lines. Waits until the reader has taken them or has closed its end.
+    /// How long the writer's end waits for a reader.
+    static constexpr std::chrono::milliseconds endTime {1000};
+
+    /// Writes the queued lines. Waits until the reader has taken them or has closed its end, but not longer than endTime.
     ~LogWriter();
     LogWriter(const LogWriter &) = delete;
     LogWriter &operator=(const LogWriter &) = delete;
@@ -34,15 +39,9 @@
     std::uint64_t append(const std::string &line);
 
 private:
-    void run();
-    void writeAll(const std::string &bytes) const;
-
-    int m_descriptor;
-    std::mutex m_mutex;
-    std::condition_variable m_wake;
-    std::string m_queue;
-    std::uint64_t m_dropped = 0;
-    bool m_stopping = false;
+    struct State;
+    /// Shared with the thread, which outlives the writer if it waits for a reader that does not read.
+    std::shared_ptr<State> m_state;
     std::thread m_thread;
 };
 
--- a/Tests/Integration/test_starts.py
+++ b/Tests/Integration/test_starts.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import random
+import resource
 import signal
 import subprocess
 import time
@@ -187,6 +188,83 @@
     assert not failed, failed
 
 
+class Output:
+    """A standard output of a kind that can harm its writer."""
+
+    def __init__(self, kind, directory):
+        self.reader = None
+        self.size_limit = None
+        if kind == "full device":
+            self.writer = os.open("/dev/full", os.O_WRONLY)
+        elif kind == "file at its limit":
+            self.writer = os.open(os.path.join(directory, "limited.log"), os.O_WRONLY | os.O_CREAT | os.O_TRUNC)
+            self.size_limit = 2048
+        else:
+            self.reader, self.writer = os.pipe()
+            if kind == "closed pipe":
+                os.close(self.reader)
+                self.reader = None
+            else:
+                self.fill()
+                os.set_blocking(self.writer, kind != "unread pipe that does not block")
+
+    def fill(self):
+        os.set_blocking(self.writer, False)
+        try:
+            while True:
+                os.write(self.writer, b"x" * 4096)
+        except BlockingIOError:
+            return
+
+    def limit_size(self):
+        if self.size_limit is not None:
+            resource.setrlimit(resource.RLIMIT_FSIZE, (self.size_limit, self.size_limit))
+
+    def close(self):
+        os.close(self.writer)
+        if self.reader is not None:
+            os.close(self.reader)
+
+
+def processor_seconds(pid):
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def judge_output(host, kind):
+    """Returns what is wrong with a host whose standard output is of the kind, or nothing."""
+    output = Output(kind, host.hosts.directory)
+    host.hosts.processes[0] = subprocess.Popen([os.path.join(OPTIONS.bin, "yokepondd"), "--config", str(host.settings())],
+                                               stdout=output.writer, stderr=subprocess.DEVNULL, preexec_fn=output.limit_size)
+    try:
+        wait_until(lambda: host.hosts.ready(0) or host.process.poll() is not None, "readiness", 20)
+        for number in range(30):
+            if host.process.poll() is not None:
+                return f"ended with {host.process.returncode}"
+            host.hosts.send(0, "POST", "/once/x", f"{kind}-{number}")
+        used = processor_seconds(host.process.pid)
+        time.sleep(1)
+        used = processor_seconds(host.process.pid) - used
+        if used > 0.5:
+            return f"took {used} s of processor time in a second"
+        host.process.terminate()
+        code = host.process.wait(timeout=10)
+        return None if code == 0 else f"ended with {code}"
+    except (AssertionError, subprocess.TimeoutExpired, OSError) as failure:
+        return str(failure)
+    finally:
+        host.kill()
+        output.close()
+
+
+def test_no_standard_output_ends_or_holds_a_host():
+    """Guards against hosts that never end a stop when nobody reads their log, or that end when their log cannot be written."""
+    with OneHost() as host:
+        kinds = ("closed pipe", "full device", "file at its limit", "unread pipe", "unread pipe that does not block")
+        failed = {kind: wrong for kind in kinds if (wrong := judge_output(host, kind))}
+    assert not failed, failed
+
+
 def test_a_fault_leaves_a_line_and_stays_the_exit_status():
     """Guards against hosts that end without a word of why. In a sanitized build the sanitizer's own report takes the line's place."""
     with OneHost() as host:
