Mend: A start waits for its addresses and for whole settings

What callers saw: a host whose port was still held by the process before it, or whose settings file was missing or half written at its start, ended with exit code 1 at once, and again at each start until the cause was gone.

Cause: each failure of the start ended the process, also one that is over in a moment.

Change: the start repeats every 100 ms, for 20 s while an address is in use or the system has no thread, for 5 s while the settings are missing or wrong; the reason is on standard error at once.

Evidence: test_starts.py on the code before: ended with 1 while a caller's port was taken for a second, and with settings that came half a second late and were half written for another. Now both get ready; wrong settings still end with 1 and their place, a store that is down at the start still ends nothing.

Why it works: each attempt begins anew, with a daemon that has kept nothing of the one before. Limits are chosen: a planned stop of the process before takes seconds, writing a file far less.

--- a/Source/Node/daemonprogram.cpp
+++ b/Source/Node/daemonprogram.cpp
@@ -14,10 +14,21 @@
 #include <fmt/format.h>
 #include <sys/resource.h>
 
+#include <memory>
+#include <system_error>
+#include <thread>
+#include <utility>
+
 namespace Yokepond::Node {
 
 namespace {
 
+constexpr Base::Duration startRetryPeriod = std::chrono::milliseconds(100);
+/// The process that ran here before may still hold its addresses while it stops.
+constexpr Base::Duration addressInUseLimit = std::chrono::seconds(20);
+/// The platform may still be writing the settings file.
+constexpr Base::Duration incompleteSettingsLimit = std::chrono::seconds(5);
+
 int reportError(const absl::Status &error)
 {
     fmt::print(stderr, "yokepondd: {}\n", Base::messageOf(error));
@@ -35,13 +46,43 @@
     }
 }
 
-int runDaemon(Settings settings, SettingsFile file)
+/// Calls @p attempt until it returns an OK status, but not longer than @p limit, and returns its last status. A stop that the
+/// process is told in between ends it.
+template<typename Attempt>
+auto repeatUntilOk(Base::Duration limit, Attempt attempt)
+{
+    const Base::Instant begun = Base::now();
+    auto result = attempt();
+    for (bool told = false; !result.ok() && Base::now() - begun < limit; result = attempt()) {
+        if (!std::exchange(told, true)) {
+            const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(limit).count();
+            fmt::print(stderr, "yokepondd: {}; tried again for {} s\n", Base::messageOf(result.status()), seconds);
+        }
+        Base::endOnStopSignals();
+        std::this_thread::sleep_for(startRetryPeriod);
+    }
+    return result;
+}
+
+/// Returns a daemon that listens. Fails also if the system has no thread for it.
+absl::StatusOr<std::unique_ptr<Daemon>> startDaemon(const Settings &settings, const SettingsFile &file)
 {
-    Daemon daemon(std::move(settings), std::move(file));
-    if (absl::Status status = daemon.start(); !status.ok()) {
-        return reportError(status);
+    try {
+        auto daemon = std::make_unique<Daemon>(settings, file);
+        if (absl::Status status = daemon->start(); !status.ok()) {
+            return status;
+        }
+        return daemon;
+    } catch (const std::system_error &error) {
+        return makeError(Base::ErrorKind::Internal,
+                         fmt::format("cannot start: {}; check the limits of the process", error.what()));
     }
-    return daemon.run();
+}
+
+int runDaemon(const Settings &settings, const SettingsFile &file)
+{
+    auto daemon = repeatUntilOk(addressInUseLimit, [&] { return startDaemon(settings, file); });
+    return daemon.ok() ? (*daemon)->run() : reportError(daemon.status());
 }
 
 } // namespace
@@ -61,17 +102,18 @@
     if (const auto code = Base::parseCommandLine(info, argc, argv, description, {}, values)) {
         return *code;
     }
-    if (values.contains("check")) {
+    const bool isCheck = values.contains("check");
+    if (isCheck) {
         Base::releaseSignals();
     } else {
         Base::endOnStopSignals();
     }
     SettingsFile file(values["config"].as<std::string>());
-    auto settings = file.load();
+    auto settings = repeatUntilOk(isCheck ? Base::Duration::zero() : incompleteSettingsLimit, [&file] { return file.load(); });
     if (!settings.ok()) {
         return reportError(settings.status());
     }
-    if (values.contains("check")) {
+    if (isCheck) {
         fmt::print("{}: the settings are valid\n", values["config"].as<std::string>());
         return Base::exitOk;
     }
@@ -79,7 +121,7 @@
     Base::setCrashReportHost(settings->name);
     raiseDescriptorLimit();
     Base::startLogWriter();
-    const int code = runDaemon(std::move(*settings), std::move(file));
+    const int code = runDaemon(*settings, file);
     Base::endLogWriter();
     return code;
 }
--- a/Tests/Integration/test_starts.py
+++ b/Tests/Integration/test_starts.py
@@ -8,6 +8,7 @@
 import random
 import resource
 import signal
+import socket
 import subprocess
 import time
 
@@ -284,5 +285,67 @@
             assert [(line["event"], line["signal"], line["host"], line["thread"], line["sender"]) for line in lines] == [
                 ("process-ends", sent.name, "h0", "decisions", os.getpid())], (sent.name, text)
 
+
+def test_a_start_waits_for_its_port():
+    """Guards against hosts that end when the process before them still holds their port for a moment."""
+    with OneHost() as host:
+        for address in (host.hosts.callers[0], host.hosts.operators[0]):
+            ip, port = address.split(":")
+            with socket.socket() as taken:
+                taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                taken.bind((ip, int(port)))
+                taken.listen()
+                host.hosts.start(0)
+                time.sleep(1)
+                assert host.process.poll() is None, host.process.returncode
+            wait_until(lambda: host.hosts.ready(0), "readiness")
+            host.kill()
+
+
+def test_a_start_that_waits_for_its_port_ends_when_told():
+    with OneHost() as host, socket.socket() as taken:
+        ip, port = host.hosts.callers[0].split(":")
+        taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        taken.bind((ip, int(port)))
+        taken.listen()
+        host.hosts.start(0)
+        time.sleep(1)
+        host.process.terminate()
+        assert host.process.wait(timeout=5) == 0
+
+
+def test_a_start_waits_for_whole_settings():
+    """Guards against hosts that end when the platform has not written their settings yet, or only half of them."""
+    with OneHost() as host:
+        settings = host.settings()
+        whole = settings.read_text(encoding="utf-8")
+        settings.unlink()
+        host.hosts.start(0)
+        time.sleep(0.5)
+        settings.write_text(whole[:whole.index("[platform]")], encoding="utf-8")
+        time.sleep(0.5)
+        settings.write_text(whole, encoding="utf-8")
+        wait_until(lambda: host.hosts.ready(0) or host.process.poll() is not None, "readiness")
+        assert host.process.poll() is None, host.process.returncode
+
+
+def test_wrong_settings_end_a_start_with_their_place():
+    """Settings that stay wrong end the process with exit code 1 and the error: file, line and what to do."""
+    with OneHost() as host:
+        settings = host.settings().with_name("wrong.ini")
+        settings.write_text("[host]\nname = h0\ncolour = red\n", encoding="utf-8")
+        ended = subprocess.run([os.path.join(OPTIONS.bin, "yokepondd"), "--config", str(settings)], capture_output=True, text=True, timeout=30, check=False)
+        assert ended.returncode == 1 and str(settings) in ended.stderr, ended
+
+
+def test_a_start_without_its_store_does_not_end():
+    with OneHost() as host:
+        host.store.down = True
+        host.hosts.start(0)
+        time.sleep(2)
+        assert host.process.poll() is None, host.process.returncode
+        host.store.down = False
+        wait_until(lambda: host.hosts.ready(0), "readiness")
+
 if __name__ == "__main__":
     run_tests(globals())
