Test: A host that inherits all descriptors below 1,024 ends

What callers saw: a host ends at its start, at each one, if the program that starts it leaves all descriptors below 1,024 open to it.

Cause: the reactor of the loops waits with select, whose sets have 1,024 numbers; the system's library ends the process by SIGABRT when a larger one is put into a set ("bit out of range 0 - FD_SETSIZE on fd_set").

Closing what was inherited is not the host's to do, since who watches the process may need it; the way out is a reactor that waits with epoll, whose cost per event has to be measured first (docs/design/threads-and-loops.md).

--- a/Tests/Integration/test_starts.py
+++ b/Tests/Integration/test_starts.py
@@ -347,5 +347,22 @@
         host.store.down = False
         wait_until(lambda: host.hosts.ready(0), "readiness")
 
+
+def occupy_descriptors():
+    resource.setrlimit(resource.RLIMIT_NOFILE, (4096, max(4096, resource.getrlimit(resource.RLIMIT_NOFILE)[1])))
+    null = os.open(os.devnull, os.O_RDONLY)
+    for descriptor in range(3, 1100):
+        os.dup2(null, descriptor)
+
+
+def test_inherited_descriptors_do_no_harm():
+    """Guards against hosts that end when the program which starts them leaves all descriptors below 1,024 open to them."""
+    with OneHost() as host:
+        host.hosts.processes[0] = subprocess.Popen([os.path.join(OPTIONS.bin, "yokepondd"), "--config", str(host.settings())],
+                                                   stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, close_fds=False, preexec_fn=occupy_descriptors)
+        wait_until(lambda: host.hosts.ready(0) or host.process.poll() is not None, "readiness")
+        assert host.process.poll() is None, host.process.returncode
+
+
 if __name__ == "__main__":
     run_tests(globals())
