Base, Relay: A request's deeply nested body does not end its host

What callers saw: one request of 200 kB with an ordinary key, whose JSON body has 100,000 nested arrays in a field that nobody reads, ended the host by SIGSEGV. All other requests at that host lost their connections, and a retry of the nested request went to the next host.

Cause: nlohmann::json reads a text without recursion, but copies and writes a value by one call for each level. The host copied and wrote the body so as to set `priority` in it, and nothing bounded the depth of a body of up to 4 MiB.

Change: Base::decodeJson() builds the value from the parser's events and stops at the 129th level, so that no deeper value exists that any code could copy, compare, write or destroy. An error tells what is wrong (too deep, not JSON, a number that no double can hold) and at which byte, in a bounded message that does not repeat the text; it throws nothing. A completion that cannot be decoded is answered 400 `invalid-request` at once, not run. Bodies for services are passed on as they come, as before. The body for an engine is written member by member, without a copy; it is still written anew, since an engine could otherwise read another value of a repeated member than the router did.

Why it works: the bound holds where bytes become a value, so no later step needs one of its own.

--- a/Source/Relay/openaiprotocol.cpp
+++ b/Source/Relay/openaiprotocol.cpp
@@ -26,6 +26,31 @@
     return key.empty() ? std::string() : Base::sha256(key);
 }
 
+std::string toText(const nlohmann::json &value)
+{
+    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+/// Writes the object @p body, or an empty one if it is null, with @p priority in place of a member of that name. @p size is the
+/// expected length of the text. The body is written anew rather than passed on so that an engine cannot read another value of a
+/// repeated member than the router.
+std::string bodyWithPriority(const nlohmann::json &body, std::size_t priority, std::size_t size)
+{
+    constexpr std::string_view priorityName = "priority";
+    std::string text = fmt::format(R"({{"{}":{})", priorityName, priority);
+    text.reserve(text.size() + size);
+    for (const auto &[name, value] : body.items()) {
+        if (name != priorityName) {
+            text += ',';
+            text += toText(name);
+            text += ':';
+            text += toText(value);
+        }
+    }
+    text += '}';
+    return text;
+}
+
 } // namespace
 
 void OpenAiProtocol::describeRequest(const Http::Request &request, State &state, CallArrived &event) const
@@ -72,9 +97,7 @@
         transfer.headers.push_back({"Yokepond-Fence", run.fence});
     }
     if (run.engine) {
-        nlohmann::json body = state.body;
-        body["priority"] = run.urgency.index + 1;
-        transfer.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        transfer.body = bodyWithPriority(state.body, run.urgency.index + 1, request.body.size());
     } else {
         transfer.body = request.body;
     }
--- a/Source/Relay/prompt.cpp
+++ b/Source/Relay/prompt.cpp
@@ -5,9 +5,14 @@
 
 #include "Base/error.h"
 #include "Base/hash.h"
+#include "Base/json.h"
+#include "Base/text.h"
 #include "Relay/promptparts.h"
 
+#include <fmt/format.h>
+
 #include <array>
+#include <utility>
 
 namespace Yokepond::Relay {
 
@@ -85,11 +90,15 @@
 
 absl::StatusOr<Prompt> parsePrompt(std::string_view body, bool chat)
 {
-    Prompt prompt;
-    prompt.body = nlohmann::json::parse(body, nullptr, false);
-    if (!prompt.body.is_object()) {
+    auto decoded = Base::decodeJson(body);
+    if (!decoded.ok()) {
+        return invalid(fmt::format("the body cannot be decoded: {}", Base::messageOf(decoded.status())));
+    }
+    if (!decoded->is_object()) {
         return invalid("the body is not a JSON object");
     }
+    Prompt prompt;
+    prompt.body = std::move(*decoded);
     const auto model = prompt.body.find("model");
     if (model != prompt.body.end() && !model->is_string()) {
         return invalid("model: expected a string");
