Platform, all: An endpoint's deeply nested entry does not end every host

What callers saw: an endpoint's entry with a field of 150,000 nested arrays ended every host by SIGSEGV, and each host that started again, until the entry was gone. All requests at these hosts lost their connections.

A host writes an endpoint's entry anew, without the fields that change with each heartbeat, by a call for each level, and the depth of an entry was not bounded.

Where the reason reaches a log or an operator, it tells what is wrong and at which byte.

No sanitized build of the daemon was run on this commit.

--- a/Source/Configuration/objects.cpp
+++ b/Source/Configuration/objects.cpp
@@ -4,6 +4,7 @@
 #include "Configuration/objects.h"
 
 #include "Base/error.h"
+#include "Base/json.h"
 
 #include <fmt/format.h>
 
@@ -156,7 +157,7 @@
 
 nlohmann::json parseJson(std::string_view text)
 {
-    return nlohmann::json::parse(text, nullptr, false);
+    return Base::decodeJsonOrDiscard(text);
 }
 
 } // namespace Yokepond::Configuration
--- a/Source/Configuration/objects.h
+++ b/Source/Configuration/objects.h
@@ -101,7 +101,7 @@
 /// Parses the format that changeToJson() returns. Fails with ErrorKind::InvalidValue.
 absl::StatusOr<Change> changeFromJson(const nlohmann::json &json);
 
-/// Parses @p text as JSON. Returns a value of type `discarded` if it is malformed.
+/// Parses @p text as JSON. Returns a value of type `discarded` if it is malformed or too deeply nested.
 nlohmann::json parseJson(std::string_view text);
 
 } // namespace Yokepond::Configuration
--- a/Source/Configuration/siterecords.cpp
+++ b/Source/Configuration/siterecords.cpp
@@ -5,6 +5,7 @@
 
 #include "Base/error.h"
 #include "Base/hash.h"
+#include "Base/json.h"
 
 #include <algorithm>
 #include <optional>
@@ -291,7 +292,7 @@
 
 absl::StatusOr<RecordChanges> changesFromText(std::string_view text, Base::Instant now)
 {
-    const nlohmann::json whole = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json whole = Base::decodeJsonOrDiscard(text);
     const bool complete
         = whole.is_object() && whole.contains("records") && whole.contains("since") && whole.contains("revisions");
     if (!complete || !whole["records"].is_array()) {
--- a/Source/Configuration/store.cpp
+++ b/Source/Configuration/store.cpp
@@ -3,10 +3,20 @@
 
 #include "Configuration/store.h"
 
-#include <nlohmann/json.hpp>
+#include "Base/json.h"
+#include "Base/text.h"
 
 namespace Yokepond::Configuration {
 
+namespace {
+
+absl::Status malformedHead(std::string_view reason)
+{
+    return Base::makeError(Base::ErrorKind::InvalidValue, fmt::format("the table's head record is malformed: {}", reason));
+}
+
+} // namespace
+
 std::string headToText(const Head &head)
 {
     nlohmann::json json = {{"revision", head.revision}, {"change", head.change}};
@@ -18,12 +28,14 @@
 
 absl::StatusOr<Head> headFromText(std::string_view text)
 {
+    const auto json = Base::decodeJson(text);
+    if (!json.ok()) {
+        return malformedHead(Base::messageOf(json.status()));
+    }
     try {
-        const nlohmann::json json = nlohmann::json::parse(text);
-        return Head {json.at("revision").get<std::uint64_t>(), json.at("change").get<std::string>(), json.value("fence", "")};
+        return Head {json->at("revision").get<std::uint64_t>(), json->at("change").get<std::string>(), json->value("fence", "")};
     } catch (const nlohmann::json::exception &exception) {
-        return Base::makeError(Base::ErrorKind::InvalidValue,
-                               fmt::format("the table's head record is malformed: {}", exception.what()));
+        return malformedHead(exception.what());
     }
 }
 
--- a/Source/FaultProxy/proxyprogram.cpp
+++ b/Source/FaultProxy/proxyprogram.cpp
@@ -4,6 +4,7 @@
 #include "FaultProxy/proxyprogram.h"
 
 #include "Base/error.h"
+#include "Base/json.h"
 #include "Base/program.h"
 #include "Base/text.h"
 #include "FaultProxy/route.h"
@@ -80,7 +81,7 @@
         respond(exchange, httpNotFound, {{"error", "no route with this name"}});
         return;
     }
-    const nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
+    const nlohmann::json body = Base::decodeJsonOrDiscard(request.body);
     if (!body.is_object()) {
         respond(exchange, httpBadRequest, {{"error", "the request body must be a JSON object"}});
         return;
--- a/Source/Load/runner.cpp
+++ b/Source/Load/runner.cpp
@@ -5,6 +5,7 @@
 
 #include "Base/error.h"
 #include "Base/hash.h"
+#include "Base/json.h"
 #include "Relay/eventsplitter.h"
 
 #include <fmt/format.h>
@@ -43,7 +44,8 @@
 absl::StatusOr<FleetAccess> loadFleet(const std::string &file)
 {
     std::ifstream stream(file);
-    const nlohmann::json json = nlohmann::json::parse(stream, nullptr, false);
+    const std::string text {std::istreambuf_iterator<char>(stream), {}};
+    const nlohmann::json json = Base::decodeJsonOrDiscard(text);
     try {
         FleetAccess fleet;
         for (const nlohmann::json &host : json.at("hosts")) {
@@ -175,7 +177,7 @@
                   return;
               }
               Http::Headers callHeaders = headers(arrival);
-              callHeaders.push_back({"Idempotency-Key", nlohmann::json::parse(body, nullptr, false).value("ticket", "")});
+              callHeaders.push_back({"Idempotency-Key", Base::decodeJsonOrDiscard(body).value("ticket", "")});
               const std::string &pool = m_scenario.classes[arrival.classIndex].pool;
               startTransfer(index,
                             {.method = "POST",
@@ -275,7 +277,7 @@
     for (const std::string &engine : m_fleet.engines) {
         Http::Transfer transfer {.url = fmt::format("http://{}/counts", engine), .totalTimeout = std::chrono::seconds(5)};
         fetch(client, std::move(transfer), [&](const Http::TransferResult &, const std::string &body) {
-            const nlohmann::json counts = nlohmann::json::parse(body, nullptr, false);
+            const nlohmann::json counts = Base::decodeJsonOrDiscard(body);
             tokens += counts.is_object() ? counts.value("tokens", std::uint64_t {0}) : 0;
             if (--pending == 0) {
                 loop.stop();
--- a/Source/Node/queries.cpp
+++ b/Source/Node/queries.cpp
@@ -4,6 +4,7 @@
 #include "Node/queries.h"
 
 #include "Base/error.h"
+#include "Base/json.h"
 #include "Base/text.h"
 
 #include <absl/strings/str_join.h>
@@ -569,7 +570,7 @@
     if (entry == m_pendingQueries.end() || std::erase(entry->second.pending, from.name) == 0) {
         return;
     }
-    const nlohmann::json rows = nlohmann::json::parse(gathered.answer, nullptr, false);
+    const nlohmann::json rows = Base::decodeJsonOrDiscard(gathered.answer);
     if (rows.is_array()) {
         std::ranges::copy(rows, std::back_inserter(entry->second.result.rows));
     }
--- a/Source/Platform/etcdtable.cpp
+++ b/Source/Platform/etcdtable.cpp
@@ -3,6 +3,7 @@
 
 #include "Platform/etcdtable.h"
 
+#include "Base/json.h"
 #include "Base/text.h"
 
 #include <fmt/format.h>
@@ -65,7 +66,7 @@
     if (result.stage != Http::TransferStage::Complete || result.status != httpOk) {
         return TransactionResult::Undetermined;
     }
-    const nlohmann::json response = nlohmann::json::parse(body, nullptr, false);
+    const nlohmann::json response = Base::decodeJsonOrDiscard(body);
     if (!response.is_object()) {
         return TransactionResult::Undetermined;
     }
@@ -103,7 +104,7 @@
     }
     fetch(m_client, transfer("/v3/kv/range", body),
           [this, handler = std::move(handler)](const Http::TransferResult &result, const std::string &text) {
-              const nlohmann::json response = nlohmann::json::parse(text, nullptr, false);
+              const nlohmann::json response = Base::decodeJsonOrDiscard(text);
               if (result.stage != Http::TransferStage::Complete || result.status != httpOk || !response.is_object()) {
                   ++m_counters.failures;
                   handler(makeError(
--- a/Source/Platform/hostlist.cpp
+++ b/Source/Platform/hostlist.cpp
@@ -4,6 +4,8 @@
 #include "Platform/hostlist.h"
 
 #include "Base/error.h"
+#include "Base/json.h"
+#include "Base/text.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -14,21 +16,29 @@
 
 constexpr int httpOk = 200;
 
+absl::Status malformed(std::string_view reason)
+{
+    return Base::makeError(Base::ErrorKind::InvalidValue, fmt::format("the platform's host list cannot be parsed: {}", reason));
+}
+
 } // namespace
 
 absl::StatusOr<std::vector<ListedHost>> parseHostList(std::string_view json)
 {
+    const auto list = Base::decodeJson(json);
+    if (!list.ok()) {
+        return malformed(Base::messageOf(list.status()));
+    }
     try {
         std::vector<ListedHost> hosts;
-        for (const nlohmann::json &entry : nlohmann::json::parse(json)) {
+        for (const nlohmann::json &entry : *list) {
             hosts.push_back({entry.at("name").get<std::string>(), entry.at("address").get<std::string>(),
                              entry.value("role", "router"),
                              entry.value("state", "live") == "leaving" ? ListedState::Leaving : ListedState::Live});
         }
         return hosts;
     } catch (const nlohmann::json::exception &exception) {
-        return Base::makeError(Base::ErrorKind::InvalidValue,
-                               fmt::format("the platform's host list cannot be parsed: {}", exception.what()));
+        return malformed(exception.what());
     }
 }
 
--- a/Source/Request/journal.cpp
+++ b/Source/Request/journal.cpp
@@ -3,8 +3,9 @@
 
 #include "Request/journal.h"
 
+#include "Base/json.h"
+
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 namespace Yokepond::Request {
 
@@ -24,7 +25,7 @@
 std::optional<OperationRecord> recordFromText(std::string_view text)
 {
     try {
-        const nlohmann::json json = nlohmann::json::parse(text);
+        const nlohmann::json json = Base::decodeJsonOrDiscard(text);
         OperationRecord record;
         record.home = json.at("home").get<std::string>();
         record.incarnation = json.at("incarnation").get<std::uint64_t>();
--- a/Source/Scaling/scaler.cpp
+++ b/Source/Scaling/scaler.cpp
@@ -4,6 +4,7 @@
 #include "Scaling/scaler.h"
 
 #include "Base/error.h"
+#include "Base/json.h"
 #include "Base/log.h"
 #include "Base/text.h"
 
@@ -49,6 +50,12 @@
     return left.pool == right.pool && left.dataCentre == right.dataCentre && left.preemptible == right.preemptible;
 }
 
+absl::Status malformedRow(std::string_view reason)
+{
+    return Base::makeError(Base::ErrorKind::InvalidValue,
+                           fmt::format("the stored row of the scaling duty is malformed: {}", reason));
+}
+
 } // namespace
 
 std::string serializeRow(const ScalingRow &row)
@@ -64,16 +71,18 @@
 
 absl::StatusOr<ScalingRow> parseScalingRow(std::string_view text)
 {
-    const Json json = Json::parse(text, nullptr, false);
+    const auto json = Base::decodeJson(text);
+    if (!json.ok()) {
+        return malformedRow(Base::messageOf(json.status()));
+    }
     try {
-        ScalingRow row {json.at("holder").get<std::uint64_t>(), json.at("host").get<std::string>(), {}};
-        for (const Json &baseline : json.at("bases")) {
+        ScalingRow row {json->at("holder").get<std::uint64_t>(), json->at("host").get<std::string>(), {}};
+        for (const Json &baseline : json->at("bases")) {
             row.baselines.push_back({baseline.at("pool").get<std::string>(), baseline.at("endpoints").get<std::uint32_t>()});
         }
         return row;
     } catch (const Json::exception &error) {
-        return Base::makeError(Base::ErrorKind::InvalidValue,
-                               fmt::format("the stored row of the scaling duty is malformed: {}", error.what()));
+        return malformedRow(error.what());
     }
 }
 
--- a/Source/Standin/common.cpp
+++ b/Source/Standin/common.cpp
@@ -3,6 +3,7 @@
 
 #include "Standin/common.h"
 
+#include "Base/json.h"
 #include "Base/text.h"
 
 #include <fmt/format.h>
@@ -95,7 +96,7 @@
 std::optional<nlohmann::json> readFaultsOrCrash(const std::shared_ptr<Http::Exchange> &exchange)
 {
     constexpr int httpBadRequest = 400;
-    nlohmann::json body = nlohmann::json::parse(exchange->request().body, nullptr, false);
+    nlohmann::json body = Base::decodeJsonOrDiscard(exchange->request().body);
     if (!body.is_object()) {
         respondError(exchange, httpBadRequest, "the request body must be a JSON object");
         return std::nullopt;
--- a/Source/Standin/platform.cpp
+++ b/Source/Standin/platform.cpp
@@ -3,6 +3,7 @@
 
 #include "Standin/platform.h"
 
+#include "Base/json.h"
 #include "Base/text.h"
 
 #include <fmt/format.h>
@@ -80,7 +81,7 @@
         handleHosts(exchange);
         return;
     }
-    const nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
+    const nlohmann::json body = Base::decodeJsonOrDiscard(request.body);
     if (!body.is_object()) {
         respondError(exchange, httpBadRequest, "the request body must be a JSON object");
     } else if (request.path == "/v3/kv/range") {
@@ -215,7 +216,7 @@
 {
     const Base::Instant now = Base::now();
     if (exchange->request().method == "POST") {
-        for (const nlohmann::json &entry : nlohmann::json::parse(exchange->request().body, nullptr, false)) {
+        for (const nlohmann::json &entry : Base::decodeJsonOrDiscard(exchange->request().body)) {
             const std::string name = entry.value("name", "");
             if (entry.value("state", "live") == "gone") {
                 m_hosts.erase(name);
--- a/Source/Tool/toolprogram.cpp
+++ b/Source/Tool/toolprogram.cpp
@@ -6,6 +6,7 @@
 #include "Base/address.h"
 #include "Base/error.h"
 #include "Base/ini.h"
+#include "Base/json.h"
 #include "Base/program.h"
 #include "Base/text.h"
 #include "Tool/completion.h"
@@ -174,7 +175,7 @@
             fmt::print(stderr, "yokepond: host {} could not be reached: {}\n", m_access.host, response.detail);
             return exitUnreachable;
         }
-        const nlohmann::json body = nlohmann::json::parse(response.body, nullptr, false);
+        const nlohmann::json body = Base::decodeJsonOrDiscard(response.body);
         if (response.status != httpOk) {
             printError(response, body);
         } else if (m_json || !body.is_object()) {
--- a/Source/Usage/usagerow.cpp
+++ b/Source/Usage/usagerow.cpp
@@ -4,6 +4,8 @@
 #include "Usage/usagerow.h"
 
 #include "Base/error.h"
+#include "Base/json.h"
+#include "Base/text.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -24,6 +26,12 @@
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+absl::Status malformed(std::string_view reason)
+{
+    return Base::makeError(Base::ErrorKind::InvalidValue,
+                           fmt::format("the stored row of the usage duty is malformed: {}", reason));
+}
+
 } // namespace
 
 std::string serializeRow(UsageRow row)
@@ -38,18 +46,20 @@
 
 absl::StatusOr<UsageRow> parseRow(std::string_view text)
 {
-    const Json json = Json::parse(text, nullptr, false);
+    const auto json = Base::decodeJson(text);
+    if (!json.ok()) {
+        return malformed(Base::messageOf(json.status()));
+    }
     try {
         UsageRow row;
-        row.holder = json.at("holder").get<std::uint64_t>();
-        row.host = json.at("host").get<std::string>();
-        for (const Json &entry : json.at("windows")) {
+        row.holder = json->at("holder").get<std::uint64_t>();
+        row.host = json->at("host").get<std::string>();
+        for (const Json &entry : json->at("windows")) {
             row.windows.push_back({entry.at("window").get<WindowNumber>(), entry.at("counts").get<WindowCounts>()});
         }
         return row;
     } catch (const Json::exception &error) {
-        return Base::makeError(Base::ErrorKind::InvalidValue,
-                               fmt::format("the stored row of the usage duty is malformed: {}", error.what()));
+        return malformed(error.what());
     }
 }
 
