Http, Node: The bodies of all requests stay within a host's memory

What callers saw: a host whose callers send large bodies, each within the limit, takes more memory than its machine has and is ended with all of its requests.

Cause: nothing looked at what all bodies take together. Besides, a body's buffer doubled as it grew, each run copied the body, and it stayed until the response had been read. glibc kept the memory of large blocks in its heaps, and `text = {}` kept that of strings.

A body gets its whole room before it is read, at most half of what is free, so that smaller ones find room. A request whose body finds none gets 429 with Retry-After and is not run; its body is read and dropped, since closing would reset the connection. Where room is needed, a body that comes too slowly for `receive-ms`, or has stalled, gives way (408, not run). Calls and transfers share one body, and the room is given back at the end of the call. Blocks of 64 KiB and more are mappings of their own, and strings that are dropped give their memory back. Metrics, a log event and the dump tell of it.

Why it works: nothing is read into memory without room for it, and nothing waits for room, so bodies cannot block each other; the bound is at least twice the largest body, so a body that comes alone always finds room.

--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 61> eventNames = {{
+constexpr NameTable<LogEvent, 62> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -34,6 +34,7 @@
     {LogEvent::SlowCallerCut, "slow-caller-cut"},
     {LogEvent::ResponseOverLimit, "response-over-limit"},
     {LogEvent::ConnectionsOverLimit, "connections-over-limit"},
+    {LogEvent::BodiesOverBound, "bodies-over-bound"},
     {LogEvent::PathLost, "path-lost"},
     {LogEvent::PathRecovered, "path-back"},
     {LogEvent::TunnelRefused, "tunnel-refused"},
--- a/Source/Base/log.h
+++ b/Source/Base/log.h
@@ -40,6 +40,7 @@
     SlowCallerCut,
     ResponseOverLimit,
     ConnectionsOverLimit,
+    BodiesOverBound,
     PathLost,
     PathRecovered,
     TunnelRefused,
--- a/Source/Http/client.cpp
+++ b/Source/Http/client.cpp
@@ -282,10 +282,11 @@
             curl_easy_setopt(handle, CURLOPT_REQUEST_TARGET, transfer.target.c_str());
         }
         curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, transfer.method.c_str());
-        if (transfer.method != "GET" || !transfer.body.empty()) {
+        const std::string &body = transfer.sharedBody == nullptr ? transfer.body : *transfer.sharedBody;
+        if (transfer.method != "GET" || !body.empty()) {
             curl_easy_setopt(handle, CURLOPT_POST, 1L);
-            curl_easy_setopt(handle, CURLOPT_POSTFIELDS, transfer.body.data());
-            curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(transfer.body.size()));
+            curl_easy_setopt(handle, CURLOPT_POSTFIELDS, body.data());
+            curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body.size()));
         }
         curl_easy_setopt(handle, CURLOPT_HTTPHEADER, list);
         curl_easy_setopt(handle, CURLOPT_PRIVATE, &running);
--- a/Source/Http/client.h
+++ b/Source/Http/client.h
@@ -55,6 +55,7 @@
     std::string target; ///< request target, sent unchanged in the request line; if empty, the target of the URL
     Headers headers; ///< sent unchanged; the client adds only Host and Content-Length
     std::string body;
+    std::shared_ptr<const std::string> sharedBody; ///< the body, if it is not copied; it must not change during the transfer
     Base::Duration connectTimeout = std::chrono::seconds(1);
     Base::Duration totalTimeout = Base::Duration::zero(); ///< limit for the whole transfer; zero means no limit
     /// Whether to use a new connection. libcurl repeats a request on its own if a reused connection turns out to be closed, so
--- a/Source/Http/server.cpp
+++ b/Source/Http/server.cpp
@@ -36,6 +36,11 @@
 constexpr std::size_t bodyBlockBytes = 16U << 10U; ///< the same for a complete response that is read block by block
 constexpr Base::Duration sweepPeriod = std::chrono::seconds(1);
 constexpr int watchedEventsPerCall = 64;
+/// A request whose body is dropped gets its response when the body has ended, so that the caller has read it before the
+/// connection closes, but after this time at the latest.
+constexpr Base::Duration droppedBodyPatience = std::chrono::seconds(1);
+/// First size of the buffer of a body whose length is not known. Many small buffers that grow would leave gaps in the heap.
+constexpr std::size_t minGrowingBodyBytes = 64U << 10U;
 /// A complete response's body above this size is read block by block, so that buffered() tells how much of it is left. A smaller
 /// body is passed to the kernel in one piece.
 constexpr std::size_t maxWholeBodyBytes = 16U << 10U;
@@ -54,17 +59,28 @@
 class MhdExchange : public Exchange, public std::enable_shared_from_this<MhdExchange>
 {
 public:
-    enum class State { Receiving, Waiting, ResponseSet, Streaming, Ended };
+    /// Refused: the body is dropped, and the response follows it. Answered: the same, but the response has been sent.
+    enum class State { Receiving, Refused, Answered, Waiting, ResponseSet, Streaming, Ended };
 
-    MhdExchange(MhdServer &server, MHD_Connection *connection)
+    MhdExchange(MhdServer &server, MHD_Connection *connection, std::uint64_t number, std::shared_ptr<BodyMemory> bodies)
         : m_server(server)
         , m_connection(connection)
         , m_startedAt(Base::now())
+        , m_number(number)
+        , m_bodies(std::move(bodies))
     {
         const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
         m_descriptor = info->connect_fd;
     }
 
+    MhdExchange(const MhdExchange &) = delete;
+    MhdExchange &operator=(const MhdExchange &) = delete;
+
+    ~MhdExchange() override
+    {
+        m_bodies->release(m_number, Base::now());
+    }
+
     const Request &request() const override
     {
         return m_request;
@@ -75,6 +91,7 @@
     void write(std::string_view bytes) override;
     void setTrailer(Header header) override;
     void finish() override;
+    void releaseBody() override;
     void abort() override;
     void reset() override;
 
@@ -112,6 +129,10 @@
     Base::Instant m_startedAt;
     State m_state = State::Receiving;
     Request m_request;
+    std::uint64_t m_number; ///< of the exchange at its server; identifies its body
+    std::size_t m_declaredBytes = 0; ///< length of the body as the head tells it; 0 if it does not
+    absl::Status m_refusal; ///< why the body is dropped
+    Base::Duration m_retryAfter {}; ///< see m_refusal
 
 private:
     /// Removes the first @p size bytes of the buffer, and gives memory back that is not needed any more.
@@ -131,6 +152,7 @@
     bool m_suspended = false;
     Task m_onDrained;
     Task m_onClosed;
+    std::shared_ptr<BodyMemory> m_bodies; ///< may outlive the server, as the exchange may
 };
 
 /// Implements the server with libmicrohttpd.
@@ -142,6 +164,7 @@
         , m_limits(limits)
         , m_handler(std::move(handler))
         , m_formatErrorBody(std::move(formatErrorBody))
+        , m_bodies(std::make_shared<BodyMemory>(BodyMemoryLimits {limits.bodyMemoryBytes, limits.receive}))
     {
     }
 
@@ -161,6 +184,16 @@
         return m_connectionCounters;
     }
 
+    std::size_t bodyBytes() const override
+    {
+        return m_bodies->heldBytes();
+    }
+
+    const BodyMemoryCounters &bodyCounters() const override
+    {
+        return m_bodyCounters;
+    }
+
     std::size_t connections() const override
     {
         const auto *info = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
@@ -213,15 +246,27 @@
     bool closeLongestIdle();
     MHD_Result beginRequest(MHD_Connection *connection, const char *method, const char *url, void **state);
     MHD_Result receive(const std::shared_ptr<MhdExchange> &exchange, const char *data, std::size_t *size);
-    MHD_Result reject(MhdExchange &exchange, const absl::Status &error);
+    MHD_Result reject(MhdExchange &exchange, const absl::Status &error, Base::Duration retryAfter = {});
     void logTurnedAway();
+    void logBodies();
     /// Writes the error response to the socket and closes the connection.
     void rejectOnSocket(MhdExchange &exchange, const absl::Status &error);
-    void limitSendBuffers();
+    void sendOnSocket(const MhdExchange &exchange, const absl::Status &error, Base::Duration retryAfter = {});
+    void limitSocketBuffers();
     void run();
     void readWatched();
     /// Rejects the requests that exceed the receive timeout, and runs libmicrohttpd for its idle timeouts.
     void sweep();
+    void sweepArriving(MhdExchange &exchange, Base::Duration elapsed);
+
+    /// Lets the body take @p bytes, for which slow bodies may be cut. Returns false if there is no room.
+    bool makeRoom(const MhdExchange &exchange, std::size_t bytes);
+    /// Makes the body's buffer large enough for @p bytes. Returns false if there is no room.
+    bool reserve(MhdExchange &exchange, std::size_t bytes);
+    void cutSlowBody(std::uint64_t number);
+    /// Refuses the request for want of @p bytes. What comes of its body is dropped from now on.
+    void refuseBody(MhdExchange &exchange, std::size_t bytes);
+    MHD_Result dropBody(MhdExchange &exchange, std::size_t *size);
 
     Base::Loop &m_loop;
     ServerLimits m_limits;
@@ -234,6 +279,10 @@
     CallerConnections<MHD_Connection *> m_connections; ///< but those that are being closed to make room
     ConnectionCounters m_connectionCounters;
     ConnectionCounters m_loggedCounters; ///< as of the last line in the log
+    std::shared_ptr<BodyMemory> m_bodies;
+    BodyMemoryCounters m_bodyCounters;
+    BodyMemoryCounters m_loggedBodyCounters; ///< as of the last line in the log
+    std::uint64_t m_exchanges = 0; ///< since the start
     std::map<MHD_Connection *, std::string> m_targets; ///< request targets of requests whose head is incomplete
     int m_watchDescriptor = -1;
     std::map<MhdExchange *, std::shared_ptr<MhdExchange>> m_openExchanges;
@@ -265,11 +314,37 @@
     return size;
 }
 
-std::string rawResponse(const absl::Status &error, std::string_view body)
+/// Empties @p text. An assignment would keep its memory.
+void freeMemory(std::string &text)
+{
+    std::string().swap(text);
+}
+
+/// Returns the length of the body that the head declares; 0 if it declares none.
+std::size_t declaredBodyBytes(const Request &request)
+{
+    const auto length = headerValue(request.headers, "content-length");
+    return length ? std::strtoull(std::string(*length).c_str(), nullptr, 10) : 0;
+}
+
+/// Returns the headers of a response that says that a request was not run.
+Headers rejectionHeaders(Base::Duration retryAfter)
+{
+    Headers headers = {{"content-type", std::string(jsonType)}, {"yokepond-outcome", "not-run"}, {"connection", "close"}};
+    if (retryAfter > Base::Duration::zero()) {
+        headers.push_back({"retry-after", fmt::format("{}", std::chrono::ceil<std::chrono::seconds>(retryAfter).count())});
+    }
+    return headers;
+}
+
+std::string rawResponse(const absl::Status &error, std::string_view body, Base::Duration retryAfter)
 {
-    return fmt::format(
-        "HTTP/1.1 {} {}\r\nContent-Type: {}\r\nYokepond-Outcome: not-run\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{}",
-        httpStatus(Base::errorKind(error)), errorName(Base::errorKind(error)), jsonType, body.size(), body);
+    std::string head = fmt::format("HTTP/1.1 {} {}\r\ncontent-length: {}\r\n", httpStatus(Base::errorKind(error)),
+                                   errorName(Base::errorKind(error)), body.size());
+    for (const Header &header : rejectionHeaders(retryAfter)) {
+        head += fmt::format("{}: {}\r\n", header.name, header.value);
+    }
+    return fmt::format("{}\r\n{}", head, body);
 }
 
 /// Returns @p text with all characters percent-encoded except the unreserved characters of a URL.
@@ -358,6 +433,12 @@
     resume();
 }
 
+void MhdExchange::releaseBody()
+{
+    freeMemory(m_request.body);
+    m_bodies->release(m_number, Base::now());
+}
+
 void MhdExchange::abort()
 {
     m_aborted = true;
@@ -406,9 +487,9 @@
 
 void MhdExchange::dropBuffer()
 {
-    m_buffer = {};
+    freeMemory(m_buffer);
     m_readOffset = 0;
-    m_response.body = {};
+    freeMemory(m_response.body);
 }
 
 MHD_Result MhdExchange::queueResponse()
@@ -530,7 +611,7 @@
     }
     m_address = address;
     m_address.port = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
-    limitSendBuffers();
+    limitSocketBuffers();
     m_watchDescriptor = epoll_create1(EPOLL_CLOEXEC);
     const int libraryDescriptor = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
     m_readable = m_loop.whenReadable(libraryDescriptor, [this] { run(); });
@@ -591,15 +672,29 @@
                {"limit", m_limits.connections}});
 }
 
-/// Applies ServerLimits::sendBufferBytes to the listener, from which each connection inherits it.
-void MhdServer::limitSendBuffers()
+void MhdServer::logBodies()
 {
-    if (m_limits.sendBufferBytes == 0) {
+    const std::uint64_t refused = m_bodyCounters.refused - m_loggedBodyCounters.refused;
+    const std::uint64_t cut = m_bodyCounters.cut - m_loggedBodyCounters.cut;
+    if (refused == 0 && cut == 0) {
         return;
     }
+    m_loggedBodyCounters = m_bodyCounters;
+    Base::log(Base::LogLevel::Warning, Base::LogEvent::BodiesOverBound,
+              {{"refused", refused}, {"cut", cut}, {"held-bytes", m_bodies->heldBytes()}, {"bound", m_limits.bodyMemoryBytes}});
+}
+
+/// Applies the sizes of the kernel's buffers to the listener, from which each connection inherits them.
+void MhdServer::limitSocketBuffers()
+{
     const int listener = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
-    const int bytes = static_cast<int>(m_limits.sendBufferBytes);
-    setsockopt(listener, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+    for (const auto &[option, size] :
+         {std::pair {SO_SNDBUF, m_limits.sendBufferBytes}, {SO_RCVBUF, m_limits.receiveBufferBytes}}) {
+        if (size > 0) {
+            const int bytes = static_cast<int>(size);
+            setsockopt(listener, SOL_SOCKET, option, &bytes, sizeof bytes);
+        }
+    }
 }
 
 void MhdServer::run()
@@ -662,16 +757,33 @@
 {
     const Base::Instant now = Base::now();
     for (const auto &[pointer, exchange] : m_openExchanges) {
-        if (exchange->m_state == MhdExchange::State::Receiving && now - exchange->m_startedAt > m_limits.receive) {
-            rejectOnSocket(*exchange,
-                           makeError(Base::ErrorKind::RequestTimeout,
-                                     fmt::format("the request was not received completely within {:.0f} s",
-                                                 Base::seconds(m_limits.receive))));
-        }
+        sweepArriving(*exchange, now - exchange->m_startedAt);
     }
     // libmicrohttpd checks the timeouts of idle connections only when it runs.
     run();
     logTurnedAway();
+    logBodies();
+}
+
+void MhdServer::sweepArriving(MhdExchange &exchange, Base::Duration elapsed)
+{
+    using State = MhdExchange::State;
+    if (exchange.m_state == State::Refused && elapsed > droppedBodyPatience) {
+        sendOnSocket(exchange, exchange.m_refusal, exchange.m_retryAfter);
+        exchange.m_state = State::Answered;
+    }
+    if (elapsed <= m_limits.receive) {
+        return;
+    }
+    if (exchange.m_state == State::Answered) {
+        exchange.m_state = State::Ended;
+        ::shutdown(exchange.m_descriptor, SHUT_RDWR);
+    } else if (exchange.m_state == State::Receiving) {
+        rejectOnSocket(
+            exchange,
+            makeError(Base::ErrorKind::RequestTimeout,
+                      fmt::format("the request was not received completely within {:.0f} s", Base::seconds(m_limits.receive))));
+    }
 }
 
 /// Stores the request target. libmicrohttpd calls this when it has read the request line, and the return value becomes the
@@ -702,7 +814,7 @@
 
 MHD_Result MhdServer::beginRequest(MHD_Connection *connection, const char *method, const char *url, void **state)
 {
-    auto exchange = std::make_shared<MhdExchange>(*this, connection);
+    auto exchange = std::make_shared<MhdExchange>(*this, connection, ++m_exchanges, m_bodies);
     exchange->m_request.method = method;
     exchange->m_request.path = url;
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &MhdServer::storeHeader, exchange.get());
@@ -718,53 +830,134 @@
             makeError(Base::ErrorKind::RequestHeadTooLarge,
                       fmt::format("the head is over the limit of {} bytes or {} fields", m_limits.headerBytes, maxHeaderFields)));
     }
-    const auto length = headerValue(request.headers, "content-length");
-    if (length && std::strtoull(std::string(*length).c_str(), nullptr, 10) > m_limits.bodyBytes) {
+    exchange->m_declaredBytes = declaredBodyBytes(request);
+    if (exchange->m_declaredBytes > m_limits.bodyBytes) {
         return reject(*exchange,
                       makeError(Base::ErrorKind::RequestTooLarge,
                                 fmt::format("the body is over the limit of {} bytes", m_limits.bodyBytes)));
     }
+    if (!makeRoom(*exchange, exchange->m_declaredBytes)) {
+        refuseBody(*exchange, exchange->m_declaredBytes);
+        if (headerValue(request.headers, "expect")) {
+            // The caller waits for a word before it sends the body.
+            return reject(*exchange, exchange->m_refusal, exchange->m_retryAfter);
+        }
+    }
     return MHD_YES;
 }
 
-MHD_Result MhdServer::reject(MhdExchange &exchange, const absl::Status &error)
+bool MhdServer::makeRoom(const MhdExchange &exchange, std::size_t bytes)
+{
+    const Base::Instant now = Base::now();
+    while (!m_bodies->grow(exchange.m_number, bytes, now)) {
+        const auto slow = m_bodies->slowBody(now);
+        if (!slow || *slow == exchange.m_number) {
+            return false;
+        }
+        cutSlowBody(*slow);
+    }
+    return true;
+}
+
+bool MhdServer::reserve(MhdExchange &exchange, std::size_t bytes)
+{
+    std::string &body = exchange.m_request.body;
+    if (bytes <= body.capacity()) {
+        return true;
+    }
+    // A body of which the length is not known doubles its buffer as it grows.
+    const std::size_t grown = std::min(std::max(2 * body.capacity(), minGrowingBodyBytes), m_limits.bodyBytes);
+    const std::size_t size = std::max(bytes, exchange.m_declaredBytes > 0 ? exchange.m_declaredBytes : grown);
+    if (!makeRoom(exchange, size)) {
+        return false;
+    }
+    body.reserve(size);
+    return true;
+}
+
+void MhdServer::cutSlowBody(std::uint64_t number)
+{
+    ++m_bodyCounters.cut;
+    m_bodies->release(number, Base::now());
+    const auto hasNumber = [&](const auto &entry) { return entry.second->m_number == number; };
+    if (const auto entry = std::ranges::find_if(m_openExchanges, hasNumber); entry != m_openExchanges.end()) {
+        rejectOnSocket(*entry->second,
+                       makeError(Base::ErrorKind::RequestTimeout, "the body came too slowly while others needed its room"));
+    }
+}
+
+void MhdServer::refuseBody(MhdExchange &exchange, std::size_t bytes)
+{
+    ++m_bodyCounters.refused;
+    exchange.m_state = MhdExchange::State::Refused;
+    exchange.m_refusal
+        = makeError(Base::ErrorKind::Overloaded, "the bodies of other requests take the memory for them; retry later");
+    exchange.m_retryAfter = std::max<Base::Duration>(std::chrono::seconds(1), m_bodies->timeUntilFree(bytes));
+    exchange.releaseBody();
+}
+
+MHD_Result MhdServer::dropBody(MhdExchange &exchange, std::size_t *size)
+{
+    if (*size > 0) {
+        *size = 0;
+        return MHD_YES;
+    }
+    return exchange.m_state == MhdExchange::State::Answered ? MHD_NO
+                                                            : reject(exchange, exchange.m_refusal, exchange.m_retryAfter);
+}
+
+MHD_Result MhdServer::reject(MhdExchange &exchange, const absl::Status &error, Base::Duration retryAfter)
 {
     exchange.m_state = MhdExchange::State::Waiting;
-    exchange.respond({httpStatus(Base::errorKind(error)),
-                      {{"content-type", std::string(jsonType)}, {"yokepond-outcome", "not-run"}, {"connection", "close"}},
-                      m_formatErrorBody(error)});
+    exchange.respond({httpStatus(Base::errorKind(error)), rejectionHeaders(retryAfter), m_formatErrorBody(error)});
     return exchange.queueResponse();
 }
 
 void MhdServer::rejectOnSocket(MhdExchange &exchange, const absl::Status &error)
 {
-    // libmicrohttpd accepts no response while a body is being received, so the response is written directly to the socket.
+    sendOnSocket(exchange, error);
     exchange.m_state = MhdExchange::State::Ended;
-    const std::string response = rawResponse(error, m_formatErrorBody(error));
-    ::send(exchange.m_descriptor, response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    exchange.releaseBody();
     ::shutdown(exchange.m_descriptor, SHUT_RDWR);
 }
 
+void MhdServer::sendOnSocket(const MhdExchange &exchange, const absl::Status &error, Base::Duration retryAfter)
+{
+    // libmicrohttpd accepts no response while a body is being received, so the response is written directly to the socket.
+    const std::string response = rawResponse(error, m_formatErrorBody(error), retryAfter);
+    ::send(exchange.m_descriptor, response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+}
+
 MHD_Result MhdServer::receive(const std::shared_ptr<MhdExchange> &exchange, const char *data, std::size_t *size)
 {
     if (exchange->m_state == MhdExchange::State::Ended) {
         return MHD_NO;
     }
+    if (exchange->m_state == MhdExchange::State::Refused || exchange->m_state == MhdExchange::State::Answered) {
+        return dropBody(*exchange, size);
+    }
     if (exchange->m_state != MhdExchange::State::Receiving) {
         *size = 0;
         return exchange->m_state == MhdExchange::State::Waiting ? MHD_YES : exchange->queueResponse();
     }
     if (*size > 0) {
-        if (exchange->m_request.body.size() + *size > m_limits.bodyBytes) {
+        const std::size_t received = exchange->m_request.body.size() + *size;
+        if (received > m_limits.bodyBytes) {
             rejectOnSocket(*exchange,
                            makeError(Base::ErrorKind::RequestTooLarge,
                                      fmt::format("the body is over the limit of {} bytes", m_limits.bodyBytes)));
             return MHD_NO;
         }
+        if (!reserve(*exchange, received)) {
+            refuseBody(*exchange, received);
+            return dropBody(*exchange, size);
+        }
         exchange->m_request.body.append(data, *size);
+        m_bodies->received(exchange->m_number, received, Base::now());
         *size = 0;
         return MHD_YES;
     }
+    m_bodies->completed(exchange->m_number);
     exchange->m_state = MhdExchange::State::Waiting;
     m_handler(exchange);
     if (exchange->m_state == MhdExchange::State::Waiting) {
--- a/Source/Http/server.h
+++ b/Source/Http/server.h
@@ -9,6 +9,7 @@
 #include "Base/address.h"
 #include "Base/error.h"
 #include "Base/loop.h"
+#include "Http/bodymemory.h"
 #include "Http/message.h"
 
 #include <cstdint>
@@ -32,6 +33,10 @@
     /// Size of the kernel's send buffer of each connection, which the kernel doubles for its own overhead; 0: the system's
     /// default.
     std::size_t sendBufferBytes = 0;
+    std::size_t receiveBufferBytes = 0; ///< the same for the kernel's receive buffer
+    /// Bound for the bodies of all requests together, from their start until their responses; 0: none. A request whose body finds
+    /// no room gets an error response, and its body is read and dropped.
+    std::size_t bodyMemoryBytes = 0;
 };
 
 /// What became of connections for which there was no room.
@@ -67,6 +72,9 @@
     /// Ends a started stream after the bytes that have been written.
     virtual void finish() = 0;
 
+    /// Drops the request's body, which must not be needed any more, and gives its room back.
+    virtual void releaseBody() = 0;
+
     /// Closes the connection, so that the caller sees an incomplete response.
     virtual void abort() = 0;
 
@@ -115,6 +123,11 @@
 
     virtual const ConnectionCounters &connectionCounters() const = 0;
 
+    /// Returns how many bytes the bodies of requests take, counted as in ServerLimits::bodyMemoryBytes.
+    virtual std::size_t bodyBytes() const = 0;
+
+    virtual const BodyMemoryCounters &bodyCounters() const = 0;
+
     /// Stops accepting connections. Open connections stay open.
     virtual void closeListener() = 0;
 
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -33,6 +33,8 @@
 /// Send buffer of a caller's connection if there is a bound on what is held for callers: several seconds of a stream's events,
 /// and enough to send a large body at megabytes a second over a round trip of 50 ms.
 constexpr std::size_t callerSendBufferBytes = 64U << 10U;
+/// Receive buffer of a caller's connection if there is a bound for the bodies of requests; as large, for the same reason.
+constexpr std::size_t callerReceiveBufferBytes = 64U << 10U;
 constexpr std::size_t maxDumpedRows = 200;
 constexpr unsigned int incarnationRandomBits = 12;
 constexpr int exitNotDrained = 3;
@@ -177,6 +179,9 @@
         // Otherwise the kernel would hold megabytes for a caller that does not read, which no bound counts.
         limits.sendBufferBytes = callerSendBufferBytes;
     }
+    if (limits.bodyMemoryBytes > 0) {
+        limits.receiveBufferBytes = callerReceiveBufferBytes;
+    }
     const Relay::RelayOptions options {.listen = m_settings.callerListen,
                                        .limits = limits,
                                        .sourceAddress = m_settings.endpointSource,
@@ -687,6 +692,9 @@
     m_metrics.set("yokepond_open_calls", "", static_cast<double>(m_relay->counters().open));
     m_metrics.set("yokepond_idle_connections_closed_total", "", static_cast<double>(m_relay->counters().idleClosed));
     m_metrics.set("yokepond_connections_turned_away_total", "", static_cast<double>(m_relay->counters().turnedAway));
+    m_metrics.set("yokepond_body_bytes", "", static_cast<double>(m_relay->counters().bodyBytes));
+    m_metrics.set("yokepond_bodies_refused_total", "", static_cast<double>(m_relay->counters().bodiesRefused));
+    m_metrics.set("yokepond_bodies_cut_total", "", static_cast<double>(m_relay->counters().bodiesCut));
     m_metrics.set("yokepond_held_bytes", "", static_cast<double>(m_relay->counters().heldBytes));
     m_metrics.set("yokepond_tunnels", "", static_cast<double>(m_relay->counters().tunnels));
     m_metrics.set("yokepond_tunnels_opened_total", "", static_cast<double>(m_relay->counters().tunnelsOpened));
@@ -782,6 +790,7 @@
               {"peer", m_settings.peerListen.text()},
               {"platform", m_settings.platform.text()},
               {"body-bytes", m_settings.callerLimits.bodyBytes},
+              {"body-memory-bytes", m_settings.callerLimits.bodyMemoryBytes},
               {"connections", m_settings.callerLimits.connections}}},
             {"home",
              {{"active", m_home.active()},
@@ -796,6 +805,7 @@
               {"held-bytes", m_frontend->operations().responseBytes()},
               {"unrecorded", m_frontend->unrecorded()}}},
             {"open-calls", m_relay->counters().open.load()},
+            {"held-body-bytes", m_relay->counters().bodyBytes.load()},
             {"lost-paths", m_relay->counters().paths.lostPaths.load()},
             {"tunnels", m_relay->counters().tunnels.load()},
             {"tunnel-helpers", helperAddresses},
--- a/Source/Node/daemonprogram.cpp
+++ b/Source/Node/daemonprogram.cpp
@@ -12,6 +12,7 @@
 #include "Node/settings.h"
 
 #include <fmt/format.h>
+#include <malloc.h>
 #include <sys/resource.h>
 
 #include <memory>
@@ -46,6 +47,10 @@
     }
 }
 
+/// Memory blocks from this size on have a mapping of their own, which goes back to the system when they are freed. glibc begins
+/// with twice as much, and raises it with each mapping that is freed, so that heaps keep the room of requests' bodies.
+constexpr int mappedBlockBytes = 64 << 10;
+
 /// Calls @p attempt until it returns an OK status, but not longer than @p limit, and returns its last status. A stop that the
 /// process is told in between ends it.
 template<typename Attempt>
@@ -120,6 +125,7 @@
     Base::configureLog(settings->logLevel, settings->name);
     Base::setCrashReportHost(settings->name);
     raiseDescriptorLimit();
+    mallopt(M_MMAP_THRESHOLD, mappedBlockBytes);
     Base::startLogWriter();
     const int code = runDaemon(*settings, file);
     Base::endLogWriter();
--- a/Source/Node/settings.cpp
+++ b/Source/Node/settings.cpp
@@ -88,12 +88,32 @@
 }
 
 constexpr std::uint64_t mebibyte = 1U << 20U;
+constexpr std::int64_t maxMebibytes = 1'000'000;
+/// Without a bound of its own, a host uses one part in this many of its memory for the bodies of requests.
+constexpr std::uint64_t memoryPerBodies = 4;
+
+/// Returns the bound for the bodies of all requests. A body gets at most half of what is free, so it is at least twice as large
+/// as the largest body.
+std::size_t parseBodyMemory(IniFile &ini, std::uint64_t memoryBytes, std::size_t bodyBytes)
+{
+    const std::uint64_t least = 2 * bodyBytes;
+    const auto boundBytes = static_cast<std::uint64_t>(ini.number("limits", "body-memory-mb", 0, 1, maxMebibytes)) * mebibyte;
+    if (boundBytes > 0 && boundBytes < least) {
+        ini.reject("limits", "body-memory-mb", "at least twice body-bytes");
+    }
+    if (memoryBytes > 0 && boundBytes >= memoryBytes) {
+        ini.reject("limits", "body-memory-mb", "less than [host] memory-mb");
+    }
+    if (boundBytes > 0 || memoryBytes == 0) {
+        return boundBytes;
+    }
+    return std::max(memoryBytes / memoryPerBodies, least);
+}
 
 /// Returns the limits on what is held for callers. Without a bound they apply to each stream only.
 Relay::ResponseBufferLimits parseResponseBuffers(IniFile &ini, std::uint64_t memoryBytes)
 {
     Relay::ResponseBufferLimits limits;
-    constexpr std::int64_t maxMebibytes = 1'000'000;
     const auto boundBytes
         = static_cast<std::uint64_t>(ini.number("limits", "response-buffers-mb", 0, 1, maxMebibytes)) * mebibyte;
     if (memoryBytes > 0 && boundBytes >= memoryBytes) {
@@ -244,6 +264,7 @@
     settings.dutyTakeoverDelay = milliseconds(ini, "usage", "quiet-ms", 3000, minDutyTakeoverDelayMs);
     settings.notReadyAfter = milliseconds(ini, "platform", "not-ready-after-ms", 30'000);
     settings.callerLimits = parseLimits(ini);
+    settings.callerLimits.bodyMemoryBytes = parseBodyMemory(ini, settings.memoryBytes, settings.callerLimits.bodyBytes);
     settings.responseBuffers = parseResponseBuffers(ini, settings.memoryBytes);
     settings.membership = parseMembership(ini);
     settings.operations.retention = milliseconds(ini, "operations", "kept-ms", hourMs);
--- a/Source/Relay/adoptedexchange.h
+++ b/Source/Relay/adoptedexchange.h
@@ -58,6 +58,11 @@
         m_handler(std::move(m_response));
     }
 
+    void releaseBody() override
+    {
+        std::string().swap(m_request.body);
+    }
+
     void abort() override
     {
     }
--- a/Source/Relay/openaiprotocol.h
+++ b/Source/Relay/openaiprotocol.h
@@ -27,6 +27,7 @@
         nlohmann::json body; ///< parsed body of a completion request; null for other requests
     };
 
+    static constexpr bool forwardsBody = false;
     static constexpr bool marksLastEvent = true;
     static constexpr bool closeEndsBody = false;
     static constexpr bool streamCarriesOutcome = true;
--- a/Source/Relay/protocol.h
+++ b/Source/Relay/protocol.h
@@ -68,6 +68,10 @@
           {
               protocol.bodyHeaders(run, head)
           } -> std::same_as<Http::Headers>;
+          /// Whether endpoints get the request's body unchanged. The relay then adds it to the transfer, without a copy.
+          {
+              P::forwardsBody
+          } -> std::convertible_to<bool>;
           /// Whether the last event of a stream is marked as such; otherwise a stream ends with the transfer.
           {
               P::marksLastEvent
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -35,7 +35,8 @@
 
 /// Counters of the relay. They are written by the relay's thread and may be read by any thread.
 ///
-/// All but `open`, `unsent`, `heldBytes`, `pausedStreams`, `tunnels` and `paths.lostPaths` are totals since the start.
+/// All but `open`, `unsent`, `bodyBytes`, `heldBytes`, `pausedStreams`, `tunnels` and `paths.lostPaths` are totals since the
+/// start.
 struct RelayCounters
 {
     std::atomic<std::uint64_t> calls = 0; ///< callers' requests received
@@ -46,6 +47,9 @@
     std::atomic<std::uint64_t> unsent = 0; ///< requests, also incomplete ones, whose responses have not been sent to the kernel
     std::atomic<std::uint64_t> idleClosed = 0; ///< see Http::ConnectionCounters
     std::atomic<std::uint64_t> turnedAway = 0; ///< see Http::ConnectionCounters
+    std::atomic<std::uint64_t> bodyBytes = 0; ///< see Http::Server::bodyBytes()
+    std::atomic<std::uint64_t> bodiesRefused = 0; ///< see Http::BodyMemoryCounters
+    std::atomic<std::uint64_t> bodiesCut = 0; ///< see Http::BodyMemoryCounters
     std::atomic<std::uint64_t> heldBytes = 0; ///< bytes held for callers: requests, and responses that they have not read
     std::atomic<std::uint64_t> pausedStreams = 0; ///< streams whose endpoint is not read now
     std::atomic<std::uint64_t> cutUnread = 0; ///< callers cut for CutReason::Unread
--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -224,6 +224,9 @@
         m_counters.unsent = m_server->openRequests();
         m_counters.idleClosed = m_server->connectionCounters().idleClosed;
         m_counters.turnedAway = m_server->connectionCounters().turnedAway;
+        m_counters.bodyBytes = m_server->bodyBytes();
+        m_counters.bodiesRefused = m_server->bodyCounters().refused;
+        m_counters.bodiesCut = m_server->bodyCounters().cut;
         if (m_tunnelServer != nullptr) {
             m_counters.tunnels = m_tunnelServer->busy();
             m_counters.tunnelsOpened = m_tunnelServer->opened();
@@ -254,6 +257,10 @@
     void eraseCall(std::uint64_t id, bool responds)
     {
         if (responds) {
+            if (Call *call = find(id); call != nullptr && call->transfer == 0) {
+                // No run needs the body any more, while the caller may read the response for long.
+                call->exchange->releaseBody();
+            }
             m_slowCallers->finish(id);
         } else {
             m_slowCallers->remove(id);
@@ -353,12 +360,20 @@
         call->startedAt = Base::now();
         startTransfer(*call, [this, id = call->id] {
             const Call *found = find(id);
-            return found == nullptr
-                ? Http::Transfer {}
-                : m_protocol.buildTransfer(found->state, found->exchange->request(), found->run, found->lastEventId);
+            return found == nullptr ? Http::Transfer {} : buildTransfer(*found);
         });
     }
 
+    Http::Transfer buildTransfer(const Call &call) const
+    {
+        const Http::Request &request = call.exchange->request();
+        Http::Transfer transfer = m_protocol.buildTransfer(call.state, request, call.run, call.lastEventId);
+        if constexpr (P::forwardsBody) {
+            transfer.sharedBody = {call.exchange, &request.body};
+        }
+        return transfer;
+    }
+
     void execute(Respond &&command)
     {
         Call *call = find(command.id);
@@ -419,7 +434,7 @@
         call.head = {};
         call.kind = ResponseKind::Failed;
         call.splitter.reset();
-        call.body = {};
+        std::string().swap(call.body); // an assignment would keep its memory
         m_slowCallers->measure(call.id, 0);
         m_slowCallers->setPaused(call.id, false);
         call.bytesWithoutData = 0;
--- a/Tests/Node/settingstest.cpp
+++ b/Tests/Node/settingstest.cpp
@@ -132,6 +132,35 @@
     CHECK_EQUAL(12 * mebibyte, boundOf(std::string(validText) + "[limits]\nresponse-buffers-mb = 12\n"));
 }
 
+/// Guards against hosts that are ended because the bodies of their requests take more memory than they have.
+TEST(Settings, theBoundForBodiesFollowsFromTheMemoryUnlessItIsSet)
+{
+    const auto boundOf = [](const std::string &text) {
+        const auto settings = Node::parseSettings(*Base::IniFile::parse(text, "y.ini"));
+        CHECK_TRUE(settings.ok());
+        return settings->callerLimits.bodyMemoryBytes;
+    };
+    constexpr std::size_t mebibyte = 1U << 20U;
+    const std::string withMemory = replaced("data-centre = lisbon-a", "data-centre = lisbon-a\nmemory-mb = 110");
+    CHECK_EQUAL(0U, boundOf(std::string(validText)));
+    CHECK_EQUAL(110 * mebibyte / 4, boundOf(withMemory));
+    CHECK_EQUAL(16 * mebibyte, boundOf(withMemory + "[limits]\nbody-memory-mb = 16\n"));
+    CHECK_EQUAL(16 * mebibyte, boundOf(std::string(validText) + "[limits]\nbody-memory-mb = 16\n"));
+    CHECK_EQUAL(64 * mebibyte, boundOf(withMemory + "[limits]\nbody-bytes = 33554432\n"));
+}
+
+/// Guards against a bound that refuses bodies within the limit for good, or that the host's memory could not bear.
+TEST(Settings, invalidBoundsForBodiesAreRejected)
+{
+    const std::string withMemory = replaced("data-centre = lisbon-a", "data-centre = lisbon-a\nmemory-mb = 110");
+    STRCMP_CONTAINS("[limits] body-memory-mb: expected at least twice body-bytes",
+                    errorOf(withMemory + "[limits]\nbody-memory-mb = 7\n").c_str());
+    STRCMP_CONTAINS("[limits] body-memory-mb: expected less than [host] memory-mb",
+                    errorOf(withMemory + "[limits]\nbody-memory-mb = 110\n").c_str());
+    STRCMP_CONTAINS("[limits] body-memory-mb: expected a whole number",
+                    errorOf(std::string(validText) + "[limits]\nbody-memory-mb = 0\n").c_str());
+}
+
 /// Guards against a bound that could not keep the host from falling over.
 TEST(Settings, invalidBoundsForCallersAreRejected)
 {
