Platform: A number that its field cannot hold is rejected

What operators saw: a configuration with a time of 1e300 ms, -1 endpoints or 2^32 attempts came into force with other numbers than written, and an endpoint's entry likewise. Nobody has reported it; the fuzz target for JSON found it.

Cause: the numbers of a record were converted to the field's type without a check. For floating-point numbers out of range that conversion has no defined result; whole numbers were cut to the width of the field.

--- a/Tests/Platform/siteformtest.cpp
+++ b/Tests/Platform/siteformtest.cpp
@@ -122,6 +122,35 @@
 
 /// Records may be truncated, or written by something other than the endpoint. None of them becomes an endpoint, the valid ones
 /// remain, and each rejected record is reported with a reason.
+// Guards against numbers that no field can hold, whose conversion has no defined result.
+TEST(SiteForm, numbersOutOfRangeAreRejected)
+{
+    const std::string route = R"({"name":"r","host":"h","path_prefix":"/","type":"streaming","service":"s","timeout_ms":10)";
+    const std::string service = R"({"name":"s")";
+    std::uint64_t version = 8;
+    const auto isTaken = [&](const std::string &moreOfRoute, const std::string &moreOfScaling) {
+        records.merge({RecordKind::Configuration, "config", ++version, false,
+                       fmt::format(R"({{"routes":[{}{}}}],"services":[{},"scaling":{{"min_count":1{}}}}}]}})", route, moreOfRoute,
+                                   service, moreOfScaling)});
+        return Platform::decodeSite(records).ok();
+    };
+    CHECK_TRUE(isTaken("", ""));
+    CHECK_TRUE(isTaken(R"(,"target_latency_ms":1e9,"priority":9,"max_attempts":4294967295)", R"(,"boot_s":1e6)"));
+    for (const char *field : {R"(,"target_latency_ms":1e300)", R"(,"target_latency_ms":-1e300)", R"(,"priority":1e300)",
+                              R"(,"priority":2147483647)", R"(,"max_attempts":4294967296)", R"(,"max_attempts":-1)"}) {
+        CHECK_FALSE(isTaken(field, ""));
+    }
+    for (const char *field : {R"(,"boot_s":1e300)", R"(,"max_count":1e300)", R"(,"max_count":-1)"}) {
+        CHECK_FALSE(isTaken("", field));
+    }
+    CHECK_TRUE(isTaken("", ""));
+    for (const char *field : {R"("slots":1e300)", R"("slots":18446744073709551615)", R"("slots":4,"born":1e300)",
+                              R"("slots":4,"born":-1e300)", R"("slots":4,"born":9223372036854775808)"}) {
+        endpoint("i-2", ++version, fmt::format(R"({{"service":"s","address":"10.0.0.9:80","state":"ready",{}}})", field));
+        CHECK_EQUAL(1U, Platform::decodeSite(records)->rejected.size());
+    }
+}
+
 TEST(SiteForm, invalidEndpointRecordsAreRejected)
 {
     const std::vector<std::string> bad = {
