--- a/Tests/Fuzz/fuzzjson.cpp
+++ b/Tests/Fuzz/fuzzjson.cpp
@@ -2,8 +2,9 @@
 // SPDX-FileCopyrightText: 2026 yokepond maintainers
 
 /// @file
-/// Fuzzes the parsers of JSON input: prompts, snapshots, changes, operation records, host lists, and platform records. An invalid
-/// prompt must give InvalidRequest, and one invalid endpoint record must not invalidate the whole site.
+/// Fuzzes the parsers of JSON input: prompts, snapshots, changes, operation records, usage rows, host lists, and platform
+/// records. An invalid prompt must give InvalidRequest, a valid one can be written, and one invalid endpoint record must not
+/// invalidate the whole site.
 
 #include "Base/error.h"
 #include "Configuration/changescodec.h"
@@ -11,6 +12,7 @@
 #include "Platform/hostlist.h"
 #include "Relay/prompt.h"
 #include "Request/journal.h"
+#include "Usage/usagerow.h"
 #include "platform/siteform.h"
 
 #include <cstddef>
@@ -27,10 +29,14 @@
     if (!prompt.ok() && Base::errorKind(prompt.status()) != Base::ErrorKind::InvalidRequest) {
         std::abort();
     }
+    if (prompt.ok() && prompt->body.dump().empty()) {
+        std::abort();
+    }
     (void)Configuration::Objects::fromJson(Configuration::parseJson(text));
     (void)Configuration::changeFromJson(Configuration::parseJson(text));
     (void)Configuration::headFromText(text);
     (void)Request::recordFromText(text);
+    (void)Usage::parseRow(text);
     (void)Platform::parseHostList(text);
     (void)Configuration::changesFromText(text, Base::now());
     Configuration::SiteRecords records;
