Request: A stream that nobody knows goes on only if the hosts agree on its version

What callers saw: streams that held events of two software versions. After all hosts had been killed at once and the old version's endpoints had gone, callers took their streams up and got the rest from the new version. At hosts that had been cut off while a newer version joined, streams that had begun there went on at the older one.

Cause: that none of the hosts that were asked knows a stream was taken for knowledge that it began at the only version at hand. One reply of any host was enough, whoever that host was and however old its list of endpoints. The time for which a version had to be the only one was the longer of this try's time left and the time-out, and 5 s, although a caller may retry for longer than one try takes. Time in which a process stood still counted as watched.

Change: before an unknown stream goes on, the host asks up to 16 others which versions the pool has had (VersionSurvey). One that has seen another version is enough to refuse, and more than half of the hosts that were here lately have to agree, the asking one included. A host that has not watched for long enough does not say; one that follows the store in vain says that there may be others. The time is the longest that a caller of the pool has given. The question is the known query with an identity that stands for the pool, and its reply uses two fields that had no meaning, so that the schema and its generated code stay; hosts of older releases reply that they do not know, which counts as not agreeing.

--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -545,6 +545,8 @@
         m_scaling->tick(now, [this, now] { return m_usage->isIdle(now); });
     }
     m_dispatcher.tick(now);
+    const bool followsStore = m_follower == nullptr || m_follower->reason().has_value();
+    m_home.setListInDoubt(followsStore && !m_fleet->storeResponds());
     m_home.tick(now);
     m_frontend->tick(now);
     m_gatherer->tick(now);
--- a/Source/Peer/codec.cpp
+++ b/Source/Peer/codec.cpp
@@ -222,8 +222,13 @@
         auto builder = message.initStreamOriginReply();
         builder.setStream(reply.stream);
         builder.setKnown(reply.origin.has_value());
-        builder.setPool(reply.origin.value_or(StreamOrigin {}).pool);
-        builder.setSoftwareVersion(reply.origin.value_or(StreamOrigin {}).softwareVersion);
+        if (reply.origin) {
+            builder.setPool(reply.origin->pool);
+            builder.setSoftwareVersion(reply.origin->softwareVersion);
+        } else if (reply.onlyVersion) {
+            builder.setPool(toMilliseconds(reply.onlyVersion->watchedFor));
+            builder.setSoftwareVersion(reply.onlyVersion->softwareVersion);
+        }
     }
 
     void operator()(const EndpointUpdate &update)
@@ -483,6 +488,8 @@
     StreamOriginReply reply {reader.getStream(), std::nullopt};
     if (reader.getKnown()) {
         reply.origin = StreamOrigin {reader.getPool(), reader.getSoftwareVersion()};
+    } else if (reader.getPool() > 0) {
+        reply.onlyVersion = OnlyVersion {reader.getSoftwareVersion(), fromMilliseconds(reader.getPool())};
     }
     return reply;
 }
--- a/Source/Peer/message.h
+++ b/Source/Peer/message.h
@@ -404,7 +404,16 @@
     Base::Duration keepFor {}; ///< sent in whole milliseconds
 };
 
-/// Asks where a stream began.
+/// The only software version that the endpoints of a pool have had for a time that the sender has watched.
+struct OnlyVersion
+{
+    std::uint32_t softwareVersion = 0; ///< see Configuration::softwareVersionNumber()
+    Base::Duration watchedFor {}; ///< sent in whole milliseconds
+
+    bool operator==(const OnlyVersion &) const = default;
+};
+
+/// Asks where a stream began, or, with the identity of a pool (Request::poolIdentity()), which versions the pool has had.
 struct StreamOriginQuery
 {
     std::uint64_t stream = 0;
@@ -415,6 +424,8 @@
 {
     std::uint64_t stream = 0;
     std::optional<StreamOrigin> origin; ///< nothing if the sender does not know it
+    /// For the identity of a pool. Nothing if the pool has had several versions or none, and from hosts of older releases.
+    std::optional<OnlyVersion> onlyVersion = {};
 };
 
 using Message = std::variant<Ask, Grant, Refusal, Withdrawal, Release, RunningReport, Probe, Acknowledgement, ChangesRequest,
--- a/Source/Peer/peer.capnp
+++ b/Source/Peer/peer.capnp
@@ -232,9 +232,9 @@
 
 struct StreamOriginReply {
   stream @0 :UInt64;
-  known @1 :Bool;              # if false, the other fields have no meaning
-  pool @2 :UInt32;
-  softwareVersion @3 :UInt32;
+  known @1 :Bool;              # if false, the sender knows no such stream
+  pool @2 :UInt32;             # if not known, and asked with the identity of a pool: the milliseconds for which the sender has
+  softwareVersion @3 :UInt32;  # watched that its endpoints have just this version; 0 if it cannot tell
 }
 
 struct PromptRunBroke {
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -49,6 +49,8 @@
 constexpr Duration rateTimeTolerance = std::chrono::milliseconds(50);
 /// Time added to the time for which a caller waits for a stream, in which it may take the stream up.
 constexpr Duration streamLifetimeMargin = std::chrono::seconds(5);
+/// Longest time after its beginning for which a stream may be taken up; neither origins nor versions are kept for longer.
+constexpr Duration maxStreamLifetime = std::chrono::hours(1);
 
 } // namespace
 
@@ -59,6 +61,7 @@
     , m_shards(std::make_shared<Dispatch::ShardMap>())
     , m_crashProtection(m_self, seed)
     , m_streamOrigins(m_self)
+    , m_versionSurvey(m_self)
 {
 }
 
@@ -89,6 +92,7 @@
         m_versionHistory.updateView(now, *m_catalogue);
     }
     m_streamOrigins.updateView(members);
+    m_versionSurvey.updateView(now, members);
     m_hadOtherMembers = m_hadOtherMembers || members.size() > 1;
     m_crashProtection.updateView(now, members, m_catalogue->policies());
     m_unreachable.clear();
@@ -149,6 +153,10 @@
     addTraceEntry(pending, now, Step::Arrived,
                   fmt::format("class {}, tier {}, {}{} prompt tokens", requestClass->name, requestClass->tier, organisationRank,
                               request.promptTokens));
+    if (isBoundStream(pending)) {
+        Duration &longest = m_longestStreams[requestClass->pool];
+        longest = std::max(longest, std::min(streamLifetime(pending), maxStreamLifetime));
+    }
     if (!request.continuesStream || !isBoundStream(pending)) {
         requestEndpoint(now, pending);
         return;
@@ -568,35 +576,105 @@
 
 void Home::receive(Instant now, const Peer::Process &from, const Peer::StreamOriginQuery &query)
 {
-    m_streamOrigins.receive(now, from, query);
-    applyOrigins(now);
+    const auto requestClass
+        = std::ranges::find_if(m_catalogue->classes(), [&query](const Configuration::RequestClass &candidate) {
+              return poolIdentity(candidate.pool) == query.stream;
+          });
+    if (requestClass == m_catalogue->classes().end()) {
+        m_streamOrigins.receive(now, from, query);
+        applyOrigins(now);
+        return;
+    }
+    m_actions.emplace_back(
+        SendToMember {from, Peer::StreamOriginReply {query.stream, std::nullopt, seenVersion(now, requestClass->pool)}});
+}
+
+std::optional<Peer::OnlyVersion> Home::seenVersion(Instant now, std::uint32_t pool)
+{
+    const Duration period = longestStream(pool);
+    m_versionHistory.watch(now);
+    return m_listInDoubt ? Peer::OnlyVersion {0, period} : m_versionHistory.seenVersion(now, pool, period);
+}
+
+void Home::setListInDoubt(bool inDoubt)
+{
+    m_listInDoubt = inDoubt;
 }
 
 void Home::receive(Instant now, const Peer::Process &from, const Peer::StreamOriginReply &reply)
 {
     m_streamOrigins.receive(now, from, reply);
+    m_versionSurvey.receive(now, from, reply);
     applyOrigins(now);
 }
 
+Duration Home::longestStream(std::uint32_t pool) const
+{
+    const auto longest = m_longestStreams.find(pool);
+    Duration result = longest == m_longestStreams.end() ? Duration::zero() : longest->second;
+    for (const Configuration::RequestClass &requestClass : m_catalogue->classes()) {
+        if (requestClass.pool == pool && requestClass.resumable) {
+            result = std::max(result, requestClass.deadline + streamLifetimeMargin);
+        }
+    }
+    return result;
+}
+
 void Home::applyOrigins(Instant now)
 {
-    std::ranges::move(m_streamOrigins.takeMessages(), std::back_inserter(m_actions));
     for (const OriginFound &found : m_streamOrigins.takeResults()) {
         Pending *pending = find(found.request);
         if (pending != nullptr && pending->phase == Phase::LookingUpStream) {
-            continueStream(now, *pending, found);
+            originFound(now, *pending, found);
+        }
+    }
+    for (const SurveyEnded &survey : m_versionSurvey.takeResults()) {
+        Pending *pending = find(survey.request);
+        if (pending != nullptr && pending->phase == Phase::LookingUpStream) {
+            surveyEnded(now, *pending, survey);
         }
     }
+    std::ranges::move(m_streamOrigins.takeMessages(), std::back_inserter(m_actions));
+    std::ranges::move(m_versionSurvey.takeMessages(), std::back_inserter(m_actions));
+}
+
+/// Where no host knows the stream, it can only have begun at the one version that the pool has had while streams last. This host
+/// may have been cut off or have stood still and not know of newer versions, so it asks the others.
+void Home::originFound(Instant now, Pending &pending, const OriginFound &found)
+{
+    const std::uint32_t pool = pending.classSettings.pool;
+    if (found.origin) {
+        const bool samePool = found.origin->pool == pool;
+        continueStream(now, pending, samePool ? std::optional(found.origin->softwareVersion) : std::nullopt,
+                       fmt::format("known by {}, after {:.1f} ms", found.from, Base::milliseconds(found.took)));
+        return;
+    }
+    const std::string source = fmt::format("{} of {} hosts answered, none knows it, after {:.1f} ms", found.answered, found.asked,
+                                           Base::milliseconds(found.took));
+    const bool isCutOff = m_hadOtherMembers && found.answered == 0;
+    const auto seen = seenVersion(now, pool);
+    if (isCutOff || !seen || seen->softwareVersion == 0) {
+        continueStream(now, pending, std::nullopt, source);
+        return;
+    }
+    addTraceEntry(pending, now, Step::LookingUpStream, fmt::format("versions of the pool; {}", source));
+    m_versionSurvey.begin(now, pending.request.id, pool, seen->softwareVersion, longestStream(pool));
 }
 
-void Home::continueStream(Instant now, Pending &pending, const OriginFound &found)
+void Home::surveyEnded(Instant now, Pending &pending, const SurveyEnded &survey)
+{
+    // This host may have heard of another version in the meantime.
+    const auto seen = seenVersion(now, pending.classSettings.pool);
+    const bool isOnly = survey.agreed && seen && seen->softwareVersion == survey.softwareVersion;
+    continueStream(now, pending, isOnly ? std::optional(survey.softwareVersion) : std::nullopt,
+                   fmt::format("{} of {} hosts saw only version {}, after {:.1f} ms", survey.agreeing, survey.asked,
+                               versionName(survey.softwareVersion), Base::milliseconds(survey.took)));
+}
+
+void Home::continueStream(Instant now, Pending &pending, std::optional<std::uint32_t> version, std::string_view source)
 {
-    const std::string source = found.origin ? fmt::format("known by {}", found.from)
-                                            : fmt::format("{} of {} hosts answered, none knows it", found.answered, found.asked);
-    const auto version = versionToContinueAt(now, pending, found);
     addTraceEntry(pending, now, Step::StreamFound,
-                  fmt::format("version {}, {}, after {:.1f} ms", version ? versionName(*version) : "unknown", source,
-                              Base::milliseconds(found.took)));
+                  fmt::format("version {}, {}", version ? versionName(*version) : "unknown", source));
     if (!version) {
         fail(now, pending,
              makeError(ErrorKind::StreamOriginUnknown,
@@ -608,18 +686,6 @@
     requestEndpoint(now, pending);
 }
 
-/// Where no host knows the stream, it can only have begun at the one version that the pool has had while streams last. A host
-/// that no other one answers may be cut off and not know of newer versions.
-std::optional<std::uint32_t> Home::versionToContinueAt(Instant now, const Pending &pending, const OriginFound &found) const
-{
-    if (found.origin) {
-        const bool samePool = found.origin->pool == pending.classSettings.pool;
-        return samePool ? std::optional(found.origin->softwareVersion) : std::nullopt;
-    }
-    const bool isCutOff = m_hadOtherMembers && found.answered == 0;
-    return isCutOff ? std::nullopt : m_versionHistory.onlyVersion(now, pending.classSettings.pool, streamLifetime(pending));
-}
-
 std::string Home::versionName(std::uint32_t number) const
 {
     const auto endpoint = std::ranges::find_if(m_catalogue->endpoints(), [number](const Configuration::Endpoint &candidate) {
@@ -946,6 +1012,8 @@
     noteRunsThatWentOn(now);
     m_crashProtection.tick(now);
     m_streamOrigins.tick(now);
+    m_versionHistory.watch(now);
+    m_versionSurvey.tick(now);
     applyOrigins(now);
     m_availabilities.tick(now);
     enforceQuarantine(now);
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -17,6 +17,7 @@
 #include "Request/streamorigins.h"
 #include "Request/types.h"
 #include "Request/versionhistory.h"
+#include "Request/versionsurvey.h"
 
 #include <cstdint>
 #include <deque>
@@ -87,6 +88,10 @@
     void updateView(Base::Instant now, std::shared_ptr<const Configuration::Catalogue> catalogue,
                     std::shared_ptr<const Dispatch::ShardMap> shards, const std::vector<Peer::Member> &members);
 
+    /// Sets whether this host follows the platform's store and gets no responses from it, so that there may be endpoints that
+    /// neither it nor the hosts that rely on it know.
+    void setListInDoubt(bool inDoubt);
+
     /// Accepts a request and asks for an endpoint. Fails the request if its class is unknown, or if its work or a part of its
     /// prompt is quarantined.
     void start(Base::Instant now, const NewRequest &request);
@@ -190,10 +195,17 @@
     bool isBoundStream(const Pending &pending) const;
     /// Returns how long after its beginning a stream of this class may be taken up.
     static Base::Duration streamLifetime(const Pending &pending);
-    /// Sends the messages of m_streamOrigins, and continues the requests whose look-ups have ended.
+    /// Returns VersionHistory::seenVersion() for as long as streams of @p pool last; version 0, for several, while the list of
+    /// endpoints is in doubt.
+    std::optional<Peer::OnlyVersion> seenVersion(Base::Instant now, std::uint32_t pool);
+    /// Returns how long after its beginning any stream of @p pool may be taken up, as far as this host knows its callers.
+    Base::Duration longestStream(std::uint32_t pool) const;
+    /// Sends the messages of m_streamOrigins and m_versionSurvey, and continues the requests whose look-ups have ended.
     void applyOrigins(Base::Instant now);
-    void continueStream(Base::Instant now, Pending &pending, const OriginFound &found);
-    std::optional<std::uint32_t> versionToContinueAt(Base::Instant now, const Pending &pending, const OriginFound &found) const;
+    void originFound(Base::Instant now, Pending &pending, const OriginFound &found);
+    void surveyEnded(Base::Instant now, Pending &pending, const SurveyEnded &survey);
+    /// Continues a stream at @p version; refuses it if that is not known.
+    void continueStream(Base::Instant now, Pending &pending, std::optional<std::uint32_t> version, std::string_view source);
     std::string versionName(std::uint32_t number) const;
     void refusedForNoEndpoint(Base::Instant now, Pending &pending, const Peer::Refusal &refusal);
     void requestEndpoint(Base::Instant now, Pending &pending);
@@ -243,6 +255,9 @@
     CrashProtection m_crashProtection;
     StreamOrigins m_streamOrigins;
     VersionHistory m_versionHistory;
+    VersionSurvey m_versionSurvey;
+    std::map<std::uint32_t, Base::Duration> m_longestStreams; ///< longest streamLifetime() of the requests so far, by pool
+    bool m_listInDoubt = false; ///< see setListInDoubt()
     bool m_hadOtherMembers = false; ///< the fleet had other hosts at some time
     Rate::EndpointRates m_rates;
     Availability::EndpointAvailabilities m_availabilities;
--- a/Source/Request/versionhistory.cpp
+++ b/Source/Request/versionhistory.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <utility>
 
 namespace Yokepond::Request {
 
@@ -12,6 +13,8 @@
 
 /// Time for which a version without endpoints is remembered. No longer period can be asked for.
 constexpr Base::Duration retention = std::chrono::hours(1);
+/// Time between two calls of watch() from which on a host counts as one that stood still.
+constexpr Base::Duration maxUnwatched = std::chrono::seconds(1);
 
 } // namespace
 
@@ -42,23 +45,34 @@
     std::erase_if(m_pools, [](const auto &entry) { return entry.second.versions.empty(); });
 }
 
-std::optional<std::uint32_t> VersionHistory::onlyVersion(Base::Instant now, std::uint32_t number, Base::Duration period) const
+void VersionHistory::watch(Base::Instant now)
+{
+    const Base::Instant last = std::exchange(m_lastWatched, now);
+    if (last != Base::Instant {} && now - last >= maxUnwatched) {
+        std::ranges::for_each(m_pools | std::views::values, [now](Pool &pool) { pool.watchedSince = now; });
+    }
+}
+
+std::optional<Peer::OnlyVersion> VersionHistory::seenVersion(Base::Instant now, std::uint32_t number, Base::Duration period) const
 {
     const auto pool = m_pools.find(number);
-    if (pool == m_pools.end() || period > retention || now - pool->second.knownSince < period) {
+    if (pool == m_pools.end() || period > retention) {
         return std::nullopt;
     }
-    std::optional<std::uint32_t> only;
+    Peer::OnlyVersion seen {0, now - pool->second.watchedSince};
+    std::size_t recent = 0;
     for (const auto &[version, state] : pool->second.versions) {
-        if (!state.present && now - state.lastPresent >= period) {
-            continue;
-        }
-        if (only) {
-            return std::nullopt;
+        if (state.present || now - state.lastPresent < period) {
+            seen.softwareVersion = version;
+            ++recent;
+        } else {
+            seen.watchedFor = std::min(seen.watchedFor, now - state.lastPresent);
         }
-        only = version;
     }
-    return only;
+    if (recent > 1) {
+        return Peer::OnlyVersion {0, period};
+    }
+    return recent == 0 || seen.watchedFor < period ? std::nullopt : std::optional(seen);
 }
 
 } // namespace Yokepond::Request
--- a/Source/Request/versionhistory.h
+++ b/Source/Request/versionhistory.h
@@ -8,6 +8,7 @@
 
 #include "Base/time.h"
 #include "Configuration/catalogue.h"
+#include "Peer/message.h"
 
 #include <cstdint>
 #include <map>
@@ -23,9 +24,14 @@
     /// Records the versions of the endpoints of @p catalogue. Their numbers are those of Configuration::softwareVersionNumber().
     void updateView(Base::Instant now, const Configuration::Catalogue &catalogue);
 
-    /// Returns the only version that the endpoints of @p pool have had for the last @p period. Returns nothing if there were
-    /// several or none, or if this host has not known the pool for that long.
-    std::optional<std::uint32_t> onlyVersion(Base::Instant now, std::uint32_t pool, Base::Duration period) const;
+    /// Notes that the process runs. Call several times a second and before each question: a process that stood still may have
+    /// missed a version, so that it counts as watching only from then on.
+    void watch(Base::Instant now);
+
+    /// Returns the only version that the endpoints of @p pool have had for the last @p period, and for how long this host has
+    /// seen no other one; version 0 if there were several. Returns nothing if there was none, or if this host has not watched the
+    /// pool for that long.
+    std::optional<Peer::OnlyVersion> seenVersion(Base::Instant now, std::uint32_t pool, Base::Duration period) const;
 
 private:
     struct Version
@@ -36,11 +42,12 @@
 
     struct Pool
     {
-        Base::Instant knownSince {};
+        Base::Instant watchedSince {};
         std::map<std::uint32_t, Version> versions; ///< by number
     };
 
     std::map<std::uint32_t, Pool> m_pools; ///< by number
+    Base::Instant m_lastWatched {}; ///< zero before the first call of watch()
 };
 
 } // namespace Yokepond::Request
--- a/Tests/Integration/recordsplatform.py
+++ b/Tests/Integration/recordsplatform.py
@@ -322,20 +322,44 @@
 }
 
 
+class PeerProxy:
+    """A fault proxy with a route to each host's port for peers, so that a test can cut all hosts from each other.
+
+    Callers, endpoints and the store do not go through it.
+    """
+
+    def __init__(self, program_directory, targets):
+        self.control, *self.addresses = [f"127.0.0.1:{port}" for port in localfleet.reserve_ports(len(targets) + 1)]
+        routes = [f"peer-{index}={address}={target}" for index, (address, target) in enumerate(zip(self.addresses, targets))]
+        arguments = ["--control", self.control] + [part for route in routes for part in ("--route", route)]
+        self.process = subprocess.Popen([os.path.join(program_directory, "yokepond-faultproxy"), *arguments], stdout=subprocess.DEVNULL)
+        wait_until(lambda: request(self.control, "GET", "/").status == 200, "start of the fault proxy")
+
+    def set_faults(self, **faults):
+        """Replaces the faults of all routes; without arguments they work again."""
+        for index in range(len(self.addresses)):
+            response = request(self.control, "POST", f"/peer-{index}", body=json.dumps(faults))
+            assert response.status == 200, response.body
+
+
 class Hosts:
     """Starts one daemon for each address of the store in `store_addresses`; `extra_settings` is appended to the settings of each.
 
     `ips`: the address of each host for peers, from which it also connects to endpoints; without it all hosts have 127.0.0.1.
     `seeds`: the indices of the hosts that are seeds; without it all are.
+    `proxied`: the hosts reach each other through `proxy`, a PeerProxy.
     """
 
-    def __init__(self, program_directory, store_addresses, extra_settings="", ips=None, seeds=None):
+    def __init__(self, program_directory, store_addresses, extra_settings="", ips=None, seeds=None, proxied=False):
         count = len(store_addresses)
         self.ips = ips or ["127.0.0.1"] * count
         self.directory = tempfile.mkdtemp(prefix="yokepond-records-")
         ports = [localfleet.reserve_ports(3) for _ in range(count)]
         seed_indices = range(count) if seeds is None else seeds
-        seeds = ", ".join(f"{self.ips[index]}:{ports[index][2]}" for index in seed_indices)
+        listening = [f"{ip}:{entry[2]}" for ip, entry in zip(self.ips, ports)]
+        self.proxy = PeerProxy(program_directory, listening) if proxied else None
+        advertised = self.proxy.addresses if proxied else listening
+        seeds = ", ".join(advertised[index] for index in seed_indices)
         self.callers = [f"127.0.0.1:{entry[0]}" for entry in ports]
         self.operators = [f"127.0.0.1:{entry[1]}" for entry in ports]
         self.program_directory = program_directory
@@ -345,7 +369,7 @@
             with open(settings, "w", encoding="utf-8") as file:
                 file.write(f"[host]\nname = h{index}\ndata-centre = a\n[listen]\ncaller = 127.0.0.1:{caller}\n"
                            f"operator = 127.0.0.1:{operator}\npeer = {self.ips[index]}:{peer}\n"
-                           f"{self.source(ips, index)}[peers]\nseeds = {seeds}\n"
+                           f"{self.source(ips, index)}[peers]\nseeds = {seeds}\nadvertised = {advertised[index]}\n"
                            f"[platform]\nform = records\naddress = {store_addresses[index]}\ntimeout-ms = 1000\n"
                            "[dispatch]\nwhole-pool-shards = yes\nplacement = soonest-first-token\nwindow = fixed\n"
                            "[retries]\nshare = 0.2\nslack = 50\n[stop]\nbalancer-lag-ms = 200\nkilled-after-s = 5\n"
--- a/Tests/Peer/codectest.cpp
+++ b/Tests/Peer/codectest.cpp
@@ -88,7 +88,11 @@
     CHECK_EQUAL(5U, roundTrip(StreamOriginQuery {5}).stream);
     const StreamOriginReply known = roundTrip(StreamOriginReply {5, StreamOrigin {7, 12}});
     CHECK_TRUE(known.stream == 5 && known.origin == (StreamOrigin {7, 12}));
-    CHECK_FALSE(roundTrip(StreamOriginReply {5, std::nullopt}).origin.has_value());
+    const StreamOriginReply unknown = roundTrip(StreamOriginReply {5, std::nullopt});
+    CHECK_FALSE(unknown.origin.has_value() || unknown.onlyVersion.has_value());
+    const StreamOriginReply only = roundTrip(StreamOriginReply {5, std::nullopt, OnlyVersion {12, milliseconds(11'000)}});
+    CHECK_FALSE(only.origin.has_value());
+    CHECK_TRUE(only.onlyVersion == (OnlyVersion {12, milliseconds(11'000)}));
 }
 
 TEST(Codec, endpointUpdateKeepsTheRateAndDiscardsInvalidRates)
--- a/Tests/Request/homeversionstest.cpp
+++ b/Tests/Request/homeversionstest.cpp
@@ -7,6 +7,11 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
+#include <set>
+#include <type_traits>
+#include <utility>
+
 using namespace Yokepond;
 using namespace Yokepond::Request;
 using Configuration::Kind;
@@ -26,6 +31,7 @@
                                  {"h2", 2, 1, MemberState::Alive, "", "", "", ""}};
     Home home {"h1", 5};
     std::string dispatcher; ///< receiver of the last ask
+    std::vector<Action> unread; ///< actions for the next call of actions()
 
     void setup() override
     {
@@ -48,7 +54,8 @@
     std::vector<Wanted> actions()
     {
         std::vector<Wanted> found;
-        for (const Action &action : home.takeActions()) {
+        std::ranges::move(home.takeActions(), std::back_inserter(unread));
+        for (const Action &action : std::exchange(unread, {})) {
             if (const auto *wanted = std::get_if<Wanted>(&action)) {
                 found.push_back(*wanted);
             }
@@ -98,16 +105,51 @@
         return !requests.empty() && requests.front().state == "looking-up-stream";
     }
 
-    /// Ends the look-up of stream @p stream by the reply of host h2, which is asked twice if it does not know.
-    void reply(std::uint64_t stream, std::optional<Peer::StreamOrigin> origin, double now)
+    /// Ends the look-up of stream @p stream by the reply of host h2, which is asked twice if it does not know. Where h2 is asked
+    /// for the versions of the pool, it replies @p seen.
+    void reply(std::uint64_t stream, std::optional<Peer::StreamOrigin> origin, double now,
+               std::optional<Peer::OnlyVersion> seen = {})
     {
         for (double later = now; looksUp() && later < now + 0.5; later += 0.05) {
             home.receive(at(later), "h2", Peer::StreamOriginReply {stream, origin});
             home.tick(at(later));
+            replyToSurvey(stream, seen, later);
         }
         CHECK_FALSE(looksUp());
     }
 
+    void replyToSurvey(std::uint64_t stream, std::optional<Peer::OnlyVersion> seen, double now)
+    {
+        std::ranges::move(home.takeActions(), std::back_inserter(unread));
+        const std::vector<Action> sentSoFar = unread;
+        for (const Action &action : sentSoFar) {
+            const auto *sent = std::get_if<SendToMember>(&action);
+            const auto *query = sent == nullptr ? nullptr : std::get_if<Peer::StreamOriginQuery>(&sent->message);
+            if (query != nullptr && query->stream != stream) {
+                home.receive(at(now), "h2", Peer::StreamOriginReply {query->stream, std::nullopt, seen});
+            }
+        }
+    }
+
+    /// Lets the host run from time @p from to @p to.
+    void letRun(double from, double to)
+    {
+        for (double now = from; now < to; now += 0.5) {
+            home.tick(at(now));
+        }
+        home.takeActions();
+    }
+
+    /// Gives both endpoints version v1 and lets the host watch them for an hour.
+    void watchOneVersionForAnHour()
+    {
+        Configuration::CatalogueParts parts = catalogue->parts();
+        std::ranges::find(parts.endpoints, e2, &Configuration::Endpoint::number)->softwareVersion = "v1";
+        home = Home("h1", 5);
+        use(std::move(parts), 0);
+        letRun(0, 3600);
+    }
+
     std::uint32_t pool()
     {
         return Tests::numberOf(objects, Kind::Pool, "main");
@@ -257,25 +299,23 @@
 // Guards against streams that are turned away where the pool has had one version for long, as in deployments without releases.
 TEST(HomeVersions, withOneVersionForLongAStreamThatNobodyKnowsGoesOn)
 {
-    Configuration::CatalogueParts parts = catalogue->parts();
-    std::ranges::find(parts.endpoints, e2, &Configuration::Endpoint::number)->softwareVersion = "v1";
-    use(std::move(parts), 0);
+    watchOneVersionForAnHour();
+    const Peer::OnlyVersion seen {softwareVersionNumber("v1"), std::chrono::hours(1)};
     takeUp(77, 3600);
-    reply(77, std::nullopt, 3600.01);
+    reply(77, std::nullopt, 3600.01, seen);
     CHECK_EQUAL(softwareVersionNumber("v1"), lastAsk().softwareVersion);
     home.callerDisconnected(at(3601), 1);
     // A caller that names no try is not kept waiting for a second round.
-    takeUp(0, 3602);
-    home.receive(at(3602.01), "h2", Peer::StreamOriginReply {0, std::nullopt});
+    takeUp(0, 3600.5);
+    home.receive(at(3600.51), "h2", Peer::StreamOriginReply {0, std::nullopt});
+    replyToSurvey(0, seen, 3600.52);
     CHECK_EQUAL(softwareVersionNumber("v1"), lastAsk().softwareVersion);
 }
 
 // Guards against a host that is cut off, does not hear of newer versions, and goes on with their streams at an older one.
 TEST(HomeVersions, aHostThatNoOtherAnswersDoesNotRelyOnWhatItSaw)
 {
-    Configuration::CatalogueParts parts = catalogue->parts();
-    std::ranges::find(parts.endpoints, e2, &Configuration::Endpoint::number)->softwareVersion = "v1";
-    use(std::move(parts), 0);
+    watchOneVersionForAnHour();
     takeUp(77, 3600);
     home.takeActions();
     for (double now = 3600; now < 3601; now += 0.05) {
@@ -284,6 +324,76 @@
     CHECK_TRUE(Base::errorKind(failure()) == Base::ErrorKind::StreamOriginUnknown);
 }
 
+// Guards against streams of two versions at a host that is out of step: the others truly do not know the stream, but know another
+// version.
+TEST(HomeVersions, aHostThatIsContradictedDoesNotRelyOnWhatItSaw)
+{
+    const std::uint32_t v1 = softwareVersionNumber("v1");
+    const std::vector<std::optional<Peer::OnlyVersion>> replies {
+        Peer::OnlyVersion {0, std::chrono::hours(1)}, // several versions
+        Peer::OnlyVersion {softwareVersionNumber("v2"), std::chrono::hours(1)},
+        Peer::OnlyVersion {v1, std::chrono::seconds(1)}, // has just started
+        std::nullopt, // of an older release
+    };
+    for (const std::optional<Peer::OnlyVersion> &seen : replies) {
+        watchOneVersionForAnHour();
+        takeUp(77, 3600);
+        reply(77, std::nullopt, 3600.01, seen);
+        CHECK_TRUE(Base::errorKind(failure()) == Base::ErrorKind::StreamOriginUnknown);
+    }
+}
+
+// Guards against streams of two versions at hosts that hear of no new endpoints, since the store does not respond to their
+// followers.
+TEST(HomeVersions, aHostWhoseListIsInDoubtSaysSo)
+{
+    watchOneVersionForAnHour();
+    home.setListInDoubt(true);
+    takeUp(77, 3600);
+    const std::uint64_t identity = poolIdentity(pool());
+    reply(77, std::nullopt, 3600.01, Peer::OnlyVersion {softwareVersionNumber("v1"), std::chrono::hours(1)});
+    CHECK_TRUE(Base::errorKind(failure()) == Base::ErrorKind::StreamOriginUnknown);
+    home.receive(at(3600.5), "h2", Peer::StreamOriginQuery {identity});
+    home.setListInDoubt(false);
+    home.receive(at(3600.5), "h2", Peer::StreamOriginQuery {identity});
+    const auto sent = actions<SendToMember>();
+    CHECK_EQUAL(2U, sent.size());
+    CHECK_EQUAL(0U, std::get<Peer::StreamOriginReply>(sent.at(0).message).onlyVersion->softwareVersion);
+    CHECK_EQUAL(softwareVersionNumber("v1"), std::get<Peer::StreamOriginReply>(sent.at(1).message).onlyVersion->softwareVersion);
+}
+
+// Guards against streams of two versions at a host that stood still while another version came.
+TEST(HomeVersions, aHostThatStoodStillDoesNotRelyOnWhatItSaw)
+{
+    watchOneVersionForAnHour();
+    takeUp(77, 3605);
+    reply(77, std::nullopt, 3605.01, Peer::OnlyVersion {softwareVersionNumber("v1"), std::chrono::hours(1)});
+    CHECK_TRUE(Base::errorKind(failure()) == Base::ErrorKind::StreamOriginUnknown);
+}
+
+// Guards against streams of two versions after all hosts were killed: a caller may retry for longer than one try may take.
+TEST(HomeVersions, aHostThatHasJustStartedWaitsForAsLongAsCallersRetry)
+{
+    Configuration::CatalogueParts parts = catalogue->parts();
+    std::ranges::find(parts.endpoints, e1, &Configuration::Endpoint::number)->softwareVersion = "v2";
+    home = Home("h1", 5);
+    use(std::move(parts), 0);
+    NewRequest other {.id = 2, .requestClass = Tests::numberOf(objects, Kind::Class, "alert"), .organisation = 1};
+    other.streams = true;
+    other.timeLeft = std::chrono::seconds(120);
+    home.start(at(0), other);
+    home.callerDisconnected(at(0), other.id);
+    letRun(0, 100);
+    const Peer::OnlyVersion seen {softwareVersionNumber("v2"), std::chrono::hours(1)};
+    takeUp(77, 100);
+    reply(77, std::nullopt, 100.01, seen);
+    CHECK_TRUE(Base::errorKind(failure()) == Base::ErrorKind::StreamOriginUnknown);
+    letRun(100, 126);
+    takeUp(77, 126);
+    reply(77, std::nullopt, 126.01, seen);
+    CHECK_EQUAL(softwareVersionNumber("v2"), lastAsk().softwareVersion);
+}
+
 // Guards against a stream that goes on at another service after a route has moved.
 TEST(HomeVersions, aStreamOfAnotherPoolIsNotContinued)
 {
@@ -315,3 +425,183 @@
     CHECK_EQUAL(0U, actions<SendToMember>().size());
     CHECK_EQUAL(0U, home.active());
 }
+
+/// Six hosts before two endpoints: e1 runs v1, and e2, which joins later, runs v2. Each host has its own list of endpoints and of
+/// hosts. Messages between hosts that reach each other arrive at once.
+TEST_GROUP(HomeVersionsFleet)
+{
+    Configuration::Objects objects = Tests::objectsOf(std::string(Tests::threeTiers));
+    std::shared_ptr<const Configuration::Catalogue> both = Tests::catalogueOfTwoVersions(objects);
+    std::shared_ptr<const Configuration::Catalogue> old; ///< without e2
+    std::uint32_t e2 = Tests::numberOf(objects, Kind::Endpoint, "e2");
+    std::map<std::string, Home> homes;
+    std::set<std::string> silent; ///< hosts that neither get nor send messages
+    std::map<std::string, std::vector<Action>> done; ///< by host: actions that are no messages about streams
+    static constexpr std::uint64_t streams = 60;
+
+    void setup() override
+    {
+        Configuration::CatalogueParts parts = both->parts();
+        std::erase_if(parts.endpoints, [this](const auto &endpoint) { return endpoint.number == e2; });
+        old = Configuration::Catalogue::assemble(std::move(parts));
+        for (const char *name : {"h0", "h1", "h2", "h3", "h4", "h5"}) {
+            homes.try_emplace(name, name, 5);
+        }
+        view(0, everyone(), everyone(), old);
+        letRun(0, 200);
+    }
+
+    static std::vector<std::string> everyone()
+    {
+        return {"h0", "h1", "h2", "h3", "h4", "h5"};
+    }
+
+    /// Sets what @p hosts know: the other hosts and the endpoints.
+    void view(double now, const std::vector<std::string> &hosts, const std::vector<std::string> &known,
+              const std::shared_ptr<const Configuration::Catalogue> &catalogue)
+    {
+        std::vector<Member> members;
+        members.reserve(known.size());
+        for (const std::string &name : known) {
+            members.push_back({name, 1, 1, MemberState::Alive, "", "", "", ""});
+        }
+        for (const std::string &name : hosts) {
+            homes.at(name).updateView(at(now), catalogue, std::make_shared<Dispatch::ShardMap>(*catalogue, members), members);
+        }
+    }
+
+    void letRun(double from, double to)
+    {
+        for (double now = from; now < to; now += 0.05) {
+            for (auto &[name, home] : homes) {
+                home.tick(at(now));
+            }
+            deliver(now);
+        }
+    }
+
+    void deliver(double now)
+    {
+        for (bool again = true; std::exchange(again, false);) {
+            for (auto &[name, home] : homes) {
+                for (const Action &action : home.takeActions()) {
+                    again = deliver(now, name, action) || again;
+                }
+            }
+        }
+    }
+
+    /// Returns whether it was a message about streams that has arrived.
+    bool deliver(double now, const std::string &from, const Action &action)
+    {
+        const auto *sent = std::get_if<SendToMember>(&action);
+        bool isAboutStreams = false;
+        if (sent != nullptr) {
+            std::visit(
+                [&](const auto &message) {
+                    using Received = std::decay_t<decltype(message)>;
+                    if constexpr (std::is_same_v<Received, Peer::StreamBegan> || std::is_same_v<Received, Peer::StreamOriginQuery>
+                                  || std::is_same_v<Received, Peer::StreamOriginReply>) {
+                        isAboutStreams = true;
+                        if (!silent.contains(from) && !silent.contains(sent->member.name)) {
+                            homes.at(sent->member.name).receive(at(now), from, message);
+                        }
+                    }
+                },
+                sent->message);
+        }
+        if (!isAboutStreams) {
+            done[from].push_back(action);
+        }
+        return isAboutStreams;
+    }
+
+    NewRequest request(std::uint64_t id)
+    {
+        NewRequest request {.id = id, .requestClass = Tests::numberOf(objects, Kind::Class, "alert"), .organisation = 1};
+        request.streams = true;
+        request.stream = id;
+        return request;
+    }
+
+    /// Begins all streams at e2, through host h5.
+    void begin(double now)
+    {
+        for (std::uint64_t stream = 1; stream <= streams; ++stream) {
+            Home &home = homes.at("h5");
+            done.clear();
+            home.start(at(now), request(stream));
+            deliver(now);
+            for (const Action &action : std::vector<Action>(done["h5"])) {
+                const auto *sent = std::get_if<SendToMember>(&action);
+                if (const auto *ask = sent == nullptr ? nullptr : std::get_if<Peer::Ask>(&sent->message)) {
+                    home.receive(at(now), sent->member.name, Peer::Grant {ask->id, e2, at(now + 2), 0});
+                    home.firstTokenReceived(at(now), ask->id);
+                }
+            }
+            deliver(now);
+            home.callerDisconnected(at(now), stream);
+        }
+        done.clear();
+    }
+
+    /// Takes all streams up at host h0; returns how many of them asked for an endpoint of each version, 0 if refused.
+    std::map<std::uint32_t, unsigned int> takeUp(double now)
+    {
+        done.clear();
+        for (std::uint64_t stream = 1; stream <= streams; ++stream) {
+            NewRequest again = request(stream);
+            again.continuesStream = true;
+            homes.at("h0").start(at(now), again);
+        }
+        letRun(now, now + 0.9);
+        std::map<std::uint32_t, unsigned int> taken;
+        for (const Action &action : done["h0"]) {
+            const auto *sent = std::get_if<SendToMember>(&action);
+            if (const auto *ask = sent == nullptr ? nullptr : std::get_if<Peer::Ask>(&sent->message)) {
+                ++taken[ask->softwareVersion];
+            } else if (const auto *run = std::get_if<StartRun>(&action)) {
+                ++taken[run->softwareVersion];
+            } else if (std::holds_alternative<Fail>(action)) {
+                ++taken[0];
+            }
+        }
+        return taken;
+    }
+};
+
+// Guards against streams of two versions at a host that was cut off while another version joined, and that reaches a first host
+// again which does not keep the stream.
+TEST(HomeVersionsFleet, aHostThatComesBackToTheFleetGoesOnAtNoVersionThatItKnowsAlone)
+{
+    view(200, {"h1", "h2", "h3", "h4", "h5"}, {"h1", "h2", "h3", "h4", "h5"}, both);
+    silent = {"h0"};
+    begin(200);
+    view(200, {"h0"}, {"h0", "h1"}, old);
+    silent.clear();
+    auto taken = takeUp(200);
+    CHECK_EQUAL(0U, taken[softwareVersionNumber("v1")]);
+    CHECK_TRUE(taken[0] > 0);
+}
+
+// Guards against streams of two versions at one of two hosts that were cut off from the others together.
+TEST(HomeVersionsFleet, twoHostsThatWereCutOffTogetherAreNotTheFleet)
+{
+    view(200, {"h2", "h3", "h4", "h5"}, {"h2", "h3", "h4", "h5"}, both);
+    silent = {"h0", "h1"};
+    begin(200);
+    view(200, {"h0", "h1"}, {"h0", "h1"}, old);
+    silent = {"h2", "h3", "h4", "h5"};
+    auto taken = takeUp(200);
+    CHECK_EQUAL(0U, taken[softwareVersionNumber("v1")]);
+    CHECK_EQUAL(streams, taken[0]);
+}
+
+// Guards against streams that are turned away where one of several hosts was killed and no release is on.
+TEST(HomeVersionsFleet, withOneVersionStreamsGoOnAlthoughAHostDoesNotAnswer)
+{
+    silent = {"h5"};
+    auto taken = takeUp(200);
+    CHECK_TRUE(taken[softwareVersionNumber("v1")] >= streams);
+    CHECK_EQUAL(0U, taken[0]);
+}
--- a/Tests/Request/versionhistorytest.cpp
+++ b/Tests/Request/versionhistorytest.cpp
@@ -32,7 +32,7 @@
 
     std::uint32_t only(double now)
     {
-        return history.onlyVersion(at(now), 1, period).value_or(0);
+        return history.seenVersion(at(now), 1, period).value_or(Peer::OnlyVersion {}).softwareVersion;
     }
 };
 
@@ -42,7 +42,7 @@
     versions(0, {"v1", "v1"});
     CHECK_EQUAL(0U, only(9.9));
     CHECK_EQUAL(softwareVersionNumber("v1"), only(10));
-    CHECK_FALSE(history.onlyVersion(at(10), 2, period).has_value());
+    CHECK_FALSE(history.seenVersion(at(10), 2, period).has_value());
 }
 
 // Guards against streams of a version that has just gone and go on at the one that is left.
@@ -74,3 +74,36 @@
     versions(20, {""});
     CHECK_EQUAL(softwareVersionNumber(""), only(30));
 }
+
+// Guards against a host that stood still, or did not run for other reasons, and takes what it saw before for all that there was.
+TEST(VersionHistory, timeInWhichTheHostDidNotRunDoesNotCount)
+{
+    versions(0, {"v1"});
+    for (double now = 0; now < 20; now += 0.5) {
+        history.watch(at(now));
+    }
+    CHECK_EQUAL(softwareVersionNumber("v1"), only(20));
+    history.watch(at(25));
+    CHECK_EQUAL(0U, only(25));
+    for (double now = 25; now < 35; now += 0.5) {
+        history.watch(at(now));
+    }
+    CHECK_EQUAL(softwareVersionNumber("v1"), only(35));
+}
+
+// Guards against a host that tells others of one version where it has seen several, or of none where it cannot tell.
+TEST(VersionHistory, severalVersionsAreToldAsSuch)
+{
+    CHECK_FALSE(history.seenVersion(at(0), 1, period).has_value());
+    versions(0, {"v1"});
+    CHECK_FALSE(history.seenVersion(at(9), 1, period).has_value());
+    CHECK_TRUE(history.seenVersion(at(15), 1, period)
+               == (Peer::OnlyVersion {softwareVersionNumber("v1"), std::chrono::seconds(15)}));
+    CHECK_FALSE(history.seenVersion(at(7200), 1, std::chrono::hours(2)).has_value());
+    versions(20, {"v1", "v2"});
+    CHECK_TRUE(history.seenVersion(at(21), 1, period) == (Peer::OnlyVersion {0, period}));
+    versions(30, {"v2"});
+    CHECK_TRUE(history.seenVersion(at(39), 1, period) == (Peer::OnlyVersion {0, period}));
+    CHECK_TRUE(history.seenVersion(at(42), 1, period)
+               == (Peer::OnlyVersion {softwareVersionNumber("v2"), std::chrono::seconds(12)}));
+}
