Request, Node: A new process waits a minute before it relies on the one version that it has seen

What callers saw: nothing yet; found on reading the mend of streams joined from two versions. A process that has just started has not heard of the callers whose streams it gets, so it takes the classes' time-outs and 5 s for the longest time in which streams are taken up. After all hosts were killed, a caller that gives longer would find hosts that rely on the only version that is left.

Change: a checked setting, [streams] taken-up-within-s, is the least of that time; 60 s unless it is set. What callers give raises it, as before. The process tests set it to its least, since they test the time that hosts learn.

Evidence: HomeVersions.aHostThatHasJustStartedWaitsAsTheSettingTells goes on at v2 after 59 s without the change in Home; Settings has the checks.

Why it works: a stream that nobody knows is refused at once as not run for that minute, which costs its caller a new beginning; such streams are those whose three keepers were all lost.

--- a/Source/Node/settings.cpp
+++ b/Source/Node/settings.cpp
@@ -191,6 +191,9 @@
     policies.sharePrefills = ini.flag("dispatch", "share-prefills", true);
     policies.streamEngines = ini.flag("dispatch", "stream-engines", true);
     policies.sameVersionStreams = ini.flag("streams", "same-version", false);
+    constexpr std::int64_t longestTakenUpStream = 60;
+    policies.longestTakenUpStream
+        = std::chrono::seconds(ini.number("streams", "taken-up-within-s", longestTakenUpStream, 1, 3600));
     policies.wholePoolShards = ini.flag("dispatch", "whole-pool-shards", false);
     return policies;
 }
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -611,7 +611,8 @@
 Duration Home::longestStream(std::uint32_t pool) const
 {
     const auto longest = m_longestStreams.find(pool);
-    Duration result = longest == m_longestStreams.end() ? Duration::zero() : longest->second;
+    Duration result = m_catalogue->policies().longestTakenUpStream;
+    result = std::max(result, longest == m_longestStreams.end() ? Duration::zero() : longest->second);
     for (const Configuration::RequestClass &requestClass : m_catalogue->classes()) {
         if (requestClass.pool == pool && requestClass.resumable) {
             result = std::max(result, requestClass.deadline + streamLifetimeMargin);
--- a/Tests/Integration/test_versions.py
+++ b/Tests/Integration/test_versions.py
@@ -18,7 +18,8 @@
 LONG_DEADLINE_MS = 30_000
 # As long as a stream may be taken up: the longest time that a caller gives, 5 s for the first calls of Site, and a margin of 5 s.
 LONGEST_STREAM_SECONDS = 5.0 + 5.0
-SETTINGS = "[streams]\nsame-version = yes\n"
+# The longest time that callers give is what the hosts here have to learn, so the setting is its least.
+SETTINGS = "[streams]\nsame-version = yes\ntaken-up-within-s = 1\n"
 
 
 class Site:
--- a/Tests/Node/settingstest.cpp
+++ b/Tests/Node/settingstest.cpp
@@ -173,3 +173,17 @@
                     errorOf(replaced("data-centre = lisbon-a", "data-centre = lisbon-a\nmemory-mb = much")).c_str());
     STRCMP_CONTAINS("[limits] unread-ms", errorOf(std::string(validText) + "[limits]\nunread-ms = 10\n").c_str());
 }
+
+/// Guards against hosts that go on with streams of which they cannot know the software version.
+TEST(Settings, theTimeToTakeStreamsUpIsCheckedAndIsAMinuteUnlessItIsSet)
+{
+    const auto timeOf = [](const std::string &text) {
+        const auto settings = Node::parseSettings(*Base::IniFile::parse(text, "y.ini"));
+        CHECK_TRUE(settings.ok());
+        return settings->policies.longestTakenUpStream;
+    };
+    CHECK_TRUE(timeOf(std::string(validText)) == std::chrono::minutes(1));
+    CHECK_TRUE(timeOf(std::string(validText) + "[streams]\ntaken-up-within-s = 20\n") == std::chrono::seconds(20));
+    STRCMP_CONTAINS("[streams] taken-up-within-s",
+                    errorOf(std::string(validText) + "[streams]\ntaken-up-within-s = 0\n").c_str());
+}
--- a/Tests/Request/homeversionstest.cpp
+++ b/Tests/Request/homeversionstest.cpp
@@ -394,6 +394,25 @@
     CHECK_EQUAL(softwareVersionNumber("v2"), lastAsk().softwareVersion);
 }
 
+// Guards against the same where the new process has heard of no caller that gave as long as the one that comes back.
+TEST(HomeVersions, aHostThatHasJustStartedWaitsAsTheSettingTells)
+{
+    Configuration::CatalogueParts parts = catalogue->parts();
+    std::ranges::find(parts.endpoints, e1, &Configuration::Endpoint::number)->softwareVersion = "v2";
+    parts.policies.longestTakenUpStream = std::chrono::seconds(60);
+    home = Home("h1", 5);
+    use(std::move(parts), 0);
+    const Peer::OnlyVersion seen {softwareVersionNumber("v2"), std::chrono::hours(1)};
+    letRun(0, 59);
+    takeUp(77, 59);
+    reply(77, std::nullopt, 59.01, seen);
+    CHECK_TRUE(Base::errorKind(failure()) == Base::ErrorKind::StreamOriginUnknown);
+    letRun(59, 61);
+    takeUp(77, 61);
+    reply(77, std::nullopt, 61.01, seen);
+    CHECK_EQUAL(softwareVersionNumber("v2"), lastAsk().softwareVersion);
+}
+
 // Guards against a stream that goes on at another service after a route has moved.
 TEST(HomeVersions, aStreamOfAnotherPoolIsNotContinued)
 {
