Request: A host counts for an hour from when it was lost, not from the last change

What callers would have seen: in a fleet that had not changed for an hour, hosts that lost most of the others at once forgot these at the same moment, counted as many of few, and went on with streams that nobody knew.

Cause: the time at which a host was last a member was taken only when the list of members changed, so that it was hours old in a calm fleet, and the host was dropped as one that had long gone.

Evidence: the new test failed on the code before: one host was asked where five count.

Change: a host that is a member has no such time yet; the time is taken when it is first missing.

--- a/Source/Request/versionsurvey.cpp
+++ b/Source/Request/versionsurvey.cpp
@@ -23,6 +23,8 @@
 constexpr Duration replyTimeout = std::chrono::milliseconds(200);
 /// Time for which a host that did not say that it leaves counts as one of the fleet.
 constexpr Duration retention = std::chrono::hours(1);
+/// Stands for the time at which a host that is a member was last one.
+constexpr Instant stillPresent = Instant::max();
 
 } // namespace
 
@@ -39,14 +41,17 @@
 
 void VersionSurvey::updateView(Instant now, const std::vector<Peer::Member> &members)
 {
+    for (Instant &lastPresent : m_lastPresent | std::views::values) {
+        lastPresent = lastPresent == stillPresent ? now : lastPresent;
+    }
     for (const Peer::Member &member : members) {
         if (member.state == Peer::MemberState::Leaving) {
             m_lastPresent.erase(member.name);
         } else if (member.name != m_self) {
-            m_lastPresent[member.name] = now;
+            m_lastPresent[member.name] = stillPresent;
         }
     }
-    std::erase_if(m_lastPresent, [now](const auto &entry) { return now - entry.second >= retention; });
+    std::erase_if(m_lastPresent, [now](const auto &entry) { return entry.second <= now - retention; });
 }
 
 std::vector<std::string> VersionSurvey::sampleFor(std::uint64_t request) const
--- a/Tests/Request/versionsurveytest.cpp
+++ b/Tests/Request/versionsurveytest.cpp
@@ -76,6 +76,18 @@
     CHECK_TRUE(agreed(5));
 }
 
+// Guards against hosts that are forgotten as soon as they are cut off, since nothing had changed for long before.
+TEST(VersionSurvey, hostsCountFromWhenTheyWereLost)
+{
+    members(0, 5);
+    members(7200, 1);
+    CHECK_EQUAL(5U, ask(7201, 1));
+    CHECK_FALSE(agreed(7201.2));
+    members(7200 + 3600, 1);
+    CHECK_EQUAL(1U, ask(7200 + 3601, 1));
+    CHECK_TRUE(agreed(7200 + 3601));
+}
+
 // Guards against the majority of hosts that have not heard of a version yet, where one has.
 TEST(VersionSurvey, oneThatContradictsIsEnough)
 {
