Mend: The program finds the daemon's library where dlopen is stood in for

What callers saw: nothing; the sanitized build of this branch did not start ("cannot load the daemon").

Cause: $ORIGIN means the folder of the library that calls dlopen. A sanitizer stands in for dlopen and calls the real one itself, so that the daemon's library was sought beside the sanitizer's.

Change: where $ORIGIN does not lead to it, the library is sought beside the program that /proc/self/exe names.

--- a/Source/yokepondd.cpp
+++ b/Source/yokepondd.cpp
@@ -9,13 +9,17 @@
 #include "Base/standarddescriptors.h"
 
 #include <dlfcn.h>
+#include <libgen.h>
+#include <unistd.h>
 
+#include <array>
+#include <climits>
 #include <cstdio>
 #include <cstdlib>
 
 namespace {
 
-constexpr const char *daemonLibrary = "$ORIGIN/../lib/libyokepond-daemon.so"; ///< relative to this program
+constexpr const char *daemonLibrary = "../lib/libyokepond-daemon.so"; ///< relative to this program's folder
 constexpr const char *daemonFunction = "yokepondDaemon"; ///< see Source/Node/daemonlibrary.cpp
 
 void prepareProcess(int, char **, char **)
@@ -27,12 +31,29 @@
 /// Runs before the constructors of all libraries.
 [[gnu::section(".preinit_array"), gnu::used]] void (*const runFirst)(int, char **, char **) = &prepareProcess;
 
+/// Returns the daemon's library, or null; dlerror() then tells why.
+void *loadDaemon()
+{
+    std::array<char, PATH_MAX> path {};
+    std::snprintf(path.data(), path.size(), "$ORIGIN/%s", daemonLibrary);
+    if (void *library = dlopen(path.data(), RTLD_LAZY); library != nullptr) {
+        return library;
+    }
+    // Where another library stands in for dlopen, such as a sanitizer, $ORIGIN is that library's folder.
+    std::array<char, PATH_MAX> program {};
+    if (readlink("/proc/self/exe", program.data(), program.size() - 1) <= 0) {
+        return nullptr;
+    }
+    std::snprintf(path.data(), path.size(), "%s/%s", dirname(program.data()), daemonLibrary);
+    return dlopen(path.data(), RTLD_LAZY);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     using DaemonFunction = int (*)(int, char **);
-    void *library = dlopen(daemonLibrary, RTLD_LAZY);
+    void *library = loadDaemon();
     auto *run = library == nullptr ? nullptr : reinterpret_cast<DaemonFunction>(dlsym(library, daemonFunction));
     if (run == nullptr) {
         std::fprintf(stderr, "yokepondd: cannot load the daemon: %s; install the whole package\n", dlerror());
