Platform, Node: One row that cannot be read does not stop hosts from following the others

What callers saw: another writer left one odd row among those of the endpoints, and from then on no host followed the list. An endpoint that came 1 s later got nothing from any host, callers of its pool got 503, an entry that turned odd went on getting requests, and hosts that started beside the row served nothing.

Cause: an answer of the store was decoded as a whole and refused as a whole, for one row of an unexpected type, and for a number too large or broken UTF-8 in any field of any row. Found on the same way: a value that cannot be read was kept as text together with its heartbeat, so that each heartbeat was a change for all hosts; a malformed configuration stopped changes of endpoints, too; the key at which the next page begins was neither encoded nor, for evacuations, one of the table; a store that always has more rows was asked without a pause; numbers far out of range were converted without a defined result.

Change: an answer is split into rows and fields without decoding them, and only the fields that are used are decoded, with the bound of Base::decodeJson(). A row with a readable key becomes a record with a fault and without a value, one state whatever the row holds; such an endpoint gets no new requests. Other rows are passed over. An odd configuration is not stored, so that the last good one stays in force and reaches hosts that start; a malformed one from other hosts leaves the one before in force. Rows of another part of the table are no entries. A page that does not go beyond the one before fails the read, which is repeated with a delay. All this is counted (yokepond_odd_rows_total, yokepond_unusable_records) and logged once per record and reason.

It works because no row is decoded together with another one, and since the version of the answer, from which the feed goes on, does not depend on its rows.

--- a/Source/Configuration/siterecords.cpp
+++ b/Source/Configuration/siterecords.cpp
@@ -33,6 +33,10 @@
                            {"version", record.version},
                            {"removed", record.removed},
                            {"value", record.value}};
+    if (record.fault != RecordFault::None) {
+        json["fault"] = Base::nameOf(recordFaultNames, record.fault);
+        json["detail"] = record.detail;
+    }
     if (record.coldUntil > now) {
         json["cold-ms"] = std::chrono::ceil<std::chrono::milliseconds>(record.coldUntil - now).count();
     }
@@ -65,6 +69,11 @@
         const auto remaining = std::min<std::uint64_t>(cold->get<std::uint64_t>(), longestColdPeriod.count());
         record.coldUntil = now + std::chrono::milliseconds(remaining);
     }
+    if (json.contains("fault")) {
+        // A fault that only newer hosts know makes the record unusable, too.
+        record.fault = Base::valueOf(recordFaultNames, text("fault")).value_or(RecordFault::Value);
+        record.detail = text("detail");
+    }
     return record;
 }
 
@@ -90,6 +99,12 @@
 
 } // namespace
 
+std::string faultReason(const Record &record)
+{
+    std::string reason(Base::nameOf(recordFaultNames, record.fault));
+    return record.detail.empty() ? reason : reason + ": " + record.detail;
+}
+
 bool RecordRevisions::covers(const RecordRevisions &other) const
 {
     return configuration >= other.configuration && endpoints >= other.endpoints;
@@ -125,6 +140,9 @@
 
 bool SiteRecords::apply(const Record &record)
 {
+    if (record.kind == RecordKind::Configuration && record.fault != RecordFault::None) {
+        return false;
+    }
     const auto unconfirmed = m_unconfirmed.find({record.kind, record.key});
     if (unconfirmed != m_unconfirmed.end() && record.version >= unconfirmed->second) {
         m_unconfirmed.erase(unconfirmed);
@@ -136,10 +154,13 @@
     const bool isNew = stored.record.version == 0;
     Entry before = record.kind == RecordKind::Configuration ? stored : Entry {};
     const bool coldAgain = record.coldUntil > stored.record.coldUntil + coldPeriodTolerance;
-    const bool changed
-        = isNew ? !record.removed : (stored.record.removed != record.removed || stored.record.value != record.value || coldAgain);
+    const bool changed = isNew ? !record.removed
+                               : (stored.record.removed != record.removed || stored.record.value != record.value
+                                  || stored.record.fault != record.fault || coldAgain);
     const Base::Instant coldUntil = coldAgain ? record.coldUntil : std::min(record.coldUntil, stored.record.coldUntil);
+    std::string detail = changed ? record.detail : std::move(stored.record.detail);
     stored.record = record;
+    stored.record.detail = std::move(detail);
     stored.record.coldUntil = isNew ? record.coldUntil : coldUntil;
     if (changed) {
         stored.changedAt = record.version;
--- a/Source/Configuration/siterecords.h
+++ b/Source/Configuration/siterecords.h
@@ -31,6 +31,25 @@
     {RecordKind::Evacuation, "evacuation"},
 }};
 
+/// What is wrong with a row of the platform's store that another writer left.
+enum class RecordFault {
+    None,
+    Row, ///< the row is no list of fields
+    Key, ///< the row has no key that could be read
+    Version, ///< the version of the row is missing, or none that the store assigns
+    Removal, ///< whether the row is removed cannot be read
+    Value, ///< the value is missing, or not in the platform's format
+};
+
+inline constexpr Base::NameTable<RecordFault, 6> recordFaultNames = {{
+    {RecordFault::None, "none"},
+    {RecordFault::Row, "row-unreadable"},
+    {RecordFault::Key, "key-unreadable"},
+    {RecordFault::Version, "version-unreadable"},
+    {RecordFault::Removal, "removal-unreadable"},
+    {RecordFault::Value, "value-unreadable"},
+}};
+
 /// One state of a record. The platform assigns the versions of all records from one counter.
 struct Record
 {
@@ -41,10 +60,17 @@
     std::string value; ///< in the platform's format, without fields that change with every heartbeat; empty if removed
     /// End of the period in which the endpoint is cold, as this host knows it; in the past if it is not cold.
     Base::Instant coldUntil {};
+    /// What makes the record unusable; its value is empty then. It is one state whatever the platform's store has, so that copies
+    /// are equal, and heartbeats of an unusable record are no changes.
+    RecordFault fault = RecordFault::None;
+    std::string detail {}; ///< tells more of the fault in logs, as it was seen first; not a part of the state
 
     bool operator==(const Record &) const = default;
 };
 
+/// Returns why @p record cannot be used, as a text for logs.
+std::string faultReason(const Record &record);
+
 /// The revisions of a copy: the highest version at which the state of a record changed. The endpoints have one, and the
 /// configuration and the evacuations have one together.
 struct RecordRevisions
@@ -81,7 +107,9 @@
 class SiteRecords
 {
 public:
-    /// Stores @p record if its version is higher than the stored one. Returns whether the state of the record changed.
+    /// Stores @p record if its version is higher than the stored one. Returns whether the state of the record changed. A
+    /// configuration that cannot be used is not stored, so that the last usable one stays in force, at hosts that start later,
+    /// too.
     bool merge(const Record &record);
 
     /// Merges changes of another host's copy. Returns whether the state of any record changed. Ignores changes since a revision
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -644,6 +644,20 @@
     return Base::Duration(used.tv_sec * 1'000'000 + used.tv_nsec / 1'000);
 }
 
+void Daemon::updateRecordMetrics()
+{
+    const UnusableRecords &unusable = m_fleet->unusableRecords();
+    for (const auto &[kind, name] : Configuration::recordKindNames) {
+        m_metrics.set("yokepond_unusable_records", fmt::format("kind=\"{}\"", name), static_cast<double>(unusable.count(kind)));
+    }
+    for (const auto &[fault, rows] : unusable.rows()) {
+        const std::string labels
+            = fmt::format("kind=\"{}\",reason=\"{}\"", Base::nameOf(Configuration::recordKindNames, fault.first),
+                          Base::nameOf(Configuration::recordFaultNames, fault.second));
+        m_metrics.set("yokepond_odd_rows_total", labels, static_cast<double>(rows));
+    }
+}
+
 void Daemon::updateDispatcherMetrics()
 {
     std::uint64_t granted = 0;
@@ -748,6 +762,7 @@
         m_metrics.set("yokepond_orders_total", label("result", "failed"), static_cast<double>(scaling.failures));
         m_metrics.set("yokepond_duty_held", label("duty", "scaling"), scaling.scaler.holder ? 1.0 : 0.0);
     }
+    updateRecordMetrics();
     m_metrics.set("yokepond_configuration_revision", "", static_cast<double>(m_fleet->revision()));
     m_metrics.set("yokepond_invariant_violations_total", "", static_cast<double>(Base::invariantViolations()));
     return m_metrics.text();
--- a/Source/Node/daemon.h
+++ b/Source/Node/daemon.h
@@ -88,6 +88,7 @@
     /// Ends the event loop. @p drained: no request was interrupted.
     void finishStop(bool drained);
     absl::Status readiness() const;
+    void updateRecordMetrics();
     void updateDispatcherMetrics();
     std::string metricsText();
     nlohmann::json dump() const;
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -459,6 +459,17 @@
     const std::uint64_t before = m_records.revisions().configuration;
     bool changed = false;
     for (const Configuration::Record &record : records) {
+        const bool usable = record.fault == Configuration::RecordFault::None;
+        if (!usable) {
+            m_unusableRecords.countRow(record.kind, record.fault);
+        }
+        if (record.kind == Configuration::RecordKind::Configuration) {
+            // It is not stored if it cannot be used, and the one before stays in force.
+            m_unusableRecords.update(record.kind,
+                                     usable ? UnusableRecords::Reasons {}
+                                            : UnusableRecords::Reasons {{record.key, Configuration::faultReason(record)}},
+                                     m_records.revision());
+        }
         changed = m_records.merge(record) || changed;
     }
     updateConfigurationSource(before, std::string(storeSourceName));
@@ -467,6 +478,16 @@
     }
 }
 
+void Fleet::skipRows(Base::Instant now, Configuration::RecordKind kind, const std::vector<Configuration::RecordFault> &faults)
+{
+    std::ranges::for_each(faults, [&](Configuration::RecordFault fault) { m_unusableRecords.skipRow(now, kind, fault); });
+}
+
+const UnusableRecords &Fleet::unusableRecords() const
+{
+    return m_unusableRecords;
+}
+
 std::vector<Configuration::Record> Fleet::presentRecords(Configuration::RecordKind kind) const
 {
     std::vector<Configuration::Record> found;
@@ -503,24 +524,7 @@
     m_decodePending = false;
     auto parts = m_decode(m_records, m_recordCatalogue.get());
     if (parts.ok()) {
-        parts->policies = m_settings.policies;
-        parts->regions = m_settings.regions;
-        logRejected(std::move(parts->rejected));
-        m_recordCatalogue = Configuration::Catalogue::assemble(std::move(*parts));
-        m_endpointsEverKnown = m_endpointsEverKnown || !m_recordCatalogue->endpoints().empty();
-        if (m_activeConfiguration.version != m_records.revisions().configuration) {
-            m_activeConfiguration = {m_records.revisions().configuration, m_configurationSource, now};
-        }
-        Base::log(Base::LogLevel::Info, Base::LogEvent::ConfigurationApplied,
-                  {{"revision", m_records.revision()},
-                   {"configuration-version", m_activeConfiguration.version},
-                   {"configuration-from", m_activeConfiguration.from},
-                   {"endpoints-version", m_records.revisions().endpoints},
-                   {"evacuated", m_recordCatalogue->evacuatedDataCentres()},
-                   {"routes", m_recordCatalogue->routes().size()},
-                   {"organisations-by-rank", organisationsByRank(*m_recordCatalogue)},
-                   {"endpoints", m_recordCatalogue->endpoints().size()}});
-        rebuild();
+        applyParts(now, std::move(*parts));
     } else {
         // The last valid configuration stays in effect.
         Base::log(Base::LogLevel::Warning, Base::LogEvent::ConfigurationIgnored,
@@ -530,16 +534,54 @@
     m_nextDecode = now + pauseAfter(took);
 }
 
-/// Logs a line for each record that was not rejected before.
-void Fleet::logRejected(std::vector<Configuration::RejectedRecord> rejected)
+void Fleet::applyParts(Base::Instant now, Configuration::CatalogueParts parts)
+{
+    parts.policies = m_settings.policies;
+    parts.regions = m_settings.regions;
+    updateUnusableRecords(parts.rejected);
+    const bool ignored = newestConfigurationIsIgnored(parts);
+    m_recordCatalogue = Configuration::Catalogue::assemble(std::move(parts));
+    m_endpointsEverKnown = m_endpointsEverKnown || !m_recordCatalogue->endpoints().empty();
+    if (!ignored && m_activeConfiguration.version != m_records.revisions().configuration) {
+        m_activeConfiguration = {m_records.revisions().configuration, m_configurationSource, now};
+    }
+    Base::log(Base::LogLevel::Info, Base::LogEvent::ConfigurationApplied,
+              {{"revision", m_records.revision()},
+               {"configuration-version", m_activeConfiguration.version},
+               {"configuration-from", m_activeConfiguration.from},
+               {"endpoints-version", m_records.revisions().endpoints},
+               {"evacuated", m_recordCatalogue->evacuatedDataCentres()},
+               {"routes", m_recordCatalogue->routes().size()},
+               {"organisations-by-rank", organisationsByRank(*m_recordCatalogue)},
+               {"endpoints", m_recordCatalogue->endpoints().size()}});
+    rebuild();
+}
+
+bool Fleet::newestConfigurationIsIgnored(const Configuration::CatalogueParts &parts)
+{
+    const auto newest = m_records.presentWithVersions(Configuration::RecordKind::Configuration);
+    if (parts.configurationVersion == 0 || newest.empty() || newest.front().changedAt == parts.configurationVersion) {
+        return false;
+    }
+    if (std::exchange(m_ignoredConfiguration, newest.front().changedAt) != newest.front().changedAt) {
+        Base::log(Base::LogLevel::Warning, Base::LogEvent::ConfigurationIgnored,
+                  {{"revision", m_records.revision()}, {"reason", Base::messageOf(m_decode(m_records, nullptr).status())}});
+    }
+    return true;
+}
+
+void Fleet::updateUnusableRecords(const std::vector<Configuration::RejectedRecord> &rejectedEndpoints)
 {
-    for (const Configuration::RejectedRecord &record : rejected) {
-        if (std::ranges::find(m_rejected, record) == m_rejected.end()) {
-            Base::log(Base::LogLevel::Warning, Base::LogEvent::RecordRejected,
-                      {{"endpoint", record.key}, {"reason", record.reason}, {"revision", m_records.revision()}});
+    UnusableRecords::Reasons endpoints;
+    std::ranges::for_each(rejectedEndpoints, [&](const auto &record) { endpoints[record.key] = record.reason; });
+    UnusableRecords::Reasons evacuations;
+    for (const Configuration::Record *record : m_records.present(Configuration::RecordKind::Evacuation)) {
+        if (record->fault != Configuration::RecordFault::None) {
+            evacuations[record->key] = Configuration::faultReason(*record);
         }
     }
-    m_rejected = std::move(rejected);
+    m_unusableRecords.update(Configuration::RecordKind::Endpoint, endpoints, m_records.revision());
+    m_unusableRecords.update(Configuration::RecordKind::Evacuation, evacuations, m_records.revision());
 }
 
 void Fleet::updateStoreState(Base::Instant now, bool responds)
--- a/Source/Node/fleet.h
+++ b/Source/Node/fleet.h
@@ -16,6 +16,7 @@
 #include "Membership/swim.h"
 #include "Node/pullscheduler.h"
 #include "Node/settings.h"
+#include "Node/unusablerecords.h"
 #include "Platform/etcdtable.h"
 #include "Platform/hostlist.h"
 
@@ -91,9 +92,15 @@
     /// Announces to the other members that this host is leaving.
     void leave();
 
-    /// Merges @p records, which this host read from the store, into its copy.
+    /// Merges @p records, which this host read from the store, into its copy. Counts those that cannot be used.
     void mergeRecords(const std::vector<Configuration::Record> &records);
 
+    /// Notes that this host read rows in the table of @p kind that no record can be made of, each with one of @p faults.
+    void skipRows(Base::Instant now, Configuration::RecordKind kind, const std::vector<Configuration::RecordFault> &faults);
+
+    /// Returns the rows and records of the store that cannot be used; only with PlatformForm::Records.
+    const UnusableRecords &unusableRecords() const;
+
     /// Returns the records of @p kind that are not removed, read by this host or received from others.
     std::vector<Configuration::Record> presentRecords(Configuration::RecordKind kind) const;
 
@@ -173,7 +180,10 @@
     void recordsChanged();
     void updateConfigurationSource(std::uint64_t versionBefore, const std::string &source);
     void decodeRecords(Base::Instant now);
-    void logRejected(std::vector<Configuration::RejectedRecord> rejected);
+    void applyParts(Base::Instant now, Configuration::CatalogueParts parts);
+    void updateUnusableRecords(const std::vector<Configuration::RejectedRecord> &rejectedEndpoints);
+    /// Logs once that the newest configuration is malformed, and returns whether it is, so that @p parts has the one before.
+    bool newestConfigurationIsIgnored(const Configuration::CatalogueParts &parts);
     /// Returns whether the platform keeps the configuration as records (PlatformForm::Records).
     bool usesRecords() const;
     void flushMembership();
@@ -215,7 +225,8 @@
     bool m_storeResponds = false;
     bool m_storeEverResponded = false;
     bool m_endpointsEverKnown = false; ///< some configuration had endpoints; only with PlatformForm::Records
-    std::vector<Configuration::RejectedRecord> m_rejected; ///< the rejected records that were logged last
+    UnusableRecords m_unusableRecords;
+    std::uint64_t m_ignoredConfiguration = 0; ///< version of the malformed configuration that was logged last
     bool m_decodePending = false; ///< the records have changed since they were last decoded
     Base::Instant m_nextDecode {};
     bool m_isSelected = true; ///< this host is one of m_followers
--- a/Source/Node/recordwatcher.h
+++ b/Source/Node/recordwatcher.h
@@ -87,6 +87,9 @@
     std::function<void(const StoreUpdate &update)> storeStateChanged; ///< the store began or ceased to respond
     /// Returns the records of a kind that this host has, from the store or from other hosts.
     std::function<std::vector<Configuration::Record>(Configuration::RecordKind kind)> knownRecords;
+    /// Gets what is wrong with the rows of a response that no record can be made of; never empty. RecordKind::Configuration
+    /// stands for both kinds of its table.
+    std::function<void(Configuration::RecordKind kind, const std::vector<Configuration::RecordFault> &faults)> rowsSkipped;
 };
 
 /// Watches the configuration, together with the evacuations, and the endpoints by one call each: a full read first, then held
@@ -254,6 +257,9 @@
         if (fullRead) {
             addRemovals(state, *page);
         }
+        if (!page->skipped.empty()) {
+            m_callbacks.rowsSkipped(state.kind, page->skipped);
+        }
         applyRecords(state, now, std::move(page->records));
     }
 
--- a/Source/Node/storefollower.h
+++ b/Source/Node/storefollower.h
@@ -47,7 +47,11 @@
                   .recordsRead = [this](const std::vector<Configuration::Record> &records) { m_fleet.mergeRecords(records); },
                   .removalDeferred = [this](const Configuration::Record &record) { m_fleet.markRecordUnconfirmed(record); },
                   .storeStateChanged = [this](const StoreUpdate &update) { storeStateChanged(update); },
-                  .knownRecords = [this](Configuration::RecordKind kind) { return m_fleet.presentRecords(kind); }})
+                  .knownRecords = [this](Configuration::RecordKind kind) { return m_fleet.presentRecords(kind); },
+                  .rowsSkipped =
+                      [this](Configuration::RecordKind kind, const std::vector<Configuration::RecordFault> &faults) {
+                          m_fleet.skipRows(m_options.watcher.clock(), kind, faults);
+                      }})
         , m_delegation(DelegationOptions {}, m_options.seed)
     {
     }
--- a/Source/Platform/feed.h
+++ b/Source/Platform/feed.h
@@ -24,6 +24,8 @@
 {
     std::vector<Configuration::Record> records;
     std::uint64_t version = 0; ///< highest version on the platform at that time
+    /// What is wrong with each row that no record can be made of. Rows whose key can be read are records with a fault.
+    std::vector<Configuration::RecordFault> skipped;
 };
 
 /// Receives a page, or one of the errors listed at Feed. It is called on the loop's thread.
@@ -32,7 +34,8 @@
 /// Reads records of the platform and follows their changes.
 template<typename F>
 concept Feed = requires(F feed, Configuration::RecordKind kind, std::uint64_t since, Base::Duration wait, FeedHandler handler) {
-    /// Reads all records of a kind. Fails with ErrorKind::StoreUnavailable or ErrorKind::InvalidValue.
+    /// Reads all records of a kind. Fails with ErrorKind::StoreUnavailable or ErrorKind::InvalidValue. One row that cannot be
+    /// read does not make the read fail, here and below.
     feed.read(kind, handler);
     /// Gets the records that changed after version @p since, as soon as there are any, or none once @p wait is over. Fails with
     /// ErrorKind::StoreUnavailable, ErrorKind::InvalidValue, or ErrorKind::HistoryCompacted if the platform no longer keeps those
--- a/Tests/Configuration/siterecordstest.cpp
+++ b/Tests/Configuration/siterecordstest.cpp
@@ -151,6 +151,47 @@
     }
 }
 
+// Guards against heartbeats of an entry that cannot be read, each of which was sent on as a change.
+TEST(SiteRecords, heartbeatsOfAnUnusableRecordAreNoChanges)
+{
+    set("e1", 5, "value");
+    const Record odd {RecordKind::Endpoint, "e1", 6, false, "", {}, RecordFault::Value};
+    CHECK_TRUE(records.merge(odd));
+    CHECK_EQUAL(6U, records.revision());
+    for (std::uint64_t version = 7; version < 20; ++version) {
+        Record beat = odd;
+        beat.version = version;
+        beat.detail = std::to_string(version);
+        CHECK_FALSE(records.merge(beat));
+    }
+    CHECK_EQUAL(6U, records.revision());
+    CHECK_TRUE(set("e1", 20, "value"));
+    CHECK_TRUE(records.present(RecordKind::Endpoint).front()->fault == RecordFault::None);
+    CHECK_TRUE(records.merge({RecordKind::Endpoint, "e1", 21, false, "", {}, RecordFault::Version}));
+    CHECK_TRUE(remove("e1", 22));
+    CHECK_TRUE(records.present(RecordKind::Endpoint).empty());
+}
+
+TEST(SiteRecords, theTextTellsWhyARecordIsUnusable)
+{
+    records.merge({RecordKind::Endpoint, "e1", 6, false, "", {}, RecordFault::Removal});
+    const std::string text = changesToText(records.changesSince({}), now);
+    CHECK_TRUE(changesFromText(text, now)->records == records.all());
+    std::string unknown = text;
+    unknown.replace(unknown.find("removal-unreadable"), std::string("removal-unreadable").size(), "of-a-newer-host");
+    CHECK_TRUE(changesFromText(unknown, now)->records.front().fault == RecordFault::Value);
+}
+
+// Guards against an odd row that takes the place of the configuration in force, so that hosts that start later have none.
+TEST(SiteRecords, aConfigurationThatCannotBeUsedIsNotStored)
+{
+    records.merge({RecordKind::Configuration, "config", 5, false, "good"});
+    CHECK_FALSE(records.merge({RecordKind::Configuration, "config", 6, false, "", {}, RecordFault::Value}));
+    STRCMP_EQUAL("good", records.present(RecordKind::Configuration).front()->value.c_str());
+    CHECK_EQUAL(5U, records.changesSince({}).records.front().version);
+    CHECK_TRUE(records.merge({RecordKind::Configuration, "config", 7, false, "better"}));
+}
+
 // Guards against an evacuation that a host with the newest configuration never learns from another host.
 TEST(SiteRecords, anEvacuationIsAChangeOfTheConfiguration)
 {
--- a/Tests/Integration/recordsplatform.py
+++ b/Tests/Integration/recordsplatform.py
@@ -75,6 +75,8 @@
     `down`: answers every call with 503.
     `hang`: while set, calls that arrive and feed calls that wait are left without a response for good, also when it is cleared.
     `delay_seconds`: delay of each response.
+    `page_rows`: most rows of one answer of /rows-get; further pages begin at the key `source`.
+    `answer_as`: changes an answer before it is sent; gets the path and the body as a dictionary of JSON texts, by the name of the field.
     `closing`: set at the end of a test; releases the calls that hang.
     """
 
@@ -86,16 +88,30 @@
         self.down = False
         self.hang = False
         self.delay_seconds = 0.0
+        self.page_rows = None
+        self.answer_as = None
         self.closing = threading.Event()
         super().__init__()
 
     def put(self, table, key, value):
+        self.put_bytes(table, key, json.dumps(value).encode())
+
+    def put_bytes(self, table, key, value):
+        """Writes a row whose value is any bytes."""
         with self.lock:
             self.version += 1
-            text = base64.b64encode(json.dumps(value).encode()).decode()
+            text = base64.b64encode(value).decode()
             self.rows[(table, key)] = {"table": table, "part": "", "key_file": key, "value": text, "schema_version": self.version}
             self.lock.notify_all()
 
+    def put_raw(self, table, key, text):
+        """Writes a row that is sent as @p text, whatever that is; VERSION stands for its version. Keys sort by @p key."""
+        with self.lock:
+            self.version += 1
+            raw = text.replace(b"VERSION", b"%d" % self.version)
+            self.rows[(table, key)] = {"table": table, "part": "", "key_file": key, "schema_version": self.version, "raw": raw}
+            self.lock.notify_all()
+
     def remove(self, table, key):
         with self.lock:
             self.version += 1
@@ -131,7 +147,10 @@
             table = query["table"]
             if url.path == "/rows-get":
                 rows = [row for row in self.changes_since(table, -1) if not row.get("deleted")]
-                self.send_json(handler, {"rows": rows, "has_more": False})
+                rows = sorted(rows, key=lambda row: row["key_file"].encode())
+                rows = [row for row in rows if row["key_file"].encode() >= query.get("source", "").encode()]
+                page = rows[:self.page_rows]
+                self.send_json(handler, {"rows": page, "has_more": len(page) < len(rows)})
                 return
             since = int(query["since_revision"])
             until = time.monotonic() + int(query["wait_ms"]) / 1000
@@ -171,7 +190,13 @@
 
     def send_json(self, handler, body):
         body.update({"schema_version": self.version, "now_ms": int(time.monotonic() * 1000)})
-        send(handler, 200, {"Content-Type": "application/json"}, json.dumps(body).encode())
+        fields = {name: json.dumps(value).encode() for name, value in body.items() if name != "rows"}
+        if "rows" in body:
+            fields["rows"] = b"[" + b",".join(row.get("raw") or json.dumps(row).encode() for row in body["rows"]) + b"]"
+        if self.answer_as:
+            self.answer_as(urlsplit(handler.path).path, fields)
+        text = b"{" + b",".join(b'"%s":%s' % (name.encode(), value) for name, value in fields.items()) + b"}"
+        send(handler, 200, {"Content-Type": "application/json"}, text)
 
 
 class StoreAddress(Server):
--- a/Tests/Node/recordwatchertest.cpp
+++ b/Tests/Node/recordwatchertest.cpp
@@ -59,6 +59,7 @@
     std::vector<Record> removalDeferred;
     std::vector<bool> responds;
     std::vector<Record> peerRecords; ///< records that this host knows from other hosts
+    std::vector<Configuration::RecordFault> skipped;
     Node::RecordWatcher<FakeFeed> watcher {
         feed,
         {},
@@ -66,7 +67,11 @@
         {.recordsRead = [this](std::vector<Record> records) { std::ranges::move(records, std::back_inserter(reported)); },
          .removalDeferred = [this](const Record &record) { removalDeferred.push_back(record); },
          .storeStateChanged = [this](const Node::StoreUpdate &update) { responds.push_back(update.responds); },
-         .knownRecords = [this](RecordKind kind) { return recordsOf(kind); }}};
+         .knownRecords = [this](RecordKind kind) { return recordsOf(kind); },
+         .rowsSkipped =
+             [this](RecordKind, const std::vector<Configuration::RecordFault> &faults) {
+                 std::ranges::copy(faults, std::back_inserter(skipped));
+             }}};
 
     std::vector<Record> recordsOf(RecordKind kind) const
     {
@@ -311,6 +316,60 @@
     CHECK_FALSE(feed.calls[configuration].has_value());
 }
 
+// Guards against a feed that is read again and again from before a row that cannot be read.
+TEST(RecordWatcher, theNextCallBeginsBeyondOddRows)
+{
+    using Configuration::RecordFault;
+    tickAfter({});
+    answer(Platform::FeedPage {{live("e1", 3)}, 7, {RecordFault::Row, RecordFault::Key}});
+    CHECK_TRUE(skipped == (std::vector<RecordFault> {RecordFault::Row, RecordFault::Key}));
+    CHECK_TRUE(reported == std::vector<Record> {live("e1", 3)});
+    CHECK_TRUE(responds == std::vector<bool> {true});
+    tickAfter(std::chrono::seconds(1));
+    CHECK_EQUAL(7U, feed.calls[endpoint]->since);
+    answer(Platform::FeedPage {{}, 9, {RecordFault::Key}});
+    tickAfter(std::chrono::seconds(2));
+    CHECK_EQUAL(9U, feed.calls[endpoint]->since);
+    CHECK_EQUAL(3U, skipped.size());
+    const Record odd {endpoint, "e1", 11, false, "", {}, RecordFault::Value};
+    answer(Platform::FeedPage {{odd}, 11});
+    CHECK_TRUE(reported.back() == odd);
+    tickAfter(std::chrono::seconds(3));
+    CHECK_EQUAL(11U, feed.calls[endpoint]->since);
+}
+
+/// A full read lists it, so it is not removed; its removal is reported like that of any other.
+TEST(RecordWatcher, anUnusableRecordIsPresent)
+{
+    const Record odd {endpoint, "e2", 4, false, "", {}, Configuration::RecordFault::Value};
+    peerRecords = {live("e2", 3)};
+    tickAfter({});
+    answer(Platform::FeedPage {{odd}, 7});
+    CHECK_TRUE(reported == std::vector<Record> {odd});
+    tickAfter(std::chrono::seconds(1));
+    fail(Base::ErrorKind::HistoryCompacted);
+    tickAfter(std::chrono::seconds(2));
+    reported.clear();
+    answer(Platform::FeedPage {{}, 20});
+    CHECK_TRUE(reported == std::vector<Record> {removed("e2", 20)});
+}
+
+/// Answers that cannot be used are retried with the same delays as calls without answers.
+TEST(RecordWatcher, answersThatCannotBeUsedAreRetriedWithGrowingDelays)
+{
+    tickAfter({});
+    int calls = 0;
+    for (int step = 0; step < 100; ++step) {
+        if (feed.calls[endpoint]) {
+            ++calls;
+            fail(Base::ErrorKind::InvalidValue);
+        }
+        tickAfter(std::chrono::milliseconds(10));
+    }
+    CHECK_TRUE(calls >= 1 && calls <= 3);
+    CHECK_TRUE(responds == std::vector<bool> {false});
+}
+
 // Guards against an evacuation that ended while the store forgot its history, and that no host ever takes back.
 TEST(RecordWatcher, afterAFullReadEvacuationsKnownFromOtherHostsAreRemovedToo)
 {
--- a/Tests/Node/storefollowertest.cpp
+++ b/Tests/Node/storefollowertest.cpp
@@ -97,6 +97,33 @@
     CHECK_EQUAL(0U, settled.outdatedHosts(RecordKind::Configuration).size());
 }
 
+// Guards against odd entries of other writers that keep hosts from following the list, or whose heartbeats are sent to all hosts.
+TEST(StoreFollower, changesAreAppliedBesideOddRecords)
+{
+    SettledFleet settled(1);
+    const Record odd {RecordKind::Endpoint, "odd", 0, false, "", {}, Configuration::RecordFault::Value};
+    settled.change(odd);
+    settled.fleet.run(maxDelay);
+    CHECK_EQUAL(0U, settled.outdatedHosts(RecordKind::Endpoint).size());
+    const std::size_t before = settled.fleet.changesReceived();
+    for (int heartbeat = 0; heartbeat < 20; ++heartbeat) {
+        settled.fleet.store().put(settled.fleet.now(), odd);
+        settled.fleet.run(milliseconds(300));
+    }
+    CHECK_EQUAL(before, settled.fleet.changesReceived());
+    // An odd configuration reaches no other host, and the next one is applied.
+    Record configured = configuration("");
+    configured.fault = Configuration::RecordFault::Value;
+    settled.fleet.store().put(settled.fleet.now(), configured);
+    settled.fleet.run(maxDelay);
+    CHECK_EQUAL(before, settled.fleet.changesReceived());
+    settled.change(endpoint("leaving"));
+    settled.change(configuration("second"));
+    settled.fleet.run(maxDelay);
+    CHECK_EQUAL(0U, settled.outdatedHosts(RecordKind::Configuration).size());
+    CHECK_EQUAL(0U, settled.outdatedHosts(RecordKind::Endpoint).size());
+}
+
 TEST(StoreFollower, aChangeIsAppliedIfTheStoreRejectsAllFollowers)
 {
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
--- a/Tests/Platform/siteformtest.cpp
+++ b/Tests/Platform/siteformtest.cpp
@@ -113,6 +113,52 @@
     DOUBLES_EQUAL(0.0, Platform::decodeSite(records)->endpoints[0].transferTokensPerMs, 0.001);
 }
 
+// Guards against numbers whose conversion has no defined result, and against endpoints that get them as other numbers.
+TEST(SiteForm, numbersOutOfRangeMakeARecordUnusable)
+{
+    const auto row = [](const std::string &slots, const std::string &born) {
+        return fmt::format(R"({{"service":"llm","address":"10.0.0.9:80","slots":{},"state":"ready","born":{}}})", slots, born);
+    };
+    std::uint64_t version = 20;
+    for (const char *odd : {"1e300", "-1e300", "9223372036854775808", "18446744073709551615", "1e19", "\"7\"", "null", "[1]"}) {
+        endpoint("i-1", ++version, row(odd, "0"));
+        const auto withSlots = Platform::decodeSite(records);
+        CHECK_TRUE_TEXT(withSlots->endpoints.empty() && withSlots->rejected.size() == 1, odd);
+        endpoint("i-1", ++version, row("4", odd));
+        const auto withBorn = Platform::decodeSite(records);
+        CHECK_TRUE_TEXT(withBorn->endpoints.empty() && withBorn->rejected.size() == 1, odd);
+    }
+    endpoint("i-1", ++version, row("4.0", "1e3"));
+    CHECK_EQUAL(4U, Platform::decodeSite(records)->endpoints.front().slots);
+}
+
+TEST(SiteForm, anUnusableRecordIsNoEndpoint)
+{
+    records.merge({RecordKind::Endpoint, "i-1", 9, false, "", {}, RecordFault::Version});
+    const auto parts = Platform::decodeSite(records);
+    CHECK_TRUE(parts->endpoints.empty());
+    CHECK_TRUE(parts->rejected == (std::vector<RejectedRecord> {{"i-1", "version-unreadable"}}));
+}
+
+// Guards against a configuration that cannot be used and keeps hosts from following the endpoints, too.
+TEST(SiteForm, theLastGoodConfigurationStaysInForceWhileTheEndpointsAreFollowed)
+{
+    const auto before = Catalogue::assemble(*Platform::decodeSite(records));
+    records.merge({RecordKind::Configuration, "config", 11, false, R"({"routes":[{"name":"r1"}],"services":[]})"});
+    endpoint("i-2", 12, R"({"service":"llm","address":"10.0.0.8:80","slots":4,"state":"ready"})");
+    records.merge({RecordKind::Evacuation, "b", 13, false, ""});
+    const auto parts = Platform::decodeSite(records, before.get());
+    CHECK_TRUE(parts.ok());
+    CHECK_EQUAL(2U, parts->routes.size());
+    CHECK_EQUAL(2U, parts->endpoints.size());
+    CHECK_EQUAL(7U, parts->configurationVersion);
+    CHECK_TRUE(parts->evacuatedDataCentres == std::set<std::string> {"b"});
+    records.merge({RecordKind::Configuration, "config", 14, true, ""});
+    CHECK_EQUAL(2U, Platform::decodeSite(records, before.get())->routes.size());
+    records.merge({RecordKind::Configuration, "config", 15, false, R"({"routes":[],"services":[]})"});
+    CHECK_TRUE(Platform::decodeSite(records, before.get())->routes.empty());
+}
+
 TEST(SiteForm, aBrokenConfigurationIsATypedError)
 {
     records.merge({RecordKind::Configuration, "config", 11, false, R"({"routes":[{"name":"r1"}],"services":[]})"});
