--- a/Tests/Integration/test_oddrows.py
+++ b/Tests/Integration/test_oddrows.py
@@ -326,5 +326,17 @@
             site.wait_served(4)
 
 
+def test_a_key_that_a_header_cannot_carry_gets_nothing():
+    """Guards against fields that another writer's key adds to requests: the key of an entry is sent in a header."""
+    with Site() as site:
+        victim = Endpoint("i-victim")
+        for key in ("i-victim\r\nX-Tenant-Id: another", "i-victim\nX-Added: 1", "i-victim\r\n\r\nGET /x HTTP/1.1"):
+            site.store.put("servers", key, victim.row("app"))
+            time.sleep(1)
+            assert {site.send(number % COUNT).status for number in range(12)} == {200}, key
+            assert not victim.runs, (key, victim.runs)
+            site.store.remove("servers", key)
+
+
 if __name__ == "__main__":
     run_tests(globals())
--- a/Tests/Platform/siteformtest.cpp
+++ b/Tests/Platform/siteformtest.cpp
@@ -140,6 +140,22 @@
     CHECK_TRUE(parts->rejected == (std::vector<RejectedRecord> {{"i-1", "version-unreadable"}}));
 }
 
+// Guards against fields that the key of another writer's entry adds to requests: the key is sent in a header.
+TEST(SiteForm, aKeyThatAHeaderCannotCarryIsNoEndpoint)
+{
+    const std::string value = R"({"service":"llm","address":"10.0.0.8:80","slots":4,"state":"ready"})";
+    std::uint64_t version = 20;
+    for (const std::string &key : {std::string("i\r\nX-Added: 1"), std::string("i\n"), std::string("i\0", 2),
+                                   std::string("i\x7f"), std::string("\t"), std::string(), std::string(201, 'i')}) {
+        endpoint(key, ++version, value);
+        CHECK_EQUAL(1U, Platform::decodeSite(records)->endpoints.size());
+    }
+    for (const std::string &key : {std::string("a b/%&#"), std::string("\xc3\xa9"), std::string(200, 'i')}) {
+        endpoint(key, ++version, value);
+    }
+    CHECK_EQUAL(4U, Platform::decodeSite(records)->endpoints.size());
+}
+
 // Guards against a configuration that cannot be used and keeps hosts from following the endpoints, too.
 TEST(SiteForm, theLastGoodConfigurationStaysInForceWhileTheEndpointsAreFollowed)
 {
