Test: The minute that a new process waits is told apart from its callers' time

HomeVersions.aHostThatHasJustStartedWaitsAsTheSettingTells, new in this change, expected a stream to go on after 61 s, but the request that it starts gives 60 s itself and so raises the time to 65 s: the test failed on the code it was written for, and would have passed without the setting. The setting is now 90 s there, beyond what the request gives: refused after 89 s, on after 91 s.

--- a/Tests/Request/homeversionstest.cpp
+++ b/Tests/Request/homeversionstest.cpp
@@ -399,17 +399,17 @@
 {
     Configuration::CatalogueParts parts = catalogue->parts();
     std::ranges::find(parts.endpoints, e1, &Configuration::Endpoint::number)->softwareVersion = "v2";
-    parts.policies.longestTakenUpStream = std::chrono::seconds(60);
+    parts.policies.longestTakenUpStream = std::chrono::seconds(90);
     home = Home("h1", 5);
     use(std::move(parts), 0);
     const Peer::OnlyVersion seen {softwareVersionNumber("v2"), std::chrono::hours(1)};
-    letRun(0, 59);
-    takeUp(77, 59);
-    reply(77, std::nullopt, 59.01, seen);
+    letRun(0, 89);
+    takeUp(77, 89);
+    reply(77, std::nullopt, 89.01, seen);
     CHECK_TRUE(Base::errorKind(failure()) == Base::ErrorKind::StreamOriginUnknown);
-    letRun(59, 61);
-    takeUp(77, 61);
-    reply(77, std::nullopt, 61.01, seen);
+    letRun(89, 91);
+    takeUp(77, 91);
+    reply(77, std::nullopt, 91.01, seen);
     CHECK_EQUAL(softwareVersionNumber("v2"), lastAsk().softwareVersion);
 }
 
