Mend: A start that fails takes no caller from the process that still listens

While the process before still listens, or is started a second time by mistake, the new process bound the callers' port beside it, took connections and read requests for some milliseconds, failed at the port for peers and dropped them.

Cause: the listener for callers was opened first, and with the option of libmicrohttpd that lets several processes have one address (SO_REUSEPORT).

Evidence: ServerStop.anAddressBelongsToOneServer failed on the code before: the second server listened at the address of the first.

Change: without that option an address belongs to one process; a closed one's can be had at once, as before (SO_REUSEADDR). The callers' listener is the last thing that a start opens.

It works because a start that can fail has no callers yet.

--- a/Source/Http/server.cpp
+++ b/Source/Http/server.cpp
@@ -602,8 +602,8 @@
         MHD_OPTION_NOTIFY_CONNECTION, &MhdServer::onConnection, this, MHD_OPTION_SOCK_ADDR, &socketAddress,
         MHD_OPTION_NOTIFY_COMPLETED, &MhdServer::onRequestFinished, this, MHD_OPTION_CONNECTION_LIMIT,
         static_cast<unsigned int>(m_limits.connections + closingConnections), MHD_OPTION_CONNECTION_TIMEOUT, idleSeconds,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, connectionMemory(m_limits), MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-        MHD_OPTION_URI_LOG_CALLBACK, &MhdServer::storeTarget, this, MHD_OPTION_END);
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, connectionMemory(m_limits), MHD_OPTION_URI_LOG_CALLBACK, &MhdServer::storeTarget,
+        this, MHD_OPTION_END);
     if (m_daemon == nullptr) {
         return makeError(
             Base::ErrorKind::InvalidSettings,
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -82,11 +82,6 @@
                       .reload = [this] { reloadSettings(); }});
     m_mailbox = std::make_unique<Base::Mailbox<ThreadEvent>>(m_loop.reactor(),
                                                              [this](ThreadEvent &&event) { handle(std::move(event)); });
-    auto relay = startRelay();
-    if (!relay.ok()) {
-        return relay.status();
-    }
-    m_relay = std::move(*relay);
     auto peers = Peer::Edge::start({m_settings.peerListen, m_settings.advertisedPeer, m_settings.name, m_incarnation},
                                    [this](Peer::Event event) { m_mailbox->post(std::move(event)); });
     if (!peers.ok()) {
@@ -157,6 +152,12 @@
     if (absl::Status status = m_operatorServer->start(m_loop); !status.ok()) {
         return status;
     }
+    // Last, so that a start which fails has taken no caller's connection.
+    auto relay = startRelay();
+    if (!relay.ok()) {
+        return relay.status();
+    }
+    m_relay = std::move(*relay);
     if (m_settings.platformForm == PlatformForm::Records) {
         startFollowing();
     }
--- a/Tests/Http/serverstoptest.cpp
+++ b/Tests/Http/serverstoptest.cpp
@@ -91,3 +91,13 @@
     CHECK_EQUAL(1U, unanswered.size());
     server.reset();
 }
+
+// Guards against a second process that takes callers away from the one that listens already.
+TEST(ServerStop, anAddressBelongsToOneServer)
+{
+    listen();
+    const auto second = Server::listen(
+        loop, server->address(), {}, [](const std::shared_ptr<Exchange> &) {},
+        [](const absl::Status &error) { return std::string(error.message()); });
+    CHECK_FALSE(second.ok());
+}
