Mend: A report of a fault does not wait for a reader that does not read

Where standard error is a pipe that is full and that nobody reads, a process with a fault stayed in its signal handler for good: its ports open, nothing answered, no restart.

Cause: the report was written blocking, without a bound.

Evidence: CrashReport.anUnreadStandardErrorHoldsNoProcess failed on the code before: the child was ended by its alarm after 10 s.

Change: the report waits 200 ms for room with poll, which is safe in a signal handler, and is left out then. A line is shorter than what a pipe takes as one, so the write itself does not block.

--- a/Source/Base/crashreport.cpp
+++ b/Source/Base/crashreport.cpp
@@ -3,6 +3,7 @@
 
 #include "Base/crashreport.h"
 
+#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -34,6 +35,7 @@
 }};
 
 constexpr std::size_t reportStackBytes = 64U << 10U;
+constexpr int readerPatienceMs = 200; ///< how long a report waits for the reader of standard error
 constexpr std::size_t maxTextBytes = 240; ///< of the host's name and of the reason
 
 /// Text in static storage, since a report must not allocate memory.
@@ -132,6 +134,11 @@
     {
         std::size_t written = 0;
         while (written < m_size) {
+            pollfd writable {STDERR_FILENO, POLLOUT, 0};
+            if (::poll(&writable, 1, readerPatienceMs) <= 0) {
+                // Nobody reads; the process must end all the same.
+                return;
+            }
             const ssize_t count = ::write(STDERR_FILENO, m_bytes.data() + written, m_size - written);
             if (count <= 0) {
                 return;
--- a/Tests/Base/crashreporttest.cpp
+++ b/Tests/Base/crashreporttest.cpp
@@ -9,7 +9,11 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <stdexcept>
 #include <string>
@@ -140,3 +144,21 @@
     STRCMP_EQUAL("a test", report.value("doing", "").c_str());
     STRCMP_EQUAL("the test's end", report.value("reason", "").c_str());
 }
+
+/// Guards against a process that never ends, since its report waits for a reader of standard error that does not read.
+TEST(CrashReport, anUnreadStandardErrorHoldsNoProcess)
+{
+    constexpr unsigned int patienceSeconds = 10;
+    const EndOfChild end = runReported([] {
+        std::array<int, 2> unread {};
+        CHECK_EQUAL(0, pipe2(unread.data(), O_NONBLOCK));
+        const std::array<char, 4096> block {};
+        while (write(unread[1], block.data(), block.size()) > 0) { }
+        fcntl(unread[1], F_SETFL, 0);
+        dup2(unread[1], STDERR_FILENO);
+        std::signal(SIGALRM, SIG_DFL);
+        alarm(patienceSeconds);
+        kill(getpid(), SIGSEGV);
+    });
+    CHECK_EQUAL(SIGSEGV, end.signal);
+}
