Http: A small body without a length counts what it takes

Change: such a buffer begins with 4 KiB and doubles as before. The unit tests of Http and Relay pass; test_bodies.py, with its bounds of 110 and 88 MB, is in the whole run.

--- a/Source/Http/server.cpp
+++ b/Source/Http/server.cpp
@@ -39,8 +39,8 @@
 /// A request whose body is dropped gets its response when the body has ended, so that the caller has read it before the
 /// connection closes, but after this time at the latest.
 constexpr Base::Duration droppedBodyPatience = std::chrono::seconds(1);
-/// First size of the buffer of a body whose length is not known. Many small buffers that grow would leave gaps in the heap.
-constexpr std::size_t minGrowingBodyBytes = 64U << 10U;
+/// First size of the buffer of a body whose length is not known. It counts as taken, so small bodies must not begin large.
+constexpr std::size_t minGrowingBodyBytes = 4U << 10U;
 /// A complete response's body above this size is read block by block, so that buffered() tells how much of it is left. A smaller
 /// body is passed to the kernel in one piece.
 constexpr std::size_t maxWholeBodyBytes = 16U << 10U;
