Request: A host that has not watched a pool for long still contradicts one that is behind

A host that had just started, or had stood still for a second, said nothing about the one version that it sees, so that it could not contradict a majority that is behind, and streams of two versions stayed possible.

Change: it tells the version with the time for which it has watched, at least 1 ms in the message; the asking host counts it as agreeing only if that time is long enough, as before, and applies the same to itself.

A reply of 0 ms is checked in codectest.

--- a/Source/Peer/codec.cpp
+++ b/Source/Peer/codec.cpp
@@ -226,7 +226,7 @@
             builder.setPool(reply.origin->pool);
             builder.setSoftwareVersion(reply.origin->softwareVersion);
         } else if (reply.onlyVersion) {
-            builder.setPool(toMilliseconds(reply.onlyVersion->watchedFor));
+            builder.setPool(std::max(1U, toMilliseconds(reply.onlyVersion->watchedFor)));
             builder.setSoftwareVersion(reply.onlyVersion->softwareVersion);
         }
     }
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -654,7 +654,7 @@
                                            Base::milliseconds(found.took));
     const bool isCutOff = m_hadOtherMembers && found.answered == 0;
     const auto seen = seenVersion(now, pool);
-    if (isCutOff || !seen || seen->softwareVersion == 0) {
+    if (isCutOff || !seen || seen->softwareVersion == 0 || seen->watchedFor < longestStream(pool)) {
         continueStream(now, pending, std::nullopt, source);
         return;
     }
@@ -665,8 +665,10 @@
 void Home::surveyEnded(Instant now, Pending &pending, const SurveyEnded &survey)
 {
     // This host may have heard of another version in the meantime.
-    const auto seen = seenVersion(now, pending.classSettings.pool);
-    const bool isOnly = survey.agreed && seen && seen->softwareVersion == survey.softwareVersion;
+    const std::uint32_t pool = pending.classSettings.pool;
+    const auto seen = seenVersion(now, pool);
+    const bool isOnly
+        = survey.agreed && seen && seen->softwareVersion == survey.softwareVersion && seen->watchedFor >= longestStream(pool);
     continueStream(now, pending, isOnly ? std::optional(survey.softwareVersion) : std::nullopt,
                    fmt::format("{} of {} hosts saw only version {}, after {:.1f} ms", survey.agreeing, survey.asked,
                                versionName(survey.softwareVersion), Base::milliseconds(survey.took)));
--- a/Source/Request/versionhistory.cpp
+++ b/Source/Request/versionhistory.cpp
@@ -72,7 +72,7 @@
     if (recent > 1) {
         return Peer::OnlyVersion {0, period};
     }
-    return recent == 0 || seen.watchedFor < period ? std::nullopt : std::optional(seen);
+    return recent == 0 ? std::nullopt : std::optional(seen);
 }
 
 } // namespace Yokepond::Request
--- a/Source/Request/versionhistory.h
+++ b/Source/Request/versionhistory.h
@@ -29,8 +29,7 @@
     void watch(Base::Instant now);
 
     /// Returns the only version that the endpoints of @p pool have had for the last @p period, and for how long this host has
-    /// seen no other one; version 0 if there were several. Returns nothing if there was none, or if this host has not watched the
-    /// pool for that long.
+    /// seen no other one, which may be shorter; version 0 if there were several. Returns nothing if there was none.
     std::optional<Peer::OnlyVersion> seenVersion(Base::Instant now, std::uint32_t pool, Base::Duration period) const;
 
 private:
--- a/Tests/Peer/codectest.cpp
+++ b/Tests/Peer/codectest.cpp
@@ -93,6 +93,9 @@
     const StreamOriginReply only = roundTrip(StreamOriginReply {5, std::nullopt, OnlyVersion {12, milliseconds(11'000)}});
     CHECK_FALSE(only.origin.has_value());
     CHECK_TRUE(only.onlyVersion == (OnlyVersion {12, milliseconds(11'000)}));
+    // A host that has just started contradicts, too: nothing would mean that it knows none.
+    const StreamOriginReply young = roundTrip(StreamOriginReply {5, std::nullopt, OnlyVersion {12, milliseconds(0)}});
+    CHECK_TRUE(young.onlyVersion == (OnlyVersion {12, milliseconds(1)}));
 }
 
 TEST(Codec, endpointUpdateKeepsTheRateAndDiscardsInvalidRates)
--- a/Tests/Request/versionhistorytest.cpp
+++ b/Tests/Request/versionhistorytest.cpp
@@ -32,7 +32,8 @@
 
     std::uint32_t only(double now)
     {
-        return history.seenVersion(at(now), 1, period).value_or(Peer::OnlyVersion {}).softwareVersion;
+        const auto seen = history.seenVersion(at(now), 1, period);
+        return seen && seen->watchedFor >= period ? seen->softwareVersion : 0;
     }
 };
 
@@ -96,7 +97,9 @@
 {
     CHECK_FALSE(history.seenVersion(at(0), 1, period).has_value());
     versions(0, {"v1"});
-    CHECK_FALSE(history.seenVersion(at(9), 1, period).has_value());
+    // A host that has not watched for long still contradicts one that is behind.
+    CHECK_TRUE(history.seenVersion(at(9), 1, period)
+               == (Peer::OnlyVersion {softwareVersionNumber("v1"), std::chrono::seconds(9)}));
     CHECK_TRUE(history.seenVersion(at(15), 1, period)
                == (Peer::OnlyVersion {softwareVersionNumber("v1"), std::chrono::seconds(15)}));
     CHECK_FALSE(history.seenVersion(at(7200), 1, std::chrono::hours(2)).has_value());
