--- a/Source/Configuration/catalogue.h
+++ b/Source/Configuration/catalogue.h
@@ -210,8 +210,8 @@
     /// Time for which an endpoint gets no requests after it has announced that it will shut down.
     Base::Duration leavingTimeout = std::chrono::seconds(60);
     bool sameVersionStreams = false; ///< a stream goes on only at endpoints of the software version that began it
-    /// Time after its beginning within which a caller may take a stream up, if no caller has given more. A new process has not heard
-    /// of the callers whose streams it may get.
+    /// Time after its beginning within which a caller may take a stream up, if no caller has given more. A new process has not
+    /// heard of the callers whose streams it may get.
     Base::Duration longestTakenUpStream {};
     bool wholePoolShards = false; ///< shards are formed from the whole pool, not separately for each data centre
 };
