Platform: A row of an unexpected type from the table service does not end the process

What callers would see with the table form of the platform: a host ends, with all its streams, when an answer of the table service has a row that is no object, a key or value that is no text, or an outcome of a transaction that is no boolean.

Cause: the JSON exception of such a field left a callback of libcurl, and nobody caught it. Found by reading, not on a host. Evidence: the parsing was first moved into two functions, as it was; then EtcdTable.aReadWithARowThatCannotBeReadFails and EtcdTable.aTransactionWhoseOutcomeCannotBeToldIsUndetermined ended the test program by std::terminate (json type errors 306 and 302), and the two tests of usual answers passed.

Change: each field's type is checked before it is used. A read with a row that cannot be read, also one whose base64 is malformed, fails with StoreUnavailable: a row of a table that is passed over would count as absent. A write whose outcome is no boolean is Undetermined.

Result: the unit tests of Platform pass in the plain build (55 tests). Not run: the sanitized build and processes before a table.

It works because no function that throws for another type is called any longer, and since callers already handle both outcomes.

--- a/Source/Platform/etcdtable.cpp
+++ b/Source/Platform/etcdtable.cpp
@@ -8,6 +8,9 @@
 
 #include <fmt/format.h>
 
+#include <optional>
+#include <utility>
+
 namespace Yokepond::Platform {
 
 namespace {
@@ -19,19 +22,27 @@
     return Base::encodeBase64(bytes);
 }
 
-std::string decoded(const nlohmann::json &object, const char *field)
+/// Returns the bytes in the field @p name of a row, none if etcd left the field out, or nothing if they cannot be read.
+std::optional<std::string> bytesOf(const nlohmann::json &row, const char *name)
 {
-    return Base::decodeBase64(object.value(field, std::string()));
+    const auto field = row.find(name);
+    if (field == row.end()) {
+        return std::string();
+    }
+    if (!field->is_string()) {
+        return std::nullopt;
+    }
+    const auto &text = field->get_ref<const std::string &>();
+    std::string bytes = Base::decodeBase64(text);
+    const bool decoded = text.empty() || !bytes.empty();
+    return decoded ? std::optional(std::move(bytes)) : std::nullopt;
 }
 
-/// Returns the rows of a range response; none if `kvs` is missing, which etcd omits if there are no rows.
-std::vector<Row> parseRows(const nlohmann::json &response)
+std::optional<Row> rowOf(const nlohmann::json &json)
 {
-    std::vector<Row> rows;
-    for (const nlohmann::json &entry : response.value("kvs", nlohmann::json::array())) {
-        rows.push_back({decoded(entry, "key"), decoded(entry, "value")});
-    }
-    return rows;
+    auto key = json.is_object() ? bytesOf(json, "key") : std::nullopt;
+    auto value = json.is_object() ? bytesOf(json, "value") : std::nullopt;
+    return key && value ? std::optional(Row {std::move(*key), std::move(*value)}) : std::nullopt;
 }
 
 nlohmann::json guardToJson(const Guard &guard)
@@ -66,12 +77,7 @@
     if (result.stage != Http::TransferStage::Complete || result.status != httpOk) {
         return TransactionResult::Undetermined;
     }
-    const nlohmann::json response = Base::decodeJsonOrDiscard(body);
-    if (!response.is_object()) {
-        return TransactionResult::Undetermined;
-    }
-    // etcd's JSON omits `succeeded` if it is false.
-    return response.value("succeeded", false) ? TransactionResult::Done : TransactionResult::GuardFailed;
+    return parseTransactionResponse(body);
 }
 
 } // namespace
@@ -104,15 +110,16 @@
     }
     fetch(m_client, transfer("/v3/kv/range", body),
           [this, handler = std::move(handler)](const Http::TransferResult &result, const std::string &text) {
-              const nlohmann::json response = Base::decodeJsonOrDiscard(text);
-              if (result.stage != Http::TransferStage::Complete || result.status != httpOk || !response.is_object()) {
+              const bool responded = result.stage == Http::TransferStage::Complete && result.status == httpOk;
+              auto rows = responded ? parseRangeResponse(text) : makeError(Base::ErrorKind::StoreUnavailable, result.detail);
+              if (!rows.ok()) {
                   ++m_counters.failures;
-                  handler(makeError(
-                      Base::ErrorKind::StoreUnavailable,
-                      fmt::format("reading from the table service failed: {} (HTTP status {})", result.detail, result.status)));
+                  handler(makeError(Base::ErrorKind::StoreUnavailable,
+                                    fmt::format("reading from the table service failed: {} (HTTP status {})",
+                                                Base::messageOf(rows.status()), result.status)));
                   return;
               }
-              handler(parseRows(response));
+              handler(std::move(rows));
           });
 }
 
@@ -135,4 +142,46 @@
     return m_counters;
 }
 
+absl::StatusOr<std::vector<Row>> parseRangeResponse(std::string_view body)
+{
+    const auto response = Base::decodeJson(body);
+    if (!response.ok()) {
+        return response.status();
+    }
+    if (!response->is_object()) {
+        return makeError(Base::ErrorKind::InvalidValue, "the response is no JSON object");
+    }
+    const nlohmann::json list = response->value("kvs", nlohmann::json::array());
+    if (!list.is_array() && !list.is_null()) {
+        return makeError(Base::ErrorKind::InvalidValue, "the response's kvs is no list");
+    }
+    std::vector<Row> rows;
+    for (const nlohmann::json &entry : list) {
+        auto row = rowOf(entry);
+        if (!row) {
+            return makeError(Base::ErrorKind::InvalidValue,
+                             fmt::format("row {} has no key and value that are texts in base64", rows.size()));
+        }
+        rows.push_back(std::move(*row));
+    }
+    return rows;
+}
+
+TransactionResult parseTransactionResponse(std::string_view body)
+{
+    const nlohmann::json response = Base::decodeJsonOrDiscard(body);
+    if (!response.is_object()) {
+        return TransactionResult::Undetermined;
+    }
+    const auto succeeded = response.find("succeeded");
+    // etcd's JSON omits `succeeded` if it is false.
+    if (succeeded == response.end()) {
+        return TransactionResult::GuardFailed;
+    }
+    if (!succeeded->is_boolean()) {
+        return TransactionResult::Undetermined;
+    }
+    return succeeded->get<bool>() ? TransactionResult::Done : TransactionResult::GuardFailed;
+}
+
 } // namespace Yokepond::Platform
--- a/Source/Platform/etcdtable.h
+++ b/Source/Platform/etcdtable.h
@@ -12,6 +12,11 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
 namespace Yokepond::Platform {
 
 /// Numbers of requests sent, which show how much of the store's request budget is used.
@@ -48,4 +53,11 @@
 
 static_assert(Table<EtcdTable>);
 
+/// Returns the rows of the response @p body to a read, none if etcd left them out because there are none. Fails with
+/// ErrorKind::InvalidValue if any row cannot be read: if it were passed over, it would count as absent.
+absl::StatusOr<std::vector<Row>> parseRangeResponse(std::string_view body);
+
+/// Returns whether a transaction was executed according to the response @p body, Undetermined if that cannot be told.
+TransactionResult parseTransactionResponse(std::string_view body);
+
 } // namespace Yokepond::Platform
