Node: Rows of other hosts that are no objects do not end the host that an operator asks

What operators would see: the host that they ask ends, with all its streams, when another host's reply to a query has a row that is no object and the query filters or sorts, or when the reply that tells its revision after a command has fields of another type.

Cause: the elements of a reply were taken as they were, and looking up a field in them throws. Found by reading, not on a host; hosts of the same version send no such rows. Evidence: with the code that evaluates revisions moved into hostsBehind() as it was, the tests Gatherer.rowsThatAreNoObjectsAreNotFiltered, Gatherer.rowsThatAreNoObjectsAreNotSorted and HostsBehind.aHostWhoseReplyCannotBeReadIsBehind ended the test program by std::terminate (json type errors 306, 306 and 302); the three tests of other replies passed.

Change: elements that are no objects are left out. A host counts as behind until a row with its name and a high enough revision is there, both of the right type; so a host that replies without a readable row is no longer taken as up to date.

Result: all 87 unit tests of Node pass in the plain build. Not run: the sanitized build and the process tests of operators' commands.

It works because filters and sorting take fields of any type, as Gatherer.fieldsOfAnyTypeAreSorted shows, once the row is an object.

--- a/Source/Node/operatorserver.cpp
+++ b/Source/Node/operatorserver.cpp
@@ -269,14 +269,10 @@
     pending->polling = true;
     pending->nextPoll = now + revisionPollPeriod;
     // Hosts answer the internal query `revision` with their own revision. It is not part of the operators' language.
-    m_gatherer.gather(now, "revision", otherHosts(), {}, [this, pending](const QueryResult &queryResult) {
+    const std::vector<std::string> hosts = otherHosts();
+    m_gatherer.gather(now, "revision", hosts, {}, [this, pending, hosts](const QueryResult &queryResult) {
         pending->polling = false;
-        std::vector<std::string> behind = queryResult.missing;
-        for (const nlohmann::json &row : queryResult.rows) {
-            if (row.value("revision", std::uint64_t {0}) < pending->revision) {
-                behind.push_back(row.value("host", ""));
-            }
-        }
+        const std::vector<std::string> behind = hostsBehind(hosts, queryResult, pending->revision);
         if (behind.empty() || Base::now() >= pending->deadline) {
             respond(pending->exchange, httpOk,
                     {{"outcome", "accepted"}, {"revision", pending->revision}, {"change", pending->change}, {"behind", behind}});
--- a/Source/Node/queries.cpp
+++ b/Source/Node/queries.cpp
@@ -130,6 +130,19 @@
     return absl::OkStatus();
 }
 
+std::vector<std::string> hostsBehind(std::vector<std::string> hosts, const QueryResult &result, std::uint64_t revision)
+{
+    for (const nlohmann::json &row : result.rows) {
+        const auto reached = row.is_object() ? row.find("revision") : row.end();
+        const auto host = row.is_object() ? row.find("host") : row.end();
+        const bool readable = reached != row.end() && reached->is_number_unsigned() && host != row.end() && host->is_string();
+        if (readable && reached->get<std::uint64_t>() >= revision) {
+            std::erase(hosts, host->get_ref<const std::string &>());
+        }
+    }
+    return hosts;
+}
+
 bool isFleetWide(const Language::Query &query)
 {
     if (const auto *show = std::get_if<Language::Show>(&query)) {
@@ -572,7 +585,7 @@
     }
     const nlohmann::json rows = Base::decodeJsonOrDiscard(gathered.answer);
     if (rows.is_array()) {
-        std::ranges::copy(rows, std::back_inserter(entry->second.result.rows));
+        std::ranges::copy_if(rows, std::back_inserter(entry->second.result.rows), &nlohmann::json::is_object);
     }
     if (entry->second.pending.empty()) {
         finish(gathered.id);
--- a/Source/Node/queries.h
+++ b/Source/Node/queries.h
@@ -38,6 +38,10 @@
 /// Filters, sorts and limits the rows as @p show says. Fails with ErrorKind::UnknownName for a field that is not a column.
 absl::Status applyShow(QueryResult &result, const Language::Show &show);
 
+/// Returns those of @p hosts that have not replied with @p revision or a later one to the internal query `revision`, whose
+/// replies are in @p result. A host whose row cannot be read is one of them.
+std::vector<std::string> hostsBehind(std::vector<std::string> hosts, const QueryResult &result, std::uint64_t revision);
+
 /// Returns whether a query must also be sent to the other hosts.
 bool isFleetWide(const Language::Query &query);
 
@@ -99,7 +103,8 @@
     /// @p incarnation is that of this process.
     Gatherer(std::uint64_t incarnation, Send send);
 
-    /// Sends @p statement to @p members. Calls @p callback with @p ownResult and the rows of their replies.
+    /// Sends @p statement to @p members. Calls @p callback with @p ownResult and the rows of their replies;
+    /// what is no JSON object is left out.
     void gather(Base::Instant now, const std::string &statement, const std::vector<std::string> &members, QueryResult ownResult,
                 Callback callback);
 
