Platform: Odd rows of other writers do not keep a duty from its own row

What operators would see: one odd row among those of the duties, and no host reports usage or orders capacity for as long as it is there, since none can read the row with the duty's lease.

Cause: the store's answer was decoded as a whole, so that one deep or malformed element made all of it unreadable, and a row of an unexpected type before the own one ended the search. Found by reading, not on a host.

An own row that is there but cannot be read is still reported as unreadable and not as absent, as its holder may be another host.

Not run: the sanitized build and process tests with duties.

--- a/Tests/Platform/dutyclienttest.cpp
+++ b/Tests/Platform/dutyclienttest.cpp
@@ -48,6 +48,43 @@
     }
 }
 
+// Guards against rows of other writers that kept a duty from its own row, so that no host performed the duty.
+TEST(DutyClient, rowsOfOtherWritersDoNotHideTheRow)
+{
+    constexpr int deep = 100'000;
+    const std::string nested = std::string(deep, '[') + std::string(deep, ']');
+    for (const std::string &odd :
+         {std::string("7"), std::string("null"), std::string("[]"), std::string("{}"), std::string("\"usage\""),
+          std::string("nonsense"), std::string(R"({"key_file":7})"), std::string(R"({"key_file":"other","schema_version":"x"})"),
+          std::string("{\"key_file\":\"\xff\"}"), std::string(R"({"key_file":"other","value":1e999})"), nested,
+          R"({"key_file":"other","value":)" + nested + "}"}) {
+        const std::string own = R"({"key_file":"usage","value":"eA==","schema_version":9})";
+        for (const std::string &rows : {odd + "," + own, own + "," + odd}) {
+            const auto row = parseDutyRow("usage", R"({"rows":[)" + rows + R"(],"schema_version":10})");
+            CHECK_TRUE(row.has_value());
+            CHECK_EQUAL(9U, row->version);
+            CHECK_EQUAL(std::string("x"), row->value);
+        }
+        CHECK_EQUAL(0U, parseDutyRow("usage", R"({"rows":[)" + odd + "]}")->version);
+    }
+}
+
+TEST(DutyClient, aRemovedRowHasVersionZero)
+{
+    CHECK_EQUAL(0U, parseDutyRow("usage", R"({"rows":[{"key_file":"usage","deleted":true,"schema_version":9}]})")->version);
+    CHECK_EQUAL(0U, parseDutyRow("usage", R"({"rows":[{"key_file":"usage","value":"eA==","schema_version":0}]})")->version);
+}
+
+/// The row's holder may be another host, so a row that is there but cannot be read is not an absent one.
+TEST(DutyClient, theOwnRowIsNotTakenAsAbsentIfItCannotBeRead)
+{
+    for (const char *row :
+         {R"({"key_file":"usage","schema_version":-1,"value":"eA=="})", R"({"key_file":"usage","schema_version":9,"value":7})",
+          R"({"key_file":"usage","schema_version":9,"value":"eA==","deleted":"no"})"}) {
+        CHECK_FALSE(parseDutyRow("usage", std::string(R"({"rows":[)") + row + "]}").has_value());
+    }
+}
+
 TEST(DutyClient, theResponseToAWriteShowsWhetherItWasApplied)
 {
     const auto done = parseWriteResponse("usage", responded(200), R"({"schema_version":412,"now_ms":51230})");
