--- a/Tests/Platform/dutyclienttest.cpp
+++ b/Tests/Platform/dutyclienttest.cpp
@@ -4,6 +4,9 @@
 #include "platform/dutyclient.h"
 
 #include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+#include <string>
 
 using namespace Yokepond;
 using Http::TransferStage;
@@ -59,7 +62,7 @@
           std::string("{\"key_file\":\"\xff\"}"), std::string(R"({"key_file":"other","value":1e999})"), nested,
           R"({"key_file":"other","value":)" + nested + "}"}) {
         const std::string own = R"({"key_file":"usage","value":"eA==","schema_version":9})";
-        for (const std::string &rows : {odd + "," + own, own + "," + odd}) {
+        for (const std::string &rows : {fmt::format("{},{}", odd, own), fmt::format("{},{}", own, odd)}) {
             const auto row = parseDutyRow("usage", R"({"rows":[)" + rows + R"(],"schema_version":10})");
             CHECK_TRUE(row.has_value());
             CHECK_EQUAL(9U, row->version);
