Platform: The longest time that a caller will wait is bounded

What callers would see: a request that says that it will wait for more than 292,000 years gets no defined limit, since the number of its milliseconds does not fit into microseconds and the conversion overflows.

Cause: the number from the header was converted without a bound. Found by reading.

Times that callers use are as before.

Not run: the sanitized build.

--- a/Tests/Platform/requestprotocoltest.cpp
+++ b/Tests/Platform/requestprotocoltest.cpp
@@ -7,6 +7,7 @@
 #include "platform/names.h"
 
 #include <algorithm>
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,22 @@
     }
 };
 
+// Guards against a time that is too long for a duration, whose conversion overflowed.
+TEST(RequestProtocol, theLongestDeadlineIsBounded)
+{
+    const auto timeLeft = [this](const std::string &deadline) {
+        request.headers = {{std::string(Names::deadline), deadline}};
+        return describedCall().timeLeft;
+    };
+    CHECK_TRUE(timeLeft("9223372036854775807") == std::chrono::hours(24 * 365));
+    CHECK_TRUE(timeLeft("9300000000000000") == std::chrono::hours(24 * 365));
+    CHECK_TRUE(timeLeft("6000") == std::chrono::seconds(6));
+    CHECK_TRUE(timeLeft("31536000000") == std::chrono::hours(24 * 365));
+    CHECK_TRUE(timeLeft("31536000001") == std::chrono::hours(24 * 365));
+    CHECK_TRUE(timeLeft("0") == Base::Duration::zero());
+    CHECK_TRUE(timeLeft("-9223372036854775808") == Base::Duration::zero());
+}
+
 // Guards against a caller that takes a stream up and is served like a new request, since what it names is not read.
 TEST(RequestProtocol, aRequestNamesTheStreamThatItTakesUp)
 {
