--- a/Source/Configuration/siterecords.cpp
+++ b/Source/Configuration/siterecords.cpp
@@ -158,7 +158,10 @@
                                : (stored.record.removed != record.removed || stored.record.value != record.value
                                   || stored.record.fault != record.fault || coldAgain);
     const Base::Instant coldUntil = coldAgain ? record.coldUntil : std::min(record.coldUntil, stored.record.coldUntil);
-    std::string detail = changed ? record.detail : std::move(stored.record.detail);
+    std::string detail = std::move(stored.record.detail);
+    if (changed) {
+        detail = record.detail;
+    }
     stored.record = record;
     stored.record.detail = std::move(detail);
     stored.record.coldUntil = isNew ? record.coldUntil : coldUntil;
