--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,4 +1,6 @@
 #!/bin/sh
+# SPDX-License-Identifier: BSD-3-Clause
+# SPDX-FileCopyrightText: 2026 yokepond maintainers
 # Builds the stand-ins that the scripts of review/4 to review/8 start: they are written in Python, so they are only compiled.
 set -e
 cd "$(dirname "$0")"
--- a/review/common-2/fleet2.py
+++ b/review/common-2/fleet2.py
@@ -1,3 +1,5 @@
+# SPDX-License-Identifier: BSD-3-Clause
+# SPDX-FileCopyrightText: 2026 yokepond maintainers
 """A small deployment on loopback addresses: the daemons of the deploy file, a store and clients' and runners' helpers.
 
 The store speaks the pages' `rows-get`, `rows-feed` and `rows-tx`. Each daemon is started with the command and the template of
