Configuration: Things whose names meet in 32 bits of a hash have numbers of their own

Cause: endpoints, services, routes, organisations, software versions and shards are known by 32 bits of a hash of their names. The catalogue kept the first thing of a number, and nothing compared the endpoint's pool with the request's before a run.

Change: things of one kind whose names meet get numbers of their own, which follow from the names alone, so that all hosts agree without talking about it; the number in which they met stands for none of them. References (an endpoint's pool, a route's class) are by name, and requests under way are resolved by name again when the catalogue changes. The home returns the grant of another pool's endpoint, and the place from which runs leave compares the names of both pools as the last check. Logs names-meet and run-outside-pool, two metrics.

Why it works: a number is only used within one catalogue, whose numbers are distinct, and between hosts a number that is ambiguous for one of them means nothing to it; what slips through while their lists differ is stopped by the comparison of names.

--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 62> eventNames = {{
+constexpr NameTable<LogEvent, 64> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -58,6 +58,8 @@
     {LogEvent::ConfigurationApplied, "configuration-applied"},
     {LogEvent::ConfigurationIgnored, "configuration-ignored"},
     {LogEvent::RecordRejected, "record-rejected"},
+    {LogEvent::NamesMeet, "names-meet"},
+    {LogEvent::RunOutsidePool, "run-outside-pool"},
     {LogEvent::ChangesSent, "changes-sent"},
     {LogEvent::ChangesReceived, "changes-received"},
     {LogEvent::StoreLost, "store-lost"},
--- a/Source/Base/log.h
+++ b/Source/Base/log.h
@@ -64,6 +64,8 @@
     ConfigurationApplied,
     ConfigurationIgnored,
     RecordRejected,
+    NamesMeet,
+    RunOutsidePool,
     ChangesSent,
     ChangesReceived,
     StoreLost,
--- a/Source/Configuration/catalogue.cpp
+++ b/Source/Configuration/catalogue.cpp
@@ -5,6 +5,7 @@
 
 #include "Base/hash.h"
 #include "Base/text.h"
+#include "Configuration/identities.h"
 
 #include <algorithm>
 
@@ -75,6 +76,7 @@
             .tier = std::string(object.value("tier")),
             .rank = tier == nullptr ? 0 : static_cast<int>(integer(*tier, "rank")),
             .pool = numberOf(objects, Kind::Pool, object.value("pool")),
+            .poolName = std::string(object.value("pool")),
             .repeatable = flag(object, "repeatable"),
             .firstToken = duration(object, "first-token"),
             .tokenGap = duration(object, "token-gap"),
@@ -107,6 +109,7 @@
     return {.number = object.number,
             .name = object.name,
             .pool = numberOf(objects, Kind::Pool, object.value("pool")),
+            .poolName = std::string(object.value("pool")),
             .address = Base::parseAddress(object.value("address")).value_or(Base::Address {}),
             .dataCentre = std::string(object.value("data-centre")),
             .slots = static_cast<std::uint32_t>(integer(object, "slots")),
@@ -164,8 +167,7 @@
 
 std::uint32_t softwareVersionNumber(std::string_view version)
 {
-    const auto hash = static_cast<std::uint32_t>(Base::hash64(version));
-    return hash == 0 ? 1 : hash;
+    return nameNumber(version);
 }
 
 std::span<const SettingSchema> settingSchemas()
@@ -204,6 +206,7 @@
 std::shared_ptr<const Catalogue> Catalogue::assemble(CatalogueParts parts)
 {
     auto catalogue = std::make_shared<Catalogue>();
+    separateIdentities(parts);
     catalogue->m_parts = std::move(parts);
     for (Endpoint &endpoint : catalogue->m_parts.endpoints) {
         endpoint.evacuated = catalogue->isEvacuated(endpoint.dataCentre);
@@ -311,6 +314,11 @@
     return findIndexed(m_parts.organisations, m_organisationByNumber, number);
 }
 
+const Organisation *Catalogue::organisationByName(std::string_view name) const
+{
+    return findBy(m_parts.organisations, &Organisation::name, name);
+}
+
 const Pool *Catalogue::poolByName(std::string_view name) const
 {
     return findBy(m_parts.pools, &Pool::name, name);
@@ -334,6 +342,12 @@
     return equal ? &m_parts.organisations[entry->second] : nullptr;
 }
 
+std::uint32_t Catalogue::versionNumber(std::string_view version) const
+{
+    const auto separated = m_parts.separatedVersions.find(version);
+    return separated == m_parts.separatedVersions.end() ? softwareVersionNumber(version) : separated->second;
+}
+
 bool Catalogue::restrictsEndpoints(const EndpointCriteria &criteria) const
 {
     const RequestClass *requestClass = classByNumber(criteria.requestClass);
@@ -344,7 +358,7 @@
 
 bool Catalogue::mayServe(const Endpoint &endpoint, const EndpointCriteria &criteria) const
 {
-    if (criteria.softwareVersion != 0 && softwareVersionNumber(endpoint.softwareVersion) != criteria.softwareVersion) {
+    if (criteria.softwareVersion != 0 && versionNumber(endpoint.softwareVersion) != criteria.softwareVersion) {
         return false;
     }
     const auto allows = [&endpoint](const std::vector<std::string> &regions) {
--- a/Source/Configuration/catalogue.h
+++ b/Source/Configuration/catalogue.h
@@ -9,6 +9,7 @@
 #include "Base/address.h"
 #include "Base/names.h"
 #include "Base/time.h"
+#include "Configuration/namenumbers.h"
 #include "Configuration/objects.h"
 #include "Configuration/urgency.h"
 
@@ -33,6 +34,7 @@
     std::string tier;
     int rank = 0; ///< rank of the tier; 1 is the highest
     std::uint32_t pool = 0;
+    std::string poolName; ///< decides which pool it is; the number stands for it within this catalogue
     bool repeatable = true; ///< a request may be sent again even if an endpoint may have executed it
     Base::Duration firstToken {}; ///< target for the time to first token
     Base::Duration tokenGap {}; ///< target for the time between tokens
@@ -117,7 +119,9 @@
 {
     std::uint32_t number = 0;
     std::string name; ///< some platforms give an endpoint a new name each time it starts
-    std::uint32_t pool = 0;
+    std::int64_t born = 0; ///< differs between processes of one name; 0 if the platform does not tell
+    std::uint32_t pool = 0; ///< 0 if the catalogue has no pool of this name
+    std::string poolName;
     Base::Address address;
     std::string dataCentre;
     std::string region; ///< region of the data centre; empty if it is not configured
@@ -155,6 +159,7 @@
 {
     std::uint32_t requestClass = 0;
     std::uint32_t weight = 1; ///< relative to the weights of the route's other shares
+    std::string className; ///< decides which class it is; the number stands for it within this catalogue
 };
 
 /// Matches requests to @ref host whose path begins with @ref pathPrefix. If several routes match, the longest prefix wins.
@@ -230,10 +235,13 @@
     std::vector<RejectedRecord> rejected; ///< endpoint records that cannot be used
     std::set<std::string> evacuatedDataCentres; ///< their endpoints get no new requests
     std::map<std::string, std::string> regions; ///< region of each data centre
+    std::vector<NameMeeting> nameMeetings; ///< things that met in a number and have numbers of their own; see identities.h
+    std::map<std::string, std::uint32_t, std::less<>>
+        separatedVersions; ///< software versions that met in a number, and their own
 };
 
 /// Returns a number for a version of the endpoints' software, which is the same at all hosts and never 0. The empty text, for
-/// endpoints whose version is not known, has a number too.
+/// endpoints whose version is not known, has a number too. Within a catalogue, see Catalogue::versionNumber().
 std::uint32_t softwareVersionNumber(std::string_view version);
 
 /// What decides which endpoints may serve a request, besides its pool.
@@ -241,7 +249,7 @@
 {
     std::uint32_t requestClass = 0; ///< number of the class
     std::uint32_t organisation = 0; ///< number of the organisation
-    std::uint32_t softwareVersion = 0; ///< see softwareVersionNumber(); 0 if any will do
+    std::uint32_t softwareVersion = 0; ///< see Catalogue::versionNumber(); 0 if any will do
 };
 
 /// A setting that operators can create: its name and the schema of its value.
@@ -287,10 +295,14 @@
     const RequestClass *classByName(std::string_view name) const;
     const RequestClass *classByNumber(std::uint32_t number) const;
     const Organisation *organisationByNumber(std::uint32_t number) const;
+    const Organisation *organisationByName(std::string_view name) const;
     const Pool *poolByName(std::string_view name) const;
     const Pool *poolByNumber(std::uint32_t number) const;
     const Endpoint *endpointByNumber(std::uint32_t number) const;
 
+    /// Returns the number of a software version, which no other version of the endpoints has.
+    std::uint32_t versionNumber(std::string_view version) const;
+
     /// Returns whether some endpoints of a pool may not serve a request with @p criteria: its class or its organisation names
     /// regions in which alone it is served, or it needs a software version.
     bool restrictsEndpoints(const EndpointCriteria &criteria) const;
--- a/Source/Dispatch/shardmap.cpp
+++ b/Source/Dispatch/shardmap.cpp
@@ -4,6 +4,7 @@
 #include "Dispatch/shardmap.h"
 
 #include "Base/hash.h"
+#include "Configuration/namenumbers.h"
 
 #include <fmt/format.h>
 
@@ -40,9 +41,23 @@
     auto operator<=>(const GroupKey &) const = default;
 };
 
-std::uint32_t shardId(const GroupKey &group, std::size_t index)
+std::string identityOf(const ShardInfo &shard)
 {
-    return static_cast<std::uint32_t>(Base::hash64(fmt::format("{}/{}/{}", group.pool, group.dataCentre, index)));
+    return fmt::format("{}/{}/{}", shard.pool, shard.dataCentre, shard.index);
+}
+
+/// Sets the ids of the shards, which differ from each other.
+void identify(std::vector<ShardInfo> &shards)
+{
+    std::vector<Configuration::NumberedName> names;
+    std::ranges::transform(shards, std::back_inserter(names), [](const ShardInfo &shard) {
+        const std::string identity = identityOf(shard);
+        return Configuration::NumberedName {identity, Configuration::nameNumber(identity)};
+    });
+    Configuration::separate(names);
+    for (std::size_t index = 0; index < shards.size(); ++index) {
+        shards[index].id = names[index].number;
+    }
 }
 
 /// Assigns the endpoints of one pool and data centre to its shards. The shards get equal shares of the asks, so their sizes must
@@ -155,7 +170,7 @@
         const std::size_t count = shardsFor(endpoints.size(), m_shardSize, catalogue.policies().shardSize == 0);
         const auto divided = assignToShards(endpoints, count);
         for (std::size_t index = 0; index < count; ++index) {
-            ShardInfo shard {shardId(key, index), key.pool, key.dataCentre, static_cast<std::uint32_t>(index), {}, {}};
+            ShardInfo shard {0, key.pool, key.dataCentre, static_cast<std::uint32_t>(index), {}, {}};
             std::ranges::transform(divided[index], std::back_inserter(shard.endpoints), &Endpoint::number);
             std::ranges::sort(shard.endpoints);
             if (!shard.endpoints.empty()) {
@@ -163,6 +178,7 @@
             }
         }
     }
+    identify(m_shards);
     std::ranges::sort(m_shards, {}, &ShardInfo::id);
 }
 
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -483,6 +483,11 @@
     std::ranges::for_each(faults, [&](Configuration::RecordFault fault) { m_unusableRecords.skipRow(now, kind, fault); });
 }
 
+std::size_t Fleet::nameMeetings() const
+{
+    return m_meetings.count();
+}
+
 const UnusableRecords &Fleet::unusableRecords() const
 {
     return m_unusableRecords;
@@ -541,6 +546,7 @@
     updateUnusableRecords(parts.rejected);
     const bool ignored = newestConfigurationIsIgnored(parts);
     m_recordCatalogue = Configuration::Catalogue::assemble(std::move(parts));
+    m_meetings.update(m_recordCatalogue->parts().nameMeetings);
     m_endpointsEverKnown = m_endpointsEverKnown || !m_recordCatalogue->endpoints().empty();
     if (!ignored && m_activeConfiguration.version != m_records.revisions().configuration) {
         m_activeConfiguration = {m_records.revisions().configuration, m_configurationSource, now};
--- a/Source/Node/frontend.cpp
+++ b/Source/Node/frontend.cpp
@@ -138,6 +138,11 @@
     m_stopDeadline = end;
 }
 
+std::uint64_t Frontend::runsOutsidePool() const
+{
+    return m_runsOutsidePool;
+}
+
 void Frontend::handleCallByPath(const CallArrived &call, const Organisation &organisation)
 {
     if (call.method == "GET" && call.path == "/v1/models") {
@@ -495,15 +500,47 @@
 
 // --- Runs
 
+/// Returns what decides which endpoints may serve the request. The numbers of its class and organisation may have changed since
+/// it arrived.
+Configuration::EndpointCriteria Frontend::criteriaFor(const Configuration::Catalogue &catalogue, const AdmittedRequest &admitted,
+                                                      std::uint32_t softwareVersion)
+{
+    const RequestClass *requestClass = catalogue.classByName(admitted.requestClass.name);
+    const Organisation *organisation = catalogue.organisationByName(admitted.organisationName);
+    return {requestClass == nullptr ? admitted.requestClass.number : requestClass->number,
+            organisation == nullptr ? admitted.organisation : organisation->number, softwareVersion};
+}
+
+/// The last check before a run leaves this host. Numbers stand for endpoints and pools on the way here; names decide.
+bool Frontend::isOutsidePool(const Request::StartRun &run, const AdmittedRequest &admitted,
+                             const Configuration::Endpoint &endpoint)
+{
+    const std::string &pool = admitted.requestClass.poolName;
+    if (endpoint.poolName == pool) {
+        return false;
+    }
+    ++m_runsOutsidePool;
+    Base::log(Base::LogLevel::Warning, Base::LogEvent::RunOutsidePool,
+              {{"request", requestName(run.id.request)},
+               {"endpoint", endpoint.name},
+               {"endpoint-pool", endpoint.poolName},
+               {"pool", pool}});
+    return true;
+}
+
 void Frontend::startRun(const Request::StartRun &run)
 {
     const auto entry = m_admitted.find(run.id.request);
     const auto catalogue = m_fleet.catalogue();
     const Configuration::Endpoint *endpoint = catalogue->endpointByNumber(run.endpoint);
+    if (entry != m_admitted.end() && endpoint != nullptr && isOutsidePool(run, entry->second, *endpoint)) {
+        m_home.runEnded(Base::now(), {.id = run.id, .stage = Request::RunStage::Stale});
+        return;
+    }
     // The dispatcher may not know yet that the endpoint is leaving or was removed, or in which regions the request is served.
     const auto mayUse = [&](const Configuration::Endpoint *candidate, std::uint32_t softwareVersion) {
         return candidate != nullptr && candidate->acceptsRequests()
-            && catalogue->mayServe(*candidate, {entry->second.requestClass.number, entry->second.organisation, softwareVersion});
+            && catalogue->mayServe(*candidate, criteriaFor(*catalogue, entry->second, softwareVersion));
     };
     if (entry == m_admitted.end() || !mayUse(endpoint, run.softwareVersion)) {
         m_home.runEnded(Base::now(), {.id = run.id, .stage = Request::RunStage::Stale});
--- a/Source/Node/frontend.h
+++ b/Source/Node/frontend.h
@@ -64,6 +64,9 @@
     /// before @p end, so that a planned stop at @p end interrupts no request.
     void limitAdmission(Base::Instant from, Base::Instant end);
 
+    /// Returns how many runs were about to go to an endpoint outside the pool of their request.
+    std::uint64_t runsOutsidePool() const;
+
     /// Returns the number of requests that have no response yet, those forwarded to or by other hosts included.
     std::size_t open() const;
 
@@ -109,6 +112,9 @@
 
     /// Handles a call with PlatformForm::Records: a configured route determines the class of the request.
     void handleCallByRoute(const Relay::CallArrived &call);
+    static Configuration::EndpointCriteria criteriaFor(const Configuration::Catalogue &catalogue, const AdmittedRequest &admitted,
+                                                       std::uint32_t softwareVersion);
+    bool isOutsidePool(const Request::StartRun &run, const AdmittedRequest &admitted, const Configuration::Endpoint &endpoint);
     /// Returns whether limitAdmission() permits the request.
     bool mayBeAdmitted(const AdmittedRequest &admitted) const;
     /// Handles a call with PlatformForm::Table: the path and a header determine the class of the request.
@@ -165,6 +171,7 @@
     /// Tokens of claims in the table whose operations have not run; a retry may use them.
     std::set<std::string> m_abandonedClaims;
     std::uint64_t m_nextTicket = 1;
+    std::uint64_t m_runsOutsidePool = 0;
     Base::Instant m_admissionLimitedFrom = Base::Instant::max(); ///< see limitAdmission()
     Base::Instant m_stopDeadline = Base::Instant::max(); ///< see limitAdmission()
 };
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -108,6 +108,7 @@
         // requestEndpoint() may end the request and remove it from m_pending, so the loop runs over a copy of the ids.
         Pending &pending = m_pending.at(id);
         if (catalogueChanged) {
+            renumber(pending);
             pending.shardsWithout.clear();
         }
         const ShardInfo *info = m_shards->find(pending.shard);
@@ -125,6 +126,18 @@
     std::ranges::for_each(movedShards, [this](std::uint32_t shard) { reportRunning(shard); });
 }
 
+void Home::renumber(Pending &pending) const
+{
+    Configuration::RequestClass &settings = pending.classSettings;
+    if (const auto *requestClass = m_catalogue->classByName(settings.name)) {
+        settings.number = requestClass->number;
+        pending.request.requestClass = requestClass->number;
+    }
+    if (const auto *pool = m_catalogue->poolByName(settings.poolName)) {
+        settings.pool = pool->number;
+    }
+}
+
 void Home::start(Instant now, const NewRequest &request)
 {
     ++m_counters.arrived;
@@ -196,6 +209,12 @@
     return configured != nullptr && m_catalogue->mayServe(*configured, criteriaOf(pending));
 }
 
+bool Home::isOfAnotherPool(const Pending &pending, std::uint32_t endpoint) const
+{
+    const Configuration::Endpoint *configured = m_catalogue->endpointByNumber(endpoint);
+    return configured != nullptr && configured->poolName != pending.classSettings.poolName;
+}
+
 std::vector<const ShardInfo *> Home::shardsFor(const Pending &pending) const
 {
     std::vector<const ShardInfo *> shards = m_shards->ofPool(pending.classSettings.pool);
@@ -319,7 +338,7 @@
         return object == nullptr ? std::string("?") : object->name;
     };
     const Configuration::Endpoint *target = m_catalogue->endpointByNumber(endpoint);
-    pending.runVersion = target == nullptr ? 0 : Configuration::softwareVersionNumber(target->softwareVersion);
+    pending.runVersion = target == nullptr ? 0 : m_catalogue->versionNumber(target->softwareVersion);
     const std::string version
         = target == nullptr || target->softwareVersion.empty() ? "" : ", version " + target->softwareVersion;
     const std::uint32_t keeper = m_availabilities.stateOf(grant.keeper).isLeaving(now) ? 0 : grant.keeper;
@@ -389,6 +408,10 @@
         returnGrant(now, *pending, grant, fmt::format("{} had no information on the endpoint's rate limit", from.name));
         return;
     }
+    if (isOfAnotherPool(*pending, grant.endpoint)) {
+        returnGrant(now, *pending, grant, fmt::format("{} granted an endpoint of another pool", from.name));
+        return;
+    }
     if (m_catalogue->restrictsEndpoints(criteriaOf(*pending)) && !mayServe(*pending, grant.endpoint)) {
         // A dispatcher of an older release does not know of software versions.
         returnGrant(now, *pending, grant, fmt::format("{} granted an endpoint that may not serve the request", from.name));
@@ -691,9 +714,10 @@
 
 std::string Home::versionName(std::uint32_t number) const
 {
-    const auto endpoint = std::ranges::find_if(m_catalogue->endpoints(), [number](const Configuration::Endpoint &candidate) {
-        return Configuration::softwareVersionNumber(candidate.softwareVersion) == number;
-    });
+    const auto endpoint
+        = std::ranges::find_if(m_catalogue->endpoints(), [this, number](const Configuration::Endpoint &candidate) {
+              return m_catalogue->versionNumber(candidate.softwareVersion) == number;
+          });
     return endpoint == m_catalogue->endpoints().end() ? fmt::format("{:08x}", number) : endpoint->softwareVersion;
 }
 
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -183,11 +183,15 @@
         std::vector<TraceEntry> trace;
     };
 
+    /// Sets the numbers of the request's class and pool to those that their names have in the present catalogue.
+    void renumber(Pending &pending) const;
     /// Returns the shards of the pool with an endpoint that may serve the request.
     std::vector<const Dispatch::ShardInfo *> shardsFor(const Pending &pending) const;
     /// Returns what decides which endpoints of the pool may serve the request.
     static Configuration::EndpointCriteria criteriaOf(const Pending &pending);
     bool mayServe(const Pending &pending, std::uint32_t endpoint) const;
+    /// Returns whether the present catalogue has the endpoint in another pool than the request's.
+    bool isOfAnotherPool(const Pending &pending, std::uint32_t endpoint) const;
     absl::Status noEndpointError(const Pending &pending) const;
     /// Binds a request whose caller has seen events of the latest run to the software version of that run's endpoint.
     void bindToVersion(Pending &pending) const;
--- a/Source/Request/versionhistory.cpp
+++ b/Source/Request/versionhistory.cpp
@@ -36,7 +36,7 @@
             continue;
         }
         Pool &pool = m_pools.try_emplace(endpoint.pool, Pool {now, {}}).first->second;
-        pool.versions[Configuration::softwareVersionNumber(endpoint.softwareVersion)].present = true;
+        pool.versions[catalogue.versionNumber(endpoint.softwareVersion)].present = true;
     }
     for (Pool &pool : m_pools | std::views::values) {
         std::erase_if(pool.versions,
--- a/Source/Request/versionhistory.h
+++ b/Source/Request/versionhistory.h
@@ -21,7 +21,8 @@
 class VersionHistory
 {
 public:
-    /// Records the versions of the endpoints of @p catalogue. Their numbers are those of Configuration::softwareVersionNumber().
+    /// Records the versions of the endpoints of @p catalogue. Their numbers are those of
+    /// Configuration::Catalogue::versionNumber().
     void updateView(Base::Instant now, const Configuration::Catalogue &catalogue);
 
     /// Notes that the process runs. Call several times a second and before each question: a process that stood still may have
--- a/Tests/Dispatch/shardmaptest.cpp
+++ b/Tests/Dispatch/shardmaptest.cpp
@@ -209,3 +209,25 @@
     }
     CHECK_EQUAL(8U, shardsOf(320));
 }
+
+// Guards against a shard whose requests another shard gets, because their identities have the same hash.
+TEST(ShardMap, shardsWhoseIdentitiesMeetHaveIdsOfTheirOwn)
+{
+    Configuration::CatalogueParts parts;
+    parts.policies.shardSize = 8;
+    std::uint32_t number = 0;
+    for (const char *dataCentre : {"dc-0a937", "dc-13fdc", "dc-3"}) {
+        Configuration::Endpoint endpoint;
+        endpoint.number = ++number;
+        endpoint.name = dataCentre;
+        endpoint.pool
+            = 7; // the identities of the first two shards, 7/dc-0a937/0 and 7/dc-13fdc/0, have the same 32 bits of a hash
+        endpoint.dataCentre = dataCentre;
+        parts.endpoints.push_back(endpoint);
+    }
+    const ShardMap map(*Configuration::Catalogue::assemble(std::move(parts)), members);
+    CHECK_EQUAL(3U, map.shards().size());
+    for (const ShardInfo &shard : map.shards()) {
+        POINTERS_EQUAL(&shard, map.find(shard.id));
+    }
+}
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -116,6 +116,22 @@
     CHECK_EQUAL(keeper, actions<StartRun>().front().keeper);
 }
 
+// Guards against a run at an endpoint of another pool, which a dispatcher with another list of endpoints means by the same
+// number.
+TEST(Home, aGrantOfAnotherPoolsEndpointIsReturned)
+{
+    objects = Tests::objectsOf(std::string(Tests::threeTiers)
+                               + "create pool other\ncreate endpoint foreign pool other address 127.0.0.1:9 data-centre a\n");
+    catalogue = Configuration::Catalogue::build(objects);
+    view(0);
+    start(1, "alert");
+    const Peer::Ask ask = lastAsk();
+    home.receive(at(0.1), "h2", Peer::Grant {ask.id, Tests::numberOf(objects, Kind::Endpoint, "foreign"), at(2), 0});
+    const std::vector<Action> taken = home.takeActions();
+    CHECK_TRUE(std::ranges::none_of(taken, [](const Action &action) { return std::holds_alternative<StartRun>(action); }));
+    CHECK_EQUAL(1U, home.counters().returnedGrants);
+}
+
 /// Guards against dispatchers that take an engine for busy because the end of a prefill is not reported, or reported for a run
 /// that has been given up.
 TEST(Home, theFirstTokenIsReportedOnceToTheDispatcher)
