Http: What is no response is not taken for one

Cause: nothing of ours decided what a response is. libcurl's word on heads was taken as it is, and libcurl is tolerant.

Change: Http::ResponseHeadCheck checks each line of a head where libcurl hands it over, so for endpoints, connections through other hosts, the store and reports alike. Anything else ends the transfer as Malformed: the run may have run, its caller gets the next attempt or a 502 without the endpoint's fields. It is held against the endpoint as a failed run and is no crash. Log response-malformed, a metric by reason.

Why it works: the check is stricter than libcurl and runs before any other code sees the head.

--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 64> eventNames = {{
+constexpr NameTable<LogEvent, 65> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -33,6 +33,7 @@
     {LogEvent::RequestAbandoned, "request-abandoned"},
     {LogEvent::SlowCallerCut, "slow-caller-cut"},
     {LogEvent::ResponseOverLimit, "response-over-limit"},
+    {LogEvent::ResponseMalformed, "response-malformed"},
     {LogEvent::ConnectionsOverLimit, "connections-over-limit"},
     {LogEvent::BodiesOverBound, "bodies-over-bound"},
     {LogEvent::PathLost, "path-lost"},
--- a/Source/Base/log.h
+++ b/Source/Base/log.h
@@ -39,6 +39,7 @@
     RequestAbandoned,
     SlowCallerCut,
     ResponseOverLimit,
+    ResponseMalformed,
     ConnectionsOverLimit,
     BodiesOverBound,
     PathLost,
--- a/Source/Http/client.cpp
+++ b/Source/Http/client.cpp
@@ -4,6 +4,7 @@
 #include "Http/client.h"
 
 #include "Base/text.h"
+#include "Http/responsehead.h"
 #include "Http/socketoptions.h"
 
 #include <curl/curl.h>
@@ -49,6 +50,7 @@
     Headers responseHeaders;
     int status = 0;
     std::size_t headBytes = 0; ///< of all heads and trailers received
+    ResponseHeadCheck headCheck;
     bool headersReported = false;
     bool cancelled = false;
     std::unique_ptr<curl_slist, HeaderListDeleter> headerList;
@@ -71,21 +73,34 @@
     return running.headBytes > running.transfer.maxHeadBytes;
 }
 
+/// Returns what was malformed in the response of a transfer that ended with @p code.
+ResponseFault faultOf(const ActiveTransfer &running, CURLcode code)
+{
+    const bool refusedByLibrary = code == CURLE_WEIRD_SERVER_REPLY || code == CURLE_UNSUPPORTED_PROTOCOL;
+    const ResponseFault fault = running.headCheck.fault();
+    return fault == ResponseFault::None && refusedByLibrary ? ResponseFault::Other : fault;
+}
+
+std::string_view withoutLineBreak(std::string_view line)
+{
+    Base::consumeSuffix(line, "\n");
+    Base::consumeSuffix(line, "\r");
+    return line;
+}
+
 /// libcurl passes the lines of trailers as well.
 std::size_t onHeaderLine(char *data, std::size_t, std::size_t size, void *user)
 {
     auto &running = *static_cast<ActiveTransfer *>(user);
     running.headBytes += size;
-    if (headTooLarge(running)) {
+    const std::string_view line = withoutLineBreak({data, size});
+    if (headTooLarge(running) || running.headCheck.line(line) != ResponseFault::None) {
         return 0; // makes libcurl close the connection
     }
-    const std::string_view line = Base::trimmed(std::string_view(data, size));
-    if (line.starts_with("HTTP/")) {
+    if (running.status != running.headCheck.status()) {
         // An interim response (100) is followed by the final one.
         running.responseHeaders.clear();
-        long code = 0;
-        curl_easy_getinfo(running.handle.get(), CURLINFO_RESPONSE_CODE, &code);
-        running.status = static_cast<int>(code);
+        running.status = running.headCheck.status();
     } else if (const std::size_t colon = line.find(':'); colon != std::string_view::npos) {
         running.responseHeaders.push_back(
             {Base::lowerCase(line.substr(0, colon)), std::string(Base::trimmed(line.substr(colon + 1)))});
@@ -151,6 +166,21 @@
     return lengthKnown || running.status == noContent ? TransferStage::Complete : TransferStage::Closed;
 }
 
+void describeFailure(const ActiveTransfer &running, CURLcode code, TransferResult &result)
+{
+    result.fault = faultOf(running, code);
+    if (headTooLarge(running)) {
+        result.failure = TransferFailure::HeadTooLarge;
+        result.detail = fmt::format("the head of the response is over the limit of {} bytes", running.transfer.maxHeadBytes);
+    } else if (result.fault != ResponseFault::None) {
+        result.failure = TransferFailure::Malformed;
+        result.detail = fmt::format("the response is malformed: {}", Base::nameOf(responseFaultNames, result.fault));
+    } else {
+        result.failure = failureOf(code);
+        result.detail = curl_easy_strerror(code);
+    }
+}
+
 TransferResult resultOf(const ActiveTransfer &running, CURLcode code)
 {
     long requestBytes = 0;
@@ -161,11 +191,8 @@
     const bool tunnelMissing = !running.transfer.tunnelHost.empty() && tunnelStatus != tunnelOpened;
     TransferResult result;
     result.tunnelStatus = static_cast<int>(tunnelStatus);
-    result.failure = headTooLarge(running) ? TransferFailure::HeadTooLarge : failureOf(code);
+    describeFailure(running, code, result);
     result.status = running.status;
-    result.detail = headTooLarge(running)
-        ? fmt::format("the head of the response is over the limit of {} bytes", running.transfer.maxHeadBytes)
-        : curl_easy_strerror(code);
     result.headBytes = running.headBytes;
     if (code == CURLE_OK && running.status != 0) {
         result.stage = successStage(running);
--- a/Source/Http/client.h
+++ b/Source/Http/client.h
@@ -8,6 +8,7 @@
 
 #include "Base/loop.h"
 #include "Http/message.h"
+#include "Http/responsehead.h"
 
 #include <cstdint>
 #include <functional>
@@ -32,6 +33,7 @@
     Connect, ///< the connection could not be opened
     Timeout, ///< the connection or the transfer took longer than its timeout
     HeadTooLarge, ///< the head and the trailers exceeded Transfer::maxHeadBytes, so the connection was closed
+    Malformed, ///< the server sent what is no response, so the connection was closed; see TransferResult::fault
     Broken, ///< any other error of libcurl
     Cancelled, ///< not reported at present, because a cancelled transfer has no onEnd
 };
@@ -43,6 +45,7 @@
     TransferFailure failure = TransferFailure::None;
     int status = 0; ///< status code, 0 if no status line was received
     int tunnelStatus = 0; ///< status of the response to the request for a tunnel; 0 if there was none
+    ResponseFault fault = ResponseFault::None; ///< what was malformed
     std::string detail; ///< a message for logs
     std::size_t headBytes = 0; ///< bytes of the head received, with interim responses and trailers
 };
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -731,6 +731,12 @@
                           static_cast<double>(m_relay->counters().overLimit.at(static_cast<std::size_t>(limit))));
         }
     }
+    for (const auto &[fault, name] : Http::responseFaultNames) {
+        if (fault != Http::ResponseFault::None) {
+            m_metrics.set("yokepond_responses_malformed_total", label("reason", name),
+                          static_cast<double>(m_relay->counters().malformed.at(static_cast<std::size_t>(fault))));
+        }
+    }
     m_metrics.set("yokepond_retries_total", "", static_cast<double>(m_home.counters().retried));
     updateDispatcherMetrics();
     m_metrics.set("yokepond_local_runs_total", "", static_cast<double>(m_home.counters().localRuns));
--- a/Source/Relay/endpointtransfers.cpp
+++ b/Source/Relay/endpointtransfers.cpp
@@ -34,7 +34,7 @@
 
 bool connectionBroke(const TransferResult &result)
 {
-    const bool closedHere = result.failure == TransferFailure::HeadTooLarge;
+    const bool closedHere = result.failure == TransferFailure::HeadTooLarge || result.failure == TransferFailure::Malformed;
     return !closedHere && (result.stage == TransferStage::Sent || result.stage == TransferStage::ResponseStarted);
 }
 
--- a/Source/Relay/relay.h
+++ b/Source/Relay/relay.h
@@ -58,6 +58,7 @@
     std::atomic<std::uint64_t> tunnelsOpened = 0; ///< tunnels opened for other hosts
     std::array<std::atomic<std::uint64_t>, Request::responseLimitNames.size()>
         overLimit {}; ///< runs ended for each ResponseLimit
+    std::array<std::atomic<std::uint64_t>, Http::responseFaultNames.size()> malformed {}; ///< runs ended for each ResponseFault
     PathCounters paths;
     std::atomic<std::int64_t> processorMicroseconds = 0; ///< processor time of the relay's thread
 };
--- a/Source/Relay/relaythread.h
+++ b/Source/Relay/relaythread.h
@@ -148,6 +148,7 @@
         bool pathInDoubt = false; ///< see EndpointTransferResult
         bool endsWithConnection = false; ///< see Request::RunReport
         Request::ResponseLimit overLimit = Request::ResponseLimit::None; ///< that the endpoint exceeded in this run
+        bool malformed = false; ///< the endpoint sent what is no response in this run
         bool startReported = false; ///< whether RunStarted has been sent for the current run
     };
 
@@ -444,6 +445,7 @@
         call.pathInDoubt = false;
         call.endsWithConnection = false;
         call.overLimit = Request::ResponseLimit::None;
+        call.malformed = false;
         call.startReported = false;
         call.errorResponse.reset();
     }
@@ -619,6 +621,9 @@
             endRunOverLimit(call, Request::ResponseLimit::Head, result.headBytes);
             return;
         }
+        if (result.failure == Http::TransferFailure::Malformed) {
+            noteMalformedResponse(call, result);
+        }
         const bool closedComplete
             = P::closeEndsBody && result.stage == Http::TransferStage::Closed && !endedBeforeItsContent(call);
         call.endsWithConnection = result.stage == Http::TransferStage::Closed && !call.lastEventReceived;
@@ -648,6 +653,19 @@
         }
     }
 
+    /// The run ends as one whose connection broke: the endpoint may have run the request.
+    void noteMalformedResponse(Call &call, const Http::TransferResult &result)
+    {
+        call.malformed = true;
+        ++m_counters.malformed.at(static_cast<std::size_t>(result.fault));
+        Base::log(Base::LogLevel::Warning, Base::LogEvent::ResponseMalformed,
+                  {{"request", call.run.requestName},
+                   {"endpoint", call.run.endpoint},
+                   {"address", call.run.address},
+                   {"reason", Base::nameOf(Http::responseFaultNames, result.fault)},
+                   {"status", result.status}});
+    }
+
     /// Ends the run of a call whose endpoint sent @p bytes, more than the limit allows. What the head of the response said of the
     /// run holds, and otherwise the endpoint may have run the request.
     void endRunOverLimit(Call &call, Request::ResponseLimit limit, std::size_t bytes)
@@ -761,6 +779,7 @@
         report.pathInDoubt = call.pathInDoubt;
         report.endsWithConnection = call.endsWithConnection;
         report.overLimit = call.overLimit;
+        report.malformed = call.malformed;
         report.brittle
             = stage == Request::RunStage::Rejected && m_protocol.advertisement(call.run, call.head).availability.brittle;
         if (call.tokens > 0) {
--- a/Source/Request/runresult.cpp
+++ b/Source/Request/runresult.cpp
@@ -21,7 +21,8 @@
 bool connectionBroke(const RunReport &report)
 {
     const bool broke = report.stage == RunStage::Sent && report.status < minErrorStatus;
-    return broke && !report.callerDisconnected && report.overLimit == ResponseLimit::None;
+    const bool closedHere = report.overLimit != ResponseLimit::None || report.malformed;
+    return broke && !report.callerDisconnected && !closedHere;
 }
 
 RunResult runResultFor(const RunReport &report)
--- a/Source/Request/types.h
+++ b/Source/Request/types.h
@@ -102,6 +102,7 @@
     bool endsWithConnection = false; ///< the end of the response was not marked, by its length for example; it ended with its
                                      ///< connection
     ResponseLimit overLimit = ResponseLimit::None;
+    bool malformed = false; ///< the endpoint sent what is no response, so the relay closed the connection
 };
 
 // Actions that the home requests from the daemon.
