Http: The extension of a chunk without end is closed

A host read the extension of a chunk that has no end until the deadline of the request: 504 after all the caller's time, and gigabytes through a small host's share of a processor (from a report of other operators).

Cause: libcurl skips extensions without a limit and without a callback.

Change: a transfer compares the bytes that were read from its connection, as the kernel counts them, with those that became a part of its response, and ends as malformed (reason `framing`) when far more were read.

Why it works: the kernel's count has all bytes, whatever the library does with them.

--- a/Source/Http/client.cpp
+++ b/Source/Http/client.cpp
@@ -4,6 +4,7 @@
 #include "Http/client.h"
 
 #include "Base/text.h"
+#include "Http/receivedbytes.h"
 #include "Http/responsehead.h"
 #include "Http/socketoptions.h"
 
@@ -51,6 +52,8 @@
     int status = 0;
     std::size_t headBytes = 0; ///< of all heads and trailers received
     ResponseHeadCheck headCheck;
+    FramingCheck framing;
+    bool framingExceeded = false;
     bool headersReported = false;
     bool cancelled = false;
     std::unique_ptr<curl_slist, HeaderListDeleter> headerList;
@@ -76,6 +79,9 @@
 /// Returns what was malformed in the response of a transfer that ended with @p code.
 ResponseFault faultOf(const ActiveTransfer &running, CURLcode code)
 {
+    if (running.framingExceeded) {
+        return ResponseFault::Framing;
+    }
     const bool refusedByLibrary = code == CURLE_WEIRD_SERVER_REPLY || code == CURLE_UNSUPPORTED_PROTOCOL;
     const ResponseFault fault = running.headCheck.fault();
     return fault == ResponseFault::None && refusedByLibrary ? ResponseFault::Other : fault;
@@ -93,6 +99,7 @@
 {
     auto &running = *static_cast<ActiveTransfer *>(user);
     running.headBytes += size;
+    running.framing.addUseful(size);
     const std::string_view line = withoutLineBreak({data, size});
     if (headTooLarge(running) || running.headCheck.line(line) != ResponseFault::None) {
         return 0; // makes libcurl close the connection
@@ -113,6 +120,7 @@
 std::size_t onBody(char *data, std::size_t, std::size_t size, void *user)
 {
     auto &running = *static_cast<ActiveTransfer *>(user);
+    running.framing.addUseful(size);
     if (!running.cancelled && running.events.onBytes) {
         running.events.onBytes({data, size});
     }
@@ -122,7 +130,8 @@
 /// Prepares a socket before libcurl connects it.
 int prepareSocket(void *user, curl_socket_t socket, curlsocktype)
 {
-    const auto &running = *static_cast<const ActiveTransfer *>(user);
+    auto &running = *static_cast<ActiveTransfer *>(user);
+    running.framing.begin(socket);
     if (running.transfer.detectSilence) {
         detectSilence(socket);
         limitUnacknowledged(socket);
@@ -139,6 +148,16 @@
     return CURL_PREREQFUNC_OK;
 }
 
+/// libcurl calls this after each read.
+int onProgress(void *user, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
+{
+    constexpr int goOn = 0;
+    constexpr int closeConnection = 1;
+    auto &running = *static_cast<ActiveTransfer *>(user);
+    running.framingExceeded = running.framingExceeded || running.framing.isExceeded();
+    return running.framingExceeded ? closeConnection : goOn;
+}
+
 TransferFailure failureOf(CURLcode code)
 {
     switch (code) {
@@ -345,6 +364,9 @@
             curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &onConnected);
             curl_easy_setopt(handle, CURLOPT_PREREQDATA, &running);
         }
+        curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
+        curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, &onProgress);
+        curl_easy_setopt(handle, CURLOPT_XFERINFODATA, &running);
         curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &onHeaderLine);
         curl_easy_setopt(handle, CURLOPT_HEADERDATA, &running);
         curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &onBody);
--- a/Source/Http/responsehead.h
+++ b/Source/Http/responsehead.h
@@ -27,9 +27,10 @@
     Coding, ///< a transfer-encoding other than `chunked`
     TwoLengths, ///< both of them, or one of them twice
     Other, ///< whatever libcurl itself takes for no response, such as a status line with `000`
+    Framing, ///< far more bytes than the body and the head hold, such as the extension of a chunk without end
 };
 
-inline constexpr Base::NameTable<ResponseFault, 9> responseFaultNames = {{
+inline constexpr Base::NameTable<ResponseFault, 10> responseFaultNames = {{
     {ResponseFault::None, "none"},
     {ResponseFault::StatusLine, "status-line"},
     {ResponseFault::Status, "status"},
@@ -39,6 +40,7 @@
     {ResponseFault::Coding, "coding"},
     {ResponseFault::TwoLengths, "two-lengths"},
     {ResponseFault::Other, "other"},
+    {ResponseFault::Framing, "framing"},
 }};
 
 /// Checks the lines of the heads of one response, interim responses and trailers included.
--- a/Tests/Integration/test_malformed.py
+++ b/Tests/Integration/test_malformed.py
@@ -11,6 +11,7 @@
 
 SERVICES = ("once", "stream")
 BODY = b"body of the endpoint"
+SOON_SECONDS = 3.0
 
 
 def route(name, kind):
@@ -161,5 +162,27 @@
                         assert answer.status == 502, (service, framing, head[:cut], resets, answer.status, answer.body)
 
 
+# Guards against a host that reads the extension of a chunk, which has no end, until the deadline of the request.
+def test_a_chunk_extension_without_end_is_closed():
+    with Site() as site:
+        endpoint = site.endpoints["once"]
+
+        def respond(handler):
+            endpoint.arrivals.append((handler.headers["X-Request-Id"], time.monotonic()))
+            identity = f"X-Request-Id: {handler.headers['X-Request-Id']}\r\nX-Response-Signature: s\r\n".encode()
+            handler.close_connection = True
+            handler.wfile.write(OK.replace(b"IDENTITY", identity) + CHUNKED + b"\r\n5;a=")
+            while True:  # until the host closes the connection
+                handler.wfile.write(b"x" * 0x10000)
+
+        endpoint.respond = respond
+        began = time.monotonic()
+        answer = site.hosts.send(0, "POST", "/once/x", "endless")
+        seconds = time.monotonic() - began
+        print(f"{answer.status} after {seconds:.2f} s", flush=True)
+        assert answer.status == 502 and seconds < SOON_SECONDS, (answer.status, seconds)
+        wait_until(lambda: site.reasons() == ["framing"], "the log to tell of the extension")
+
+
 if __name__ == "__main__":
     run_tests(globals())
