Request: A planned stop passes on only what is expected to end

Cause: nothing asked at the moment of a grant, nor while a request waited, whether a run can still end in time. Admission alone was bounded.

Change: Request::RunLengths learns how long the runs of each class take. From the signal on the home refuses what waits, truly not run, as soon as a run is not expected to end before the stop does, gives back grants that come too late, and begins no run of its own then.

Why it works: a run that begins at a time from which runs of its class end before the stop is not cut by it.

--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -576,7 +576,9 @@
     m_stopBegan = Base::now();
     m_relay->closeAfterResponses();
     if (m_settings.stopLimit > Base::Duration::zero()) {
-        m_frontend->limitAdmission(m_stopBegan + m_settings.balancerLag, m_stopBegan + m_settings.stopLimit - responseFlushTime);
+        const Base::Instant end = m_stopBegan + m_settings.stopLimit - responseFlushTime;
+        m_frontend->limitAdmission(m_stopBegan + m_settings.balancerLag, end);
+        m_home.limitRuns(m_stopBegan, end, makeError(Base::ErrorKind::Stopping, "this host is stopping; retry at another host"));
     }
     Base::log(Base::LogLevel::Info, Base::LogEvent::StopRequested, {{"open", m_frontend->open()}});
     m_fleet->leave();
--- a/Source/Request/home.cpp
+++ b/Source/Request/home.cpp
@@ -292,7 +292,7 @@
 void Home::tryLocalWindow(Instant now, Pending &pending)
 {
     const ShardInfo *shard = m_shards->find(pending.shard);
-    if (shard == nullptr) {
+    if (shard == nullptr || !endsInTime(now, pending)) {
         return;
     }
     const std::vector<std::uint64_t> &prefix = pending.request.prefix;
@@ -399,6 +399,12 @@
         requestEndpoint(now, *pending);
         return;
     }
+    if (!endsInTime(now, *pending)) {
+        pending->endpoint = grant.endpoint;
+        release(*pending, {grant.id, RunStage::Stale, false, false, {}, {}, 0, 0}, RunResult::NotStarted);
+        fail(now, *pending, m_limitError, minRetryAfter);
+        return;
+    }
     if (m_availabilities.stateOf(grant.endpoint).isUnavailable(now)) {
         sendEndpointUpdate(now, *pending, grant.endpoint);
         returnGrant(now, *pending, grant, fmt::format("{} had no information that the endpoint is unavailable", from.name));
@@ -728,6 +734,9 @@
         return;
     }
     m_localWindow.runEnded(pending->endpoint);
+    if (report.stage == RunStage::ResponseComplete) {
+        m_runLengths.add(pending->classSettings.name, now - pending->runStartedAt);
+    }
     const RunResult result = runResultFor(report);
     release(*pending, report, result);
     addTraceEntry(*pending, now, Step::Ended,
@@ -1018,10 +1027,35 @@
 }
 
 void Home::failWaiting(Instant now, const absl::Status &error)
+{
+    failWaitingIf(now, error, [](const Pending &) { return true; });
+}
+
+void Home::limitRuns(Instant now, Instant end, const absl::Status &error)
+{
+    m_runsEndBy = end;
+    m_limitError = error;
+    failWaitingIf(now, error, [&](const Pending &pending) { return !endsInTime(now, pending); });
+}
+
+bool Home::endsInTime(Instant now, const Pending &pending) const
+{
+    if (m_runsEndBy == Instant::max()) {
+        return true;
+    }
+    const std::string &name = pending.classSettings.name;
+    const std::optional<Duration> length
+        = pending.classSettings.repeatable ? m_runLengths.usual(name) : m_runLengths.longest(name);
+    const Instant end = length ? std::min(now + *length, pending.deadline) : pending.deadline;
+    return end <= m_runsEndBy;
+}
+
+template<typename Predicate>
+void Home::failWaitingIf(Instant now, const absl::Status &error, Predicate applies)
 {
     std::vector<std::uint64_t> waiting;
     for (const auto &[id, pending] : m_pending) {
-        if (pending.phase != Phase::Running) {
+        if (pending.phase != Phase::Running && applies(pending)) {
             waiting.push_back(id);
         }
     }
@@ -1036,6 +1070,9 @@
 
 void Home::tick(Instant now)
 {
+    if (m_runsEndBy != Instant::max()) {
+        failWaitingIf(now, m_limitError, [&](const Pending &pending) { return !endsInTime(now, pending); });
+    }
     noteRunsThatWentOn(now);
     m_crashProtection.tick(now);
     m_streamOrigins.tick(now);
--- a/Source/Request/home.h
+++ b/Source/Request/home.h
@@ -13,6 +13,7 @@
 #include "Request/crashprotection.h"
 #include "Request/localwindow.h"
 #include "Request/retrybudgets.h"
+#include "Request/runlengths.h"
 #include "Request/shardchoice.h"
 #include "Request/streamorigins.h"
 #include "Request/types.h"
@@ -131,6 +132,10 @@
     /// Fails each request without a current run, that is, in the phases Asking and BackingOff, with @p error.
     void failWaiting(Base::Instant now, const absl::Status &error);
 
+    /// Makes known that runs are cut at @p end. From now on, requests without a current run fail with @p error as soon as a run
+    /// of theirs is not expected to end by then.
+    void limitRuns(Base::Instant now, Base::Instant end, const absl::Status &error);
+
     /// Handles the loss of the connection to @p member. Messages in both directions may have been lost.
     void connectionLost(Base::Instant now, const std::string &member);
 
@@ -185,6 +190,13 @@
 
     /// Sets the numbers of the request's class and pool to those that their names have in the present catalogue.
     void renumber(Pending &pending) const;
+    /// Returns whether a run that begins now is expected to end before runs are cut. It takes as long as the latest runs of its
+    /// class: a request that may be repeated as long as usual, since its caller can send it again, and another one as long as the
+    /// longest. Without any, it takes all the time that the request has.
+    bool endsInTime(Base::Instant now, const Pending &pending) const;
+    /// Fails the requests without a current run for which @p applies returns true.
+    template<typename Predicate>
+    void failWaitingIf(Base::Instant now, const absl::Status &error, Predicate applies);
     /// Returns the shards of the pool with an endpoint that may serve the request.
     std::vector<const Dispatch::ShardInfo *> shardsFor(const Pending &pending) const;
     /// Returns what decides which endpoints of the pool may serve the request.
@@ -253,6 +265,9 @@
     std::map<std::uint64_t, Pending> m_pending;
     ShardChoice m_shardChoice;
     RetryBudgets m_retryBudgets;
+    RunLengths m_runLengths;
+    Base::Instant m_runsEndBy = Base::Instant::max(); ///< see limitRuns()
+    absl::Status m_limitError; ///< see limitRuns()
     /// Shards that get another report: the last one listed permits, or the connection was lost since.
     std::set<std::uint32_t> m_reportedShards;
     LocalWindow m_localWindow;
--- a/Tests/Integration/recordsplatform.py
+++ b/Tests/Integration/recordsplatform.py
@@ -372,10 +372,12 @@
 
     `ips`: the address of each host for peers, from which it also connects to endpoints; without it all hosts have 127.0.0.1.
     `seeds`: the indices of the hosts that are seeds; without it all are.
+    `stop_settings`: the section [stop].
     `proxied`: the hosts reach each other through `proxy`, a PeerProxy.
     """
 
-    def __init__(self, program_directory, store_addresses, extra_settings="", ips=None, seeds=None, proxied=False):
+    def __init__(self, program_directory, store_addresses, extra_settings="", ips=None, seeds=None, proxied=False,
+                 stop_settings="balancer-lag-ms = 200\nkilled-after-s = 5\n"):
         count = len(store_addresses)
         self.ips = ips or ["127.0.0.1"] * count
         self.directory = tempfile.mkdtemp(prefix="yokepond-records-")
@@ -397,7 +399,7 @@
                            f"{self.source(ips, index)}[peers]\nseeds = {seeds}\nadvertised = {advertised[index]}\n"
                            f"[platform]\nform = records\naddress = {store_addresses[index]}\ntimeout-ms = 1000\n"
                            "[dispatch]\nwhole-pool-shards = yes\nplacement = soonest-first-token\nwindow = fixed\n"
-                           "[retries]\nshare = 0.2\nslack = 50\n[stop]\nbalancer-lag-ms = 200\nkilled-after-s = 5\n"
+                           f"[retries]\nshare = 0.2\nslack = 50\n[stop]\n{stop_settings}"
                            f"[test]\nfatal-invariants = yes\n{extra_settings}")
             self.start(index)
 
--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -769,3 +769,77 @@
     start(2, "alert", 0.2);
     CHECK_TRUE(lastAsk().id.request == 2);
 }
+
+/// Completes a run of class `once` that takes @p seconds, beginning at 0.
+TEST_GROUP_BASE(HomeStops, TEST_GROUP_CppUTestGroupHome) {void runOnce(double seconds) {start(1, "once");
+grant(lastAsk(), 0, 2);
+home.runEnded(at(seconds), {.id = {1, 1}, .stage = RunStage::ResponseComplete});
+home.takeActions();
+}
+
+void limit(double now, double end)
+{
+    home.limitRuns(at(now), at(end), Base::makeError(Base::ErrorKind::Stopping, "the host is stopping"));
+}
+}
+;
+
+// Guards against requests that wait while their host stops, are passed on late, and are cut at the end of the stop.
+TEST(HomeStops, whatWaitsIsRefusedOnceItsRunCannotEndInTime)
+{
+    runOnce(3);
+    start(2, "once", 3);
+    home.receive(at(3), "h2", Peer::Queued {lastAsk().id});
+    limit(3.1, 7);
+    home.tick(at(3.9));
+    CHECK_EQUAL(0U, actions<Fail>().size());
+    home.tick(at(4.1));
+    const std::vector<Fail> failed = actions<Fail>();
+    CHECK_EQUAL(1U, failed.size());
+    CHECK_TRUE(failed.front().outcome == Outcome::NotRun);
+    CHECK_TRUE(Base::errorKind(failed.front().error) == Base::ErrorKind::Stopping);
+}
+
+// Guards against the same for a grant that comes before the host has looked at what waits.
+TEST(HomeStops, aGrantThatComesTooLateStartsNoRun)
+{
+    runOnce(3);
+    start(2, "once", 3);
+    const Peer::Ask ask = lastAsk();
+    limit(3.1, 7);
+    grant(ask, 4.1, 6);
+    std::size_t started = 0;
+    std::size_t released = 0;
+    for (const Action &action : home.takeActions()) {
+        const auto *sent = std::get_if<SendToMember>(&action);
+        started += std::holds_alternative<StartRun>(action) ? 1 : 0;
+        released += sent != nullptr && std::holds_alternative<Peer::Release>(sent->message) ? 1 : 0;
+    }
+    CHECK_EQUAL(0U, started);
+    CHECK_EQUAL(1U, released);
+}
+
+// Guards against refusals of requests whose runs would have ended in time, and against cuts of runs in progress.
+TEST(HomeStops, whatCanEndInTimeStillRuns)
+{
+    runOnce(1);
+    start(2, "once", 1);
+    const Peer::Ask ask = lastAsk();
+    limit(1.1, 7);
+    grant(ask, 5.5, 7);
+    CHECK_EQUAL(1U, actions<StartRun>().size());
+    home.tick(at(5.9));
+    CHECK_EQUAL(0U, actions<Fail>().size());
+}
+
+// Guards against a host that has learned nothing of a class and starts runs that may take longer than it has.
+TEST(HomeStops, aRunOfUnknownLengthMayTakeAllTheTimeOfItsRequest)
+{
+    start(1, "once", 0); // its deadline is 5 s
+    start(2, "alert", 0); // its deadline is 20 s
+    home.takeActions();
+    limit(0.1, 7);
+    const std::vector<Fail> failed = actions<Fail>();
+    CHECK_EQUAL(1U, failed.size());
+    CHECK_EQUAL(2U, failed.front().request);
+}
