--- a/Tests/Configuration/identitiestest.cpp
+++ b/Tests/Configuration/identitiestest.cpp
@@ -171,9 +171,11 @@
 // Guards against names that meet again in the numbers that they get instead.
 TEST(Identities, separatedNumbersAreDistinct)
 {
+    constexpr std::uint32_t count = 1000;
     std::vector<NumberedName> names;
-    for (int index = 0; index < 1000; ++index) {
-        names.push_back({std::to_string(index), static_cast<std::uint32_t>(1 + index % 3)});
+    names.reserve(count + 1);
+    for (std::uint32_t index = 0; index < count; ++index) {
+        names.push_back({std::to_string(index), 1 + index % 3});
     }
     names.push_back({"other", nameNumber("0", 1)}); // what the first would get
     CHECK_EQUAL(3U, separate(names).size());
