Configuration: The few software versions of many endpoints are found without a set

A catalogue of 10,000 endpoints was put into a set of texts at each change, to find three versions. A list of those found so far does the same.

--- a/Source/Configuration/identities.cpp
+++ b/Source/Configuration/identities.cpp
@@ -113,11 +113,22 @@
     std::ranges::for_each(things, [](Thing &thing) { thing.number = nameNumber(identityOf(thing)); });
 }
 
+/// Returns the software versions of the endpoints. Thousands of endpoints have few.
+std::vector<std::string_view> versionsOf(const std::vector<Endpoint> &endpoints)
+{
+    std::vector<std::string_view> versions;
+    for (const Endpoint &endpoint : endpoints) {
+        if (std::ranges::find(versions, endpoint.softwareVersion) == versions.end()) {
+            versions.emplace_back(endpoint.softwareVersion);
+        }
+    }
+    return versions;
+}
+
 /// Separates the software versions of the endpoints, which have no objects of their own.
 void separateVersions(CatalogueParts &parts)
 {
-    std::set<std::string_view> versions;
-    std::ranges::transform(parts.endpoints, std::inserter(versions, versions.end()), &Endpoint::softwareVersion);
+    const std::vector<std::string_view> versions = versionsOf(parts.endpoints);
     std::vector<NumberedName> names;
     std::ranges::transform(versions, std::back_inserter(names), [](std::string_view version) {
         return NumberedName {std::string(version), softwareVersionNumber(version)};
