--- a/Source/Request/runlengths.cpp
+++ b/Source/Request/runlengths.cpp
@@ -4,6 +4,7 @@
 #include "Request/runlengths.h"
 
 #include <algorithm>
+#include <iterator>
 #include <vector>
 
 namespace Yokepond::Request {
@@ -17,27 +18,30 @@
 
 std::optional<Base::Duration> RunLengths::usual(const std::string &name) const
 {
-    const auto entry = m_classes.find(name);
-    if (entry == m_classes.end()) {
+    const std::span<const Base::Duration> runs = latest(name);
+    if (runs.empty()) {
         return std::nullopt;
     }
-    const Lengths &lengths = entry->second;
-    const auto count = static_cast<std::ptrdiff_t>(std::min(lengths.added, keptRuns));
-    std::vector<Base::Duration> sorted(lengths.latest.begin(), lengths.latest.begin() + count);
-    const auto middle = sorted.begin() + (count - 1) / 2;
+    std::vector<Base::Duration> sorted(runs.begin(), runs.end());
+    const auto middle = sorted.begin() + (std::ssize(sorted) - 1) / 2;
     std::ranges::nth_element(sorted, middle);
     return *middle;
 }
 
 std::optional<Base::Duration> RunLengths::longest(const std::string &name) const
+{
+    const std::span<const Base::Duration> runs = latest(name);
+    return runs.empty() ? std::nullopt : std::optional(std::ranges::max(runs));
+}
+
+std::span<const Base::Duration> RunLengths::latest(const std::string &name) const
 {
     const auto entry = m_classes.find(name);
     if (entry == m_classes.end()) {
-        return std::nullopt;
+        return {};
     }
     const Lengths &lengths = entry->second;
-    const auto count = static_cast<std::ptrdiff_t>(std::min(lengths.added, keptRuns));
-    return *std::max_element(lengths.latest.begin(), lengths.latest.begin() + count);
+    return std::span(lengths.latest).first(std::min(lengths.added, keptRuns));
 }
 
 } // namespace Yokepond::Request
--- a/Source/Request/runlengths.h
+++ b/Source/Request/runlengths.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 
 namespace Yokepond::Request {
@@ -38,6 +39,9 @@
         std::size_t added = 0; ///< number of all runs; the next one replaces the oldest of the latest
     };
 
+    /// Returns the lengths of the latest runs of the class; empty if there was none.
+    std::span<const Base::Duration> latest(const std::string &name) const;
+
     std::map<std::string, Lengths> m_classes;
 };
 
