Http: The count of bytes read keeps its own result

A transfer had a flag beside FramingCheck, whose query also counted reads. A command compares, a query tells; one state instead of two.

--- a/Source/Http/client.cpp
+++ b/Source/Http/client.cpp
@@ -53,7 +53,6 @@
     std::size_t headBytes = 0; ///< of all heads and trailers received
     ResponseHeadCheck headCheck;
     FramingCheck framing;
-    bool framingExceeded = false;
     bool headersReported = false;
     bool cancelled = false;
     std::unique_ptr<curl_slist, HeaderListDeleter> headerList;
@@ -79,7 +78,7 @@
 /// Returns what was malformed in the response of a transfer that ended with @p code.
 ResponseFault faultOf(const ActiveTransfer &running, CURLcode code)
 {
-    if (running.framingExceeded) {
+    if (running.framing.isExceeded()) {
         return ResponseFault::Framing;
     }
     const bool refusedByLibrary = code == CURLE_WEIRD_SERVER_REPLY || code == CURLE_UNSUPPORTED_PROTOCOL;
@@ -87,20 +86,15 @@
     return fault == ResponseFault::None && refusedByLibrary ? ResponseFault::Other : fault;
 }
 
-std::string_view withoutLineBreak(std::string_view line)
-{
-    Base::consumeSuffix(line, "\n");
-    Base::consumeSuffix(line, "\r");
-    return line;
-}
-
 /// libcurl passes the lines of trailers as well.
 std::size_t onHeaderLine(char *data, std::size_t, std::size_t size, void *user)
 {
     auto &running = *static_cast<ActiveTransfer *>(user);
     running.headBytes += size;
     running.framing.addUseful(size);
-    const std::string_view line = withoutLineBreak({data, size});
+    std::string_view line(data, size);
+    Base::consumeSuffix(line, "\n");
+    Base::consumeSuffix(line, "\r");
     if (headTooLarge(running) || running.headCheck.line(line) != ResponseFault::None) {
         return 0; // makes libcurl close the connection
     }
@@ -154,8 +148,8 @@
     constexpr int goOn = 0;
     constexpr int closeConnection = 1;
     auto &running = *static_cast<ActiveTransfer *>(user);
-    running.framingExceeded = running.framingExceeded || running.framing.isExceeded();
-    return running.framingExceeded ? closeConnection : goOn;
+    running.framing.update();
+    return running.framing.isExceeded() ? closeConnection : goOn;
 }
 
 TransferFailure failureOf(CURLcode code)
--- a/Source/Http/receivedbytes.cpp
+++ b/Source/Http/receivedbytes.cpp
@@ -14,12 +14,13 @@
 
 namespace {
 
-/// Framing that a response may have beyond its body: of a few chunks, with what the HTTP library has read and not yet decoded.
+/// Bytes that any response may have beyond its head and body: the framing of a few chunks, and what libcurl has read and not yet
+/// decoded.
 constexpr std::uint64_t allowedBytes = 64U << 10U;
-/// Framing of a body in chunks of one byte: a size, two line breaks and the byte. Short extensions double it.
+/// Twice what a body in chunks of one byte takes: a digit, two line breaks and the byte itself for each of them.
 constexpr std::uint64_t allowedPerUsefulByte = 12;
-/// Reads between two questions to the system. A read takes at most a few kilobytes.
-constexpr std::uint32_t callsPerQuestion = 16;
+/// Number of reads for each system call that asks for the count. A read takes at most a few kilobytes.
+constexpr std::uint32_t readsPerCount = 16;
 
 } // namespace
 
@@ -50,14 +51,19 @@
     m_useful += bytes;
 }
 
-bool FramingCheck::isExceeded()
+void FramingCheck::update()
 {
-    ++m_calls;
-    if (m_socket < 0 || m_calls % callsPerQuestion != 0) {
-        return false;
+    ++m_reads;
+    if (m_socket < 0 || m_reads % readsPerCount != 0) {
+        return;
     }
     const std::optional<std::uint64_t> read = bytesRead(m_socket);
-    return read && *read > allowedBytes + allowedPerUsefulByte * m_useful;
+    m_exceeded = m_exceeded || (read && *read > allowedBytes + allowedPerUsefulByte * m_useful);
+}
+
+bool FramingCheck::isExceeded() const
+{
+    return m_exceeded;
 }
 
 } // namespace Yokepond::Http
--- a/Source/Http/receivedbytes.h
+++ b/Source/Http/receivedbytes.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -25,14 +26,17 @@
     /// Adds bytes of heads, trailers or the body.
     void addUseful(std::size_t bytes);
 
-    /// Returns whether far more was read than the response holds. It asks the system only now and then; to be called after each
-    /// read.
-    bool isExceeded();
+    /// Compares again, at some of the calls; to be called after each read.
+    void update();
+
+    /// Returns whether far more had been read than the response holds at any of the comparisons.
+    bool isExceeded() const;
 
 private:
     int m_socket = -1;
     std::uint64_t m_useful = 0;
-    std::uint32_t m_calls = 0;
+    std::uint32_t m_reads = 0;
+    bool m_exceeded = false;
 };
 
 } // namespace Yokepond::Http
