--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -578,7 +578,7 @@
     if (m_settings.stopLimit > Base::Duration::zero()) {
         const Base::Instant end = m_stopBegan + m_settings.stopLimit - responseFlushTime;
         m_frontend->limitAdmission(m_stopBegan + m_settings.balancerLag, end);
-        m_home.limitRuns(m_stopBegan, end, makeError(Base::ErrorKind::Stopping, "this host is stopping; retry at another host"));
+        m_home.limitRuns(m_stopBegan, end, stoppingError());
     }
     Base::log(Base::LogLevel::Info, Base::LogEvent::StopRequested, {{"open", m_frontend->open()}});
     m_fleet->leave();
@@ -604,7 +604,7 @@
     }
     const bool limited = m_settings.stopLimit > Base::Duration::zero();
     if (limited && now - m_stopBegan >= m_settings.stopLimit - responseFlushTime) {
-        m_home.failWaiting(now, makeError(Base::ErrorKind::Stopping, "this host is stopping; retry at another host"));
+        m_home.failWaiting(now, stoppingError());
         executePendingActions();
     }
     if (limited && now - m_stopBegan >= m_settings.stopLimit) {
--- a/Source/Node/errorresponse.cpp
+++ b/Source/Node/errorresponse.cpp
@@ -10,6 +10,11 @@
 
 namespace Yokepond::Node {
 
+absl::Status stoppingError()
+{
+    return makeError(Base::ErrorKind::Stopping, "this host is stopping; retry at another host");
+}
+
 std::string errorBody(const absl::Status &error, Request::Outcome outcome)
 {
     const Base::ErrorKind kind = Base::errorKind(error);
--- a/Source/Node/errorresponse.h
+++ b/Source/Node/errorresponse.h
@@ -14,6 +14,9 @@
 
 namespace Yokepond::Node {
 
+/// Returns the error for a request that a host refuses because it stops.
+absl::Status stoppingError();
+
 /// Returns the body of an error response: `{"error":{"type","code","message","outcome"}}`.
 std::string errorBody(const absl::Status &error, Request::Outcome outcome);
 
--- a/Source/Node/frontend.cpp
+++ b/Source/Node/frontend.cpp
@@ -120,8 +120,7 @@
     const bool limited = call.timeLeft > Base::Duration::zero();
     admitted.deadline = admitted.arrived + (limited ? std::min(call.timeLeft, requestClass.deadline) : requestClass.deadline);
     if (!mayBeAdmitted(admitted)) {
-        refuse(call.id, makeError(ErrorKind::Stopping, "this host is stopping; retry at another host"), Outcome::NotRun,
-               stoppingRetryAfter);
+        refuse(call.id, stoppingError(), Outcome::NotRun, stoppingRetryAfter);
         return;
     }
     startRequest(call, std::move(admitted));
