--- a/Tests/Request/hometest.cpp
+++ b/Tests/Request/hometest.cpp
@@ -84,6 +84,30 @@
         home.runEnded(at(now), {.id = ask.id, .stage = stage});
     }
 
+    /// Completes a run of class `once` that takes @p seconds, beginning at 0.
+    void runOnce(double seconds)
+    {
+        start(1, "once");
+        grant(lastAsk(), 0, 2);
+        home.runEnded(at(seconds), {.id = {1, 1}, .stage = RunStage::ResponseComplete});
+        home.takeActions();
+    }
+
+    void limitRuns(double now, double end)
+    {
+        home.limitRuns(at(now), at(end), Base::makeError(Base::ErrorKind::Stopping, "the host is stopping"));
+    }
+
+    /// Starts request 2 of class `once`, whose runs take 3 s, at 3 s, and limits runs to 7 s at 3.1 s. Returns its ask.
+    Peer::Ask waitingAtAStop()
+    {
+        runOnce(3);
+        start(2, "once", 3);
+        Peer::Ask ask = lastAsk();
+        limitRuns(3.1, 7);
+        return ask;
+    }
+
     /// Starts request 1, grants its first run and ends that with @p stage; the results are in the actions. Returns the ask.
     Peer::Ask firstRunEnds(std::string_view name, RunStage stage)
     {
@@ -770,27 +794,10 @@
     CHECK_TRUE(lastAsk().id.request == 2);
 }
 
-/// Completes a run of class `once` that takes @p seconds, beginning at 0.
-TEST_GROUP_BASE(HomeStops, TEST_GROUP_CppUTestGroupHome) {void runOnce(double seconds) {start(1, "once");
-grant(lastAsk(), 0, 2);
-home.runEnded(at(seconds), {.id = {1, 1}, .stage = RunStage::ResponseComplete});
-home.takeActions();
-}
-
-void limit(double now, double end)
-{
-    home.limitRuns(at(now), at(end), Base::makeError(Base::ErrorKind::Stopping, "the host is stopping"));
-}
-}
-;
-
 // Guards against requests that wait while their host stops, are passed on late, and are cut at the end of the stop.
-TEST(HomeStops, whatWaitsIsRefusedOnceItsRunCannotEndInTime)
+TEST(Home, whatWaitsIsRefusedOnceItsRunCannotEndInTime)
 {
-    runOnce(3);
-    start(2, "once", 3);
-    home.receive(at(3), "h2", Peer::Queued {lastAsk().id});
-    limit(3.1, 7);
+    home.receive(at(3.1), "h2", Peer::Queued {waitingAtAStop().id});
     home.tick(at(3.9));
     CHECK_EQUAL(0U, actions<Fail>().size());
     home.tick(at(4.1));
@@ -801,13 +808,9 @@
 }
 
 // Guards against the same for a grant that comes before the host has looked at what waits.
-TEST(HomeStops, aGrantThatComesTooLateStartsNoRun)
+TEST(Home, aGrantThatComesTooLateStartsNoRun)
 {
-    runOnce(3);
-    start(2, "once", 3);
-    const Peer::Ask ask = lastAsk();
-    limit(3.1, 7);
-    grant(ask, 4.1, 6);
+    grant(waitingAtAStop(), 4.1, 6);
     std::size_t started = 0;
     std::size_t released = 0;
     for (const Action &action : home.takeActions()) {
@@ -820,12 +823,12 @@
 }
 
 // Guards against refusals of requests whose runs would have ended in time, and against cuts of runs in progress.
-TEST(HomeStops, whatCanEndInTimeStillRuns)
+TEST(Home, whatCanEndInTimeStillRuns)
 {
     runOnce(1);
     start(2, "once", 1);
     const Peer::Ask ask = lastAsk();
-    limit(1.1, 7);
+    limitRuns(1.1, 7);
     grant(ask, 5.5, 7);
     CHECK_EQUAL(1U, actions<StartRun>().size());
     home.tick(at(5.9));
@@ -833,12 +836,12 @@
 }
 
 // Guards against a host that has learned nothing of a class and starts runs that may take longer than it has.
-TEST(HomeStops, aRunOfUnknownLengthMayTakeAllTheTimeOfItsRequest)
+TEST(Home, aRunOfUnknownLengthMayTakeAllTheTimeOfItsRequest)
 {
     start(1, "once", 0); // its deadline is 5 s
     start(2, "alert", 0); // its deadline is 20 s
     home.takeActions();
-    limit(0.1, 7);
+    limitRuns(0.1, 7);
     const std::vector<Fail> failed = actions<Fail>();
     CHECK_EQUAL(1U, failed.size());
     CHECK_EQUAL(2U, failed.front().request);
