Node: Logs tell which records a host holds, and for how long others have held other ones

What callers saw: a request at an endpoint that had left (DRAIN). From the logs it cannot be told whether the host held the newest version of the endpoints and other endpoints than the others, or was late, or whether nobody had read the change: they tell a version, and only of the configuration, and only where a request is refused.

A hash is kept up to date with each change; a heartbeat costs nothing more.

--- a/Source/Base/log.cpp
+++ b/Source/Base/log.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr NameTable<LogEvent, 65> eventNames = {{
+constexpr NameTable<LogEvent, 67> eventNames = {{
     {LogEvent::Started, "started"},
     {LogEvent::Listening, "listening"},
     {LogEvent::StopRequested, "stop-requested"},
@@ -60,6 +60,8 @@
     {LogEvent::ConfigurationIgnored, "configuration-ignored"},
     {LogEvent::RecordRejected, "record-rejected"},
     {LogEvent::NamesCollide, "names-collide"},
+    {LogEvent::RecordsDiffer, "records-differ"},
+    {LogEvent::RecordsAgree, "records-agree"},
     {LogEvent::RunOutsidePool, "run-outside-pool"},
     {LogEvent::ChangesSent, "changes-sent"},
     {LogEvent::ChangesReceived, "changes-received"},
--- a/Source/Base/log.h
+++ b/Source/Base/log.h
@@ -66,6 +66,8 @@
     ConfigurationIgnored,
     RecordRejected,
     NamesCollide,
+    RecordsDiffer,
+    RecordsAgree,
     RunOutsidePool,
     ChangesSent,
     ChangesReceived,
--- a/Source/Configuration/siterecords.cpp
+++ b/Source/Configuration/siterecords.cpp
@@ -97,6 +97,16 @@
     return RecordRevisions {*configuration, *endpoints};
 }
 
+/// Returns a hash of the state of @p record; 0 if it is not present.
+std::uint64_t hashOfState(const Record &record)
+{
+    if (record.removed || record.version == 0) {
+        return 0;
+    }
+    const std::uint64_t name = Base::hash64(record.key, static_cast<std::uint64_t>(record.kind));
+    return Base::combineHashes(name, Base::hash64(record.value, static_cast<std::uint64_t>(record.fault)));
+}
+
 } // namespace
 
 std::string faultReason(const Record &record)
@@ -158,6 +168,9 @@
                                : (stored.record.removed != record.removed || stored.record.value != record.value
                                   || stored.record.fault != record.fault || coldAgain);
     const Base::Instant coldUntil = coldAgain ? record.coldUntil : std::min(record.coldUntil, stored.record.coldUntil);
+    if (changed) {
+        updateHashes(stored.record, record);
+    }
     std::string detail = std::move(stored.record.detail);
     if (changed) {
         detail = record.detail;
@@ -174,6 +187,12 @@
     return changed;
 }
 
+void SiteRecords::updateHashes(const Record &before, const Record &after)
+{
+    std::uint64_t &hash = after.kind == RecordKind::Endpoint ? m_hashes.endpoints : m_hashes.configuration;
+    hash ^= hashOfState(before) ^ hashOfState(after);
+}
+
 bool SiteRecords::merge(const RecordChanges &changes)
 {
     if (!revisions().covers(changes.since)) {
@@ -212,6 +231,11 @@
     return static_cast<std::uint32_t>(Base::combineHashes(complete.configuration, complete.endpoints));
 }
 
+const RecordHashes &SiteRecords::hashes() const
+{
+    return m_hashes;
+}
+
 std::vector<const Record *> SiteRecords::present(RecordKind kind) const
 {
     std::vector<const Record *> found;
--- a/Source/Configuration/siterecords.h
+++ b/Source/Configuration/siterecords.h
@@ -88,6 +88,15 @@
     bool covers(const RecordRevisions &other) const;
 };
 
+/// Hashes of the records of a copy, by the revision that the records count towards.
+struct RecordHashes
+{
+    std::uint64_t configuration = 0;
+    std::uint64_t endpoints = 0;
+
+    bool operator==(const RecordHashes &) const = default;
+};
+
 /// The changes between two revisions of a copy, to be sent to another host.
 struct RecordChanges
 {
@@ -133,6 +142,10 @@
     /// every probe carries it.
     std::uint64_t digest() const;
 
+    /// Returns hashes of the states of the present records. They are equal for copies that hold the same records, whatever these
+    /// were told before; heartbeats and cold periods do not count.
+    const RecordHashes &hashes() const;
+
     /// Returns the records of @p kind that are not removed, sorted by key.
     std::vector<const Record *> present(RecordKind kind) const;
 
@@ -167,6 +180,7 @@
     using Key = std::pair<RecordKind, std::string>;
 
     bool apply(const Record &record);
+    void updateHashes(const Record &before, const Record &after);
     /// Returns the present state of the configuration record, or null if there is none.
     const Entry *currentConfiguration() const;
     void keepPrevious(Entry stored);
@@ -175,6 +189,7 @@
     std::deque<Entry> m_previous; ///< configurations that were replaced, latest first
     std::map<Key, std::uint64_t> m_unconfirmed; ///< versions of records that are not confirmed yet
     RecordRevisions m_revisions; ///< does not take unconfirmed records into account
+    RecordHashes m_hashes;
 };
 
 /// Returns @p changes as JSON text for peers. Cold periods are sent as the time that remains of them at @p now.
--- a/Source/Node/daemon.cpp
+++ b/Source/Node/daemon.cpp
@@ -650,6 +650,7 @@
 void Daemon::updateRecordMetrics()
 {
     m_metrics.set("yokepond_name_collisions", "", static_cast<double>(m_fleet->nameCollisions()));
+    m_metrics.set("yokepond_records_differ_seconds", "", Base::seconds(m_fleet->recordsDifferFor(Base::now())));
     m_metrics.set("yokepond_runs_outside_pool_total", "", static_cast<double>(m_frontend->runsOutsidePool()));
     const UnusableRecords &unusable = m_fleet->unusableRecords();
     for (const auto &[kind, name] : Configuration::recordKindNames) {
@@ -806,6 +807,9 @@
             {"follows-store", followReason ? Base::nameOf(followReasonNames, *followReason) : "no"},
             {"configuration-version", m_fleet->activeConfiguration().version},
             {"configuration-from", m_fleet->activeConfiguration().from},
+            {"endpoints-version", m_fleet->recordRevisions().endpoints},
+            {"configuration-hash", Base::hexadecimal(m_fleet->recordHashes().configuration)},
+            {"endpoints-hash", Base::hexadecimal(m_fleet->recordHashes().endpoints)},
             {"members", rows(Language::Subject::Hosts)},
             {"shards", rows(Language::Subject::Dispatchers)},
             {"duties", rows(Language::Subject::Duties)},
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -4,6 +4,7 @@
 #include "Node/fleet.h"
 
 #include "Base/error.h"
+#include "Base/hash.h"
 #include "Base/invariant.h"
 #include "Base/log.h"
 #include "Base/text.h"
@@ -204,6 +205,9 @@
 
 void Fleet::pullIfBehind(Base::Instant now, const std::string &from, std::uint64_t revision)
 {
+    if (usesRecords()) {
+        m_agreement.receiveDigest(now, from, revision, m_records.digest());
+    }
     const std::string address = addressOf(from);
     const Pull pull = address.empty()
         ? Pull::None
@@ -556,6 +560,8 @@
                {"configuration-version", m_activeConfiguration.version},
                {"configuration-from", m_activeConfiguration.from},
                {"endpoints-version", m_records.revisions().endpoints},
+               {"configuration-hash", Base::hexadecimal(m_records.hashes().configuration)},
+               {"endpoints-hash", Base::hexadecimal(m_records.hashes().endpoints)},
                {"evacuated", m_recordCatalogue->evacuatedDataCentres()},
                {"routes", m_recordCatalogue->routes().size()},
                {"organisations-by-rank", organisationsByRank(*m_recordCatalogue)},
@@ -639,6 +645,21 @@
     return m_replica;
 }
 
+Configuration::RecordRevisions Fleet::recordRevisions() const
+{
+    return m_records.revisions();
+}
+
+const Configuration::RecordHashes &Fleet::recordHashes() const
+{
+    return m_records.hashes();
+}
+
+Base::Duration Fleet::recordsDifferFor(Base::Instant now) const
+{
+    return m_agreement.differsFor(now);
+}
+
 const ActiveConfiguration &Fleet::activeConfiguration() const
 {
     return m_activeConfiguration;
--- a/Source/Node/fleet.h
+++ b/Source/Node/fleet.h
@@ -16,6 +16,7 @@
 #include "Membership/swim.h"
 #include "Node/collisionlog.h"
 #include "Node/pullscheduler.h"
+#include "Node/recordagreement.h"
 #include "Node/settings.h"
 #include "Node/unusablerecords.h"
 #include "Platform/etcdtable.h"
@@ -132,6 +133,16 @@
     std::shared_ptr<const Dispatch::ShardMap> shards() const;
     const Configuration::Replica &replica() const;
 
+    /// Returns the revisions of this host's copy of the records; only with PlatformForm::Records.
+    Configuration::RecordRevisions recordRevisions() const;
+
+    /// Returns hashes of this host's copy of the records, equal at hosts that hold the same.
+    const Configuration::RecordHashes &recordHashes() const;
+
+    /// Returns for how long no other host has had the same records as this host, as far as it has heard of others; only with
+    /// PlatformForm::Records.
+    Base::Duration recordsDifferFor(Base::Instant now) const;
+
     /// Returns the version and the source of the applied configuration; only with PlatformForm::Records.
     const ActiveConfiguration &activeConfiguration() const;
 
@@ -219,6 +230,7 @@
     std::shared_ptr<const Dispatch::ShardMap> m_shards;
     std::shared_ptr<const Configuration::Catalogue> m_shardCatalogue; ///< the configuration that m_shards was made for
     PullScheduler m_pullScheduler;
+    RecordAgreement m_agreement;
     std::map<std::string, KnownState> m_knownStates; ///< the states of the members at the last rebuild()
     Base::Instant m_nextRebuild {};
     std::uint64_t m_lastGeneration = 0;
--- a/Source/Node/frontend.cpp
+++ b/Source/Node/frontend.cpp
@@ -703,6 +703,19 @@
     respond(call, errorResponseFor(error, outcome, call, retryAfter));
 }
 
+/// Adds to the fields of a request's line which endpoints this host knows, and for how long other hosts have known of others.
+void Frontend::addRecordFields(nlohmann::json &fields) const
+{
+    if (m_settings.platformForm != PlatformForm::Records) {
+        return;
+    }
+    fields["endpoints-version"] = m_fleet.recordRevisions().endpoints;
+    const Base::Duration differs = m_fleet.recordsDifferFor(Base::now());
+    if (differs > Base::Duration::zero()) {
+        fields["records-differ-ms"] = Base::milliseconds(differs);
+    }
+}
+
 /// Logs the end of a request that was refused before it was passed to the home.
 void Frontend::logRefusal(std::uint64_t call, const absl::Status &error, Outcome outcome,
                           const std::string &callerRequestId) const
@@ -715,6 +728,7 @@
     if (!callerRequestId.empty()) {
         fields["caller"] = callerRequestId;
     }
+    addRecordFields(fields);
     const ErrorKind kind = Base::errorKind(error);
     const bool mayComeFromConfiguration = kind == ErrorKind::NotFound || kind == ErrorKind::Unauthenticated;
     if (mayComeFromConfiguration && m_settings.platformForm == PlatformForm::Records) {
@@ -744,6 +758,7 @@
                              {"first-ms", Base::milliseconds(run.firstToken)},
                              {"events", run.tokens},
                              {"revision", m_fleet.revision()}};
+    addRecordFields(fields);
     if (!admitted.callerRequestId.empty()) {
         fields["caller"] = admitted.callerRequestId;
     }
--- a/Source/Node/frontend.h
+++ b/Source/Node/frontend.h
@@ -148,6 +148,7 @@
     void logRequestEnd(const AdmittedRequest &admitted, Request::Outcome outcome, const absl::Status &error,
                        std::optional<Peer::RefusalReason> refusal = {}) const;
     nlohmann::json traceSteps(const AdmittedRequest &admitted) const;
+    void addRecordFields(nlohmann::json &fields) const;
     void logRefusal(std::uint64_t call, const absl::Status &error, Request::Outcome outcome,
                     const std::string &callerRequestId) const;
     Http::Response errorResponseFor(const absl::Status &error, Request::Outcome outcome, std::uint64_t call,
--- a/Tests/Configuration/siterecordstest.cpp
+++ b/Tests/Configuration/siterecordstest.cpp
@@ -59,6 +59,23 @@
     CHECK_TRUE(later.revisions() == records.revisions());
 }
 
+TEST(SiteRecords, theHashesTellWhatACopyHolds)
+{
+    SiteRecords other;
+    set("e1", 5, "value");
+    set("e2", 6, "value");
+    remove("e2", 7);
+    other.merge({RecordKind::Endpoint, "e1", 9, false, "value"});
+    CHECK_TRUE(records.hashes() == other.hashes());
+    other.merge({RecordKind::Endpoint, "e1", 10, false, "another"});
+    CHECK_FALSE(records.hashes() == other.hashes());
+    CHECK_EQUAL(0U, records.hashes().configuration);
+    records.merge({RecordKind::Evacuation, "east", 11, false, "{}"});
+    CHECK_TRUE(records.hashes().configuration != 0);
+    records.merge({RecordKind::Evacuation, "east", 12, true, ""});
+    CHECK_EQUAL(0U, records.hashes().configuration);
+}
+
 TEST(SiteRecords, changesSinceReturnsWhatChangedAfterARevision)
 {
     set("e1", 5, "value");
