--- a/Tests/Node/linkedfleet.h
+++ b/Tests/Node/linkedfleet.h
@@ -148,6 +148,19 @@
         return m_hosts[index]->appliedRevisions;
     }
 
+    /// Returns the hosts whose copies hold other records than the store.
+    std::set<std::size_t> hostsThatDifferFromTheStore() const
+    {
+        std::set<std::size_t> found;
+        const Configuration::RecordHashes stored = m_store.hashes();
+        for (std::size_t index = 0; index < m_hosts.size(); ++index) {
+            if (!(m_hosts[index]->fleet->recordHashes() == stored)) {
+                found.insert(index);
+            }
+        }
+        return found;
+    }
+
     /// Returns the number of hosts that have applied @p version of the records of @p kind.
     std::size_t hostsWith(Configuration::RecordKind kind, std::uint64_t version) const
     {
--- a/Tests/Node/simulatedstore.h
+++ b/Tests/Node/simulatedstore.h
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <list>
 #include <map>
+#include <ranges>
 #include <utility>
 #include <vector>
 
@@ -38,12 +39,31 @@
         m_records[{record.kind, record.key}] = record;
         m_records[{record.kind, record.key}].version = m_version;
         for (Call &call : m_calls) {
-            if (call.kind == record.kind && !call.unanswered) {
+            const bool ofEndpoints = record.kind == Configuration::RecordKind::Endpoint;
+            if ((call.kind == Configuration::RecordKind::Endpoint) == ofEndpoints && !call.unanswered) {
                 call.due = std::min(call.due, now + networkDelay + m_extraDelay);
             }
         }
     }
 
+    /// Removes the record of @p kind called @p key, if there is one.
+    void remove(Base::Instant now, Configuration::RecordKind kind, const std::string &key)
+    {
+        if (m_records.contains({kind, key})) {
+            put(now, {kind, key, 0, true, ""});
+        }
+    }
+
+    /// Returns what a copy holds that has all present records.
+    Configuration::RecordHashes hashes() const
+    {
+        Configuration::SiteRecords copy;
+        for (const Configuration::Record &record : m_records | std::views::values) {
+            copy.merge(record);
+        }
+        return copy.hashes();
+    }
+
     /// Delays all further responses by @p extraDelay.
     void setSlow(Base::Duration extraDelay)
     {
@@ -134,7 +154,11 @@
     {
         std::vector<Configuration::Record> found;
         for (const auto &[key, record] : m_records) {
-            if (key.first == kind && record.version > since) {
+            // The calls for the configuration return the evacuations, too.
+            const bool counts
+                = (key.first == Configuration::RecordKind::Endpoint) == (kind == Configuration::RecordKind::Endpoint);
+            const bool listed = since > 0 || !record.removed; // a full read lists no removals
+            if (counts && listed && record.version > since) {
                 found.push_back(record);
             }
         }
