Configuration: A copy passes on the removals of records that it never had

Cause: a copy of the records tells others what changed since their version by the version at which each state changed. The removal of a record that was new to the copy, as a host has it that starts and is told all by another, did not count as a change and kept version 0, so that it was left out for ever; the one who asked took the newest version all the same and kept the endpoint, and passed the gap on.

SiteRecords.theRemovalOfARecordThatWasNeverKnownIsToldOthers failed before (3 endpoints, 2 wanted).

The removal counts as a change at its version whether or not the record was known, so whoever asks from before it is told.

--- a/Source/Configuration/siterecords.cpp
+++ b/Source/Configuration/siterecords.cpp
@@ -164,9 +164,9 @@
     const bool isNew = stored.record.version == 0;
     Entry before = record.kind == RecordKind::Configuration ? stored : Entry {};
     const bool coldAgain = record.coldUntil > stored.record.coldUntil + coldPeriodTolerance;
-    const bool changed = isNew ? !record.removed
-                               : (stored.record.removed != record.removed || stored.record.value != record.value
-                                  || stored.record.fault != record.fault || coldAgain);
+    // The removal of a record that this copy never had is a change, too: a copy that has the record may ask this one.
+    const bool changed = isNew || stored.record.removed != record.removed || stored.record.value != record.value
+        || stored.record.fault != record.fault || coldAgain;
     const Base::Instant coldUntil = coldAgain ? record.coldUntil : std::min(record.coldUntil, stored.record.coldUntil);
     if (changed) {
         updateHashes(stored.record, record);
--- a/Tests/Configuration/siterecordstest.cpp
+++ b/Tests/Configuration/siterecordstest.cpp
@@ -108,6 +108,22 @@
     CHECK_TRUE(records.revision() > before);
 }
 
+// Guards against a removal that is never passed on, since this copy learned of it before it knew the record.
+TEST(SiteRecords, theRemovalOfARecordThatWasNeverKnownIsToldOthers)
+{
+    SiteRecords outdated;
+    outdated.merge({RecordKind::Endpoint, "e1", 5, false, "value"});
+    outdated.merge({RecordKind::Endpoint, "e2", 6, false, "value"});
+    SiteRecords teller;
+    teller.merge(outdated.changesSince({}));
+    teller.merge({RecordKind::Endpoint, "e1", 7, true, ""});
+    teller.merge({RecordKind::Endpoint, "e3", 8, false, "value"});
+    records.merge(teller.changesSince({}));
+    outdated.merge(records.changesSince(outdated.revisions()));
+    CHECK_EQUAL(2U, outdated.present(RecordKind::Endpoint).size());
+    CHECK_TRUE(outdated.hashes() == teller.hashes());
+}
+
 TEST(SiteRecords, changesThatWouldLeaveAGapAreIgnored)
 {
     SiteRecords other;
