--- a/Source/Configuration/changescodec.cpp
+++ b/Source/Configuration/changescodec.cpp
@@ -5,8 +5,10 @@
 
 #include "Base/compression.h"
 #include "Base/error.h"
+#include "Configuration/changestext.h"
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 namespace Yokepond::Configuration {
 
--- a/Source/Configuration/siterecords.h
+++ b/Source/Configuration/siterecords.h
@@ -10,9 +10,6 @@
 #include "Base/names.h"
 #include "Base/time.h"
 
-#include <absl/status/statusor.h>
-#include <nlohmann/json.hpp>
-
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -192,10 +189,4 @@
     RecordHashes m_hashes;
 };
 
-/// Returns @p changes as JSON text for peers. Cold periods are sent as the time that remains of them at @p now.
-std::string changesToText(const RecordChanges &changes, Base::Instant now);
-
-/// Parses the format that changesToText() returns, received at @p now. Fails with ErrorKind::InvalidValue.
-absl::StatusOr<RecordChanges> changesFromText(std::string_view text, Base::Instant now);
-
 } // namespace Yokepond::Configuration
--- a/Tests/Configuration/siterecordstest.cpp
+++ b/Tests/Configuration/siterecordstest.cpp
@@ -163,27 +163,6 @@
     CHECK_EQUAL(other.revision(), records.revision());
 }
 
-TEST(SiteRecords, theTextContainsAllChanges)
-{
-    set("e1", 5, "value");
-    remove("e1", 6);
-    set("e2", 7, "value");
-    const auto read = changesFromText(changesToText(records.changesSince({}), now), now);
-    CHECK_TRUE(read.ok());
-    CHECK_TRUE(read->records == records.all());
-    CHECK_TRUE(read->revisions == records.revisions());
-}
-
-TEST(SiteRecords, malformedTextIsAnError)
-{
-    for (const char *text :
-         {"", "[]", "{}", R"({"since":{},"revisions":{},"records":[]})",
-          R"({"since":{"configuration":0,"endpoints":0},"revisions":{"configuration":1,"endpoints":1},"records":[{}]})",
-          R"({"since":{"configuration":0,"endpoints":"0"},"revisions":{"configuration":1,"endpoints":1},"records":[]})"}) {
-        CHECK_FALSE(changesFromText(text, now).ok());
-    }
-}
-
 // Guards against heartbeats of an entry that cannot be read, each of which was sent on as a change.
 TEST(SiteRecords, heartbeatsOfAnUnusableRecordAreNoChanges)
 {
@@ -205,16 +184,6 @@
     CHECK_TRUE(records.present(RecordKind::Endpoint).empty());
 }
 
-TEST(SiteRecords, theTextTellsWhyARecordIsUnusable)
-{
-    records.merge({RecordKind::Endpoint, "e1", 6, false, "", {}, RecordFault::Removal});
-    const std::string text = changesToText(records.changesSince({}), now);
-    CHECK_TRUE(changesFromText(text, now)->records == records.all());
-    std::string unknown = text;
-    unknown.replace(unknown.find("removal-unreadable"), std::string("removal-unreadable").size(), "of-a-newer-host");
-    CHECK_TRUE(changesFromText(unknown, now)->records.front().fault == RecordFault::Value);
-}
-
 // Guards against an odd row that takes the place of the configuration in force, so that hosts that start later have none.
 TEST(SiteRecords, aConfigurationThatCannotBeUsedIsNotStored)
 {
@@ -261,14 +230,3 @@
     CHECK_TRUE(records.merge({RecordKind::Endpoint, "e1", 8, false, "value", end + std::chrono::seconds(9)}));
     CHECK_EQUAL(8U, records.revisions().endpoints);
 }
-
-// Guards against a remaining time that starts anew at each host that hears of it.
-TEST(SiteRecords, aColdPeriodIsSentAsItsRemainingTime)
-{
-    records.merge({RecordKind::Endpoint, "e1", 5, false, "value", now + std::chrono::seconds(3)});
-    const Base::Instant sent = now + std::chrono::seconds(2);
-    const auto changes = changesFromText(changesToText(records.changesSince({}), sent), sent);
-    CHECK_TRUE(changes->records.front().coldUntil == now + std::chrono::seconds(3));
-    const auto later = changesFromText(changesToText(records.changesSince({}), now + std::chrono::seconds(4)), now);
-    CHECK_TRUE(later->records.front().coldUntil == Base::Instant {});
-}
--- a/Tests/Fuzz/fuzzjson.cpp
+++ b/Tests/Fuzz/fuzzjson.cpp
@@ -8,6 +8,7 @@
 
 #include "Base/error.h"
 #include "Configuration/changescodec.h"
+#include "Configuration/changestext.h"
 #include "Configuration/store.h"
 #include "Platform/hostlist.h"
 #include "Relay/prompt.h"
