Configuration, Node: A copy tells what changed only since it knows what was removed

Cause: a host that starts reads the store's list, which has no removals, and then told others what changed since versions from before its own memory: nothing. They took its newest version and kept endpoints that had gone. The class: a copy claims to be complete from a version on that lies before all it knows.

Change: a copy keeps from which version on it knows all removals. Whoever asks from before that gets a list of all that is present, and takes what is not in it for removed; a host that has just started and has only the store's list, from which an outage may have taken endpoints that live, gives news: records, but no version to be at. What went before a copy began is not taken from others that still have it. Messages name their scope (changes, list, news); hosts of the build before read them as before, and from theirs the scope is worked out.

--- a/Source/Configuration/changescodec.cpp
+++ b/Source/Configuration/changescodec.cpp
@@ -5,6 +5,7 @@
 
 #include "Base/compression.h"
 #include "Base/error.h"
+#include "Base/hash.h"
 #include "Configuration/changestext.h"
 
 #include <fmt/format.h>
@@ -30,6 +31,15 @@
         : nlohmann::json(configuration->value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+/// Returns a hash of what the changes of @p kind in @p records depend on.
+std::uint64_t stateOf(const SiteRecords &records, RecordKind kind)
+{
+    const RecordHashes hashes = records.hashes();
+    const std::uint64_t hash = kind == RecordKind::Endpoint ? hashes.endpoints : hashes.configuration;
+    const std::uint64_t revision = records.revisions().forKind(kind);
+    return Base::combineHashes(Base::combineHashes(revision, hash), records.knowsRemovals(kind) ? 1 : 0);
+}
+
 absl::StatusOr<PackedChanges> packAgainst(const RecordChanges &changes, Base::Instant now, const Record *configuration,
                                           std::uint64_t base)
 {
@@ -49,9 +59,9 @@
 
 void ChangesCodec::Cache::prune(std::uint64_t current, Base::Instant now)
 {
-    if (revision != current || bySince.size() >= maxCached || now - begun >= maxCacheAge) {
+    if (state != current || bySince.size() >= maxCached || now - begun >= maxCacheAge) {
         bySince.clear();
-        revision = current;
+        state = current;
         begun = now;
     }
 }
@@ -59,7 +69,7 @@
 absl::StatusOr<PackedChanges> ChangesCodec::pack(const SiteRecords &records, const RecordRevisions &since, RecordKind kind)
 {
     Cache &cache = kind == RecordKind::Endpoint ? m_endpoints : m_configurations;
-    cache.prune(records.revisions().forKind(kind), m_clock());
+    cache.prune(stateOf(records, kind), m_clock());
     if (const auto cached = cache.bySince.find(since.forKind(kind)); cached != cache.bySince.end()) {
         return cached->second;
     }
--- a/Source/Configuration/changescodec.h
+++ b/Source/Configuration/changescodec.h
@@ -49,10 +49,10 @@
     struct Cache
     {
         std::map<std::uint64_t, PackedChanges> bySince;
-        std::uint64_t revision = 0; ///< revision that the cached changes lead to
+        std::uint64_t state = 0; ///< a hash of the copy that the cached changes were made of
         Base::Instant begun {}; ///< when the first of them was packed
 
-        /// Removes changes that lead to another revision than @p current, are too old, or too many.
+        /// Removes changes that were made of another copy than @p current, are too old, or too many.
         void prune(std::uint64_t current, Base::Instant now);
     };
 
--- a/Source/Configuration/changestext.cpp
+++ b/Source/Configuration/changestext.cpp
@@ -68,24 +68,52 @@
     return record;
 }
 
-nlohmann::json revisionsToJson(const RecordRevisions &revisions)
+/// Returns the number @p name of the object that @p json has as @p part, or nothing.
+std::optional<std::uint64_t> numberOf(const nlohmann::json &json, const char *part, const char *name)
 {
-    return {{"configuration", revisions.configuration}, {"endpoints", revisions.endpoints}};
+    const auto object = json.find(part);
+    if (object == json.end() || !object->is_object()) {
+        return std::nullopt;
+    }
+    const auto number = object->find(name);
+    return number != object->end() && number->is_number_unsigned() ? std::optional(number->get<std::uint64_t>()) : std::nullopt;
 }
 
-absl::StatusOr<RecordRevisions> revisionsFromJson(const nlohmann::json &json)
+/// Returns the scope that a host tells, or the one that hosts of earlier versions mean: their messages are of one kind each, and
+/// those of endpoints have a revision of the endpoints.
+ChangesScope scopeOf(const nlohmann::json &json, const char *name, const ChangesOfKind &changes, bool isOfKind)
 {
-    const auto number = [&](const char *name) -> std::optional<std::uint64_t> {
-        const auto field = json.is_object() ? json.find(name) : json.end();
-        return json.is_object() && field != json.end() && field->is_number_unsigned() ? std::optional(field->get<std::uint64_t>())
-                                                                                      : std::nullopt;
-    };
-    const auto configuration = number("configuration");
-    const auto endpoints = number("endpoints");
-    if (!configuration || !endpoints) {
+    const auto scopes = json.find("scope");
+    if (scopes != json.end() && scopes->is_object()) {
+        const auto scope = scopes->find(name);
+        const bool isText = scope != scopes->end() && scope->is_string();
+        // A scope that only newer hosts know promises nothing.
+        return isText ? Base::valueOf(changesScopeNames, scope->get<std::string>()).value_or(ChangesScope::News)
+                      : ChangesScope::None;
+    }
+    if (!isOfKind) {
+        return ChangesScope::None;
+    }
+    return changes.since == 0 ? ChangesScope::List : ChangesScope::Changes;
+}
+
+absl::StatusOr<ChangesOfKind> changesOfKindFromJson(const nlohmann::json &json, const char *name, bool isOfKind)
+{
+    const auto since = numberOf(json, "since", name);
+    const auto revision = numberOf(json, "revisions", name);
+    if (!since || !revision) {
         return malformed("a revision of the configuration or of the endpoints is missing");
     }
-    return RecordRevisions {*configuration, *endpoints};
+    ChangesOfKind changes {ChangesScope::None, *since, *revision, numberOf(json, "removals-from", name).value_or(*revision)};
+    changes.scope = scopeOf(json, name, changes, isOfKind);
+    return changes;
+}
+
+/// Returns an object with what the records that count towards each revision have of something.
+template<typename Value>
+nlohmann::json byKind(const Value &configuration, const Value &endpoints)
+{
+    return {{"configuration", configuration}, {"endpoints", endpoints}};
 }
 
 } // namespace
@@ -95,8 +123,14 @@
     nlohmann::json list = nlohmann::json::array();
     std::ranges::transform(changes.records, std::back_inserter(list),
                            [now](const Record &record) { return recordToJson(record, now); });
-    const nlohmann::json whole
-        = {{"since", revisionsToJson(changes.since)}, {"revisions", revisionsToJson(changes.revisions)}, {"records", list}};
+    const ChangesOfKind &configuration = changes.configuration;
+    const ChangesOfKind &endpoints = changes.endpoints;
+    const auto scopeName = [](const ChangesOfKind &ofKind) { return Base::nameOf(changesScopeNames, ofKind.scope); };
+    const nlohmann::json whole = {{"since", byKind(configuration.since, endpoints.since)},
+                                  {"revisions", byKind(configuration.revision, endpoints.revision)},
+                                  {"scope", byKind(scopeName(configuration), scopeName(endpoints))},
+                                  {"removals-from", byKind(configuration.removalsFrom, endpoints.removalsFrom)},
+                                  {"records", list}};
     return whole.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -108,12 +142,13 @@
     if (!complete || !whole["records"].is_array()) {
         return malformed("expected an object with a list `records` and the revisions `since` and `revisions`");
     }
-    const auto since = revisionsFromJson(whole["since"]);
-    const auto revisions = revisionsFromJson(whole["revisions"]);
-    if (!since.ok() || !revisions.ok()) {
-        return since.ok() ? revisions.status() : since.status();
+    const bool isOfEndpoints = numberOf(whole, "revisions", "endpoints").value_or(0) > 0;
+    const auto configuration = changesOfKindFromJson(whole, "configuration", !isOfEndpoints);
+    const auto endpoints = changesOfKindFromJson(whole, "endpoints", isOfEndpoints);
+    if (!configuration.ok() || !endpoints.ok()) {
+        return configuration.ok() ? endpoints.status() : configuration.status();
     }
-    RecordChanges changes {*since, *revisions, {}};
+    RecordChanges changes {*configuration, *endpoints, {}};
     for (const nlohmann::json &entry : whole["records"]) {
         auto record = recordFromJson(entry, now);
         if (!record.ok()) {
--- a/Source/Configuration/siterecords.cpp
+++ b/Source/Configuration/siterecords.cpp
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 #include <ranges>
+#include <set>
+#include <string_view>
 
 namespace Yokepond::Configuration {
 
@@ -33,6 +35,11 @@
 
 } // namespace
 
+const ChangesOfKind &changesOfKind(const RecordChanges &changes, RecordKind kind)
+{
+    return kind == RecordKind::Endpoint ? changes.endpoints : changes.configuration;
+}
+
 std::string faultReason(const Record &record)
 {
     std::string reason(Base::nameOf(recordFaultNames, record.fault));
@@ -58,8 +65,8 @@
 {
     const bool changed = apply(record);
     if (changed) {
-        std::uint64_t &revision = m_revisions.forKind(record.kind);
-        revision = std::max(revision, record.version);
+        Knowledge &known = knowledge(record.kind);
+        known.revision = std::max(known.revision, record.version);
     }
     return changed;
 }
@@ -88,9 +95,9 @@
     const bool isNew = stored.record.version == 0;
     Entry before = record.kind == RecordKind::Configuration ? stored : Entry {};
     const bool coldAgain = record.coldUntil > stored.record.coldUntil + coldPeriodTolerance;
-    // The removal of a record that this copy never had is a change, too: a copy that has the record may ask this one. Only present
-    // endpoints write their state again and again. Any other row that is written again was something else before, which this copy
-    // may have missed and another may hold.
+    // The removal of a record that this copy never had is a change, too: a copy that has the record may ask this one. Only
+    // present endpoints write their state again and again. Any other row that is written again was something else before, which
+    // this copy may have missed and another may hold.
     const bool isRepeated = record.kind == RecordKind::Endpoint && !record.removed;
     const bool changed = isNew || !isRepeated || stored.record.removed || stored.record.value != record.value
         || stored.record.fault != record.fault || coldAgain;
@@ -116,29 +123,107 @@
 
 void SiteRecords::updateHashes(const Record &before, const Record &after)
 {
-    std::uint64_t &hash = after.kind == RecordKind::Endpoint ? m_hashes.endpoints : m_hashes.configuration;
-    hash ^= hashOfState(before) ^ hashOfState(after);
+    knowledge(after.kind).hash ^= hashOfState(before) ^ hashOfState(after);
 }
 
 bool SiteRecords::merge(const RecordChanges &changes)
 {
-    if (!revisions().covers(changes.since)) {
+    if (!revisions().covers({changes.configuration.since, changes.endpoints.since})) {
         return false;
     }
     bool changed = false;
     for (const Record &record : changes.records) {
         // A record may be newer than the revision of the other copy, if that copy lacks other records. It is stored all the same;
-        // the revision below rises only to that of the other copy.
-        changed = apply(record) || changed;
+        // the revision rises only to that of the other copy.
+        changed = (!wasRemovedBefore(record) && apply(record)) || changed;
+    }
+    changed = mergeKind(changes, RecordKind::Configuration) || changed;
+    return mergeKind(changes, RecordKind::Endpoint) || changed;
+}
+
+bool SiteRecords::mergeKind(const RecordChanges &changes, RecordKind kind)
+{
+    const ChangesOfKind &merged = changesOfKind(changes, kind);
+    Knowledge &known = knowledge(kind);
+    const bool isFirst = known.revision == 0;
+    switch (merged.scope) {
+    case ChangesScope::None:
+        return false;
+    case ChangesScope::News:
+        known.removalsFrom = isFirst ? std::nullopt : known.removalsFrom;
+        return false;
+    case ChangesScope::Changes:
+        known.revision = std::max(known.revision, merged.revision);
+        return false;
+    case ChangesScope::List:
+        break;
+    }
+    const bool changed = removeUnlisted(changes, kind);
+    known.revision = std::max(known.revision, merged.revision);
+    if (isFirst || !known.removalsFrom) {
+        known.removalsFrom = merged.removalsFrom;
     }
-    m_revisions.configuration = std::max(m_revisions.configuration, changes.revisions.configuration);
-    m_revisions.endpoints = std::max(m_revisions.endpoints, changes.revisions.endpoints);
     return changed;
 }
 
+bool SiteRecords::removeUnlisted(const RecordChanges &changes, RecordKind kind)
+{
+    const std::uint64_t revision = changesOfKind(changes, kind).revision;
+    const RecordKind removable = kind == RecordKind::Endpoint ? RecordKind::Endpoint : RecordKind::Evacuation;
+    std::set<std::string_view> listed;
+    for (const Record &record :
+         changes.records | std::views::filter([&](const Record &entry) { return entry.kind == removable; })) {
+        listed.insert(record.key);
+    }
+    std::vector<Record> removals;
+    for (const Record *record : present(removable)) {
+        if (record->version <= revision && !listed.contains(record->key)) {
+            removals.push_back({removable, record->key, std::max(record->version + 1, revision), true, {}});
+        }
+    }
+    std::ranges::for_each(removals, [this](const Record &removal) { apply(removal); });
+    return !removals.empty();
+}
+
+bool SiteRecords::wasRemovedBefore(const Record &record) const
+{
+    const Knowledge &known = knowledge(record.kind);
+    return record.kind != RecordKind::Configuration && !record.removed && known.removalsFrom
+        && record.version <= *known.removalsFrom && !m_records.contains({record.kind, record.key});
+}
+
+void SiteRecords::beginList(RecordKind kind)
+{
+    Knowledge &known = knowledge(kind);
+    if (known.revision == 0) {
+        known.removalsFrom.reset();
+    }
+}
+
+void SiteRecords::endList(RecordKind kind, std::uint64_t version)
+{
+    Knowledge &known = knowledge(kind);
+    known.removalsFrom = known.removalsFrom.value_or(version);
+}
+
+bool SiteRecords::knowsRemovals(RecordKind kind) const
+{
+    return knowledge(kind).removalsFrom.has_value();
+}
+
+SiteRecords::Knowledge &SiteRecords::knowledge(RecordKind kind)
+{
+    return kind == RecordKind::Endpoint ? m_endpoints : m_configuration;
+}
+
+const SiteRecords::Knowledge &SiteRecords::knowledge(RecordKind kind) const
+{
+    return kind == RecordKind::Endpoint ? m_endpoints : m_configuration;
+}
+
 RecordRevisions SiteRecords::revisions() const
 {
-    RecordRevisions complete = m_revisions;
+    RecordRevisions complete {m_configuration.revision, m_endpoints.revision};
     for (const auto &[key, version] : m_unconfirmed) {
         std::uint64_t &revision = complete.forKind(key.first);
         revision = std::min(revision, version - 1);
@@ -158,9 +243,9 @@
     return static_cast<std::uint32_t>(Base::combineHashes(complete.configuration, complete.endpoints));
 }
 
-const RecordHashes &SiteRecords::hashes() const
+RecordHashes SiteRecords::hashes() const
 {
-    return m_hashes;
+    return {m_configuration.hash, m_endpoints.hash};
 }
 
 std::vector<const Record *> SiteRecords::present(RecordKind kind) const
@@ -194,8 +279,7 @@
 {
     RecordChanges changes = changesSince(since, RecordKind::Configuration);
     RecordChanges endpointChanges = changesSince(since, RecordKind::Endpoint);
-    changes.since.endpoints = endpointChanges.since.endpoints;
-    changes.revisions.endpoints = endpointChanges.revisions.endpoints;
+    changes.endpoints = endpointChanges.endpoints;
     std::ranges::move(endpointChanges.records, std::back_inserter(changes.records));
     return changes;
 }
@@ -203,17 +287,31 @@
 RecordChanges SiteRecords::changesSince(const RecordRevisions &since, RecordKind kind) const
 {
     RecordChanges changes;
-    changes.since.forKind(kind) = since.forKind(kind);
-    changes.revisions.forKind(kind) = revisions().forKind(kind);
+    ChangesOfKind &told = kind == RecordKind::Endpoint ? changes.endpoints : changes.configuration;
+    told = describeChanges(since.forKind(kind), kind);
     for (const Entry &stored : m_records | std::views::values) {
         const bool counts = (stored.record.kind == RecordKind::Endpoint) == (kind == RecordKind::Endpoint);
-        if (counts && stored.changedAt > since.forKind(kind)) {
+        const bool isListed
+            = told.scope == ChangesScope::List && !stored.record.removed && stored.record.kind != RecordKind::Configuration;
+        if (counts && (isListed || stored.changedAt > since.forKind(kind))) {
             changes.records.push_back(stored.record);
         }
     }
     return changes;
 }
 
+ChangesOfKind SiteRecords::describeChanges(std::uint64_t since, RecordKind kind) const
+{
+    const Knowledge &known = knowledge(kind);
+    const std::uint64_t revision = revisions().forKind(kind);
+    if (!known.removalsFrom) {
+        // Hosts of earlier versions take the revision for reached whatever the scope. 0 would say nothing of this kind.
+        return {ChangesScope::News, since, std::max<std::uint64_t>(since, 1), 0};
+    }
+    const bool knowsAllSince = since >= *known.removalsFrom;
+    return {knowsAllSince ? ChangesScope::Changes : ChangesScope::List, knowsAllSince ? since : 0, revision, *known.removalsFrom};
+}
+
 const SiteRecords::Entry *SiteRecords::currentConfiguration() const
 {
     // The records are sorted by kind, and the configuration is the first.
--- a/Source/Configuration/siterecords.h
+++ b/Source/Configuration/siterecords.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -94,14 +95,41 @@
     bool operator==(const RecordHashes &) const = default;
 };
 
+/// What the records of a message are, of those that count towards one revision.
+enum class ChangesScope {
+    None, ///< the message says nothing of them
+    News, ///< some that changed; the sender does not know everything that was removed before
+    Changes, ///< all that changed since the revision that the receiver has
+    List, ///< all that are present: what the receiver has beside them was removed
+};
+
+inline constexpr Base::NameTable<ChangesScope, 4> changesScopeNames = {{
+    {ChangesScope::None, "none"},
+    {ChangesScope::News, "news"},
+    {ChangesScope::Changes, "changes"},
+    {ChangesScope::List, "list"},
+}};
+
+/// The changes that count towards one revision of a copy.
+struct ChangesOfKind
+{
+    ChangesScope scope = ChangesScope::None;
+    std::uint64_t since = 0; ///< the receiver must have reached this revision
+    std::uint64_t revision = 0; ///< the receiver reaches this revision
+    std::uint64_t removalsFrom = 0; ///< the sender knows everything that was removed after this version
+};
+
 /// The changes between two revisions of a copy, to be sent to another host.
 struct RecordChanges
 {
-    RecordRevisions since;
-    RecordRevisions revisions;
+    ChangesOfKind configuration; ///< with the evacuations
+    ChangesOfKind endpoints;
     std::vector<Record> records;
 };
 
+/// Returns what @p changes say of the records that count towards the revision of @p kind.
+const ChangesOfKind &changesOfKind(const RecordChanges &changes, RecordKind kind);
+
 /// A record that is not removed, and the version at which its state changed last.
 struct PresentRecord
 {
@@ -122,6 +150,17 @@
     /// that this copy has not reached, because they would leave a gap.
     bool merge(const RecordChanges &changes);
 
+    /// Notes that the records that are merged next are those that the platform's store has. A copy without any records does not
+    /// know what was removed before, so that it cannot tell others what changed until then.
+    void beginList(RecordKind kind);
+
+    /// Notes that all records that the platform's store had at @p version were merged, and what it did not have was removed. The
+    /// list must not lack endpoints that the store lost while it was down.
+    void endList(RecordKind kind, std::uint64_t version);
+
+    /// Returns whether this copy can tell other hosts what was removed, if not since their revision then by a list.
+    bool knowsRemovals(RecordKind kind) const;
+
     /// Notes that the platform reported @p record and that it is not confirmed yet, such as a removal after an outage of the
     /// platform. Until this or a later state of the record is merged, revisions() stays below its version, so that other hosts
     /// do not take this copy for complete.
@@ -141,7 +180,7 @@
 
     /// Returns hashes of the states of the present records. They are equal for copies that hold the same records, whatever these
     /// were told before; heartbeats and cold periods do not count.
-    const RecordHashes &hashes() const;
+    RecordHashes hashes() const;
 
     /// Returns the records of @p kind that are not removed, sorted by key.
     std::vector<const Record *> present(RecordKind kind) const;
@@ -152,7 +191,8 @@
     /// Returns all records, including removed ones.
     std::vector<Record> all() const;
 
-    /// Returns the records whose state changed after @p since, including removed ones.
+    /// Returns the records whose state changed after @p since, including removed ones, or all records if this copy does not know
+    /// everything that was removed since then.
     RecordChanges changesSince(const RecordRevisions &since) const;
 
     /// Returns the changes of the records that count towards the revision of @p kind. The result contains no information about
@@ -176,7 +216,25 @@
 
     using Key = std::pair<RecordKind, std::string>;
 
+    /// What this copy knows of the records that count towards one revision.
+    struct Knowledge
+    {
+        std::uint64_t revision = 0; ///< does not take unconfirmed records into account
+        std::uint64_t hash = 0; ///< of the states of the present records
+        /// Everything that was removed after this version is known. Nothing if that is so from no version on.
+        std::optional<std::uint64_t> removalsFrom = 0;
+    };
+
     bool apply(const Record &record);
+    bool mergeKind(const RecordChanges &changes, RecordKind kind);
+    /// Removes what @p changes, a list, does not have and that is not newer than the list. Returns whether there was anything.
+    bool removeUnlisted(const RecordChanges &changes, RecordKind kind);
+    /// Returns whether @p record, which another host has and this copy never had, was removed before this copy began.
+    bool wasRemovedBefore(const Record &record) const;
+    /// Returns what changes after @p since are to be sent, without the records.
+    ChangesOfKind describeChanges(std::uint64_t since, RecordKind kind) const;
+    Knowledge &knowledge(RecordKind kind);
+    const Knowledge &knowledge(RecordKind kind) const;
     void updateHashes(const Record &before, const Record &after);
     /// Returns the present state of the configuration record, or null if there is none.
     const Entry *currentConfiguration() const;
@@ -185,8 +243,8 @@
     std::map<Key, Entry> m_records;
     std::deque<Entry> m_previous; ///< configurations that were replaced, latest first
     std::map<Key, std::uint64_t> m_unconfirmed; ///< versions of records that are not confirmed yet
-    RecordRevisions m_revisions; ///< does not take unconfirmed records into account
-    RecordHashes m_hashes;
+    Knowledge m_configuration; ///< of the configuration and the evacuations
+    Knowledge m_endpoints;
 };
 
 } // namespace Yokepond::Configuration
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -212,14 +212,22 @@
     const Pull pull = address.empty()
         ? Pull::None
         : m_pullScheduler.selectPull(now, from, revision, usesRecords() ? m_records.digest() : this->revision());
-    if (pull == Pull::None) {
+    const bool listsEndpoints = !address.empty() && usesRecords() && m_endpointLists.take(now, wantsEndpointList());
+    if (pull == Pull::None && !listsEndpoints) {
         return;
     }
+    m_callbacks.send({address}, usesRecords() ? recordsRequest(pull, listsEndpoints) : Peer::ChangesRequest {this->revision()});
+}
+
+bool Fleet::wantsEndpointList() const
+{
+    return !m_records.knowsRemovals(Configuration::RecordKind::Endpoint);
+}
+
+Peer::ChangesRequest Fleet::recordsRequest(Pull pull, bool listsEndpoints) const
+{
     const Configuration::RecordRevisions current = m_records.revisions();
-    m_callbacks.send({address},
-                     usesRecords() ? Peer::ChangesRequest {m_baseMissing ? 0 : current.configuration, current.endpoints,
-                                                           pull == Pull::Endpoints}
-                                   : Peer::ChangesRequest {this->revision()});
+    return {m_baseMissing ? 0 : current.configuration, listsEndpoints ? 0 : current.endpoints, pull != Pull::All};
 }
 
 void Fleet::receive(Base::Instant, const Peer::Process &from, const Peer::ChangesRequest &request)
@@ -289,9 +297,9 @@
                   {{"from", from.name}, {"reason", Base::messageOf(records.status())}});
         return;
     }
-    // A message with endpoint records has no configuration revision, and the reply to a request for all changes ends with a
-    // message of the configuration, even if that has no records. Only the latter completes the request.
-    const bool ofConfiguration = records->revisions.endpoints == 0;
+    // The reply to a request for all changes ends with a message of the configuration, even if that has no records. Only this
+    // one completes the request.
+    const bool ofConfiguration = records->configuration.scope != Configuration::ChangesScope::None;
     if (ofConfiguration) {
         m_pullScheduler.receiveReply(from.name);
     }
@@ -300,8 +308,11 @@
     updateConfigurationSource(before, from.name);
     Base::log(Base::LogLevel::Info, Base::LogEvent::ChangesReceived,
               {{"from", from.name},
-               {"configuration-version", records->revisions.configuration},
-               {"endpoints-version", records->revisions.endpoints},
+               {"configuration-version", records->configuration.revision},
+               {"endpoints-version", records->endpoints.revision},
+               {"scope",
+                Base::nameOf(Configuration::changesScopeNames,
+                             ofConfiguration ? records->configuration.scope : records->endpoints.scope)},
                {"records", records->records.size()},
                {"bytes", changes.packed.size()},
                {"ms-since-asked", Base::milliseconds(m_pullScheduler.timeSinceRequest(now))},
@@ -482,6 +493,21 @@
     }
 }
 
+void Fleet::beginList(Configuration::RecordKind kind)
+{
+    m_records.beginList(kind);
+}
+
+void Fleet::endList(Configuration::RecordKind kind, std::uint64_t version)
+{
+    m_records.endList(kind, version);
+}
+
+bool Fleet::knowsRemovals(Configuration::RecordKind kind) const
+{
+    return m_records.knowsRemovals(kind);
+}
+
 void Fleet::skipRows(Base::Instant now, Configuration::RecordKind kind, const std::vector<Configuration::RecordFault> &faults)
 {
     std::ranges::for_each(faults, [&](Configuration::RecordFault fault) { m_unusableRecords.skipRow(now, kind, fault); });
@@ -650,7 +676,7 @@
     return m_records.revisions();
 }
 
-const Configuration::RecordHashes &Fleet::recordHashes() const
+Configuration::RecordHashes Fleet::recordHashes() const
 {
     return m_records.hashes();
 }
--- a/Source/Node/fleet.h
+++ b/Source/Node/fleet.h
@@ -15,6 +15,7 @@
 #include "Http/client.h"
 #include "Membership/swim.h"
 #include "Node/collisionlog.h"
+#include "Node/listrequests.h"
 #include "Node/pullscheduler.h"
 #include "Node/recordagreement.h"
 #include "Node/settings.h"
@@ -97,6 +98,15 @@
     /// Merges @p records, which this host read from the store, into its copy. Counts those that cannot be used.
     void mergeRecords(const std::vector<Configuration::Record> &records);
 
+    /// Notes that the records that are merged next are all that the store has of @p kind.
+    void beginList(Configuration::RecordKind kind);
+
+    /// Notes that all that the store had at @p version were merged; see SiteRecords::endList().
+    void endList(Configuration::RecordKind kind, std::uint64_t version);
+
+    /// Returns whether this host can tell others which records of @p kind were removed.
+    bool knowsRemovals(Configuration::RecordKind kind) const;
+
     /// Notes that this host read rows in the table of @p kind that no record can be made of, each with one of @p faults.
     void skipRows(Base::Instant now, Configuration::RecordKind kind, const std::vector<Configuration::RecordFault> &faults);
 
@@ -137,7 +147,7 @@
     Configuration::RecordRevisions recordRevisions() const;
 
     /// Returns hashes of this host's copy of the records, equal at hosts that hold the same.
-    const Configuration::RecordHashes &recordHashes() const;
+    Configuration::RecordHashes recordHashes() const;
 
     /// Returns for how long no other host has had the same records as this host, as far as it has heard of others; only with
     /// PlatformForm::Records.
@@ -186,6 +196,10 @@
     void replyWithRecords(const Peer::Process &from, const Peer::ChangesRequest &request);
     void sendRecords(const Peer::Process &to, const Configuration::RecordRevisions &since, Configuration::RecordKind kind);
     void applyRecordChanges(Base::Instant now, const Peer::Process &from, const Peer::Changes &changes);
+    /// Returns whether this host is to ask others for all endpoints in place of the changes.
+    bool wantsEndpointList() const;
+    /// Returns the request for what this host's copy of the records lacks.
+    Peer::ChangesRequest recordsRequest(Pull pull, bool listsEndpoints) const;
     void pullIfBehind(Base::Instant now, const std::string &from, std::uint64_t revision);
     void configurationUpdated();
     void gossipConfiguration();
@@ -230,6 +244,7 @@
     std::shared_ptr<const Dispatch::ShardMap> m_shards;
     std::shared_ptr<const Configuration::Catalogue> m_shardCatalogue; ///< the configuration that m_shards was made for
     PullScheduler m_pullScheduler;
+    ListRequests m_endpointLists;
     RecordAgreement m_agreement;
     std::map<std::string, KnownState> m_knownStates; ///< the states of the members at the last rebuild()
     Base::Instant m_nextRebuild {};
--- a/Source/Node/recordwatcher.h
+++ b/Source/Node/recordwatcher.h
@@ -87,6 +87,13 @@
     std::function<void(const StoreUpdate &update)> storeStateChanged; ///< the store began or ceased to respond
     /// Returns the records of a kind that this host has, from the store or from other hosts.
     std::function<std::vector<Configuration::Record>(Configuration::RecordKind kind)> knownRecords;
+    /// A list of all records of a kind was read; recordsRead gets them next, if there are any. RecordKind::Configuration stands
+    /// for both kinds of its table.
+    std::function<void(Configuration::RecordKind kind)> listBegins;
+    /// The records of the list were passed on, and the store has responded for so long that endpoints that are missing have left.
+    std::function<void(Configuration::RecordKind kind, std::uint64_t version)> listEnds;
+    /// Returns whether another list of the endpoints is wanted, since none that was read before was followed by listEnds.
+    std::function<bool()> wantsEndpointList;
     /// Gets what is wrong with the rows of a response that no record can be made of; never empty. RecordKind::Configuration
     /// stands for both kinds of its table.
     std::function<void(Configuration::RecordKind kind, const std::vector<Configuration::RecordFault> &faults)> rowsSkipped;
@@ -115,6 +122,8 @@
     void tick(Base::Instant now, bool active = true)
     {
         reportDueRemovals(now);
+        KindState &endpoints = m_states[1];
+        endpoints.needsFullRead = endpoints.needsFullRead || (active && isSettled(now) && m_callbacks.wantsEndpointList());
         for (KindState &state : m_states) {
             state.reactivated = state.reactivated || !active;
             if (active && !state.calling && now >= state.nextCallAt) {
@@ -247,6 +256,7 @@
             callFailed(state, now, page.status());
             return;
         }
+        m_respondsSince = state.reactivated || !m_responds ? now : m_respondsSince;
         state.failures = 0;
         state.reactivated = false;
         state.retriedImmediately = false;
@@ -255,12 +265,23 @@
         state.needsFullRead = false;
         callSucceeded(state, now);
         if (fullRead) {
+            m_callbacks.listBegins(state.kind);
             addRemovals(state, *page);
         }
         if (!page->skipped.empty()) {
             m_callbacks.rowsSkipped(state.kind, page->skipped);
         }
         applyRecords(state, now, std::move(page->records));
+        if (fullRead && (state.kind == RecordKind::Configuration || isSettled(now))) {
+            m_callbacks.listEnds(state.kind, state.since);
+        }
+    }
+
+    /// Returns whether the store has responded for so long that endpoints whose records it lost in an outage have written them
+    /// again.
+    bool isSettled(Base::Instant now) const
+    {
+        return m_responds && now - m_respondsSince >= m_options.removalDelay;
     }
 
     /// Schedules the retry of a failed call.
@@ -370,6 +391,7 @@
     std::map<std::string, Removal> m_removals; ///< deferred removals of endpoints, by key
     Base::Instant m_lastResponse {};
     Base::Instant m_lastFailure {};
+    Base::Instant m_respondsSince {}; ///< when calls began to succeed, after a failure or after this host began to follow
     bool m_responds = false;
     bool m_stagger = false;
     bool m_stateReported = false; ///< storeStateChanged has been called at least once
--- a/Source/Node/storefollower.h
+++ b/Source/Node/storefollower.h
@@ -48,6 +48,9 @@
                   .removalDeferred = [this](const Configuration::Record &record) { m_fleet.markRecordUnconfirmed(record); },
                   .storeStateChanged = [this](const StoreUpdate &update) { storeStateChanged(update); },
                   .knownRecords = [this](Configuration::RecordKind kind) { return m_fleet.presentRecords(kind); },
+                  .listBegins = [this](Configuration::RecordKind kind) { m_fleet.beginList(kind); },
+                  .listEnds = [this](Configuration::RecordKind kind, std::uint64_t version) { m_fleet.endList(kind, version); },
+                  .wantsEndpointList = [this] { return !m_fleet.knowsRemovals(Configuration::RecordKind::Endpoint); },
                   .rowsSkipped =
                       [this](Configuration::RecordKind kind, const std::vector<Configuration::RecordFault> &faults) {
                           m_fleet.skipRows(m_options.watcher.clock(), kind, faults);
--- a/Tests/Configuration/changestexttest.cpp
+++ b/Tests/Configuration/changestexttest.cpp
@@ -32,7 +32,40 @@
     const auto read = changesFromText(changesToText(records.changesSince({}), now), now);
     CHECK_TRUE(read.ok());
     CHECK_TRUE(read->records == records.all());
-    CHECK_TRUE(read->revisions == records.revisions());
+    CHECK_TRUE(read->endpoints.revision == records.revisions().endpoints);
+}
+
+TEST(ChangesText, theTextTellsWhatTheRecordsAre)
+{
+    records.beginList(RecordKind::Endpoint);
+    set("e1", 5, "value");
+    const auto news = changesFromText(changesToText(records.changesSince({}, RecordKind::Endpoint), now), now);
+    CHECK_TRUE(news->endpoints.scope == ChangesScope::News);
+    CHECK_TRUE(news->configuration.scope == ChangesScope::None);
+    records.endList(RecordKind::Endpoint, 9);
+    const auto list = changesFromText(changesToText(records.changesSince({}, RecordKind::Endpoint), now), now);
+    CHECK_TRUE(list->endpoints.scope == ChangesScope::List);
+    CHECK_EQUAL(9U, list->endpoints.removalsFrom);
+    const auto changes = changesFromText(changesToText(records.changesSince({}, RecordKind::Configuration), now), now);
+    CHECK_TRUE(changes->configuration.scope == ChangesScope::Changes);
+    CHECK_TRUE(changes->endpoints.scope == ChangesScope::None);
+}
+
+TEST(ChangesText, aHostOfAnEarlierVersionTellsNoScope)
+{
+    const auto read = [this](const char *since, const char *revisions) {
+        const std::string text = std::string(R"({"records":[],"since":)") + since + R"(,"revisions":)" + revisions + "}";
+        return *changesFromText(text, now);
+    };
+    const RecordChanges all = read(R"({"configuration":0,"endpoints":0})", R"({"configuration":0,"endpoints":7})");
+    CHECK_TRUE(all.endpoints.scope == ChangesScope::List);
+    CHECK_EQUAL(7U, all.endpoints.removalsFrom);
+    CHECK_TRUE(all.configuration.scope == ChangesScope::None);
+    const RecordChanges some = read(R"({"configuration":0,"endpoints":5})", R"({"configuration":0,"endpoints":7})");
+    CHECK_TRUE(some.endpoints.scope == ChangesScope::Changes);
+    const RecordChanges configuration = read(R"({"configuration":3,"endpoints":0})", R"({"configuration":4,"endpoints":0})");
+    CHECK_TRUE(configuration.configuration.scope == ChangesScope::Changes);
+    CHECK_TRUE(configuration.endpoints.scope == ChangesScope::None);
 }
 
 TEST(ChangesText, malformedTextIsAnError)
--- a/Tests/Configuration/siterecordstest.cpp
+++ b/Tests/Configuration/siterecordstest.cpp
@@ -88,8 +88,9 @@
     const RecordChanges changes = records.changesSince(before);
     CHECK_EQUAL(4U, changes.records.size());
     CHECK_TRUE(records.changesSince(records.revisions()).records.empty());
-    CHECK_TRUE(changes.revisions.covers(before));
-    CHECK_FALSE(before.covers(changes.revisions));
+    const RecordRevisions told {changes.configuration.revision, changes.endpoints.revision};
+    CHECK_TRUE(told.covers(before));
+    CHECK_FALSE(before.covers(told));
 }
 
 TEST(SiteRecords, aHeartbeatIsNotSentAsAChange)
@@ -167,6 +168,82 @@
     CHECK_EQUAL(2U, records.present(RecordKind::Endpoint).size());
 }
 
+namespace {
+
+/// Returns a copy that began with the list of a store that had e2 and e3 at version 10, after e1 had gone.
+SiteRecords copyOfAList()
+{
+    SiteRecords copy;
+    copy.beginList(RecordKind::Endpoint);
+    copy.merge({RecordKind::Endpoint, "e2", 6, false, "value"});
+    copy.merge({RecordKind::Endpoint, "e3", 9, false, "value"});
+    return copy;
+}
+
+} // namespace
+
+// Guards against a copy that says what changed since a version at which it did not exist: others kept an endpoint that had gone.
+TEST(SiteRecords, aCopyThatBeganLaterTellsAllThatIsPresent)
+{
+    set("e1", 5, "value");
+    set("e2", 6, "value");
+    SiteRecords later = copyOfAList();
+    later.endList(RecordKind::Endpoint, 10);
+    CHECK_TRUE(later.knowsRemovals(RecordKind::Endpoint));
+    CHECK_TRUE(records.merge(later.changesSince(records.revisions())));
+    CHECK_TRUE(records.hashes() == later.hashes());
+    CHECK_TRUE(records.revisions() == later.revisions());
+    // A host that follows has seen a later version of an endpoint; a list from before says nothing of it.
+    set("e4", 30, "value");
+    records.merge(later.changesSince({}));
+    CHECK_EQUAL(3U, records.present(RecordKind::Endpoint).size());
+}
+
+// Guards against a host that just started after an outage of the store, in which endpoints' records were lost for a while: the
+// others would take these for gone.
+TEST(SiteRecords, aCopyThatDoesNotKnowWhatWasRemovedOnlyTellsNews)
+{
+    set("e1", 5, "value");
+    set("e2", 6, "value");
+    const SiteRecords later = copyOfAList();
+    CHECK_FALSE(later.knowsRemovals(RecordKind::Endpoint));
+    CHECK_TRUE(records.merge(later.changesSince(records.revisions())));
+    CHECK_EQUAL(3U, records.present(RecordKind::Endpoint).size());
+    CHECK_EQUAL(6U, records.revisions().endpoints);
+    SiteRecords empty;
+    empty.merge(later.changesSince({}));
+    CHECK_FALSE(empty.knowsRemovals(RecordKind::Endpoint));
+}
+
+TEST(SiteRecords, aListOfAnotherCopyTellsWhatWasRemoved)
+{
+    set("e1", 5, "value");
+    set("e2", 6, "value");
+    SiteRecords later = copyOfAList();
+    later.merge(records.changesSince({})); // changes: nothing was removed since version 0
+    CHECK_FALSE(later.knowsRemovals(RecordKind::Endpoint));
+    SiteRecords listed = copyOfAList();
+    listed.endList(RecordKind::Endpoint, 10);
+    later.merge(listed.changesSince({}));
+    CHECK_TRUE(later.knowsRemovals(RecordKind::Endpoint));
+    CHECK_TRUE(later.hashes() == listed.hashes());
+}
+
+// Guards against an endpoint, or an evacuation, that went before a copy began and that an outdated copy brings back.
+TEST(SiteRecords, whatWasRemovedBeforeACopyBeganIsNotTakenFromOthers)
+{
+    SiteRecords later = copyOfAList();
+    later.endList(RecordKind::Endpoint, 10);
+    later.beginList(RecordKind::Configuration);
+    later.endList(RecordKind::Configuration, 10);
+    set("e1", 5, "value");
+    set("e5", 11, "value");
+    records.merge({RecordKind::Evacuation, "east", 4, false, "{}"});
+    later.merge(records.changesSince({}));
+    CHECK_TRUE(later.present(RecordKind::Evacuation).empty());
+    CHECK_EQUAL(3U, later.present(RecordKind::Endpoint).size()); // e2, e3 and e5
+}
+
 TEST(SiteRecords, aCopyWithAnUnconfirmedRecordIsNotComplete)
 {
     SiteRecords follower;
--- a/Tests/Node/recordwatchertest.cpp
+++ b/Tests/Node/recordwatchertest.cpp
@@ -60,6 +60,8 @@
     std::vector<bool> responds;
     std::vector<Record> peerRecords; ///< records that this host knows from other hosts
     std::vector<Configuration::RecordFault> skipped;
+    std::vector<std::pair<RecordKind, std::uint64_t>> lists; ///< complete lists that were passed on, with their versions
+    bool wantsEndpointList = false;
     Node::RecordWatcher<FakeFeed> watcher {
         feed,
         {},
@@ -68,6 +70,9 @@
          .removalDeferred = [this](const Record &record) { removalDeferred.push_back(record); },
          .storeStateChanged = [this](const Node::StoreUpdate &update) { responds.push_back(update.responds); },
          .knownRecords = [this](RecordKind kind) { return recordsOf(kind); },
+         .listBegins = [](RecordKind) {},
+         .listEnds = [this](RecordKind kind, std::uint64_t version) { lists.emplace_back(kind, version); },
+         .wantsEndpointList = [this] { return wantsEndpointList; },
          .rowsSkipped =
              [this](RecordKind, const std::vector<Configuration::RecordFault> &faults) {
                  std::ranges::copy(faults, std::back_inserter(skipped));
@@ -119,6 +124,44 @@
     CHECK_EQUAL(7U, feed.calls[endpoint]->since);
 }
 
+// Guards against endpoints that a host takes for gone, and tells others so, since their records were lost in an outage that had
+// just ended when the host started.
+TEST(RecordWatcher, aListIsCompleteOnceTheStoreHasRespondedForAWhile)
+{
+    Base::Instant time = Base::now();
+    Node::RecordWatcherOptions options;
+    options.clock = [&time] { return time; };
+    Node::RecordWatcher<FakeFeed> started(feed, options, 1,
+                                          {.recordsRead = [](const std::vector<Record> &) {},
+                                           .removalDeferred = [](const Record &) {},
+                                           .storeStateChanged = [](const Node::StoreUpdate &) {},
+                                           .knownRecords = [this](RecordKind kind) { return recordsOf(kind); },
+                                           .listBegins = [](RecordKind) {},
+                                           .listEnds =
+                                               [this](RecordKind kind, std::uint64_t version) {
+                                                   lists.emplace_back(kind, version);
+                                                   wantsEndpointList = false;
+                                               },
+                                           .wantsEndpointList = [this] { return wantsEndpointList; },
+                                           .rowsSkipped = [](RecordKind, const std::vector<Configuration::RecordFault> &) {}});
+    wantsEndpointList = true;
+    started.tick(time);
+    answer(Platform::FeedPage {{live("e1", 3)}, 7});
+    CHECK_TRUE(lists.empty());
+    time += std::chrono::seconds(1);
+    started.tick(time);
+    answer(Platform::FeedPage {{live("e1", 8)}, 8});
+    time += options.removalDelay;
+    started.tick(time);
+    CHECK_EQUAL(0U, feed.calls[endpoint]->since);
+    answer(Platform::FeedPage {{live("e1", 9)}, 9});
+    CHECK_EQUAL(1U, lists.size());
+    CHECK_EQUAL(9U, lists.front().second);
+    time += options.removalDelay;
+    started.tick(time);
+    CHECK_EQUAL(9U, feed.calls[endpoint]->since);
+}
+
 TEST(RecordWatcher, followsAnEmptyStore)
 {
     tickAfter({});
