Node, Configuration: Hosts at the same version that hold different records notice and exchange them

What callers saw: requests at endpoints that had left (DRAIN), and, by the same way, could see a configuration that came back older (CONFIG), at hosts that hold the newest version.

Cause: the digest by which hosts notice that they differ was of versions only, so whoever had reached a version with other records than the rest, for whatever reason, kept them until a record happened to change again.

Change: the digest covers what is held, and messages of changes tell the sender's versions and hashes. A host that finds another one at its own version with other records sends it all of its own and asks for all of the other's; of two states the higher version counts, and what a list does not have was removed. The configuration goes as the difference to the one before, unless that did not help. The exchanges double their distance, up to 30 s, so that two hosts that cannot agree (of two builds, say) cost little.

Beside hosts of the build before the digests always differ; each probe then makes a host ask for changes, at most five times a second, for some hundred bytes, as long as two builds run.

--- a/Source/Configuration/changestext.cpp
+++ b/Source/Configuration/changestext.cpp
@@ -109,6 +109,13 @@
     return changes;
 }
 
+CopyState copyStateFromJson(const nlohmann::json &json)
+{
+    const auto number = [&json](const char *part, const char *name) { return numberOf(json, part, name).value_or(0); };
+    return {{number("copy-revisions", "configuration"), number("copy-revisions", "endpoints")},
+            {number("copy-hashes", "configuration"), number("copy-hashes", "endpoints")}};
+}
+
 /// Returns an object with what the records that count towards each revision have of something.
 template<typename Value>
 nlohmann::json byKind(const Value &configuration, const Value &endpoints)
@@ -126,10 +133,14 @@
     const ChangesOfKind &configuration = changes.configuration;
     const ChangesOfKind &endpoints = changes.endpoints;
     const auto scopeName = [](const ChangesOfKind &ofKind) { return Base::nameOf(changesScopeNames, ofKind.scope); };
+    const RecordRevisions &revisions = changes.sender.revisions;
+    const RecordHashes &hashes = changes.sender.hashes;
     const nlohmann::json whole = {{"since", byKind(configuration.since, endpoints.since)},
                                   {"revisions", byKind(configuration.revision, endpoints.revision)},
                                   {"scope", byKind(scopeName(configuration), scopeName(endpoints))},
                                   {"removals-from", byKind(configuration.removalsFrom, endpoints.removalsFrom)},
+                                  {"copy-revisions", byKind(revisions.configuration, revisions.endpoints)},
+                                  {"copy-hashes", byKind(hashes.configuration, hashes.endpoints)},
                                   {"records", list}};
     return whole.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
@@ -148,7 +159,7 @@
     if (!configuration.ok() || !endpoints.ok()) {
         return configuration.ok() ? endpoints.status() : configuration.status();
     }
-    RecordChanges changes {*configuration, *endpoints, {}};
+    RecordChanges changes {*configuration, *endpoints, {}, copyStateFromJson(whole)};
     for (const nlohmann::json &entry : whole["records"]) {
         auto record = recordFromJson(entry, now);
         if (!record.ok()) {
--- a/Source/Configuration/siterecords.cpp
+++ b/Source/Configuration/siterecords.cpp
@@ -206,6 +206,14 @@
     known.removalsFrom = known.removalsFrom.value_or(version);
 }
 
+CopyState SiteRecords::state() const
+{
+    const RecordRevisions complete = revisions();
+    return {{knowsRemovals(RecordKind::Configuration) ? complete.configuration : 0,
+             knowsRemovals(RecordKind::Endpoint) ? complete.endpoints : 0},
+            hashes()};
+}
+
 bool SiteRecords::knowsRemovals(RecordKind kind) const
 {
     return knowledge(kind).removalsFrom.has_value();
@@ -240,7 +248,8 @@
 std::uint64_t SiteRecords::digest() const
 {
     const RecordRevisions complete = revisions();
-    return static_cast<std::uint32_t>(Base::combineHashes(complete.configuration, complete.endpoints));
+    const std::uint64_t held = Base::combineHashes(m_configuration.hash, m_endpoints.hash);
+    return static_cast<std::uint32_t>(Base::combineHashes(Base::combineHashes(complete.configuration, complete.endpoints), held));
 }
 
 RecordHashes SiteRecords::hashes() const
@@ -289,6 +298,7 @@
     RecordChanges changes;
     ChangesOfKind &told = kind == RecordKind::Endpoint ? changes.endpoints : changes.configuration;
     told = describeChanges(since.forKind(kind), kind);
+    changes.sender = state();
     for (const Entry &stored : m_records | std::views::values) {
         const bool counts = (stored.record.kind == RecordKind::Endpoint) == (kind == RecordKind::Endpoint);
         const bool isListed
@@ -320,6 +330,12 @@
     return found ? &first->second : nullptr;
 }
 
+std::uint64_t SiteRecords::configurationChangedAt() const
+{
+    const Entry *current = currentConfiguration();
+    return current == nullptr ? 0 : current->changedAt;
+}
+
 std::uint64_t SiteRecords::configurationVersionAt(std::uint64_t revision) const
 {
     const Entry *current = currentConfiguration();
--- a/Source/Configuration/siterecords.h
+++ b/Source/Configuration/siterecords.h
@@ -119,12 +119,20 @@
     std::uint64_t removalsFrom = 0; ///< the sender knows everything that was removed after this version
 };
 
+/// What a copy holds. Two copies at equal revisions that hold different records are not complete, one of them or both.
+struct CopyState
+{
+    RecordRevisions revisions; ///< 0 where the copy does not know what was removed
+    RecordHashes hashes;
+};
+
 /// The changes between two revisions of a copy, to be sent to another host.
 struct RecordChanges
 {
     ChangesOfKind configuration; ///< with the evacuations
     ChangesOfKind endpoints;
     std::vector<Record> records;
+    CopyState sender; ///< all 0 if the sender, of an earlier version, does not tell it
 };
 
 /// Returns what @p changes say of the records that count towards the revision of @p kind.
@@ -161,6 +169,9 @@
     /// Returns whether this copy can tell other hosts what was removed, if not since their revision then by a list.
     bool knowsRemovals(RecordKind kind) const;
 
+    /// Returns what this copy holds, for comparison with others.
+    CopyState state() const;
+
     /// Notes that the platform reported @p record and that it is not confirmed yet, such as a removal after an outage of the
     /// platform. Until this or a later state of the record is merged, revisions() stays below its version, so that other hosts
     /// do not take this copy for complete.
@@ -173,9 +184,9 @@
     /// Returns the sum of both revisions, which increases with every change of either kind and is equal for equal copies.
     std::uint64_t revision() const;
 
-    /// Returns a hash of revisions() by which other hosts notice that their copy differs. The sum, revision(), may be equal for
-    /// different copies if one has the newer configuration and the other the newer endpoints. The hash has only 32 bits because
-    /// every probe carries it.
+    /// Returns a hash of revisions() and hashes() by which other hosts notice that their copy differs; 0 for a copy without
+    /// records. The sum, revision(), may be equal for different copies if one has the newer configuration and the other the newer
+    /// endpoints. The hash has only 32 bits because every probe carries it.
     std::uint64_t digest() const;
 
     /// Returns hashes of the states of the present records. They are equal for copies that hold the same records, whatever these
@@ -203,6 +214,9 @@
     /// state nor one of the previous states that are kept.
     const Record *configurationAt(std::uint64_t changedAt) const;
 
+    /// Returns the version at which the configuration record reached its state; 0 if there is none.
+    std::uint64_t configurationChangedAt() const;
+
     /// Returns the version at which the configuration record reached the state that it has in a copy at @p revision, as far as
     /// this copy knows; 0 if that state is not kept. A copy that missed a version of the record may be wrong about it.
     std::uint64_t configurationVersionAt(std::uint64_t revision) const;
--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -34,6 +34,10 @@
 constexpr Base::Duration maxPause = std::chrono::milliseconds(400);
 /// Source of a configuration that a host read from the store itself, in logs.
 constexpr std::string_view storeSourceName = "store";
+/// Period at which a host asks for the endpoints that others have, until one of them knows all of them.
+constexpr Base::Duration firstListPeriod = std::chrono::seconds(1);
+/// Longest period at which a host asks for whole lists while others at its revision hold other records.
+constexpr Base::Duration maxListPeriod = std::chrono::seconds(30);
 /// Name of the duty of following the store; hosts are ranked by its hash.
 constexpr std::string_view followDuty = "follow-store";
 /// How long a host substitutes for an unresponsive follower. After that time the whole fleet knows that the follower is
@@ -79,6 +83,9 @@
     , m_store(m_table, m_replica, [this] { configurationUpdated(); })
     , m_shards(std::make_shared<Dispatch::ShardMap>())
     , m_pullScheduler(usesRecords() ? RevisionOrder::Digest : RevisionOrder::Counter)
+    , m_firstEndpointList(firstListPeriod)
+    , m_endpointLists(maxListPeriod)
+    , m_configurationLists(maxListPeriod)
 {
     addSeeds();
 }
@@ -212,24 +219,58 @@
     const Pull pull = address.empty()
         ? Pull::None
         : m_pullScheduler.selectPull(now, from, revision, usesRecords() ? m_records.digest() : this->revision());
-    const bool listsEndpoints = !address.empty() && usesRecords() && m_endpointLists.take(now, wantsEndpointList());
+    const bool knowsNoRemovals = usesRecords() && !m_records.knowsRemovals(Configuration::RecordKind::Endpoint);
+    const bool listsEndpoints = !address.empty() && m_firstEndpointList.take(now, knowsNoRemovals);
     if (pull == Pull::None && !listsEndpoints) {
         return;
     }
     m_callbacks.send({address}, usesRecords() ? recordsRequest(pull, listsEndpoints) : Peer::ChangesRequest {this->revision()});
 }
 
-bool Fleet::wantsEndpointList() const
-{
-    return !m_records.knowsRemovals(Configuration::RecordKind::Endpoint);
-}
-
 Peer::ChangesRequest Fleet::recordsRequest(Pull pull, bool listsEndpoints) const
 {
     const Configuration::RecordRevisions current = m_records.revisions();
     return {m_baseMissing ? 0 : current.configuration, listsEndpoints ? 0 : current.endpoints, pull != Pull::All};
 }
 
+void Fleet::compareRecords(Base::Instant now, const Peer::Process &from, const Configuration::CopyState &other)
+{
+    const Configuration::CopyState own = m_records.state();
+    const bool sameConfiguration = other.hashes.configuration == own.hashes.configuration;
+    const bool sameEndpoints = other.hashes.endpoints == own.hashes.endpoints;
+    const bool exchangesConfiguration = own.revisions.configuration == other.revisions.configuration
+        && m_configurationLists.take(now, own.revisions.configuration != 0 && !sameConfiguration);
+    const bool exchangesEndpoints = own.revisions.endpoints == other.revisions.endpoints
+        && m_endpointLists.take(now, own.revisions.endpoints != 0 && !sameEndpoints);
+    if (!exchangesConfiguration && !exchangesEndpoints) {
+        return;
+    }
+    Base::log(Base::LogLevel::Warning, Base::LogEvent::RecordsDiffer,
+              {{"from", from.name},
+               {"configuration", exchangesConfiguration},
+               {"endpoints", exchangesEndpoints},
+               {"configuration-version", own.revisions.configuration},
+               {"endpoints-version", own.revisions.endpoints}});
+    exchangeRecords(from, exchangesConfiguration, exchangesEndpoints);
+}
+
+void Fleet::exchangeRecords(const Peer::Process &with, bool configuration, bool endpoints)
+{
+    Configuration::RecordRevisions since = m_records.revisions();
+    if (endpoints) {
+        since.endpoints = 0;
+        sendRecords(with, since, Configuration::RecordKind::Endpoint);
+    }
+    if (configuration) {
+        // From before the configuration in force on, which is much smaller than the whole, unless that did not help.
+        since.configuration
+            = m_configurationLists.isFirst() ? std::max<std::uint64_t>(m_records.configurationChangedAt(), 1) - 1 : 0;
+        sendRecords(with, since, Configuration::RecordKind::Configuration);
+    }
+    m_callbacks.send({addressOf(with.name), with.incarnation},
+                     Peer::ChangesRequest {since.configuration, since.endpoints, !configuration});
+}
+
 void Fleet::receive(Base::Instant, const Peer::Process &from, const Peer::ChangesRequest &request)
 {
     if (usesRecords()) {
@@ -305,6 +346,7 @@
     }
     const std::uint64_t before = m_records.revisions().configuration;
     const bool changed = m_records.merge(*records);
+    compareRecords(now, from, records->sender);
     updateConfigurationSource(before, from.name);
     Base::log(Base::LogLevel::Info, Base::LogEvent::ChangesReceived,
               {{"from", from.name},
--- a/Source/Node/fleet.h
+++ b/Source/Node/fleet.h
@@ -196,10 +196,12 @@
     void replyWithRecords(const Peer::Process &from, const Peer::ChangesRequest &request);
     void sendRecords(const Peer::Process &to, const Configuration::RecordRevisions &since, Configuration::RecordKind kind);
     void applyRecordChanges(Base::Instant now, const Peer::Process &from, const Peer::Changes &changes);
-    /// Returns whether this host is to ask others for all endpoints in place of the changes.
-    bool wantsEndpointList() const;
     /// Returns the request for what this host's copy of the records lacks.
     Peer::ChangesRequest recordsRequest(Pull pull, bool listsEndpoints) const;
+    /// Exchanges records with host @p from, which holds @p other, if it holds other ones at the same revision.
+    void compareRecords(Base::Instant now, const Peer::Process &from, const Configuration::CopyState &other);
+    /// Sends all records to host @p with, and asks for its own: either host may be the one whose records are amiss.
+    void exchangeRecords(const Peer::Process &with, bool configuration, bool endpoints);
     void pullIfBehind(Base::Instant now, const std::string &from, std::uint64_t revision);
     void configurationUpdated();
     void gossipConfiguration();
@@ -244,7 +246,9 @@
     std::shared_ptr<const Dispatch::ShardMap> m_shards;
     std::shared_ptr<const Configuration::Catalogue> m_shardCatalogue; ///< the configuration that m_shards was made for
     PullScheduler m_pullScheduler;
+    ListRequests m_firstEndpointList;
     ListRequests m_endpointLists;
+    ListRequests m_configurationLists;
     RecordAgreement m_agreement;
     std::map<std::string, KnownState> m_knownStates; ///< the states of the members at the last rebuild()
     Base::Instant m_nextRebuild {};
--- a/Source/Node/listrequests.cpp
+++ b/Source/Node/listrequests.cpp
@@ -3,22 +3,39 @@
 
 #include "Node/listrequests.h"
 
+#include <algorithm>
+
 namespace Yokepond::Node {
 
 namespace {
 
-/// Minimum time between two requests. A list of 10,000 endpoints takes about a tenth of a second on a link of 10 Mbit/s.
-constexpr Base::Duration listPeriod = std::chrono::seconds(1);
+/// Time between the first two requests; doubled with each further request up to the maximum.
+constexpr Base::Duration initialPeriod = std::chrono::seconds(1);
 
 } // namespace
 
+ListRequests::ListRequests(Base::Duration maxPeriod)
+    : m_maxPeriod(maxPeriod)
+{
+}
+
 bool ListRequests::take(Base::Instant now, bool wanted)
 {
-    if (!wanted || now < m_nextAt) {
+    if (!wanted) {
+        m_period = Base::Duration::zero();
         return false;
     }
-    m_nextAt = now + listPeriod;
+    if (now < m_nextAt) {
+        return false;
+    }
+    m_period = std::clamp(m_period * 2, initialPeriod, m_maxPeriod);
+    m_nextAt = now + m_period;
     return true;
 }
 
+bool ListRequests::isFirst() const
+{
+    return m_period == initialPeriod;
+}
+
 } // namespace Yokepond::Node
--- a/Tests/Configuration/changestexttest.cpp
+++ b/Tests/Configuration/changestexttest.cpp
@@ -33,6 +33,8 @@
     CHECK_TRUE(read.ok());
     CHECK_TRUE(read->records == records.all());
     CHECK_TRUE(read->endpoints.revision == records.revisions().endpoints);
+    CHECK_TRUE(read->sender.hashes == records.hashes());
+    CHECK_TRUE(read->sender.revisions == records.revisions());
 }
 
 TEST(ChangesText, theTextTellsWhatTheRecordsAre)
--- a/Tests/Node/fleettest.cpp
+++ b/Tests/Node/fleettest.cpp
@@ -24,6 +24,7 @@
 
 constexpr double linkBytesPerSecond = 1.25e6; ///< 10 Mbit/s in bytes per second
 constexpr std::size_t storeFollowers = 3;
+constexpr Base::Duration maxTimeToAllHosts = std::chrono::seconds(18); ///< the target for a change to be in force at all hosts
 
 /// Returns routes as a platform writes them, each of about 200 bytes with random contents, so that they do not compress well.
 std::string routes(std::size_t count, std::uint64_t seed)
@@ -103,6 +104,21 @@
 }
 
 /// Hosts that requested changes from an unreachable host request them from another one.
+// Guards against hosts at the same revision that hold different records and never notice.
+TEST(Fleet, hostsThatHoldDifferentRecordsAtTheSameRevisionNotice)
+{
+    sendToFollowers(endpoint(11, "ready"));
+    fleet.run(std::chrono::seconds(5));
+    const Configuration::RecordRevisions revisions = fleet.appliedRevisions(20);
+    fleet.deliverRecords(20, {endpoint(8, "ready"), {RecordKind::Evacuation, "east", 9, false, "{}"}});
+    fleet.run(maxTimeToAllHosts);
+    CHECK_TRUE(fleet.appliedRevisions(20) == revisions);
+    CHECK_TRUE(fleet.hashesAt(20).configuration != 0);
+    for (std::size_t host = 0; host < fleet.size(); ++host) {
+        CHECK_TRUE(fleet.hashesAt(host) == fleet.hashesAt(20));
+    }
+}
+
 TEST(Fleet, anUnreachableHostDelaysChangesOnlyBriefly)
 {
     fleet.deliverRecords(0, {configuration(30, routes(200, 3))});
--- a/Tests/Node/linkedfleet.h
+++ b/Tests/Node/linkedfleet.h
@@ -148,6 +148,12 @@
         return m_hosts[index]->appliedRevisions;
     }
 
+    /// Returns hashes of what host @p index holds.
+    Configuration::RecordHashes hashesAt(std::size_t index) const
+    {
+        return m_hosts[index]->fleet->recordHashes();
+    }
+
     /// Returns the hosts whose copies hold other records than the store.
     std::set<std::size_t> hostsThatDifferFromTheStore() const
     {
