Node: Hosts that asked for the list of endpoints too early are sent it as soon as it is known

A host that is asked for the list of endpoints before it has all of it now remembers who asked, sixteen at the most, and sends it when it does.

RecordCopies.aFleetThatStartedLearnsWhatWasRemoved plays the start of a fleet.

--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -38,6 +38,8 @@
 constexpr Base::Duration firstListPeriod = std::chrono::seconds(1);
 /// Longest period at which a host asks for whole lists while others at its revision hold other records.
 constexpr Base::Duration maxListPeriod = std::chrono::seconds(30);
+/// Number of hosts that are sent the list of endpoints as soon as this host has all of it.
+constexpr std::size_t maxWaitingForList = 16;
 /// Name of the duty of following the store; hosts are ranked by its hash.
 constexpr std::string_view followDuty = "follow-store";
 /// How long a host substitutes for an unresponsive follower. After that time the whole fleet knows that the follower is
@@ -288,12 +290,27 @@
     if (m_records.revisions().endpoints > since.endpoints) {
         sendRecords(from, since, Configuration::RecordKind::Endpoint);
     }
+    const bool asksForList = since.endpoints == 0;
+    if (asksForList && !m_records.knowsRemovals(Configuration::RecordKind::Endpoint)
+        && m_waitingForList.size() < maxWaitingForList) {
+        m_waitingForList.insert(from);
+    }
     if (!request.endpointsOnly) {
         // Sent even if nothing is new, since the requester waits for a reply.
         sendRecords(from, since, Configuration::RecordKind::Configuration);
     }
 }
 
+void Fleet::sendWaitingLists()
+{
+    if (!m_records.knowsRemovals(Configuration::RecordKind::Endpoint)) {
+        return;
+    }
+    for (const Peer::Process &host : std::exchange(m_waitingForList, {})) {
+        sendRecords(host, {}, Configuration::RecordKind::Endpoint);
+    }
+}
+
 void Fleet::sendRecords(const Peer::Process &to, const Configuration::RecordRevisions &since, Configuration::RecordKind kind)
 {
     auto packed = m_codec.pack(m_records, since, kind);
@@ -346,6 +363,7 @@
     }
     const std::uint64_t before = m_records.revisions().configuration;
     const bool changed = m_records.merge(*records);
+    sendWaitingLists();
     compareRecords(now, from, records->sender);
     updateConfigurationSource(before, from.name);
     Base::log(Base::LogLevel::Info, Base::LogEvent::ChangesReceived,
@@ -543,6 +561,7 @@
 void Fleet::endList(Configuration::RecordKind kind, std::uint64_t version)
 {
     m_records.endList(kind, version);
+    sendWaitingLists();
 }
 
 bool Fleet::knowsRemovals(Configuration::RecordKind kind) const
--- a/Source/Node/fleet.h
+++ b/Source/Node/fleet.h
@@ -27,6 +27,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -194,6 +195,8 @@
     void pollHostList(Base::Instant now);
     void applyHostList(const std::vector<Platform::ListedHost> &hosts);
     void replyWithRecords(const Peer::Process &from, const Peer::ChangesRequest &request);
+    /// Sends the list of endpoints to the hosts that asked before this host knew what was removed.
+    void sendWaitingLists();
     void sendRecords(const Peer::Process &to, const Configuration::RecordRevisions &since, Configuration::RecordKind kind);
     void applyRecordChanges(Base::Instant now, const Peer::Process &from, const Peer::Changes &changes);
     /// Returns the request for what this host's copy of the records lacks.
@@ -247,6 +250,7 @@
     std::shared_ptr<const Configuration::Catalogue> m_shardCatalogue; ///< the configuration that m_shards was made for
     PullScheduler m_pullScheduler;
     ListRequests m_firstEndpointList;
+    std::set<Peer::Process> m_waitingForList; ///< hosts that asked for the list of endpoints before this host had all of it
     ListRequests m_endpointLists;
     ListRequests m_configurationLists;
     RecordAgreement m_agreement;
--- a/Tests/Node/recordcopiestest.cpp
+++ b/Tests/Node/recordcopiestest.cpp
@@ -31,7 +31,8 @@
 class ChangingFleet
 {
 public:
-    explicit ChangingFleet(std::uint64_t seed)
+    /// @p age: how long the fleet has run.
+    explicit ChangingFleet(std::uint64_t seed, Base::Duration age = std::chrono::seconds(14))
         : fleet(hostCount, linkBytesPerSecond, Source::Store, seed)
         , m_random(seed)
     {
@@ -39,7 +40,7 @@
         for (int endpoint = 0; endpoint < endpointCount; ++endpoint) {
             put(RecordKind::Endpoint, nameOf(endpoint), "ready");
         }
-        fleet.run(std::chrono::seconds(14));
+        fleet.run(age);
     }
 
     /// Restarts hosts while endpoints come, change and go, for about 2 s.
@@ -105,6 +106,18 @@
 
 TEST_GROUP(RecordCopies) {};
 
+// Guards against hosts of a fleet that has just started, none of which knows what was removed before, and that wait for each other.
+TEST(RecordCopies, aFleetThatStartedLearnsWhatWasRemoved)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        ChangingFleet changing(seed, std::chrono::seconds(1));
+        changing.change();
+        changing.fleet.run(maxDelay + Node::RecordWatcherOptions {}.removalDelay);
+        const auto different = changing.fleet.hostsThatDifferFromTheStore();
+        CHECK_EQUAL_TEXT(0U, different.size(), fmt::format("seed {}", seed).c_str());
+    }
+}
+
 TEST(RecordCopies, allHostsHoldWhatTheStoreHoldsWhileHostsRestart)
 {
     for (std::uint64_t seed = 1; seed <= lastSeed; ++seed) {
