Node: A message about endpoints does not end the wait for a whole configuration

Cause: changes of the configuration are compressed against the one that the receiver is thought to have. If it has another, it notes that the next request is to ask for the whole. Any message that could be read took the note back, also one about endpoints, which says nothing of the configuration; the next request asked for the difference again, and was answered by the same difference. While endpoints change, as in a release of software, that can go on for as long as they do.

Fleet.messagesAboutEndpointsDoNotDelayAConfigurationWhoseBaseIsMissing sends a message about endpoints each 50 ms: before, the host was still at version 11 after 3 s; now it has 12.

Only a message about the configuration that could be read takes the note back.

--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -347,9 +347,9 @@
 void Fleet::applyRecordChanges(Base::Instant now, const Peer::Process &from, const Peer::Changes &changes)
 {
     const auto records = Configuration::ChangesCodec::unpack(m_records, {changes.packed, changes.base});
-    // If the delta cannot be applied, the next request asks for the whole configuration.
-    m_baseMissing = !records.ok();
     if (!records.ok()) {
+        // The next request asks for the whole configuration.
+        m_baseMissing = true;
         m_pullScheduler.receiveReply(from.name);
         Base::log(Base::LogLevel::Warning, Base::LogEvent::ConfigurationIgnored,
                   {{"from", from.name}, {"reason", Base::messageOf(records.status())}});
@@ -359,6 +359,7 @@
     // one completes the request.
     const bool ofConfiguration = records->configuration.scope != Configuration::ChangesScope::None;
     if (ofConfiguration) {
+        m_baseMissing = false;
         m_pullScheduler.receiveReply(from.name);
     }
     const std::uint64_t before = m_records.revisions().configuration;
--- a/Tests/Node/fleettest.cpp
+++ b/Tests/Node/fleettest.cpp
@@ -104,6 +104,25 @@
 }
 
 /// Hosts that requested changes from an unreachable host request them from another one.
+// Guards against a configuration that stays late: a host that lacks the base of the difference forgot so with each message about
+// endpoints, and asked for the difference again in place of the whole.
+TEST(Fleet, messagesAboutEndpointsDoNotDelayAConfigurationWhoseBaseIsMissing)
+{
+    LinkedFleet small(3, linkBytesPerSecond);
+    for (const std::size_t host : {0U, 1U}) {
+        small.deliverRecords(host, {configuration(10, "first"), configuration(12, "third")});
+    }
+    small.deliverRecords(2, {configuration(11, "second")});
+    Configuration::SiteRecords endpoints;
+    endpoints.merge(endpoint(5, "ready"));
+    const auto packed = Configuration::ChangesCodec().pack(endpoints, {}, RecordKind::Endpoint);
+    for (int message = 0; message < 60; ++message) {
+        small.post(1, 2, Peer::Changes {{}, {}, packed->bytes, packed->base});
+        small.run(milliseconds(50));
+    }
+    CHECK_EQUAL(12U, small.appliedRevisions(2).configuration);
+}
+
 // Guards against hosts at the same revision that hold different records and never notice.
 TEST(Fleet, hostsThatHoldDifferentRecordsAtTheSameRevisionNotice)
 {
