Configuration: Only the latest removals are kept

What operators could see: memory of a host, and messages to hosts that start, that grow with every endpoint that ever was; an endpoint has a new name at each start.

Cause: a removed record was kept for ever, since nobody knew who still lacked the removal. Since a copy knows from which version on it knows all removals, it may drop the oldest ones: whoever asks from before gets a list of all that is present.

Change: 1,000 removals are kept. The number is chosen, not measured. SiteRecords.onlyTheLatestRemovalsAreKept failed before (5,001 removed records were kept); a copy from before them reaches the same state, and nothing that was removed comes back from it.

--- a/Source/Configuration/siterecords.cpp
+++ b/Source/Configuration/siterecords.cpp
@@ -19,6 +19,9 @@
 constexpr std::size_t maxPrevious = 8;
 constexpr std::size_t maxPreviousBytes = std::size_t {1} << 20U; ///< a small part of the 128 MB of memory that a host may use
 
+/// Number of removed records that are kept for hosts that lack the removals; the others get a list of all that is present.
+constexpr std::size_t maxRemovals = 1000;
+
 /// A record whose cold period ends later than that of the previous record by more than this tells of a new one. Each host learns
 /// a remaining time with a delay, so that the end of the same period seems to move.
 constexpr Base::Duration coldPeriodTolerance = std::chrono::seconds(1);
@@ -118,9 +121,31 @@
     if (changed && !isNew && record.kind == RecordKind::Configuration) {
         keepPrevious(std::move(before));
     }
+    if (changed && record.removed) {
+        keepRemoval({record.kind, record.key}, record.version);
+    }
     return changed;
 }
 
+void SiteRecords::keepRemoval(const Key &key, std::uint64_t version)
+{
+    m_removals.emplace_back(key, version);
+    if (m_removals.size() <= maxRemovals) {
+        return;
+    }
+    const auto [oldest, removedAt] = m_removals.front();
+    m_removals.pop_front();
+    const auto stored = m_records.find(oldest);
+    if (stored == m_records.end() || !stored->second.record.removed || stored->second.changedAt != removedAt) {
+        return; // the record was written or removed again
+    }
+    m_records.erase(stored);
+    Knowledge &known = knowledge(oldest.first);
+    if (known.removalsFrom) {
+        known.removalsFrom = std::max(*known.removalsFrom, removedAt);
+    }
+}
+
 void SiteRecords::updateHashes(const Record &before, const Record &after)
 {
     knowledge(after.kind).hash ^= hashOfState(before) ^ hashOfState(after);
--- a/Source/Configuration/siterecords.h
+++ b/Source/Configuration/siterecords.h
@@ -145,7 +145,7 @@
     std::uint64_t changedAt = 0;
 };
 
-/// The latest known state of each record of the platform. Removed records are kept as tombstones.
+/// The latest known state of each record of the platform. Removed records are kept as tombstones, the latest ones only.
 class SiteRecords
 {
 public:
@@ -240,6 +240,8 @@
     };
 
     bool apply(const Record &record);
+    /// Notes that the record of @p key was removed at @p version, and drops the one that was removed first if there are too many.
+    void keepRemoval(const Key &key, std::uint64_t version);
     bool mergeKind(const RecordChanges &changes, RecordKind kind);
     /// Removes what @p changes, a list, does not have and that is not newer than the list. Returns whether there was anything.
     bool removeUnlisted(const RecordChanges &changes, RecordKind kind);
@@ -256,6 +258,7 @@
 
     std::map<Key, Entry> m_records;
     std::deque<Entry> m_previous; ///< configurations that were replaced, latest first
+    std::deque<std::pair<Key, std::uint64_t>> m_removals; ///< records that were removed, oldest first, with the version
     std::map<Key, std::uint64_t> m_unconfirmed; ///< versions of records that are not confirmed yet
     Knowledge m_configuration; ///< of the configuration and the evacuations
     Knowledge m_endpoints;
--- a/Tests/Configuration/siterecordstest.cpp
+++ b/Tests/Configuration/siterecordstest.cpp
@@ -215,6 +215,28 @@
     CHECK_FALSE(empty.knowsRemovals(RecordKind::Endpoint));
 }
 
+// Guards against memory, and lists for other hosts, that grow with every endpoint that ever was.
+TEST(SiteRecords, onlyTheLatestRemovalsAreKept)
+{
+    constexpr std::uint64_t endpoints = 5000;
+    set("first", 1, "value");
+    SiteRecords outdated;
+    outdated.merge(records.changesSince({}));
+    remove("first", 2);
+    for (std::uint64_t number = 0; number < endpoints; ++number) {
+        set("e" + std::to_string(number), 10 + 2 * number, "value");
+        remove("e" + std::to_string(number), 11 + 2 * number);
+    }
+    set("last", 20 + 2 * endpoints, "value");
+    CHECK_TRUE(records.all().size() < 1100);
+    // A copy from before is told by a list, and takes nothing back.
+    records.merge(outdated.changesSince({}));
+    CHECK_EQUAL(1U, records.present(RecordKind::Endpoint).size());
+    outdated.merge(records.changesSince(outdated.revisions()));
+    CHECK_TRUE(outdated.hashes() == records.hashes());
+    CHECK_TRUE(outdated.revisions() == records.revisions());
+}
+
 TEST(SiteRecords, aListOfAnotherCopyTellsWhatWasRemoved)
 {
     set("e1", 5, "value");
--- a/Tests/Node/recordcopiestest.cpp
+++ b/Tests/Node/recordcopiestest.cpp
@@ -106,7 +106,8 @@
 
 TEST_GROUP(RecordCopies) {};
 
-// Guards against hosts of a fleet that has just started, none of which knows what was removed before, and that wait for each other.
+// Guards against hosts of a fleet that has just started, none of which knows what was removed before, and that wait for each
+// other.
 TEST(RecordCopies, aFleetThatStartedLearnsWhatWasRemoved)
 {
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
