--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -34,12 +34,6 @@
 constexpr Base::Duration maxPause = std::chrono::milliseconds(400);
 /// Source of a configuration that a host read from the store itself, in logs.
 constexpr std::string_view storeSourceName = "store";
-/// Period at which a host asks for the endpoints that others have, until one of them knows all of them.
-constexpr Base::Duration firstListPeriod = std::chrono::seconds(1);
-/// Longest period at which a host asks for whole lists while others at its revision hold other records.
-constexpr Base::Duration maxListPeriod = std::chrono::seconds(30);
-/// Number of hosts that are sent the list of endpoints as soon as this host has all of it.
-constexpr std::size_t maxWaitingForList = 16;
 /// Name of the duty of following the store; hosts are ranked by its hash.
 constexpr std::string_view followDuty = "follow-store";
 /// How long a host substitutes for an unresponsive follower. After that time the whole fleet knows that the follower is
@@ -79,15 +73,15 @@
     , m_callbacks(std::move(callbacks))
     , m_random(incarnation)
     , m_swim(std::move(self), settings.membership, incarnation)
+    , m_exchange(m_records,
+                 [this](const Peer::Process &to, Peer::Message message) {
+                     m_callbacks.send({addressOf(to.name), to.incarnation}, std::move(message));
+                 })
     , m_recordCatalogue(Configuration::Catalogue::build({}))
     , m_decode(std::move(decode))
     , m_table(client, settings.platform, settings.platformTimeout)
     , m_store(m_table, m_replica, [this] { configurationUpdated(); })
     , m_shards(std::make_shared<Dispatch::ShardMap>())
-    , m_pullScheduler(usesRecords() ? RevisionOrder::Digest : RevisionOrder::Counter)
-    , m_firstEndpointList(firstListPeriod)
-    , m_endpointLists(maxListPeriod)
-    , m_configurationLists(maxListPeriod)
 {
     addSeeds();
 }
@@ -214,69 +208,23 @@
 
 void Fleet::pullIfBehind(Base::Instant now, const std::string &from, std::uint64_t revision)
 {
-    if (usesRecords()) {
-        m_agreement.receiveDigest(now, from, revision, m_records.digest());
-    }
     const std::string address = addressOf(from);
-    const Pull pull = address.empty()
-        ? Pull::None
-        : m_pullScheduler.selectPull(now, from, revision, usesRecords() ? m_records.digest() : this->revision());
-    const bool knowsNoRemovals = usesRecords() && !m_records.knowsRemovals(Configuration::RecordKind::Endpoint);
-    const bool listsEndpoints = !address.empty() && m_firstEndpointList.take(now, knowsNoRemovals);
-    if (pull == Pull::None && !listsEndpoints) {
+    if (address.empty()) {
         return;
     }
-    m_callbacks.send({address}, usesRecords() ? recordsRequest(pull, listsEndpoints) : Peer::ChangesRequest {this->revision()});
-}
-
-Peer::ChangesRequest Fleet::recordsRequest(Pull pull, bool listsEndpoints) const
-{
-    const Configuration::RecordRevisions current = m_records.revisions();
-    return {m_baseMissing ? 0 : current.configuration, listsEndpoints ? 0 : current.endpoints, pull != Pull::All};
-}
-
-void Fleet::compareRecords(Base::Instant now, const Peer::Process &from, const Configuration::CopyState &other)
-{
-    const Configuration::CopyState own = m_records.state();
-    const bool sameConfiguration = other.hashes.configuration == own.hashes.configuration;
-    const bool sameEndpoints = other.hashes.endpoints == own.hashes.endpoints;
-    const bool exchangesConfiguration = own.revisions.configuration == other.revisions.configuration
-        && m_configurationLists.take(now, own.revisions.configuration != 0 && !sameConfiguration);
-    const bool exchangesEndpoints = own.revisions.endpoints == other.revisions.endpoints
-        && m_endpointLists.take(now, own.revisions.endpoints != 0 && !sameEndpoints);
-    if (!exchangesConfiguration && !exchangesEndpoints) {
+    if (usesRecords()) {
+        m_exchange.receiveDigest(now, from, revision);
         return;
     }
-    Base::log(Base::LogLevel::Warning, Base::LogEvent::RecordsDiffer,
-              {{"from", from.name},
-               {"configuration", exchangesConfiguration},
-               {"endpoints", exchangesEndpoints},
-               {"configuration-version", own.revisions.configuration},
-               {"endpoints-version", own.revisions.endpoints}});
-    exchangeRecords(from, exchangesConfiguration, exchangesEndpoints);
-}
-
-void Fleet::exchangeRecords(const Peer::Process &with, bool configuration, bool endpoints)
-{
-    Configuration::RecordRevisions since = m_records.revisions();
-    if (endpoints) {
-        since.endpoints = 0;
-        sendRecords(with, since, Configuration::RecordKind::Endpoint);
-    }
-    if (configuration) {
-        // From before the configuration in force on, which is much smaller than the whole, unless that did not help.
-        since.configuration
-            = m_configurationLists.isFirst() ? std::max<std::uint64_t>(m_records.configurationChangedAt(), 1) - 1 : 0;
-        sendRecords(with, since, Configuration::RecordKind::Configuration);
+    if (m_pullScheduler.selectPull(now, from, revision, this->revision()) != Pull::None) {
+        m_callbacks.send({address}, Peer::ChangesRequest {this->revision()});
     }
-    m_callbacks.send({addressOf(with.name), with.incarnation},
-                     Peer::ChangesRequest {since.configuration, since.endpoints, !configuration});
 }
 
 void Fleet::receive(Base::Instant, const Peer::Process &from, const Peer::ChangesRequest &request)
 {
     if (usesRecords()) {
-        replyWithRecords(from, request);
+        m_exchange.receive(from, request);
         return;
     }
     Configuration::Update update = m_replica.updateSince(request.since);
@@ -284,51 +232,6 @@
                      Peer::Changes {std::move(update.snapshot), std::move(update.log), {}, 0});
 }
 
-void Fleet::replyWithRecords(const Peer::Process &from, const Peer::ChangesRequest &request)
-{
-    const Configuration::RecordRevisions since {request.since, request.endpointsSince};
-    if (m_records.revisions().endpoints > since.endpoints) {
-        sendRecords(from, since, Configuration::RecordKind::Endpoint);
-    }
-    const bool asksForList = since.endpoints == 0;
-    if (asksForList && !m_records.knowsRemovals(Configuration::RecordKind::Endpoint)
-        && m_waitingForList.size() < maxWaitingForList) {
-        m_waitingForList.insert(from);
-    }
-    if (!request.endpointsOnly) {
-        // Sent even if nothing is new, since the requester waits for a reply.
-        sendRecords(from, since, Configuration::RecordKind::Configuration);
-    }
-}
-
-void Fleet::sendWaitingLists()
-{
-    if (!m_records.knowsRemovals(Configuration::RecordKind::Endpoint)) {
-        return;
-    }
-    for (const Peer::Process &host : std::exchange(m_waitingForList, {})) {
-        sendRecords(host, {}, Configuration::RecordKind::Endpoint);
-    }
-}
-
-void Fleet::sendRecords(const Peer::Process &to, const Configuration::RecordRevisions &since, Configuration::RecordKind kind)
-{
-    auto packed = m_codec.pack(m_records, since, kind);
-    if (!packed.ok()) {
-        Base::log(Base::LogLevel::Error, Base::LogEvent::ConfigurationIgnored,
-                  {{"to", to.name}, {"reason", Base::messageOf(packed.status())}});
-        return;
-    }
-    Base::log(Base::LogLevel::Info, Base::LogEvent::ChangesSent,
-              {{"to", to.name},
-               {"kind", Base::nameOf(Configuration::recordKindNames, kind)},
-               {"since", since.forKind(kind)},
-               {"version", m_records.revisions().forKind(kind)},
-               {"base", packed->base},
-               {"bytes", packed->bytes.size()}});
-    m_callbacks.send({addressOf(to.name), to.incarnation}, Peer::Changes {{}, {}, std::move(packed->bytes), packed->base});
-}
-
 void Fleet::receive(Base::Instant now, const Peer::Process &from, const Peer::Changes &changes)
 {
     if (usesRecords()) {
@@ -346,38 +249,9 @@
 
 void Fleet::applyRecordChanges(Base::Instant now, const Peer::Process &from, const Peer::Changes &changes)
 {
-    const auto records = Configuration::ChangesCodec::unpack(m_records, {changes.packed, changes.base});
-    if (!records.ok()) {
-        // The next request asks for the whole configuration.
-        m_baseMissing = true;
-        m_pullScheduler.receiveReply(from.name);
-        Base::log(Base::LogLevel::Warning, Base::LogEvent::ConfigurationIgnored,
-                  {{"from", from.name}, {"reason", Base::messageOf(records.status())}});
-        return;
-    }
-    // The reply to a request for all changes ends with a message of the configuration, even if that has no records. Only this
-    // one completes the request.
-    const bool ofConfiguration = records->configuration.scope != Configuration::ChangesScope::None;
-    if (ofConfiguration) {
-        m_baseMissing = false;
-        m_pullScheduler.receiveReply(from.name);
-    }
     const std::uint64_t before = m_records.revisions().configuration;
-    const bool changed = m_records.merge(*records);
-    sendWaitingLists();
-    compareRecords(now, from, records->sender);
+    const bool changed = m_exchange.receive(now, from, changes);
     updateConfigurationSource(before, from.name);
-    Base::log(Base::LogLevel::Info, Base::LogEvent::ChangesReceived,
-              {{"from", from.name},
-               {"configuration-version", records->configuration.revision},
-               {"endpoints-version", records->endpoints.revision},
-               {"scope",
-                Base::nameOf(Configuration::changesScopeNames,
-                             ofConfiguration ? records->configuration.scope : records->endpoints.scope)},
-               {"records", records->records.size()},
-               {"bytes", changes.packed.size()},
-               {"ms-since-asked", Base::milliseconds(m_pullScheduler.timeSinceRequest(now))},
-               {"changed", changed}});
     m_swim.setRevision(m_records.digest());
     if (changed) {
         recordsChanged();
@@ -562,7 +436,7 @@
 void Fleet::endList(Configuration::RecordKind kind, std::uint64_t version)
 {
     m_records.endList(kind, version);
-    sendWaitingLists();
+    m_exchange.sendWaitingLists();
 }
 
 bool Fleet::knowsRemovals(Configuration::RecordKind kind) const
@@ -745,7 +619,7 @@
 
 Base::Duration Fleet::recordsDifferFor(Base::Instant now) const
 {
-    return m_agreement.differsFor(now);
+    return m_exchange.differsFor(now);
 }
 
 const ActiveConfiguration &Fleet::activeConfiguration() const
--- a/Source/Node/fleet.h
+++ b/Source/Node/fleet.h
@@ -7,7 +7,6 @@
 #pragma once
 
 #include "Base/loop.h"
-#include "Configuration/changescodec.h"
 #include "Configuration/replica.h"
 #include "Configuration/siterecords.h"
 #include "Configuration/store.h"
@@ -15,9 +14,8 @@
 #include "Http/client.h"
 #include "Membership/swim.h"
 #include "Node/collisionlog.h"
-#include "Node/listrequests.h"
 #include "Node/pullscheduler.h"
-#include "Node/recordagreement.h"
+#include "Node/recordexchange.h"
 #include "Node/settings.h"
 #include "Node/unusablerecords.h"
 #include "Platform/etcdtable.h"
@@ -27,7 +25,6 @@
 #include <memory>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -194,17 +191,7 @@
     void pollStore(Base::Instant now);
     void pollHostList(Base::Instant now);
     void applyHostList(const std::vector<Platform::ListedHost> &hosts);
-    void replyWithRecords(const Peer::Process &from, const Peer::ChangesRequest &request);
-    /// Sends the list of endpoints to the hosts that asked before this host knew what was removed.
-    void sendWaitingLists();
-    void sendRecords(const Peer::Process &to, const Configuration::RecordRevisions &since, Configuration::RecordKind kind);
     void applyRecordChanges(Base::Instant now, const Peer::Process &from, const Peer::Changes &changes);
-    /// Returns the request for what this host's copy of the records lacks.
-    Peer::ChangesRequest recordsRequest(Pull pull, bool listsEndpoints) const;
-    /// Exchanges records with host @p from, which holds @p other, if it holds other ones at the same revision.
-    void compareRecords(Base::Instant now, const Peer::Process &from, const Configuration::CopyState &other);
-    /// Sends all records to host @p with, and asks for its own: either host may be the one whose records are amiss.
-    void exchangeRecords(const Peer::Process &with, bool configuration, bool endpoints);
     void pullIfBehind(Base::Instant now, const std::string &from, std::uint64_t revision);
     void configurationUpdated();
     void gossipConfiguration();
@@ -238,8 +225,7 @@
     Membership::Swim m_swim;
     Configuration::Replica m_replica;
     Configuration::SiteRecords m_records;
-    Configuration::ChangesCodec m_codec;
-    bool m_baseMissing = false; ///< the last changes were a delta to a configuration that this host does not have
+    RecordExchange m_exchange; ///< keeps m_records equal to those of the other hosts
     std::string m_configurationSource; ///< source of the newest configuration
     ActiveConfiguration m_activeConfiguration;
     std::shared_ptr<const Configuration::Catalogue> m_recordCatalogue; ///< decoded from m_records
@@ -248,12 +234,7 @@
     Configuration::Store<Platform::EtcdTable> m_store;
     std::shared_ptr<const Dispatch::ShardMap> m_shards;
     std::shared_ptr<const Configuration::Catalogue> m_shardCatalogue; ///< the configuration that m_shards was made for
-    PullScheduler m_pullScheduler;
-    ListRequests m_firstEndpointList;
-    std::set<Peer::Process> m_waitingForList; ///< hosts that asked for the list of endpoints before this host had all of it
-    ListRequests m_endpointLists;
-    ListRequests m_configurationLists;
-    RecordAgreement m_agreement;
+    PullScheduler m_pullScheduler {RevisionOrder::Counter}; ///< only with PlatformForm::Table
     std::map<std::string, KnownState> m_knownStates; ///< the states of the members at the last rebuild()
     Base::Instant m_nextRebuild {};
     std::uint64_t m_lastGeneration = 0;
