Node: A revision that rises without a change of a record is applied, too

In a fleet that has just started a host has a change before it can name the version that it is at; when it could, nothing was applied, so that configuration-applied and the configuration's version in the dump stayed at the version before, though the records were those of the new one (test_records: all hosts are to apply the version of the store; failed in the one run, within the first three seconds of the hosts).

test_oddrows counts the messages of hosts while an odd entry sends heartbeats, from about two seconds after their start on. Hosts that have just started now ask each other for their lists, for some seconds; the test counted these.

--- a/Source/Node/fleet.cpp
+++ b/Source/Node/fleet.cpp
@@ -249,11 +249,12 @@
 
 void Fleet::applyRecordChanges(Base::Instant now, const Peer::Process &from, const Peer::Changes &changes)
 {
-    const std::uint64_t before = m_records.revisions().configuration;
+    const Configuration::RecordRevisions before = m_records.revisions();
     const bool changed = m_exchange.receive(now, from, changes);
-    updateConfigurationSource(before, from.name);
+    updateConfigurationSource(before.configuration, from.name);
     m_swim.setRevision(m_records.digest());
-    if (changed) {
+    // A revision that rises without a change of any record is in force, too.
+    if (changed || !(m_records.revisions() == before)) {
         recordsChanged();
     }
 }
--- a/Tests/Integration/test_oddrows.py
+++ b/Tests/Integration/test_oddrows.py
@@ -248,9 +248,18 @@
     with Site() as site:
         site.store.put_bytes("servers", "i-odd", odd_value(0))
         wait_until(lambda: all(site.events(index, "record-rejected") for index in range(COUNT)), "all hosts to log the entry")
-        time.sleep(1)
         names = ("configuration-applied", "changes-sent", "changes-received", "record-rejected")
-        before = {(index, name): len(site.events(index, name)) for index in range(COUNT) for name in names}
+
+        def count_events():
+            return {(index, name): len(site.events(index, name)) for index in range(COUNT) for name in names}
+
+        def is_quiet():
+            counted = count_events()
+            time.sleep(1.5)  # longer than the period at which hosts that have just started ask each other for their lists
+            return count_events() == counted
+
+        wait_until(is_quiet, "hosts that have just started to have each other's lists", 15)
+        before = count_events()
         for sequence in range(1, 13):
             site.store.put_bytes("servers", "i-odd", odd_value(sequence))
             time.sleep(0.3)
